--- /dev/null
+++ b/crates/base/fescuetide_base/src/clock.rs
@@ -0,0 +1,118 @@
+//! Time in milliseconds.
+
+use std::fmt;
+use std::num::ParseIntError;
+use std::ops::Add;
+use std::str::FromStr;
+use std::sync::OnceLock;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A point in time, in milliseconds since the Unix epoch.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct ClockMillis(u64);
+
+impl ClockMillis {
+    /// Creates a point in time from milliseconds since the Unix epoch.
+    pub const fn new(millis: u64) -> Self {
+        Self(millis)
+    }
+
+    /// Reads the clock.
+    ///
+    /// The wall clock is read once per process and advanced by the monotonic clock, so values never go back while the
+    /// process runs.
+    pub fn now() -> Self {
+        static ORIGIN: OnceLock<(Instant, u64)> = OnceLock::new();
+        let (instant, wall) = ORIGIN.get_or_init(|| {
+            let wall = SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap_or_default();
+            (Instant::now(), wall.as_millis() as u64)
+        });
+        Self(wall + instant.elapsed().as_millis() as u64)
+    }
+
+    /// Milliseconds since the Unix epoch.
+    pub const fn as_millis(self) -> u64 {
+        self.0
+    }
+
+    /// The span since `earlier`, zero when `earlier` is later.
+    pub const fn since(self, earlier: Self) -> SpanMillis {
+        SpanMillis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<SpanMillis> for ClockMillis {
+    type Output = Self;
+
+    fn add(self, span: SpanMillis) -> Self {
+        Self(self.0.saturating_add(span.0))
+    }
+}
+
+impl fmt::Display for ClockMillis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for ClockMillis {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
+/// A length of time in milliseconds.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct SpanMillis(u64);
+
+impl SpanMillis {
+    /// Creates a span from milliseconds.
+    pub const fn new(millis: u64) -> Self {
+        Self(millis)
+    }
+
+    /// The span in milliseconds.
+    pub const fn as_millis(self) -> u64 {
+        self.0
+    }
+
+    /// The span in whole seconds, rounded up, as `Retry-After` needs it.
+    pub const fn as_secs_ceil(self) -> u64 {
+        self.0.div_ceil(1_000)
+    }
+}
+
+impl From<SpanMillis> for Duration {
+    fn from(span: SpanMillis) -> Self {
+        Duration::from_millis(span.0)
+    }
+}
+
+impl fmt::Display for SpanMillis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}ms", self.0)
+    }
+}
+
+impl FromStr for SpanMillis {
+    type Err = ParseIntError;
+
+    /// Parses `250` or `250ms`.
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.trim_end_matches("ms").parse().map(Self)
+    }
+}
--- /dev/null
+++ b/crates/base/fescuetide_base/src/finding.rs
@@ -0,0 +1,81 @@
+//! Findings: errors collected with their place and reported together.
+
+use std::error::Error;
+use std::fmt;
+
+/// One error in some input, with the place it was found at.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InputFinding {
+    /// Where the error is, for example `line 3, key "pool"` or `header fescuetide-class`.
+    pub place: String,
+    /// What is wrong.
+    pub message: String,
+}
+
+impl fmt::Display for InputFinding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.place, self.message)
+    }
+}
+
+/// All findings about one input.
+///
+/// ```
+/// use fescuetide_base::FindingList;
+///
+/// let mut list = FindingList::default();
+/// list.add("line 1", "unknown key");
+/// assert!(list.into_result(()).is_err());
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FindingList {
+    findings: Vec<InputFinding>,
+}
+
+impl FindingList {
+    /// Adds a finding.
+    pub fn add(&mut self, place: impl Into<String>, message: impl Into<String>) {
+        self.findings.push(InputFinding {
+            place: place.into(),
+            message: message.into(),
+        });
+    }
+
+    /// Adds all findings of another list.
+    pub fn extend(&mut self, other: FindingList) {
+        self.findings.extend(other.findings);
+    }
+
+    /// Whether nothing was found.
+    pub fn is_empty(&self) -> bool {
+        self.findings.is_empty()
+    }
+
+    /// The findings in the order they were added.
+    pub fn iter(&self) -> std::slice::Iter<'_, InputFinding> {
+        self.findings.iter()
+    }
+
+    /// Returns `value` when nothing was found, else the list as the error.
+    pub fn into_result<T>(self, value: T) -> Result<T, FindingList> {
+        if self.is_empty() {
+            Ok(value)
+        } else {
+            Err(self)
+        }
+    }
+}
+
+impl fmt::Display for FindingList {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, finding) in self.findings.iter().enumerate() {
+            if index > 0 {
+                writeln!(f)?;
+            }
+            write!(f, "{finding}")?;
+        }
+        Ok(())
+    }
+}
+
+impl Error for FindingList {}
--- /dev/null
+++ b/crates/base/fescuetide_base/src/id.rs
@@ -0,0 +1,242 @@
+//! Names and ids.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use uuid::Uuid;
+
+/// The longest name in bytes.
+pub const NAME_LIMIT_BYTES: usize = 128;
+
+/// Why a text is not a name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NameError {
+    /// The text is empty.
+    Empty,
+    /// The text is longer than [`NAME_LIMIT_BYTES`].
+    TooLong,
+    /// The text has a character other than ASCII letters, digits, `-`, `_`, `.` and `:`.
+    BadCharacter(char),
+}
+
+impl fmt::Display for NameError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Empty => write!(f, "name is empty"),
+            Self::TooLong => write!(f, "name is longer than {NAME_LIMIT_BYTES} bytes"),
+            Self::BadCharacter(character) => write!(
+                f,
+                "name has the character {character:?}; allowed are ASCII letters, digits, '-', '_', '.' and ':'"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for NameError {}
+
+fn check_name(text: &str) -> Result<(), NameError> {
+    if text.is_empty() {
+        return Err(NameError::Empty);
+    }
+    if text.len() > NAME_LIMIT_BYTES {
+        return Err(NameError::TooLong);
+    }
+    for character in text.chars() {
+        if character.is_ascii_alphanumeric() || "-_.:".contains(character) {
+            continue;
+        }
+        return Err(NameError::BadCharacter(character));
+    }
+    Ok(())
+}
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(String);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = NameError;
+
+            fn from_str(text: &str) -> Result<Self, NameError> {
+                check_name(text)?;
+                Ok(Self(text.to_owned()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = NameError;
+
+            fn try_from(text: String) -> Result<Self, NameError> {
+                check_name(&text)?;
+                Ok(Self(text))
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0
+            }
+        }
+    };
+}
+
+name_type! {
+    /// The name of a workspace, the customer a request belongs to.
+    WorkspaceName
+}
+name_type! {
+    /// The name of a returning chat within its workspace.
+    ChatName
+}
+name_type! {
+    /// The name of a class of work.
+    ClassName
+}
+name_type! {
+    /// The name of a pool of upstreams that serve the same requests.
+    PoolName
+}
+name_type! {
+    /// The name of a model.
+    ModelName
+}
+name_type! {
+    /// The name of a VM.
+    VmName
+}
+name_type! {
+    /// The name of an availability zone.
+    ZoneName
+}
+name_type! {
+    /// The name of a region. Requests never leave their region.
+    RegionName
+}
+
+macro_rules! uuid_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        pub struct $name(Uuid);
+
+        impl $name {
+            /// Creates a new id, a UUIDv7.
+            pub fn generate() -> Self {
+                Self(Uuid::now_v7())
+            }
+
+            /// Creates an id from a 128-bit number.
+            pub const fn from_u128(value: u128) -> Self {
+                Self(Uuid::from_u128(value))
+            }
+
+            /// The id as a UUID.
+            pub const fn as_uuid(self) -> Uuid {
+                self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = uuid::Error;
+
+            fn from_str(text: &str) -> Result<Self, uuid::Error> {
+                Uuid::parse_str(text).map(Self)
+            }
+        }
+    };
+}
+
+uuid_type! {
+    /// The id of a caller's request, equal over all its attempts.
+    RequestId
+}
+uuid_type! {
+    /// The id of one attempt at a request.
+    AttemptId
+}
+uuid_type! {
+    /// The id of a change of a class.
+    ChangeId
+}
+uuid_type! {
+    /// The id of a claim on an idempotency key.
+    ClaimId
+}
+uuid_type! {
+    /// An idempotency key of a request that is not repeatable. It is a UUIDv7 and so carries its creation time.
+    IdempotencyKey
+}
+
+macro_rules! number_type {
+    ($(#[$doc:meta])* $name:ident, $inner:ty) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        pub struct $name($inner);
+
+        impl $name {
+            /// Creates the value from its number.
+            pub const fn new(value: $inner) -> Self {
+                Self(value)
+            }
+
+            /// The value as a number.
+            pub const fn get(self) -> $inner {
+                self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = std::num::ParseIntError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                text.parse().map(Self)
+            }
+        }
+    };
+}
+pub(crate) use number_type;
+
+number_type! {
+    /// One run of a process on a VM. A restarted process has a higher number.
+    ProcessIncarnation, u64
+}
+number_type! {
+    /// A record's position in a stream of the log service, counted from 0.
+    LogOffset, u64
+}
+number_type! {
+    /// The version of a class, 1 for its first targets. 0 means that the class does not exist.
+    ClassVersion, u64
+}
--- /dev/null
+++ b/crates/coordination/fescuetide_routing/src/lib.rs
@@ -0,0 +1,21 @@
+//! Ranking of upstreams for returning chats.
+//!
+//! Rendezvous hashing (Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit Rates", 1998) in two steps:
+//! first on the workspace and model, which gives a small shard of the pool, then on the chat within the shard. Every
+//! router computes the same order from the same VMs, and a VM that comes or goes moves only its own share of chats.
+
+mod rank;
+mod table;
+
+pub use rank::RankKey;
+pub use rank::ShardSize;
+pub use rank::rank_upstreams;
+pub use rank::score_upstream;
+pub use table::RouteTable;
+
+/// The types most users need.
+pub mod prelude {
+    pub use crate::RankKey;
+    pub use crate::RouteTable;
+    pub use crate::ShardSize;
+}
--- /dev/null
+++ b/crates/coordination/fescuetide_routing/src/table.rs
@@ -0,0 +1,45 @@
+//! The upstreams of one pool, prepared for ranking.
+
+use fescuetide_base::PoolName;
+use fescuetide_base::RegionName;
+use fescuetide_members::VmEntry;
+use fescuetide_members::VmTable;
+
+use crate::RankKey;
+use crate::ShardSize;
+use crate::rank::hash_vm;
+use crate::rank_upstreams;
+
+/// The live upstreams of one pool in one region.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    entries: Vec<VmEntry>,
+    hashes: Vec<u64>,
+}
+
+impl RouteTable {
+    /// Collects the pool's live upstreams within `region`. Requests never leave their region.
+    pub fn new(vms: &VmTable, pool: &PoolName, region: &RegionName) -> Self {
+        let entries: Vec<VmEntry> = vms.live_upstreams(pool, region).cloned().collect();
+        let hashes = entries.iter().map(|entry| hash_vm(&entry.name)).collect();
+        Self { entries, hashes }
+    }
+
+    /// How many upstreams there are.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether the pool has no live upstream.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// All upstreams for a request, best first.
+    pub fn rank(&self, key: &RankKey<'_>, shard: ShardSize) -> Vec<&VmEntry> {
+        rank_upstreams(key, &self.hashes, shard)
+            .into_iter()
+            .map(|index| &self.entries[index as usize])
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/coordination/fescuetide_summary/src/lib.rs
@@ -0,0 +1,20 @@
+//! Load summaries: the mean load of a pool from partial sums.
+//!
+//! Side processes report to a collector; collectors exchange sums per pool. The mean is a ratio of two sums, so an
+//! upstream that is missed or counted twice hardly moves it. All state is soft and expires.
+
+mod collector;
+mod sum;
+
+pub use collector::CollectorSettings;
+pub use collector::LoadCollector;
+pub use collector::UpstreamReport;
+pub use sum::PoolSum;
+
+/// The types most users need.
+pub mod prelude {
+    pub use crate::CollectorSettings;
+    pub use crate::LoadCollector;
+    pub use crate::PoolSum;
+    pub use crate::UpstreamReport;
+}
--- /dev/null
+++ b/crates/process/fescuetide_cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/process/fescuetide_router/src/attempt.rs
@@ -0,0 +1,326 @@
+//! One attempt at a request over the framed protocol, with resumption on a new connection.
+
+use std::net::SocketAddr;
+
+use fescuetide_base::ClockMillis;
+use fescuetide_base::LoadCount;
+use fescuetide_base::ProcessIncarnation;
+use fescuetide_base::SpanMillis;
+use fescuetide_members::VmEntry;
+use fescuetide_net::FrameError;
+use fescuetide_net::SideLink;
+use fescuetide_wire::frame::AttemptEnding;
+use fescuetide_wire::frame::AttemptTag;
+use fescuetide_wire::frame::BodySeal;
+use fescuetide_wire::frame::DispatchFrame;
+use fescuetide_wire::frame::RefusalReason;
+use fescuetide_wire::frame::RouterFrame;
+use fescuetide_wire::frame::SealState;
+use fescuetide_wire::frame::SideFrame;
+
+use crate::RouterShared;
+
+/// How often a response is resumed before the attempt counts as lost.
+const RESUME_LIMIT: u32 = 3;
+
+/// What an attempt yields next.
+#[derive(Debug)]
+pub(crate) enum AttemptEvent {
+    /// Status and content type of the response.
+    Head(u16, String),
+    /// The next bytes of the response body.
+    Chunk(Vec<u8>),
+    /// Nothing new for a heartbeat interval.
+    Alive,
+    /// The end, checked against length and hash.
+    End(AttemptEnding),
+    /// Refused: the attempt did not run and never will.
+    Refused {
+        /// Why.
+        reason: RefusalReason,
+        /// The side process's load.
+        load: LoadCount,
+        /// When to come back.
+        retry_after: SpanMillis,
+    },
+    /// The side process or its incarnation is gone: the attempt may have run.
+    Lost(String),
+}
+
+/// Why an attempt was not started.
+#[derive(Debug)]
+pub(crate) struct NotSent(pub(crate) FrameError);
+
+/// An attempt in progress.
+pub(crate) struct LiveAttempt {
+    tag: AttemptTag,
+    vm: VmEntry,
+    incarnation: ProcessIncarnation,
+    link: Option<SideLink>,
+    body: Vec<u8>,
+    resumes: u32,
+    accepted: bool,
+    head_seen: bool,
+    ended: bool,
+}
+
+impl LiveAttempt {
+    /// Connects to the side process of `vm` and sends the dispatch.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no connection could be made; the attempt was not sent then.
+    pub(crate) fn start(
+        shared: &RouterShared,
+        vm: &VmEntry,
+        mut dispatch: DispatchFrame,
+    ) -> Result<Self, NotSent> {
+        let link = shared
+            .links
+            .checkout(&vm.name, vm.data, ClockMillis::now())
+            .map_err(NotSent)?;
+        dispatch.target = link.incarnation;
+        let tag = dispatch.tag;
+        let mut attempt = Self {
+            tag,
+            vm: vm.clone(),
+            incarnation: link.incarnation,
+            link: Some(link),
+            body: Vec::new(),
+            resumes: 0,
+            accepted: false,
+            head_seen: false,
+            ended: false,
+        };
+        let sent = match &mut attempt.link {
+            Some(link) => link.stream.send(&RouterFrame::Dispatch(Box::new(dispatch))),
+            None => Ok(()),
+        };
+        if let Err(error) = sent {
+            // Part of the frame may have arrived; the next event asks on a new connection.
+            tracing::debug!(%tag, %error, "dispatch was not sent in full");
+            attempt.link = None;
+        }
+        Ok(attempt)
+    }
+
+    pub(crate) fn tag(&self) -> AttemptTag {
+        self.tag
+    }
+
+    pub(crate) fn vm(&self) -> &VmEntry {
+        &self.vm
+    }
+
+    /// Waits for the next event.
+    pub(crate) fn next(&mut self, shared: &RouterShared) -> AttemptEvent {
+        loop {
+            if self.link.is_none()
+                && let Err(event) = self.resume(shared)
+            {
+                self.ended = true;
+                return event;
+            }
+            let limit = Some(shared.settings.silence_limit());
+            let received = match &mut self.link {
+                Some(link) => link.stream.receive(limit),
+                None => continue,
+            };
+            let step = match received {
+                Ok(frame) => self.take_frame(shared, frame),
+                Err(error) => Err(error),
+            };
+            match step {
+                Ok(Some(event)) => return event,
+                Ok(None) => {}
+                Err(error) => {
+                    shared.metrics.count("link.lost");
+                    tracing::debug!(tag = %self.tag, vm = %self.vm.name, %error, "connection lost");
+                    self.link = None;
+                }
+            }
+        }
+    }
+
+    /// Takes in one frame. An error makes the connection unusable.
+    fn take_frame(
+        &mut self,
+        shared: &RouterShared,
+        frame: SideFrame,
+    ) -> Result<Option<AttemptEvent>, FrameError> {
+        match frame {
+            SideFrame::Accepted { tag } => {
+                self.check_tag(tag)?;
+                self.accepted = true;
+                Ok(None)
+            }
+            SideFrame::Alive { tag } => {
+                self.check_tag(tag)?;
+                Ok(Some(AttemptEvent::Alive))
+            }
+            SideFrame::Head {
+                tag,
+                status,
+                content_type,
+            } => {
+                self.check_tag(tag)?;
+                if self.head_seen {
+                    return Ok(None);
+                }
+                self.head_seen = true;
+                Ok(Some(AttemptEvent::Head(status, content_type)))
+            }
+            SideFrame::Chunk { tag, offset, bytes } => {
+                self.check_tag(tag)?;
+                if offset != self.body.len() as u64 {
+                    return Err(FrameError::Protocol(format!(
+                        "chunk at offset {offset}, expected {}",
+                        self.body.len()
+                    )));
+                }
+                self.body.extend_from_slice(&bytes);
+                // The limit is on resumptions without progress.
+                self.resumes = 0;
+                Ok(Some(AttemptEvent::Chunk(bytes)))
+            }
+            SideFrame::End { tag, seal, ending } => {
+                self.check_tag(tag)?;
+                let found = BodySeal::of(&self.body);
+                if found != seal {
+                    return Err(FrameError::Protocol(format!(
+                        "response has {} bytes, but its end says {} bytes or another hash",
+                        found.length, seal.length
+                    )));
+                }
+                self.finish(shared);
+                Ok(Some(AttemptEvent::End(ending)))
+            }
+            SideFrame::Refused {
+                tag,
+                reason,
+                load,
+                retry_after,
+            } => {
+                self.check_tag(tag)?;
+                self.finish(shared);
+                Ok(Some(AttemptEvent::Refused {
+                    reason,
+                    load,
+                    retry_after,
+                }))
+            }
+            SideFrame::Sealed { tag, state } => {
+                self.check_tag(tag)?;
+                self.finish(shared);
+                Ok(Some(self.event_of_seal(state)))
+            }
+            SideFrame::Welcome { .. } | SideFrame::Cancelled { .. } => {
+                Err(FrameError::Protocol("unexpected frame".to_owned()))
+            }
+        }
+    }
+
+    fn event_of_seal(&self, state: SealState) -> AttemptEvent {
+        match state {
+            SealState::Sealed if !self.accepted => AttemptEvent::Refused {
+                reason: RefusalReason::Sealed,
+                load: LoadCount::default(),
+                retry_after: SpanMillis::default(),
+            },
+            SealState::Sealed | SealState::Present(_) | SealState::Expired => {
+                AttemptEvent::Lost("side process no longer has the response".to_owned())
+            }
+        }
+    }
+
+    fn check_tag(&self, tag: AttemptTag) -> Result<(), FrameError> {
+        if tag == self.tag {
+            return Ok(());
+        }
+        Err(FrameError::Protocol(format!(
+            "frame of attempt {tag}, expected {}",
+            self.tag
+        )))
+    }
+
+    /// Gives the connection back after the last frame of the attempt.
+    fn finish(&mut self, shared: &RouterShared) {
+        self.ended = true;
+        if let Some(link) = self.link.take() {
+            shared
+                .links
+                .give_back(self.vm.data, link, ClockMillis::now());
+        }
+    }
+
+    /// Asks for the rest of the response on a new connection. This also seals an attempt that never arrived.
+    fn resume(&mut self, shared: &RouterShared) -> Result<(), AttemptEvent> {
+        let mut reason = "connection lost".to_owned();
+        while self.resumes < RESUME_LIMIT {
+            self.resumes += 1;
+            shared.metrics.count("resume");
+            let link = match shared.links.connect(&self.vm.name, self.vm.data) {
+                Ok(link) => link,
+                Err(error) => {
+                    reason = error.to_string();
+                    if is_refused(&error) {
+                        break;
+                    }
+                    continue;
+                }
+            };
+            if link.incarnation != self.incarnation {
+                reason = "side process has restarted".to_owned();
+                break;
+            }
+            self.link = Some(link);
+            let frame = RouterFrame::Resume {
+                tag: self.tag,
+                offset: self.body.len() as u64,
+            };
+            let sent = match &mut self.link {
+                Some(link) => link.stream.send(&frame),
+                None => continue,
+            };
+            match sent {
+                Ok(()) => return Ok(()),
+                Err(error) => {
+                    reason = error.to_string();
+                    self.link = None;
+                }
+            }
+        }
+        Err(AttemptEvent::Lost(reason))
+    }
+
+    /// Tells the side process that the response is no longer wanted.
+    pub(crate) fn cancel(&mut self, shared: &RouterShared) {
+        if self.ended {
+            return;
+        }
+        self.ended = true;
+        self.link = None;
+        if let Err(error) = send_cancel(shared, self.tag, &self.vm.name, self.vm.data) {
+            tracing::debug!(tag = %self.tag, %error, "cancellation was not sent");
+        }
+    }
+}
+
+fn is_refused(error: &FrameError) -> bool {
+    matches!(error, FrameError::Io(cause) if cause.kind() == std::io::ErrorKind::ConnectionRefused)
+}
+
+fn send_cancel(
+    shared: &RouterShared,
+    tag: AttemptTag,
+    vm: &fescuetide_base::VmName,
+    address: SocketAddr,
+) -> Result<(), FrameError> {
+    let mut link = shared.links.checkout(vm, address, ClockMillis::now())?;
+    link.stream.send(&RouterFrame::Cancel { tag })?;
+    let reply: SideFrame = link.stream.receive(Some(shared.settings.silence_limit()))?;
+    if matches!(reply, SideFrame::Cancelled { tag: found } if found == tag) {
+        shared.links.give_back(address, link, ClockMillis::now());
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/process/fescuetide_router/src/call.rs
@@ -0,0 +1,564 @@
+//! A caller's request after validation, and its way through one or more attempts.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::thread;
+
+use fescuetide_base::AttemptId;
+use fescuetide_base::ChatName;
+use fescuetide_base::ClassName;
+use fescuetide_base::ClockMillis;
+use fescuetide_base::IdempotencyKey;
+use fescuetide_base::LoadCount;
+use fescuetide_base::ModelName;
+use fescuetide_base::PoolName;
+use fescuetide_base::RequestId;
+use fescuetide_base::SpanMillis;
+use fescuetide_base::StableHash;
+use fescuetide_base::WorkspaceName;
+use fescuetide_classes::ClassTargets;
+use fescuetide_limits::BudgetSettings;
+use fescuetide_limits::RetryBudget;
+use fescuetide_members::VmEntry;
+use fescuetide_routing::RankKey;
+use fescuetide_routing::ShardSize;
+use fescuetide_wire::api::CallOutcome;
+use fescuetide_wire::api::TokenUsage;
+use fescuetide_wire::frame::AdmissionRule;
+use fescuetide_wire::frame::AttemptEnding;
+use fescuetide_wire::frame::AttemptTag;
+use fescuetide_wire::frame::DispatchFrame;
+use fescuetide_wire::frame::RefusalReason;
+use fescuetide_wire::frame::WorkBody;
+use fescuetide_wire::frame::WorkKey;
+use indexmap::IndexMap;
+
+use crate::RouterShared;
+use crate::attempt::AttemptEvent;
+use crate::attempt::LiveAttempt;
+use crate::attempt::NotSent;
+
+/// First wait before a retry; it doubles with each further one and is shortened by jitter.
+const RETRY_WAIT_MS: u64 = 50;
+
+/// Longest wait before a retry.
+const RETRY_WAIT_LIMIT_MS: u64 = 1_000;
+
+/// When a caller should come back if no side process said so.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// Most workspaces and classes whose retry budgets are kept.
+const BUDGET_LIMIT: usize = 8_192;
+
+/// What is to be run.
+#[derive(Clone, Debug)]
+pub(crate) enum CallWork {
+    /// A chat completion.
+    Chat {
+        /// The JSON body as the caller sent it.
+        body: Vec<u8>,
+        /// Whether the caller wants server-sent events.
+        stream: bool,
+        /// The model.
+        model: ModelName,
+    },
+    /// A call of a plain service.
+    Service {
+        method: String,
+        path: String,
+        content_type: Option<String>,
+        body: Vec<u8>,
+    },
+}
+
+/// A valid request.
+#[derive(Clone, Debug)]
+pub(crate) struct CallSpec {
+    pub(crate) request: RequestId,
+    pub(crate) workspace: WorkspaceName,
+    pub(crate) chat: Option<ChatName>,
+    pub(crate) class: ClassName,
+    pub(crate) targets: ClassTargets,
+    pub(crate) pool: PoolName,
+    pub(crate) key: Option<IdempotencyKey>,
+    pub(crate) received: ClockMillis,
+    pub(crate) deadline: ClockMillis,
+    pub(crate) work: CallWork,
+}
+
+impl CallSpec {
+    fn model(&self) -> Option<&ModelName> {
+        match &self.work {
+            CallWork::Chat { model, .. } => Some(model),
+            CallWork::Service { .. } => None,
+        }
+    }
+
+    fn work_key(&self) -> Option<WorkKey> {
+        let key = self.key?;
+        Some(WorkKey {
+            workspace: self.workspace.clone(),
+            key,
+        })
+    }
+
+    fn work_body(&self, delivered: &[u8]) -> WorkBody {
+        match &self.work {
+            CallWork::Chat { body, .. } => WorkBody::Chat {
+                body: body.clone(),
+                delivered: String::from_utf8_lossy(delivered).into_owned(),
+            },
+            CallWork::Service {
+                method,
+                path,
+                content_type,
+                body,
+            } => WorkBody::Call {
+                method: method.clone(),
+                path: path.clone(),
+                content_type: content_type.clone(),
+                body: body.clone(),
+            },
+        }
+    }
+}
+
+/// How a request ended.
+#[derive(Clone, Debug)]
+pub(crate) struct CallEnd {
+    pub(crate) outcome: CallOutcome,
+    pub(crate) reason: String,
+    pub(crate) retry_after: Option<SpanMillis>,
+    pub(crate) usage: TokenUsage,
+    pub(crate) attempts: u32,
+}
+
+/// What a request yields next.
+#[derive(Debug)]
+pub(crate) enum CallEvent {
+    /// Status and content type of the response.
+    Head(u16, String),
+    /// The next bytes of the response body.
+    Chunk(Vec<u8>),
+    /// Nothing new for a heartbeat interval.
+    Alive,
+    /// The end.
+    End(CallEnd),
+}
+
+/// Retry budgets per workspace and class.
+#[derive(Debug, Default)]
+pub(crate) struct RetryLedger {
+    budgets: Mutex<IndexMap<(WorkspaceName, ClassName), RetryBudget>>,
+}
+
+impl RetryLedger {
+    fn with_budget<T>(&self, spec: &CallSpec, action: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let place = (spec.workspace.clone(), spec.class.clone());
+        if budgets.len() >= BUDGET_LIMIT && !budgets.contains_key(&place) {
+            budgets.shift_remove_index(0);
+        }
+        let budget = budgets
+            .entry(place)
+            .or_insert_with(|| RetryBudget::new(BudgetSettings::default()));
+        action(budget)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WalkStage {
+    /// Candidates are asked to admit within their own cap.
+    OwnCap,
+    /// All refused by their caps; the least loaded is asked once more.
+    LeastLoaded,
+    /// No candidate is left.
+    Exhausted,
+}
+
+#[derive(Clone, Debug)]
+struct RefusalNote {
+    vm: VmEntry,
+    reason: RefusalReason,
+    load: LoadCount,
+    retry_after: SpanMillis,
+}
+
+/// Runs a request to its end.
+pub(crate) struct CallRunner {
+    shared: Arc<RouterShared>,
+    spec: CallSpec,
+    plan: Vec<VmEntry>,
+    cursor: usize,
+    stage: WalkStage,
+    refusals: Vec<RefusalNote>,
+    lost_on: Vec<VmEntry>,
+    current: Option<LiveAttempt>,
+    admitted: bool,
+    delivered: Vec<u8>,
+    head_sent: bool,
+    attempts: u32,
+    ended: bool,
+    last_reason: String,
+}
+
+impl CallRunner {
+    pub(crate) fn new(shared: Arc<RouterShared>, spec: CallSpec) -> Self {
+        shared.retries.with_budget(&spec, RetryBudget::note_request);
+        let mut runner = Self {
+            shared,
+            spec,
+            plan: Vec::new(),
+            cursor: 0,
+            stage: WalkStage::OwnCap,
+            refusals: Vec::new(),
+            lost_on: Vec::new(),
+            current: None,
+            admitted: false,
+            delivered: Vec::new(),
+            head_sent: false,
+            attempts: 0,
+            ended: false,
+            last_reason: "no upstream is available".to_owned(),
+        };
+        runner.make_plan();
+        runner
+    }
+
+    pub(crate) fn spec(&self) -> &CallSpec {
+        &self.spec
+    }
+
+    /// Waits for the next event. After the end it must not be called again.
+    pub(crate) fn next(&mut self) -> CallEvent {
+        loop {
+            if ClockMillis::now() >= self.spec.deadline {
+                return self.end_at_deadline();
+            }
+            let Some(mut attempt) = self.current.take() else {
+                if !self.start_next() {
+                    return self.end_not_run();
+                }
+                continue;
+            };
+            let event = attempt.next(&self.shared);
+            match event {
+                AttemptEvent::Head(status, content_type) => {
+                    self.note_admitted(attempt);
+                    if self.head_sent {
+                        continue;
+                    }
+                    self.head_sent = true;
+                    return CallEvent::Head(status, content_type);
+                }
+                AttemptEvent::Chunk(bytes) => {
+                    self.note_admitted(attempt);
+                    self.delivered.extend_from_slice(&bytes);
+                    return CallEvent::Chunk(bytes);
+                }
+                AttemptEvent::Alive => {
+                    self.note_admitted(attempt);
+                    return CallEvent::Alive;
+                }
+                AttemptEvent::End(ending) => {
+                    if let Some(event) = self.take_ending(&attempt, ending) {
+                        return event;
+                    }
+                }
+                AttemptEvent::Refused {
+                    reason,
+                    load,
+                    retry_after,
+                } => self.note_refusal(&attempt, reason, load, retry_after),
+                AttemptEvent::Lost(reason) => {
+                    if let Some(event) = self.take_loss(&attempt, reason) {
+                        return event;
+                    }
+                }
+            }
+        }
+    }
+
+    fn note_admitted(&mut self, attempt: LiveAttempt) {
+        self.admitted = true;
+        self.current = Some(attempt);
+    }
+
+    fn take_ending(&mut self, attempt: &LiveAttempt, ending: AttemptEnding) -> Option<CallEvent> {
+        match ending {
+            AttemptEnding::Completed {
+                prompt_tokens,
+                cached_tokens,
+                completion_tokens,
+            } => {
+                self.lock_breaker().note_success(&attempt.vm().name);
+                let usage = TokenUsage {
+                    prompt_tokens,
+                    cached_tokens,
+                    completion_tokens,
+                };
+                let reason = String::new();
+                Some(self.end(CallOutcome::Completed, reason, None, usage))
+            }
+            AttemptEnding::NotRun(reason) => {
+                self.admitted = false;
+                self.last_reason = reason;
+                self.lock_breaker()
+                    .note_failure(&attempt.vm().name, ClockMillis::now());
+                None
+            }
+            AttemptEnding::Failed(reason) => self.take_loss(attempt, reason),
+            AttemptEnding::Cancelled => self.take_loss(attempt, "attempt was cancelled".to_owned()),
+        }
+    }
+
+    /// Handles an attempt that may have run. Returns the end unless the request is tried again.
+    fn take_loss(&mut self, attempt: &LiveAttempt, reason: String) -> Option<CallEvent> {
+        let vm = attempt.vm().clone();
+        tracing::debug!(tag = %attempt.tag(), vm = %vm.name, %reason, "attempt lost");
+        self.lock_breaker()
+            .note_failure(&vm.name, ClockMillis::now());
+        self.last_reason = reason.clone();
+        self.lost_on.push(vm);
+        if !self.spec.targets.repeatable {
+            return Some(self.end(CallOutcome::Unknown, reason, None, TokenUsage::default()));
+        }
+        if !self.may_retry() {
+            return Some(self.end(CallOutcome::Failed, reason, None, TokenUsage::default()));
+        }
+        self.wait_before_retry();
+        self.make_plan();
+        None
+    }
+
+    fn may_retry(&self) -> bool {
+        let is_service = matches!(self.spec.work, CallWork::Service { .. });
+        if is_service && self.head_sent {
+            // Bytes of the response have reached the caller; another run's response need not match them.
+            return false;
+        }
+        self.shared
+            .retries
+            .with_budget(&self.spec, RetryBudget::try_retry)
+    }
+
+    fn wait_before_retry(&self) {
+        let doubled = RETRY_WAIT_MS << self.lost_on.len().min(8);
+        let limit = doubled.min(RETRY_WAIT_LIMIT_MS);
+        let left = self.spec.deadline.since(ClockMillis::now()).as_millis();
+        let jitter = StableHash::new()
+            .field(self.spec.request.as_uuid().as_bytes())
+            .field(&self.attempts.to_le_bytes())
+            .finish();
+        let wait = (limit / 2 + jitter % (limit / 2)).min(left);
+        thread::sleep(SpanMillis::new(wait).into());
+    }
+
+    /// Ranks the upstreams; those held back by the breaker and those that lost an attempt come last.
+    fn make_plan(&mut self) {
+        self.plan.clear();
+        self.cursor = 0;
+        self.stage = WalkStage::OwnCap;
+        self.refusals.clear();
+        let view = self.shared.view.load();
+        let Some(route) = view.routes.get(&self.spec.pool) else {
+            return;
+        };
+        let key = RankKey {
+            workspace: &self.spec.workspace,
+            model: self.spec.model(),
+            chat: self.spec.chat.as_ref(),
+        };
+        let shard = ShardSize::at_least(self.shared.settings.shard_size);
+        let now = ClockMillis::now();
+        let breaker = self
+            .shared
+            .breaker
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let mut held = Vec::new();
+        for vm in route.rank(&key, shard) {
+            let lost = self.lost_on.iter().any(|entry| entry.name == vm.name);
+            if lost || !breaker.allows(&vm.name, now) {
+                held.push(vm.clone());
+                continue;
+            }
+            self.plan.push(vm.clone());
+        }
+        self.plan.extend(held);
+    }
+
+    /// Starts an attempt at the next candidate. Returns whether there was one.
+    fn start_next(&mut self) -> bool {
+        while let Some((vm, rule)) = self.next_candidate() {
+            let tag = AttemptTag {
+                request: self.spec.request,
+                attempt: AttemptId::generate(),
+            };
+            let dispatch = self.make_dispatch(tag, rule);
+            match LiveAttempt::start(&self.shared, &vm, dispatch) {
+                Ok(attempt) => {
+                    self.attempts += 1;
+                    self.current = Some(attempt);
+                    return true;
+                }
+                Err(NotSent(error)) => {
+                    self.shared.metrics.count("connect.failed");
+                    self.last_reason = format!("VM {} cannot be reached: {error}", vm.name);
+                    self.lock_breaker()
+                        .note_failure(&vm.name, ClockMillis::now());
+                }
+            }
+        }
+        false
+    }
+
+    fn next_candidate(&mut self) -> Option<(VmEntry, AdmissionRule)> {
+        match self.stage {
+            WalkStage::OwnCap => {
+                if let Some(vm) = self.plan.get(self.cursor) {
+                    self.cursor += 1;
+                    return Some((vm.clone(), AdmissionRule::OwnCap));
+                }
+                self.stage = WalkStage::LeastLoaded;
+                self.next_candidate()
+            }
+            WalkStage::LeastLoaded => {
+                self.stage = WalkStage::Exhausted;
+                self.least_loaded()
+            }
+            WalkStage::Exhausted => None,
+        }
+    }
+
+    /// The least loaded of those that refused by their cap, bounded by the mean of the loads just learned.
+    fn least_loaded(&self) -> Option<(VmEntry, AdmissionRule)> {
+        let mut least: Option<&RefusalNote> = None;
+        let mut sum = 0;
+        let mut count = 0;
+        for note in &self.refusals {
+            if note.reason != RefusalReason::OverBound {
+                continue;
+            }
+            sum += note.load.get();
+            count += 1;
+            if least.is_none_or(|other| note.load < other.load) {
+                least = Some(note);
+            }
+        }
+        let least = least?;
+        let mean = LoadCount::new(sum / count);
+        Some((least.vm.clone(), AdmissionRule::AtMost(mean)))
+    }
+
+    fn make_dispatch(&self, tag: AttemptTag, admission: AdmissionRule) -> DispatchFrame {
+        let now = ClockMillis::now();
+        let late_at = self.spec.received + self.spec.targets.lateness.within;
+        DispatchFrame {
+            tag,
+            target: Default::default(),
+            workspace: self.spec.workspace.clone(),
+            class: self.spec.class.clone(),
+            repeatable: self.spec.targets.repeatable,
+            key: self.spec.work_key(),
+            slack: late_at.since(now),
+            deadline: self.spec.deadline.since(now),
+            admission,
+            work: self.spec.work_body(&self.delivered),
+        }
+    }
+
+    fn note_refusal(
+        &mut self,
+        attempt: &LiveAttempt,
+        reason: RefusalReason,
+        load: LoadCount,
+        retry_after: SpanMillis,
+    ) {
+        self.shared.metrics.count("attempt.refused");
+        self.last_reason = reason.to_string();
+        self.refusals.push(RefusalNote {
+            vm: attempt.vm().clone(),
+            reason,
+            load,
+            retry_after,
+        });
+    }
+
+    fn end_not_run(&mut self) -> CallEvent {
+        let mut retry_after = SpanMillis::new(RETRY_AFTER_MS);
+        for note in &self.refusals {
+            retry_after = retry_after.max(note.retry_after);
+        }
+        let reason = self.last_reason.clone();
+        // After a loss the request may have run, so it cannot end as not run.
+        let outcome = if self.lost_on.is_empty() {
+            CallOutcome::NotRun
+        } else {
+            CallOutcome::Failed
+        };
+        self.end(outcome, reason, Some(retry_after), TokenUsage::default())
+    }
+
+    fn end_at_deadline(&mut self) -> CallEvent {
+        let in_progress = self.current.is_some();
+        self.cancel();
+        let reason = "deadline has passed".to_owned();
+        if !in_progress {
+            self.last_reason = reason;
+            return self.end_not_run();
+        }
+        let outcome = if self.spec.targets.repeatable {
+            CallOutcome::Failed
+        } else {
+            CallOutcome::Unknown
+        };
+        self.end(outcome, reason, None, TokenUsage::default())
+    }
+
+    fn end(
+        &mut self,
+        outcome: CallOutcome,
+        reason: String,
+        retry_after: Option<SpanMillis>,
+        usage: TokenUsage,
+    ) -> CallEvent {
+        self.ended = true;
+        self.shared.metrics.count(match outcome {
+            CallOutcome::Completed => "request.completed",
+            CallOutcome::NotRun => "request.not_run",
+            CallOutcome::Failed => "request.failed",
+            CallOutcome::Unknown => "request.unknown",
+        });
+        CallEvent::End(CallEnd {
+            outcome,
+            reason,
+            retry_after,
+            usage,
+            attempts: self.attempts,
+        })
+    }
+
+    fn cancel(&mut self) {
+        if let Some(mut attempt) = self.current.take() {
+            attempt.cancel(&self.shared);
+        }
+    }
+
+    fn lock_breaker(&self) -> std::sync::MutexGuard<'_, fescuetide_limits::VmBreaker> {
+        self.shared
+            .breaker
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for CallRunner {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.shared.metrics.count("request.abandoned");
+            self.cancel();
+        }
+    }
+}
--- /dev/null
+++ b/crates/process/fescuetide_router/src/control.rs
@@ -0,0 +1,341 @@
+//! The control thread: owns the class table, the VM table and the load collector, and publishes views.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam::channel;
+use crossbeam::channel::Receiver;
+use crossbeam::channel::Sender;
+use fescuetide_base::ClockMillis;
+use fescuetide_base::LogOffset;
+use fescuetide_base::PoolName;
+use fescuetide_base::SpanMillis;
+use fescuetide_base::VmName;
+use fescuetide_classes::ChangeVerdict;
+use fescuetide_classes::ClassChange;
+use fescuetide_classes::ClassSnapshot;
+use fescuetide_classes::ClassTable;
+use fescuetide_members::VmEntry;
+use fescuetide_members::VmTable;
+use fescuetide_net::connect_control;
+use fescuetide_net::rpc_deadline;
+use fescuetide_net::serve_control;
+use fescuetide_summary::LoadCollector;
+use fescuetide_summary::PoolSum;
+use fescuetide_summary::UpstreamReport;
+use fescuetide_wire::log::ClassRecord;
+use fescuetide_wire::log::ReadReply;
+use fescuetide_wire::rpc::ExchangeWire;
+use fescuetide_wire::rpc::ReportWire;
+use fescuetide_wire::rpc::RouterControl;
+use fescuetide_wire::rpc::RouterControlClient;
+use fescuetide_wire::rpc::RouterStatus;
+use fescuetide_wire::rpc::SumWire;
+use indexmap::IndexMap;
+use std::cell::RefCell;
+use std::rc::Rc;
+use tarpc::client;
+use tarpc::context::Context;
+use tokio::runtime::Runtime;
+use tokio::task::LocalSet;
+use tokio::time::MissedTickBehavior;
+
+use crate::RouterShared;
+use crate::platform;
+use crate::platform::PlatformNews;
+use crate::platform::apply_list;
+use crate::view::RouterView;
+
+/// How often news from the platform thread is taken in.
+const NEWS_INTERVAL_MS: u64 = 50;
+
+/// Longest time of an exchange with another collector.
+const EXCHANGE_TIMEOUT_MS: u64 = 1_000;
+
+/// Control state; only the control thread touches it.
+struct ControlState {
+    shared: Arc<RouterShared>,
+    classes: ClassTable,
+    vms: VmTable,
+    collector: LoadCollector,
+}
+
+type SharedState = Rc<RefCell<ControlState>>;
+
+/// Starts the control thread and the platform thread.
+pub(crate) fn start(shared: &Arc<RouterShared>, listener: TcpListener) -> anyhow::Result<()> {
+    listener.set_nonblocking(true)?;
+    let (news_sender, news_receiver) = channel::unbounded();
+    let (offset_sender, offset_receiver) = channel::unbounded();
+    let platform_shared = Arc::clone(shared);
+    thread::Builder::new()
+        .name("router-platform".to_owned())
+        .spawn(move || platform::run(&platform_shared, &news_sender, &offset_receiver))?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let shared = Arc::clone(shared);
+    thread::Builder::new()
+        .name("router-control".to_owned())
+        .spawn(move || run_control(&runtime, shared, listener, &news_receiver, &offset_sender))?;
+    Ok(())
+}
+
+fn run_control(
+    runtime: &Runtime,
+    shared: Arc<RouterShared>,
+    listener: TcpListener,
+    news: &Receiver<PlatformNews>,
+    offsets: &Sender<LogOffset>,
+) {
+    let meter = shared.meter.clone();
+    let state = Rc::new(RefCell::new(ControlState {
+        shared,
+        classes: ClassTable::default(),
+        vms: VmTable::default(),
+        collector: LoadCollector::default(),
+    }));
+    let local = LocalSet::new();
+    local.block_on(runtime, async {
+        match tokio::net::TcpListener::from_std(listener) {
+            Ok(listener) => {
+                let server = ControlServer {
+                    state: Rc::clone(&state),
+                };
+                tokio::task::spawn_local(serve_control(listener, meter, server.serve()));
+            }
+            Err(error) => tracing::error!(%error, "control RPC is not served"),
+        }
+        tokio::task::spawn_local(exchange_loop(Rc::clone(&state)));
+        news_loop(&state, news, offsets).await;
+    });
+}
+
+/// Takes in news from the platform and publishes a new view when something changed.
+async fn news_loop(
+    state: &SharedState,
+    news: &Receiver<PlatformNews>,
+    offsets: &Sender<LogOffset>,
+) {
+    let mut ticks = tokio::time::interval(Duration::from_millis(NEWS_INTERVAL_MS));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let mut changed = false;
+        for item in news.try_iter() {
+            let mut state = state.borrow_mut();
+            let state = &mut *state;
+            changed |= match item {
+                PlatformNews::VmList(reply) => {
+                    apply_list(&mut state.vms, reply, ClockMillis::now())
+                }
+                PlatformNews::ClassRecords(reply) => fold_records(state, &reply),
+            };
+            if offsets.send(state.classes.next_offset()).is_err() {
+                return;
+            }
+        }
+        if changed {
+            state.borrow().publish();
+        }
+    }
+}
+
+impl ControlState {
+    fn publish(&self) {
+        let view = RouterView::new(
+            self.classes.clone(),
+            self.vms.clone(),
+            &self.shared.settings.region,
+        );
+        self.shared.view.store(Arc::new(view));
+    }
+}
+
+/// Folds records of the class log. Returns whether the table moved.
+fn fold_records(state: &mut ControlState, reply: &ReadReply) -> bool {
+    let mut changed = false;
+    for record in &reply.records {
+        changed |= fold_record(state, record.offset, &record.data);
+    }
+    changed
+}
+
+fn fold_record(state: &mut ControlState, offset: u64, data: &str) -> bool {
+    let offset = LogOffset::new(offset);
+    let parsed: Result<ClassRecord, _> = serde_json::from_str(data);
+    let result = match parsed {
+        Ok(ClassRecord::Change(wire)) => {
+            let change = ClassChange::from(wire);
+            let result = state.classes.apply(offset, &change);
+            if let Ok(verdict) = &result {
+                log_verdict(&change, verdict);
+            }
+            result.map(|_| ())
+        }
+        Ok(ClassRecord::Snapshot(_)) => state.classes.advance(offset),
+        Err(error) => {
+            tracing::warn!(%offset, %error, "class record cannot be read and has no effect");
+            state.classes.advance(offset)
+        }
+    };
+    result.is_ok()
+}
+
+fn log_verdict(change: &ClassChange, verdict: &ChangeVerdict) {
+    match verdict {
+        ChangeVerdict::Accepted(version) => {
+            tracing::info!(class = %change.class, %version, "class is in force");
+        }
+        ChangeVerdict::Rejected(findings) => {
+            tracing::info!(class = %change.class, change = %change.id, %findings, "change is rejected");
+        }
+        ChangeVerdict::Repeated => {}
+    }
+}
+
+/// Sends this collector's sums to all other routers of its region at the interval.
+async fn exchange_loop(state: SharedState) {
+    let shared = Arc::clone(&state.borrow().shared);
+    let interval = Duration::from_millis(shared.settings.exchange_interval_ms);
+    let mut ticks = tokio::time::interval(interval);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut links: IndexMap<VmName, PeerLink> = IndexMap::new();
+    loop {
+        ticks.tick().await;
+        let (peers, message) = {
+            let mut state = state.borrow_mut();
+            state.collector.expire(ClockMillis::now());
+            (list_peers(&state), own_message(&state))
+        };
+        links.retain(|_, link| peers.contains(&link.entry));
+        if message.sums.is_empty() {
+            continue;
+        }
+        for peer in peers {
+            let link = match links.get(&peer.name) {
+                Some(link) => link,
+                None => {
+                    let Ok(transport) = connect_control(peer.control, shared.meter.clone()).await
+                    else {
+                        continue;
+                    };
+                    let client =
+                        RouterControlClient::new(client::Config::default(), transport).spawn();
+                    let link = PeerLink {
+                        entry: peer.clone(),
+                        client,
+                    };
+                    links.entry(peer.name.clone()).or_insert(link)
+                }
+            };
+            let context = rpc_deadline(SpanMillis::new(EXCHANGE_TIMEOUT_MS));
+            if link
+                .client
+                .exchange(context, message.clone())
+                .await
+                .is_err()
+            {
+                shared.metrics.count("exchange.failed");
+                links.swap_remove(&peer.name);
+            }
+        }
+    }
+}
+
+struct PeerLink {
+    entry: VmEntry,
+    client: RouterControlClient,
+}
+
+fn list_peers(state: &ControlState) -> Vec<VmEntry> {
+    let settings = &state.shared.settings;
+    let mut peers = Vec::new();
+    for entry in state.vms.live_routers() {
+        if entry.name == settings.vm || entry.region != settings.region {
+            continue;
+        }
+        peers.push(entry.clone());
+    }
+    peers
+}
+
+fn own_message(state: &ControlState) -> ExchangeWire {
+    ExchangeWire {
+        collector: state.shared.settings.vm.clone(),
+        sums: list_sums(&state.collector.own_sums()),
+        class_offset: state.classes.next_offset().get(),
+    }
+}
+
+fn list_sums(sums: &IndexMap<PoolName, PoolSum>) -> Vec<(PoolName, SumWire)> {
+    let mut list = Vec::with_capacity(sums.len());
+    for (pool, sum) in sums {
+        list.push((pool.clone(), SumWire::from(*sum)));
+    }
+    list
+}
+
+#[derive(Clone)]
+struct ControlServer {
+    state: SharedState,
+}
+
+impl RouterControl for ControlServer {
+    async fn report(self, _: Context, report: ReportWire) -> SumWire {
+        let mut state = self.state.borrow_mut();
+        let report = UpstreamReport::from(report);
+        let pool = report.pool.clone();
+        state.collector.note_report(report, ClockMillis::now());
+        let sums = state.collector.total_sums();
+        sums.get(&pool)
+            .copied()
+            .map(SumWire::from)
+            .unwrap_or_default()
+    }
+
+    async fn exchange(self, _: Context, sums: ExchangeWire) -> u64 {
+        let mut state = self.state.borrow_mut();
+        let mut received = IndexMap::new();
+        for (pool, sum) in sums.sums {
+            received.insert(pool, PoolSum::from(sum));
+        }
+        state
+            .collector
+            .note_peer(sums.collector, received, ClockMillis::now());
+        state.classes.next_offset().get()
+    }
+
+    async fn snapshot(self, _: Context, above: u64) -> Option<ClassSnapshot> {
+        let state = self.state.borrow();
+        if state.classes.next_offset().get() <= above {
+            return None;
+        }
+        Some(state.classes.snapshot().clone())
+    }
+
+    async fn status(self, _: Context) -> RouterStatus {
+        let state = self.state.borrow();
+        let shared = &state.shared;
+        RouterStatus {
+            vm: shared.settings.vm.clone(),
+            ready: shared.is_ready(),
+            draining: shared.is_draining(),
+            class_offset: state.classes.next_offset().get(),
+            vm_list_age_ms: state.vms.age(ClockMillis::now()).as_millis(),
+            vm_count: state.vms.len() as u32,
+            active_requests: shared.active.load(Ordering::Acquire),
+            control_bytes: shared.meter.total().get(),
+            sums: list_sums(&state.collector.total_sums()),
+        }
+    }
+
+    async fn drain(self, _: Context) {
+        if self.state.borrow().shared.start_drain() {
+            tracing::info!("drain was asked for; no new requests are taken");
+        }
+    }
+}
--- /dev/null
+++ b/crates/process/fescuetide_router/src/lib.rs
@@ -0,0 +1,115 @@
+//! The router process: the callers' interface, dispatch to side processes, and the collector of load reports.
+//!
+//! A router only makes good guesses about where to send a request. A wrong guess costs one short round trip, because
+//! the side process beside each upstream keeps the promises.
+
+mod attempt;
+mod call;
+mod control;
+mod http;
+mod metrics;
+mod platform;
+mod request;
+mod respond;
+mod settings;
+mod view;
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+use anyhow::Context;
+use arc_swap::ArcSwap;
+use fescuetide_base::ClockMillis;
+use fescuetide_base::ProcessIncarnation;
+use fescuetide_limits::BreakerSettings;
+use fescuetide_limits::VmBreaker;
+use fescuetide_net::ControlMeter;
+use fescuetide_net::LinkPool;
+use fescuetide_net::LinkSettings;
+
+use crate::call::RetryLedger;
+use crate::metrics::RouterMetrics;
+use crate::view::RouterView;
+
+pub use crate::settings::RouterSettings;
+
+/// State shared by the threads of a router.
+pub(crate) struct RouterShared {
+    pub(crate) settings: RouterSettings,
+    pub(crate) view: ArcSwap<RouterView>,
+    pub(crate) links: LinkPool,
+    pub(crate) breaker: Mutex<VmBreaker>,
+    pub(crate) retries: RetryLedger,
+    pub(crate) metrics: RouterMetrics,
+    pub(crate) meter: ControlMeter,
+    pub(crate) draining: AtomicBool,
+    pub(crate) active: AtomicU32,
+}
+
+impl RouterShared {
+    /// Stops taking requests. Returns whether it did not before.
+    pub(crate) fn start_drain(&self) -> bool {
+        !self.draining.swap(true, Ordering::AcqRel)
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Whether requests are taken: the classes and the VM list are known, and the router does not drain.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_draining() && self.view.load().is_complete()
+    }
+}
+
+/// A running router.
+pub struct RouterProcess {
+    shared: Arc<RouterShared>,
+}
+
+impl RouterProcess {
+    /// Binds the addresses and starts all threads.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be bound or a client cannot be set up.
+    pub fn start(settings: RouterSettings) -> anyhow::Result<Self> {
+        let control = TcpListener::bind(settings.control_listen)
+            .with_context(|| format!("cannot listen on {}", settings.control_listen))?;
+        let incarnation = ProcessIncarnation::new(ClockMillis::now().as_millis());
+        let links = LinkPool::new(settings.vm.clone(), incarnation, LinkSettings::default());
+        let shared = Arc::new(RouterShared {
+            view: ArcSwap::from_pointee(RouterView::default()),
+            links,
+            breaker: Mutex::new(VmBreaker::new(BreakerSettings::default())),
+            retries: RetryLedger::default(),
+            metrics: RouterMetrics::new(&settings)?,
+            meter: ControlMeter::default(),
+            draining: AtomicBool::new(false),
+            active: AtomicU32::new(0),
+            settings,
+        });
+        control::start(&shared, control)?;
+        http::start(Arc::clone(&shared))?;
+        tracing::info!(
+            vm = %shared.settings.vm,
+            listen = %shared.settings.listen,
+            "router started"
+        );
+        Ok(Self { shared })
+    }
+
+    /// Stops taking requests. Requests in progress run to their end.
+    pub fn drain(&self) {
+        self.shared.start_drain();
+    }
+
+    /// Whether no request is in progress.
+    pub fn is_idle(&self) -> bool {
+        self.shared.active.load(Ordering::Acquire) == 0
+    }
+}
--- /dev/null
+++ b/crates/process/fescuetide_router/src/respond.rs
@@ -0,0 +1,315 @@
+//! Responses to callers.
+
+use astra::Body;
+use astra::Response;
+use astra::ResponseBuilder;
+use fescuetide_base::FindingList;
+use fescuetide_base::RequestId;
+use fescuetide_base::SpanMillis;
+use fescuetide_net::EventBody;
+use fescuetide_net::EventSource;
+use fescuetide_wire::api::ATTEMPTS_HEADER;
+use fescuetide_wire::api::CallOutcome;
+use fescuetide_wire::api::CallReport;
+use fescuetide_wire::api::ChatChoice;
+use fescuetide_wire::api::ChatDelta;
+use fescuetide_wire::api::ChatEvent;
+use fescuetide_wire::api::ErrorBody;
+use fescuetide_wire::api::ErrorDetail;
+use fescuetide_wire::api::OUTCOME_HEADER;
+use fescuetide_wire::api::REQUEST_HEADER;
+use serde::Serialize;
+use serde_json::json;
+
+use crate::call::CallEnd;
+use crate::call::CallEvent;
+use crate::call::CallRunner;
+use crate::call::CallSpec;
+use crate::call::CallWork;
+use crate::http::ActiveGuard;
+use crate::request::RejectReason;
+
+/// Runs a request and builds its response.
+pub(crate) fn respond(mut runner: CallRunner, guard: ActiveGuard) -> Response {
+    let is_chat = matches!(runner.spec().work, CallWork::Chat { .. });
+    let wants_events = matches!(runner.spec().work, CallWork::Chat { stream: true, .. });
+    let first = next_news(&mut runner);
+    match first {
+        CallEvent::Head(200, _) if wants_events => stream_chat(runner, guard, None),
+        CallEvent::Chunk(bytes) if wants_events => stream_chat(runner, guard, Some(bytes)),
+        CallEvent::End(end) if end.outcome != CallOutcome::Completed => {
+            end_response(runner.spec(), &end)
+        }
+        other => collect(runner, other, is_chat),
+    }
+}
+
+/// The next event other than a heartbeat.
+fn next_news(runner: &mut CallRunner) -> CallEvent {
+    loop {
+        match runner.next() {
+            CallEvent::Alive => {}
+            event => return event,
+        }
+    }
+}
+
+/// Collects the whole response.
+fn collect(mut runner: CallRunner, first: CallEvent, is_chat: bool) -> Response {
+    let mut status = 200;
+    let mut content_type = "application/octet-stream".to_owned();
+    let mut body = Vec::new();
+    let mut event = first;
+    let end = loop {
+        match event {
+            CallEvent::Head(found, kind) => {
+                status = found;
+                content_type = kind;
+            }
+            CallEvent::Chunk(bytes) => body.extend_from_slice(&bytes),
+            CallEvent::Alive => {}
+            CallEvent::End(end) => break end,
+        }
+        event = runner.next();
+    };
+    if end.outcome != CallOutcome::Completed {
+        return end_response(runner.spec(), &end);
+    }
+    if is_chat && status == 200 {
+        content_type = "application/json".to_owned();
+        body = chat_json(runner.spec(), &end, &body);
+    }
+    finish(
+        headed(status, runner.spec().request, end.outcome, end.attempts)
+            .header("content-type", content_type),
+        body,
+    )
+}
+
+fn chat_json(spec: &CallSpec, end: &CallEnd, text: &[u8]) -> Vec<u8> {
+    let value = json!({
+        "id": spec.request.to_string(),
+        "object": "chat.completion",
+        "model": model_of(spec),
+        "choices": [{
+            "index": 0,
+            "message": { "role": "assistant", "content": String::from_utf8_lossy(text) },
+            "finish_reason": "stop",
+        }],
+        "usage": end.usage,
+    });
+    to_json(&value)
+}
+
+fn stream_chat(runner: CallRunner, guard: ActiveGuard, first: Option<Vec<u8>>) -> Response {
+    let builder = ResponseBuilder::new()
+        .status(200)
+        .header(REQUEST_HEADER, runner.spec().request.to_string())
+        .header("content-type", "text/event-stream")
+        .header("cache-control", "no-store");
+    let source = ChatEvents {
+        runner,
+        first,
+        undecoded: Vec::new(),
+        ended: false,
+        _guard: guard,
+    };
+    build(builder, Body::wrap_reader(EventBody::new(source)))
+}
+
+/// Turns a request's events into server-sent events.
+struct ChatEvents {
+    runner: CallRunner,
+    first: Option<Vec<u8>>,
+    /// Bytes of a character that is not complete yet.
+    undecoded: Vec<u8>,
+    ended: bool,
+    _guard: ActiveGuard,
+}
+
+impl EventSource for ChatEvents {
+    fn next_event(&mut self) -> Option<Vec<u8>> {
+        if self.ended {
+            return None;
+        }
+        if let Some(bytes) = self.first.take() {
+            return Some(self.text_event(bytes));
+        }
+        loop {
+            match self.runner.next() {
+                CallEvent::Head(..) => {}
+                CallEvent::Chunk(bytes) => return Some(self.text_event(bytes)),
+                // A comment, so that a caller that has left is noticed.
+                CallEvent::Alive => return Some(b": keep-alive\n\n".to_vec()),
+                CallEvent::End(end) => {
+                    self.ended = true;
+                    return Some(self.end_event(&end));
+                }
+            }
+        }
+    }
+}
+
+impl ChatEvents {
+    fn text_event(&mut self, bytes: Vec<u8>) -> Vec<u8> {
+        self.undecoded.extend_from_slice(&bytes);
+        let text = take_text(&mut self.undecoded);
+        let choice = ChatChoice {
+            delta: ChatDelta {
+                content: Some(text),
+            },
+            ..ChatChoice::default()
+        };
+        let event = ChatEvent {
+            choices: vec![choice],
+            ..self.blank_event()
+        };
+        data_event(&event)
+    }
+
+    fn end_event(&self, end: &CallEnd) -> Vec<u8> {
+        let completed = end.outcome == CallOutcome::Completed;
+        let choice = ChatChoice {
+            finish_reason: Some(if completed { "stop" } else { "error" }.to_owned()),
+            ..ChatChoice::default()
+        };
+        let event = ChatEvent {
+            choices: vec![choice],
+            usage: Some(end.usage),
+            fescuetide: Some(CallReport {
+                request: self.runner.spec().request.to_string(),
+                outcome: end.outcome,
+                attempts: end.attempts,
+            }),
+            ..self.blank_event()
+        };
+        let mut text = data_event(&event);
+        if completed {
+            text.extend_from_slice(b"data: [DONE]\n\n");
+        } else {
+            text.extend_from_slice(&data_event(&error_body(&end.reason, None, end.outcome)));
+        }
+        text
+    }
+
+    fn blank_event(&self) -> ChatEvent {
+        ChatEvent {
+            id: self.runner.spec().request.to_string(),
+            object: "chat.completion.chunk".to_owned(),
+            model: model_of(self.runner.spec()),
+            ..ChatEvent::default()
+        }
+    }
+}
+
+/// Takes all complete characters out of `bytes`.
+fn take_text(bytes: &mut Vec<u8>) -> String {
+    let valid = match std::str::from_utf8(bytes) {
+        Ok(text) => text.len(),
+        Err(error) if error.error_len().is_none() => error.valid_up_to(),
+        Err(_) => bytes.len(),
+    };
+    let rest = bytes.split_off(valid);
+    let text = String::from_utf8_lossy(bytes).into_owned();
+    *bytes = rest;
+    text
+}
+
+fn data_event<T: Serialize>(value: &T) -> Vec<u8> {
+    let mut text = b"data: ".to_vec();
+    text.extend_from_slice(&to_json(value));
+    text.extend_from_slice(b"\n\n");
+    text
+}
+
+/// The response to a request that did not complete.
+fn end_response(spec: &CallSpec, end: &CallEnd) -> Response {
+    let status = match end.outcome {
+        CallOutcome::Completed => 200,
+        CallOutcome::NotRun => 503,
+        CallOutcome::Failed => 502,
+        CallOutcome::Unknown => 504,
+    };
+    let mut builder = headed(status, spec.request, end.outcome, end.attempts)
+        .header("content-type", "application/json");
+    if let Some(span) = end.retry_after {
+        builder = builder.header("retry-after", span.as_secs_ceil());
+    }
+    finish(
+        builder,
+        to_json(&error_body(&end.reason, None, end.outcome)),
+    )
+}
+
+/// The response to a request that was rejected before anything ran.
+pub(crate) fn reject_response(reason: &RejectReason) -> Response {
+    match reason {
+        RejectReason::TooLarge(limit) => {
+            let message = format!("body is over the limit of {limit} bytes");
+            error_response(413, &message, Some("body".to_owned()), None)
+        }
+        RejectReason::Malformed(list) => {
+            error_response(400, &list.to_string(), first_field(list), None)
+        }
+    }
+}
+
+/// A JSON error for a request that did not run.
+pub(crate) fn error_response(
+    status: u16,
+    message: &str,
+    field: Option<String>,
+    retry_after: Option<SpanMillis>,
+) -> Response {
+    let body = error_body(message, field, CallOutcome::NotRun);
+    let mut builder = headed(status, RequestId::generate(), CallOutcome::NotRun, 0)
+        .header("content-type", "application/json");
+    if let Some(span) = retry_after {
+        builder = builder.header("retry-after", span.as_secs_ceil());
+    }
+    finish(builder, to_json(&body))
+}
+
+fn first_field(list: &FindingList) -> Option<String> {
+    list.iter().next().map(|finding| finding.place.clone())
+}
+
+fn error_body(message: &str, field: Option<String>, outcome: CallOutcome) -> ErrorBody {
+    ErrorBody {
+        error: ErrorDetail {
+            message: message.to_owned(),
+            field,
+            outcome,
+        },
+    }
+}
+
+fn model_of(spec: &CallSpec) -> String {
+    match &spec.work {
+        CallWork::Chat { model, .. } => model.to_string(),
+        CallWork::Service { .. } => String::new(),
+    }
+}
+
+fn headed(status: u16, request: RequestId, outcome: CallOutcome, attempts: u32) -> ResponseBuilder {
+    ResponseBuilder::new()
+        .status(status)
+        .header(REQUEST_HEADER, request.to_string())
+        .header(OUTCOME_HEADER, outcome.to_string())
+        .header(ATTEMPTS_HEADER, attempts)
+}
+
+fn finish(builder: ResponseBuilder, body: Vec<u8>) -> Response {
+    build(builder, Body::new(body))
+}
+
+/// Builds a response. A header value that does not parse, such as an upstream's content type, gives an empty body.
+fn build(builder: ResponseBuilder, body: Body) -> Response {
+    builder
+        .body(body)
+        .unwrap_or_else(|_| Response::new(Body::empty()))
+}
+
+fn to_json<T: Serialize>(value: &T) -> Vec<u8> {
+    serde_json::to_vec(value).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/process/fescuetide_side/src/answer.rs
@@ -0,0 +1,141 @@
+//! The buffer that holds a response while it is produced and until it is no longer needed.
+
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use fescuetide_base::ClockMillis;
+use fescuetide_base::SpanMillis;
+use fescuetide_wire::frame::AttemptEnding;
+use fescuetide_wire::frame::BodySeal;
+
+#[derive(Debug, Default)]
+struct AnswerState {
+    head: Option<(u16, String)>,
+    body: Vec<u8>,
+    ending: Option<AttemptEnding>,
+    cancelled: bool,
+    readers: u32,
+    idle_since: ClockMillis,
+}
+
+/// The next thing to send to a reader.
+#[derive(Debug)]
+pub(crate) enum AnswerStep {
+    /// Status and content type.
+    Head(u16, String),
+    /// Bytes from the reader's offset on.
+    Chunk(Vec<u8>),
+    /// The end.
+    End(AttemptEnding, BodySeal),
+    /// Nothing new within the time given.
+    Idle,
+}
+
+/// A response that one thread produces and any number of connections read, each from its own offset.
+#[derive(Debug)]
+pub(crate) struct AnswerBuffer {
+    state: Mutex<AnswerState>,
+    changed: Condvar,
+}
+
+impl AnswerBuffer {
+    pub(crate) fn new(now: ClockMillis) -> Self {
+        Self {
+            state: Mutex::new(AnswerState {
+                idle_since: now,
+                ..AnswerState::default()
+            }),
+            changed: Condvar::new(),
+        }
+    }
+
+    pub(crate) fn set_head(&self, status: u16, content_type: String) {
+        self.lock().head = Some((status, content_type));
+        self.changed.notify_all();
+    }
+
+    pub(crate) fn append(&self, bytes: &[u8]) {
+        self.lock().body.extend_from_slice(bytes);
+        self.changed.notify_all();
+    }
+
+    /// Ends the response. A response that was cancelled ends as such.
+    pub(crate) fn finish(&self, ending: AttemptEnding, now: ClockMillis) {
+        let mut state = self.lock();
+        let ending = match ending {
+            AttemptEnding::Failed(_) if state.cancelled => AttemptEnding::Cancelled,
+            other => other,
+        };
+        state.ending = Some(ending);
+        state.idle_since = now;
+        drop(state);
+        self.changed.notify_all();
+    }
+
+    /// Marks the response as cancelled. Returns whether it was still in progress.
+    pub(crate) fn cancel(&self) -> bool {
+        let mut state = self.lock();
+        state.cancelled = true;
+        state.ending.is_none()
+    }
+
+    pub(crate) fn is_cancelled(&self) -> bool {
+        self.lock().cancelled
+    }
+
+    pub(crate) fn is_ended(&self) -> bool {
+        self.lock().ending.is_some()
+    }
+
+    /// The time since the response ended or lost its last reader, `None` while it is read.
+    pub(crate) fn idle_span(&self, now: ClockMillis) -> Option<SpanMillis> {
+        let state = self.lock();
+        if state.readers > 0 {
+            return None;
+        }
+        Some(now.since(state.idle_since))
+    }
+
+    pub(crate) fn attach(&self) {
+        self.lock().readers += 1;
+    }
+
+    pub(crate) fn detach(&self, now: ClockMillis) {
+        let mut state = self.lock();
+        state.readers -= 1;
+        state.idle_since = now;
+    }
+
+    pub(crate) fn reader_count(&self) -> u32 {
+        self.lock().readers
+    }
+
+    /// Waits up to `timeout` for something behind `offset`.
+    pub(crate) fn wait(&self, head_sent: bool, offset: u64, timeout: SpanMillis) -> AnswerStep {
+        let state = self.lock();
+        let offset = offset as usize;
+        let (state, _) = self
+            .changed
+            .wait_timeout_while(state, timeout.into(), |state| {
+                let head_ready = !head_sent && state.head.is_some();
+                !head_ready && state.body.len() <= offset && state.ending.is_none()
+            })
+            .unwrap_or_else(PoisonError::into_inner);
+        if !head_sent && let Some((status, content_type)) = &state.head {
+            return AnswerStep::Head(*status, content_type.clone());
+        }
+        if state.body.len() > offset {
+            return AnswerStep::Chunk(state.body[offset..].to_vec());
+        }
+        match &state.ending {
+            Some(ending) => AnswerStep::End(ending.clone(), BodySeal::of(&state.body)),
+            None => AnswerStep::Idle,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, AnswerState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/process/fescuetide_side/src/control.rs
@@ -0,0 +1,241 @@
+//! The control thread: load reports, the VM list and control RPC.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam::channel;
+use crossbeam::channel::Receiver;
+use crossbeam::channel::Sender;
+use fescuetide_base::ClockMillis;
+use fescuetide_base::SpanMillis;
+use fescuetide_base::StableHash;
+use fescuetide_members::VmEntry;
+use fescuetide_members::VmPhase;
+use fescuetide_members::VmTable;
+use fescuetide_net::ControlMeter;
+use fescuetide_net::VmListClient;
+use fescuetide_net::VmListReply;
+use fescuetide_net::connect_control;
+use fescuetide_net::rpc_deadline;
+use fescuetide_net::serve_control;
+use fescuetide_wire::rpc::ReportWire;
+use fescuetide_wire::rpc::RouterControlClient;
+use fescuetide_wire::rpc::SideControl;
+use fescuetide_wire::rpc::SideStatus;
+use tarpc::client;
+use tarpc::context::Context;
+use tokio::runtime::Runtime;
+use tokio::task::LocalSet;
+use tokio::time::MissedTickBehavior;
+
+use crate::SideShared;
+use crate::attempts::AttemptRetention;
+use crate::server::cancel_attempt;
+
+/// Longest time of a call of the VM list.
+const VM_LIST_TIMEOUT_MS: u64 = 3_000;
+
+/// Longest time of a load report.
+const REPORT_TIMEOUT_MS: u64 = 1_000;
+
+/// Starts the control thread and the platform thread.
+pub(crate) fn start(shared: Arc<SideShared>, listener: TcpListener) -> anyhow::Result<()> {
+    let meter = ControlMeter::default();
+    let (sender, receiver) = channel::unbounded();
+    let platform_shared = Arc::clone(&shared);
+    let platform_meter = meter.clone();
+    thread::Builder::new()
+        .name("side-platform".to_owned())
+        .spawn(move || poll_vm_list(&platform_shared, platform_meter, &sender))?;
+    listener.set_nonblocking(true)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    thread::Builder::new()
+        .name("side-control".to_owned())
+        .spawn(move || run_control(&runtime, &shared, listener, &meter, &receiver))?;
+    Ok(())
+}
+
+/// Reads the VM list at its interval and passes each new list on.
+fn poll_vm_list(shared: &SideShared, meter: ControlMeter, sender: &Sender<VmTable>) {
+    let settings = &shared.settings;
+    let client = VmListClient::new(
+        settings.vm_list_url.clone(),
+        settings.vm.clone(),
+        SpanMillis::new(VM_LIST_TIMEOUT_MS),
+        meter,
+    );
+    let mut known = 0;
+    loop {
+        match client.read(known) {
+            Ok(VmListReply::Unchanged) => {}
+            Ok(VmListReply::Changed { version, list }) => {
+                known = version;
+                let table = VmTable::new(version, list, ClockMillis::now());
+                if sender.send(table).is_err() {
+                    return;
+                }
+            }
+            Err(error) => {
+                shared.metrics.count("vm_list.failed");
+                tracing::debug!(%error, "VM list cannot be read");
+            }
+        }
+        thread::sleep(Duration::from_millis(settings.vm_list_interval_ms));
+    }
+}
+
+fn run_control(
+    runtime: &Runtime,
+    shared: &Arc<SideShared>,
+    listener: TcpListener,
+    meter: &ControlMeter,
+    receiver: &Receiver<VmTable>,
+) {
+    let local = LocalSet::new();
+    local.block_on(runtime, async {
+        match tokio::net::TcpListener::from_std(listener) {
+            Ok(listener) => {
+                let server = ControlServer {
+                    shared: Arc::clone(shared),
+                };
+                tokio::task::spawn_local(serve_control(listener, meter.clone(), server.serve()));
+            }
+            Err(error) => tracing::error!(%error, "control RPC is not served"),
+        }
+        report_loop(shared, meter, receiver).await;
+    });
+}
+
+async fn report_loop(shared: &Arc<SideShared>, meter: &ControlMeter, receiver: &Receiver<VmTable>) {
+    let settings = &shared.settings;
+    let mut table = VmTable::default();
+    let mut link: Option<CollectorLink> = None;
+    let mut ticks = tokio::time::interval(Duration::from_millis(settings.report_interval_ms));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let retention = AttemptRetention {
+        answer: SpanMillis::new(settings.answer_retention_ms),
+        key: SpanMillis::new(settings.key_retention_ms),
+        orphan: SpanMillis::new(settings.orphan_timeout_ms),
+    };
+    loop {
+        ticks.tick().await;
+        while let Ok(update) = receiver.try_recv() {
+            table = update;
+            leave_if_listed(shared, &table);
+        }
+        let now = ClockMillis::now();
+        for orphan in shared.attempts.sweep(retention, now) {
+            shared.metrics.count("attempt.orphaned");
+            let shared = Arc::clone(shared);
+            // The cancellation is a blocking call of the upstream.
+            thread::spawn(move || cancel_attempt(&shared, &orphan));
+        }
+        shared.metrics.gauge_load(shared.gate.load());
+        link = report_load(shared, meter, &table, link).await;
+    }
+}
+
+fn leave_if_listed(shared: &SideShared, table: &VmTable) {
+    let Some(entry) = table.get(&shared.settings.vm) else {
+        return;
+    };
+    if entry.phase == VmPhase::Leaving && shared.gate.leave() {
+        tracing::info!(vm = %entry.name, "VM is listed as leaving; new work is refused");
+    }
+}
+
+struct CollectorLink {
+    entry: VmEntry,
+    client: RouterControlClient,
+}
+
+/// Reports to the zone's collector and learns the mean. Returns the connection while it works.
+async fn report_load(
+    shared: &SideShared,
+    meter: &ControlMeter,
+    table: &VmTable,
+    link: Option<CollectorLink>,
+) -> Option<CollectorLink> {
+    let ranked = rank_collectors(shared, table);
+    let link = match link {
+        Some(link) if ranked.contains(&&link.entry) => link,
+        _ => connect_first(&ranked, meter).await?,
+    };
+    let report = ReportWire {
+        vm: shared.settings.vm.clone(),
+        pool: shared.settings.pool.clone(),
+        load: shared.gate.load().get(),
+    };
+    let context = rpc_deadline(SpanMillis::new(REPORT_TIMEOUT_MS));
+    match link.client.report(context, report).await {
+        Ok(sum) => {
+            let sum = fescuetide_summary::PoolSum::from(sum);
+            shared.gate.set_mean(sum.mean());
+            Some(link)
+        }
+        Err(error) => {
+            shared.metrics.count("report.failed");
+            tracing::debug!(collector = %link.entry.name, %error, "load report failed");
+            None
+        }
+    }
+}
+
+async fn connect_first(ranked: &[&VmEntry], meter: &ControlMeter) -> Option<CollectorLink> {
+    for entry in ranked {
+        let Ok(transport) = connect_control(entry.control, meter.clone()).await else {
+            continue;
+        };
+        let client = RouterControlClient::new(client::Config::default(), transport).spawn();
+        return Some(CollectorLink {
+            entry: (*entry).clone(),
+            client,
+        });
+    }
+    None
+}
+
+/// The region's routers in the zone's rendezvous order; the first is the zone's collector.
+fn rank_collectors<'a>(shared: &SideShared, table: &'a VmTable) -> Vec<&'a VmEntry> {
+    let settings = &shared.settings;
+    let mut ranked: Vec<(u64, &VmEntry)> = Vec::new();
+    for entry in table.live_routers() {
+        if entry.region != settings.region {
+            continue;
+        }
+        let score = StableHash::new()
+            .field(settings.zone.as_str().as_bytes())
+            .field(entry.name.as_str().as_bytes())
+            .finish();
+        ranked.push((score, entry));
+    }
+    ranked.sort_unstable_by(|one, other| other.0.cmp(&one.0));
+    ranked.into_iter().map(|(_, entry)| entry).collect()
+}
+
+#[derive(Clone)]
+struct ControlServer {
+    shared: Arc<SideShared>,
+}
+
+impl SideControl for ControlServer {
+    async fn status(self, _: Context) -> SideStatus {
+        SideStatus {
+            vm: self.shared.settings.vm.clone(),
+            incarnation: self.shared.incarnation.get(),
+            draining: self.shared.gate.is_leaving(),
+            load: self.shared.gate.load().get(),
+            mean: self.shared.gate.mean(),
+        }
+    }
+
+    async fn drain(self, _: Context) {
+        if self.shared.gate.leave() {
+            tracing::info!("drain was asked for; new work is refused");
+        }
+    }
+}
--- /dev/null
+++ b/crates/process/fescuetide_side/src/lib.rs
@@ -0,0 +1,95 @@
+//! The side process: runs beside one upstream, admits work within the load bound, runs it and keeps the responses.
+//!
+//! Everything that a promise depends on happens here, since every request for the upstream passes here: the exact
+//! load, the refusal of new work when the VM leaves, and the check that an attempt or idempotency key runs once.
+
+mod admission;
+mod answer;
+mod attempts;
+mod control;
+mod metrics;
+mod server;
+mod settings;
+mod upstream;
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::thread;
+
+use anyhow::Context;
+use fescuetide_base::ClockMillis;
+use fescuetide_base::ProcessIncarnation;
+
+use crate::admission::AdmissionGate;
+use crate::attempts::AttemptTable;
+use crate::metrics::SideMetrics;
+use crate::upstream::UpstreamClient;
+
+pub use crate::settings::SideSettings;
+pub use crate::settings::UpstreamKind;
+
+/// State shared by the threads of a side process.
+pub(crate) struct SideShared {
+    pub(crate) settings: SideSettings,
+    pub(crate) incarnation: ProcessIncarnation,
+    pub(crate) gate: AdmissionGate,
+    pub(crate) attempts: AttemptTable,
+    pub(crate) upstream: UpstreamClient,
+    pub(crate) metrics: SideMetrics,
+}
+
+/// A running side process.
+pub struct SideProcess {
+    shared: Arc<SideShared>,
+}
+
+impl SideProcess {
+    /// Binds the addresses and starts all threads.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be bound or a client cannot be set up.
+    pub fn start(settings: SideSettings) -> anyhow::Result<Self> {
+        let data = TcpListener::bind(settings.data_listen)
+            .with_context(|| format!("cannot listen on {}", settings.data_listen))?;
+        let control = TcpListener::bind(settings.control_listen)
+            .with_context(|| format!("cannot listen on {}", settings.control_listen))?;
+        let shared = Arc::new(SideShared {
+            incarnation: new_incarnation(),
+            gate: AdmissionGate::default(),
+            attempts: AttemptTable::default(),
+            upstream: UpstreamClient::new(&settings),
+            metrics: SideMetrics::new(&settings)?,
+            settings,
+        });
+        control::start(Arc::clone(&shared), control)?;
+        let server_shared = Arc::clone(&shared);
+        thread::Builder::new()
+            .name("side-accept".to_owned())
+            .spawn(move || server::accept_connections(&server_shared, &data))?;
+        tracing::info!(
+            vm = %shared.settings.vm,
+            incarnation = %shared.incarnation,
+            data = %shared.settings.data_listen,
+            "side process started"
+        );
+        Ok(Self { shared })
+    }
+
+    /// Refuses new work from now on.
+    pub fn drain(&self) {
+        self.shared.gate.leave();
+    }
+
+    /// Whether nothing is in progress.
+    pub fn is_idle(&self) -> bool {
+        self.shared.gate.load().get() == 0 && self.shared.attempts.reader_count() == 0
+    }
+}
+
+/// Incarnations rise with the time of the start; the process id tells two starts in one millisecond apart.
+fn new_incarnation() -> ProcessIncarnation {
+    let millis = ClockMillis::now().as_millis();
+    let process = u64::from(std::process::id() & 0xffff);
+    ProcessIncarnation::new((millis << 16) | process)
+}
--- /dev/null
+++ b/crates/process/fescuetide_side/src/server.rs
@@ -0,0 +1,232 @@
+//! Connections from routers.
+
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::thread;
+
+use fescuetide_base::ClockMillis;
+use fescuetide_base::SpanMillis;
+use fescuetide_limits::LoadBound;
+use fescuetide_net::FrameError;
+use fescuetide_net::FramedStream;
+use fescuetide_wire::frame::AttemptEnding;
+use fescuetide_wire::frame::AttemptTag;
+use fescuetide_wire::frame::DispatchFrame;
+use fescuetide_wire::frame::PROTOCOL_VERSION;
+use fescuetide_wire::frame::RefusalReason;
+use fescuetide_wire::frame::RouterFrame;
+use fescuetide_wire::frame::SideFrame;
+
+use crate::SideShared;
+use crate::answer::AnswerStep;
+use crate::attempts::AttemptEntry;
+
+/// How long an idle connection is kept. Routers close theirs earlier.
+const IDLE_LIMIT_MS: u64 = 60_000;
+
+/// When a refused router should come back: about the time of two load reports.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// Accepts connections until the process ends.
+pub(crate) fn accept_connections(shared: &Arc<SideShared>, listener: &TcpListener) {
+    for stream in listener.incoming() {
+        let Ok(stream) = stream else {
+            continue;
+        };
+        let shared = Arc::clone(shared);
+        let spawned = thread::Builder::new()
+            .name("side-link".to_owned())
+            .spawn(move || {
+                if let Err(error) = serve_connection(&shared, stream) {
+                    shared.metrics.count("link.closed");
+                    tracing::debug!(%error, "connection ended");
+                }
+            });
+        if spawned.is_err() {
+            continue;
+        }
+    }
+}
+
+fn serve_connection(shared: &Arc<SideShared>, stream: TcpStream) -> Result<(), FrameError> {
+    let mut stream = FramedStream::accept(stream)?;
+    greet(shared, &mut stream)?;
+    loop {
+        let frame: RouterFrame = stream.receive(Some(SpanMillis::new(IDLE_LIMIT_MS)))?;
+        match frame {
+            RouterFrame::Hello { .. } => {
+                return Err(FrameError::Protocol("second hello".to_owned()));
+            }
+            RouterFrame::Dispatch(dispatch) => serve_dispatch(shared, &mut stream, *dispatch)?,
+            RouterFrame::Resume { tag, offset } => {
+                serve_resume(shared, &mut stream, tag, offset)?;
+            }
+            RouterFrame::Seal { tag, key } => {
+                let state = shared.attempts.seal(tag, key, ClockMillis::now());
+                stream.send(&SideFrame::Sealed { tag, state })?;
+            }
+            RouterFrame::Cancel { tag } => {
+                if let Some(entry) = shared.attempts.find(tag) {
+                    cancel_attempt(shared, &entry);
+                }
+                stream.send(&SideFrame::Cancelled { tag })?;
+            }
+        }
+    }
+}
+
+fn greet(shared: &SideShared, stream: &mut FramedStream) -> Result<(), FrameError> {
+    let frame: RouterFrame = stream.receive(Some(SpanMillis::new(IDLE_LIMIT_MS)))?;
+    let RouterFrame::Hello { version, .. } = frame else {
+        return Err(FrameError::Protocol(
+            "first frame is not a hello".to_owned(),
+        ));
+    };
+    if version != PROTOCOL_VERSION {
+        return Err(FrameError::Protocol(format!(
+            "protocol version {version} is not supported"
+        )));
+    }
+    stream.send(&SideFrame::Welcome {
+        vm: shared.settings.vm.clone(),
+        incarnation: shared.incarnation,
+        leaving: shared.gate.is_leaving(),
+    })
+}
+
+fn serve_dispatch(
+    shared: &Arc<SideShared>,
+    stream: &mut FramedStream,
+    dispatch: DispatchFrame,
+) -> Result<(), FrameError> {
+    let tag = dispatch.tag;
+    match admit(shared, &dispatch) {
+        Ok(entry) => {
+            let answer_entry = entry.clone();
+            entry.answer.attach();
+            start_attempt(shared, entry, dispatch);
+            let result = stream
+                .send(&SideFrame::Accepted { tag })
+                .and_then(|()| stream_answer(shared, stream, &answer_entry, 0));
+            answer_entry.answer.detach(ClockMillis::now());
+            result
+        }
+        Err(reason) => {
+            shared.metrics.count("refused");
+            stream.send(&SideFrame::Refused {
+                tag,
+                reason,
+                load: shared.gate.load(),
+                retry_after: SpanMillis::new(RETRY_AFTER_MS),
+            })
+        }
+    }
+}
+
+fn admit(shared: &SideShared, dispatch: &DispatchFrame) -> Result<AttemptEntry, RefusalReason> {
+    if dispatch.target != shared.incarnation {
+        return Err(RefusalReason::OtherIncarnation);
+    }
+    let now = ClockMillis::now();
+    let entry = shared
+        .attempts
+        .register(dispatch.tag, dispatch.key.clone(), now)?;
+    let bound = LoadBound {
+        multiple: shared.settings.load_multiple,
+    };
+    if let Err(reason) = shared.gate.admit(dispatch.admission, bound) {
+        shared.attempts.withdraw(&entry, now);
+        return Err(reason);
+    }
+    Ok(entry)
+}
+
+fn start_attempt(shared: &Arc<SideShared>, entry: AttemptEntry, dispatch: DispatchFrame) {
+    let run_shared = Arc::clone(shared);
+    let run_entry = entry.clone();
+    let spawned = thread::Builder::new()
+        .name("side-attempt".to_owned())
+        .spawn(move || {
+            let ending = run_shared.upstream.run(&dispatch, &run_entry.answer);
+            run_shared.metrics.count(metric_of(&ending));
+            run_shared.gate.release();
+            run_entry.answer.finish(ending, ClockMillis::now());
+        });
+    if let Err(error) = spawned {
+        shared.gate.release();
+        let ending = AttemptEnding::NotRun(format!("no thread for the attempt: {error}"));
+        entry.answer.finish(ending, ClockMillis::now());
+    }
+}
+
+fn metric_of(ending: &AttemptEnding) -> &'static str {
+    match ending {
+        AttemptEnding::Completed { .. } => "attempt.completed",
+        AttemptEnding::NotRun(_) => "attempt.not_run",
+        AttemptEnding::Failed(_) => "attempt.failed",
+        AttemptEnding::Cancelled => "attempt.cancelled",
+    }
+}
+
+fn serve_resume(
+    shared: &SideShared,
+    stream: &mut FramedStream,
+    tag: AttemptTag,
+    offset: u64,
+) -> Result<(), FrameError> {
+    let Some(entry) = shared.attempts.find(tag) else {
+        let state = shared.attempts.seal(tag, None, ClockMillis::now());
+        return stream.send(&SideFrame::Sealed { tag, state });
+    };
+    entry.answer.attach();
+    let result = stream
+        .send(&SideFrame::Accepted { tag })
+        .and_then(|()| stream_answer(shared, stream, &entry, offset));
+    entry.answer.detach(ClockMillis::now());
+    result
+}
+
+/// Sends a response from `offset` to its end, with heartbeats while there is nothing new.
+fn stream_answer(
+    shared: &SideShared,
+    stream: &mut FramedStream,
+    entry: &AttemptEntry,
+    mut offset: u64,
+) -> Result<(), FrameError> {
+    let tag = entry.tag;
+    let heartbeat = shared.settings.heartbeat();
+    // A reader that resumes inside the body has seen the head.
+    let mut head_sent = offset > 0;
+    loop {
+        match entry.answer.wait(head_sent, offset, heartbeat) {
+            AnswerStep::Head(status, content_type) => {
+                head_sent = true;
+                stream.send(&SideFrame::Head {
+                    tag,
+                    status,
+                    content_type,
+                })?;
+            }
+            AnswerStep::Chunk(bytes) => {
+                let length = bytes.len() as u64;
+                stream.send(&SideFrame::Chunk { tag, offset, bytes })?;
+                offset += length;
+            }
+            AnswerStep::Idle => stream.send(&SideFrame::Alive { tag })?,
+            AnswerStep::End(ending, seal) => {
+                return stream.send(&SideFrame::End { tag, seal, ending });
+            }
+        }
+    }
+}
+
+/// Cancels an attempt, except one with an idempotency key: its caller may ask for the response again.
+pub(crate) fn cancel_attempt(shared: &SideShared, entry: &AttemptEntry) {
+    if entry.key.is_some() {
+        return;
+    }
+    if entry.answer.cancel() {
+        shared.upstream.cancel(entry.tag);
+    }
+}
--- /dev/null
+++ b/crates/process/fescuetide_side/src/settings.rs
@@ -0,0 +1,101 @@
+//! Settings of a side process.
+
+use std::net::SocketAddr;
+
+use fescuetide_base::PoolName;
+use fescuetide_base::RegionName;
+use fescuetide_base::SpanMillis;
+use fescuetide_base::VmName;
+use fescuetide_base::ZoneName;
+use serde::Deserialize;
+
+/// What kind of upstream the process stands beside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum UpstreamKind {
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Service,
+}
+
+/// Settings of a side process.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct SideSettings {
+    /// The VM's name.
+    pub vm: VmName,
+    /// The pool that the upstream belongs to.
+    pub pool: PoolName,
+    /// The availability zone.
+    pub zone: ZoneName,
+    /// The region.
+    pub region: RegionName,
+    /// The kind of upstream.
+    pub kind: UpstreamKind,
+    /// Where routers connect.
+    pub data_listen: SocketAddr,
+    /// Where control RPC is served.
+    pub control_listen: SocketAddr,
+    /// The upstream's base URL.
+    pub upstream_url: String,
+    /// The VM list's base URL.
+    pub vm_list_url: String,
+    /// Multiple of the pool's mean load that the upstream may carry.
+    pub load_multiple: f64,
+    /// Interval between heartbeats of a response without news, in ms.
+    pub heartbeat_ms: u64,
+    /// Interval between load reports, in ms.
+    pub report_interval_ms: u64,
+    /// Interval between reads of the VM list, in ms.
+    pub vm_list_interval_ms: u64,
+    /// How long a response without reader goes on before it is cancelled, in ms. Responses with an idempotency key
+    /// always run to their end.
+    pub orphan_timeout_ms: u64,
+    /// How long an ended response is kept, in ms.
+    pub answer_retention_ms: u64,
+    /// How long the response to an idempotency key is kept, in ms.
+    pub key_retention_ms: u64,
+    /// Longest silence of the upstream before an attempt counts as failed, in ms.
+    pub upstream_silence_ms: u64,
+    /// Address of a StatsD server; no metrics are sent without it.
+    pub statsd: Option<SocketAddr>,
+}
+
+impl Default for SideSettings {
+    fn default() -> Self {
+        Self {
+            vm: default_name("side-1"),
+            pool: default_name("pool"),
+            zone: default_name("zone-1"),
+            region: default_name("region-1"),
+            kind: UpstreamKind::Engine,
+            data_listen: SocketAddr::from(([127, 0, 0, 1], 7_200)),
+            control_listen: SocketAddr::from(([127, 0, 0, 1], 7_201)),
+            upstream_url: "http://127.0.0.1:7300".to_owned(),
+            vm_list_url: "http://127.0.0.1:7001".to_owned(),
+            load_multiple: 1.25,
+            heartbeat_ms: 1_000,
+            report_interval_ms: 500,
+            vm_list_interval_ms: 1_000,
+            orphan_timeout_ms: 15_000,
+            answer_retention_ms: 30_000,
+            key_retention_ms: 3_600_000,
+            upstream_silence_ms: 30_000,
+            statsd: None,
+        }
+    }
+}
+
+impl SideSettings {
+    pub(crate) fn heartbeat(&self) -> SpanMillis {
+        SpanMillis::new(self.heartbeat_ms)
+    }
+}
+
+fn default_name<T: std::str::FromStr>(text: &str) -> T {
+    match text.parse() {
+        Ok(name) => name,
+        Err(_) => unreachable!("default names are valid"),
+    }
+}
--- /dev/null
+++ b/crates/process/fescuetide_side/src/upstream.rs
@@ -0,0 +1,243 @@
+//! Calls of the upstream over HTTP.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::time::Duration;
+
+use fescuetide_base::SpanMillis;
+use fescuetide_wire::api::ChatEvent;
+use fescuetide_wire::frame::AttemptEnding;
+use fescuetide_wire::frame::AttemptTag;
+use fescuetide_wire::frame::DispatchFrame;
+use fescuetide_wire::frame::WorkBody;
+use serde_json::Value;
+use ureq::Agent;
+use ureq::Body;
+use ureq::http::Request;
+use ureq::http::Response;
+
+use crate::SideSettings;
+use crate::answer::AnswerBuffer;
+
+/// Longest time to connect to the upstream, which is on the same VM.
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+
+/// Longest time to tell the upstream of a cancellation.
+const CANCEL_TIMEOUT_MS: u64 = 2_000;
+
+/// Part size when a service's response is read.
+const READ_PART_BYTES: usize = 16 * 1024;
+
+/// Header that names the attempt towards the upstream.
+const ATTEMPT_HEADER: &str = "x-request-id";
+
+/// Calls one upstream.
+#[derive(Debug)]
+pub(crate) struct UpstreamClient {
+    agent: Agent,
+    base: String,
+}
+
+impl UpstreamClient {
+    pub(crate) fn new(settings: &SideSettings) -> Self {
+        // No connection is used twice: a pooled one may be dead, and a call that failed on it may have run.
+        let config = Agent::config_builder()
+            .timeout_connect(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)))
+            .timeout_per_read(Some(Duration::from_millis(settings.upstream_silence_ms)))
+            .http_status_as_error(false)
+            .max_idle_connections(0)
+            .build();
+        Self {
+            agent: config.into(),
+            base: settings.upstream_url.clone(),
+        }
+    }
+
+    /// Runs an attempt to its end and writes its response.
+    pub(crate) fn run(&self, dispatch: &DispatchFrame, answer: &AnswerBuffer) -> AttemptEnding {
+        match &dispatch.work {
+            WorkBody::Chat { body, delivered } => self.run_chat(dispatch, body, delivered, answer),
+            WorkBody::Call {
+                method,
+                path,
+                content_type,
+                body,
+            } => {
+                let mut request = Request::builder()
+                    .method(method.as_str())
+                    .uri(format!("{}{path}", self.base))
+                    .header(ATTEMPT_HEADER, dispatch.tag.attempt.to_string());
+                if let Some(kind) = content_type {
+                    request = request.header("content-type", kind);
+                }
+                if let Some(key) = &dispatch.key {
+                    request = request.header("idempotency-key", key.key.to_string());
+                }
+                match request.body(body.as_slice()) {
+                    Ok(request) => self.run_call(request, answer),
+                    Err(error) => AttemptEnding::NotRun(format!("request is malformed: {error}")),
+                }
+            }
+        }
+    }
+
+    /// Asks the engine to stop generating for an attempt.
+    pub(crate) fn cancel(&self, tag: AttemptTag) {
+        let url = format!("{}/v1/requests/{}", self.base, tag.attempt);
+        let timeout: Duration = SpanMillis::new(CANCEL_TIMEOUT_MS).into();
+        let request = self
+            .agent
+            .delete(url)
+            .config()
+            .timeout_global(Some(timeout))
+            .build();
+        if let Err(error) = request.call() {
+            tracing::debug!(%tag, %error, "upstream did not take the cancellation");
+        }
+    }
+
+    fn run_call(&self, request: Request<&[u8]>, answer: &AnswerBuffer) -> AttemptEnding {
+        let response = match self.agent.run(request) {
+            Ok(response) => response,
+            Err(error) => return ending_of_error(&error),
+        };
+        answer.set_head(response.status().as_u16(), content_type_of(&response));
+        let mut reader = response.into_body().into_reader();
+        let mut part = vec![0; READ_PART_BYTES];
+        loop {
+            match reader.read(&mut part) {
+                Ok(0) => return completed(0, 0, 0),
+                Ok(length) => answer.append(&part[..length]),
+                Err(error) => return AttemptEnding::Failed(format!("response broke off: {error}")),
+            }
+        }
+    }
+
+    fn run_chat(
+        &self,
+        dispatch: &DispatchFrame,
+        body: &[u8],
+        delivered: &str,
+        answer: &AnswerBuffer,
+    ) -> AttemptEnding {
+        let body = match engine_body(body, delivered) {
+            Ok(body) => body,
+            Err(error) => return AttemptEnding::NotRun(format!("body is malformed: {error}")),
+        };
+        let result = self
+            .agent
+            .post(format!("{}/v1/chat/completions", self.base))
+            .header("content-type", "application/json")
+            .header(ATTEMPT_HEADER, dispatch.tag.attempt.to_string())
+            .header("x-priority", priority_of(dispatch.slack).to_string())
+            .send(body);
+        let response = match result {
+            Ok(response) => response,
+            Err(error) => return ending_of_error(&error),
+        };
+        let status = response.status().as_u16();
+        if status != 200 {
+            return self.pass_error(response, answer);
+        }
+        answer.set_head(status, "text/plain".to_owned());
+        relay_events(response, answer)
+    }
+
+    /// Passes an engine's error response on as the response to the request.
+    fn pass_error(&self, mut response: Response<Body>, answer: &AnswerBuffer) -> AttemptEnding {
+        let status = response.status().as_u16();
+        if status >= 500 {
+            return AttemptEnding::Failed(format!("engine answered with status {status}"));
+        }
+        answer.set_head(status, content_type_of(&response));
+        match response.body_mut().read_to_vec() {
+            Ok(bytes) => answer.append(&bytes),
+            Err(error) => return AttemptEnding::Failed(format!("response broke off: {error}")),
+        }
+        completed(0, 0, 0)
+    }
+}
+
+fn relay_events(response: Response<Body>, answer: &AnswerBuffer) -> AttemptEnding {
+    let reader = BufReader::new(response.into_body().into_reader());
+    let mut usage = None;
+    for line in reader.lines() {
+        let line = match line {
+            Ok(line) => line,
+            Err(error) => return AttemptEnding::Failed(format!("engine broke off: {error}")),
+        };
+        if answer.is_cancelled() {
+            return AttemptEnding::Cancelled;
+        }
+        let Some(data) = line.strip_prefix("data: ") else {
+            continue;
+        };
+        if data == "[DONE]" {
+            let usage: fescuetide_wire::api::TokenUsage = usage.unwrap_or_default();
+            return completed(
+                usage.prompt_tokens,
+                usage.cached_tokens,
+                usage.completion_tokens,
+            );
+        }
+        let event: ChatEvent = match serde_json::from_str(data) {
+            Ok(event) => event,
+            Err(error) => return AttemptEnding::Failed(format!("engine event: {error}")),
+        };
+        usage = event.usage.or(usage);
+        for choice in event.choices {
+            if let Some(content) = choice.delta.content {
+                answer.append(content.as_bytes());
+            }
+        }
+    }
+    AttemptEnding::Failed("engine closed the stream before its end".to_owned())
+}
+
+/// The body for the engine: always streaming, and continuing behind text that was already delivered.
+fn engine_body(body: &[u8], delivered: &str) -> Result<Vec<u8>, serde_json::Error> {
+    let mut value: Value = serde_json::from_slice(body)?;
+    if let Value::Object(fields) = &mut value {
+        fields.insert("stream".to_owned(), Value::Bool(true));
+        if !delivered.is_empty() {
+            fields.insert("continue_from".to_owned(), Value::from(delivered));
+        }
+    }
+    serde_json::to_vec(&value)
+}
+
+/// Engines run lower numbers first.
+fn priority_of(slack: SpanMillis) -> u64 {
+    slack.as_millis()
+}
+
+fn completed(prompt_tokens: u64, cached_tokens: u64, completion_tokens: u64) -> AttemptEnding {
+    AttemptEnding::Completed {
+        prompt_tokens,
+        cached_tokens,
+        completion_tokens,
+    }
+}
+
+fn content_type_of(response: &Response<Body>) -> String {
+    response
+        .headers()
+        .get("content-type")
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("application/octet-stream")
+        .to_owned()
+}
+
+/// A connection that was never made is the only error that shows that the upstream did not run the request.
+fn ending_of_error(error: &ureq::Error) -> AttemptEnding {
+    match error {
+        ureq::Error::Io(cause) if cause.kind() == std::io::ErrorKind::ConnectionRefused => {
+            AttemptEnding::NotRun("upstream refused the connection".to_owned())
+        }
+        ureq::Error::Timeout(ureq::Timeout::Connect) | ureq::Error::ConnectionFailed => {
+            AttemptEnding::NotRun("upstream cannot be connected".to_owned())
+        }
+        other => AttemptEnding::Failed(format!("upstream call failed: {other}")),
+    }
+}
--- /dev/null
+++ b/crates/state/fescuetide_classes/src/lib.rs
@@ -0,0 +1,47 @@
+//! Classes of work: their targets, the folding of changes and snapshots.
+//!
+//! Operators publish changes to a log. Every reader folds the same records with [`ClassTable::apply`] and so reaches
+//! the same state: a change counts when it is valid and based on the current version of its class, else it is rejected
+//! with findings. Racing operators therefore get one winner everywhere.
+//!
+//! ```
+//! use fescuetide_base::prelude::*;
+//! use fescuetide_classes::prelude::*;
+//!
+//! let mut table = ClassTable::default();
+//! let change = ClassChange {
+//!     id: ChangeId::generate(),
+//!     class: "chat".parse().unwrap(),
+//!     based_on: ClassVersion::new(0),
+//!     action: ChangeAction::Set(ClassTargets::default()),
+//!     author: "operator".to_owned(),
+//!     at: ClockMillis::new(0),
+//! };
+//! let verdict = table.apply(LogOffset::new(0), &change).unwrap();
+//! assert_eq!(verdict, ChangeVerdict::Accepted(ClassVersion::new(1)));
+//! ```
+
+mod change;
+mod table;
+mod targets;
+
+pub use change::ChangeAction;
+pub use change::ChangeVerdict;
+pub use change::ClassChange;
+pub use table::ClassEntry;
+pub use table::ClassSnapshot;
+pub use table::ClassTable;
+pub use table::FoldError;
+pub use targets::ClassTargets;
+pub use targets::LatenessTarget;
+
+/// The types most users need.
+pub mod prelude {
+    pub use crate::ChangeAction;
+    pub use crate::ChangeVerdict;
+    pub use crate::ClassChange;
+    pub use crate::ClassSnapshot;
+    pub use crate::ClassTable;
+    pub use crate::ClassTargets;
+    pub use crate::LatenessTarget;
+}
--- /dev/null
+++ b/crates/state/fescuetide_members/src/lib.rs
@@ -0,0 +1,20 @@
+//! The VM table: which VMs exist, where they are, and whether they are leaving.
+//!
+//! The table is soft state built from the platform's VM list, which lags and may differ between readers. It carries
+//! the time of its last update, so that users can judge its age.
+
+mod table;
+mod vm;
+
+pub use table::VmTable;
+pub use vm::RoleKind;
+pub use vm::VmEntry;
+pub use vm::VmPhase;
+
+/// The types most users need.
+pub mod prelude {
+    pub use crate::RoleKind;
+    pub use crate::VmEntry;
+    pub use crate::VmPhase;
+    pub use crate::VmTable;
+}
--- /dev/null
+++ b/crates/tools/fescuetide_bench/src/client.rs
@@ -0,0 +1,147 @@
+//! A caller: sends requests to routers and checks the responses.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use fescuetide_standin::answer::whole_answer;
+use fescuetide_wire::api::CHAT_HEADER;
+use fescuetide_wire::api::CLASS_HEADER;
+use fescuetide_wire::api::CallOutcome;
+use fescuetide_wire::api::ChatEvent;
+use fescuetide_wire::api::ChatMessage;
+use fescuetide_wire::api::OUTCOME_HEADER;
+use fescuetide_wire::api::TokenUsage;
+use fescuetide_wire::api::WORKSPACE_HEADER;
+use serde_json::json;
+use ureq::Agent;
+use ureq::Body;
+use ureq::http::Response;
+
+/// One chat request.
+#[derive(Clone, Debug)]
+pub struct ChatCall {
+    /// The workspace.
+    pub workspace: String,
+    /// The chat.
+    pub chat: String,
+    /// The class.
+    pub class: String,
+    /// The conversation so far.
+    pub messages: Vec<ChatMessage>,
+    /// Tokens to generate.
+    pub max_tokens: u32,
+}
+
+/// What a caller saw.
+#[derive(Clone, Debug)]
+pub struct ChatResult {
+    /// The outcome it was told, `None` when the connection broke off.
+    pub outcome: Option<CallOutcome>,
+    /// The text it received.
+    pub text: String,
+    /// Whether the text is the whole answer to its own prompt.
+    pub is_whole: bool,
+    /// Time to the first token.
+    pub first_token: Option<Duration>,
+    /// Times between tokens.
+    pub gaps: Vec<Duration>,
+    /// Token counts.
+    pub usage: TokenUsage,
+}
+
+/// Sends requests over its own connections.
+#[derive(Clone, Debug)]
+pub struct CallerClient {
+    agent: Agent,
+}
+
+impl Default for CallerClient {
+    fn default() -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_per_read(Some(Duration::from_secs(60)))
+            .build();
+        Self {
+            agent: config.into(),
+        }
+    }
+}
+
+impl CallerClient {
+    /// Sends a streamed chat request to the router at `address`.
+    pub fn chat(&self, address: SocketAddr, call: &ChatCall) -> ChatResult {
+        let start = Instant::now();
+        let body = json!({
+            "model": "deck-1",
+            "stream": true,
+            "max_tokens": call.max_tokens,
+            "messages": call.messages,
+        });
+        let mut result = ChatResult {
+            outcome: None,
+            text: String::new(),
+            is_whole: false,
+            first_token: None,
+            gaps: Vec::new(),
+            usage: TokenUsage::default(),
+        };
+        let response = self
+            .agent
+            .post(format!("http://{address}/v1/chat/completions"))
+            .header(WORKSPACE_HEADER, &call.workspace)
+            .header(CHAT_HEADER, &call.chat)
+            .header(CLASS_HEADER, &call.class)
+            .send_json(&body);
+        let Ok(response) = response else {
+            return result;
+        };
+        if response.status() != 200 {
+            result.outcome = outcome_of(&response);
+            return result;
+        }
+        read_events(response, start, &mut result);
+        result.is_whole = result.text == whole_answer(&call.messages, call.max_tokens);
+        result
+    }
+}
+
+/// The outcome in a response's header.
+pub fn outcome_of(response: &Response<Body>) -> Option<CallOutcome> {
+    let value = response.headers().get(OUTCOME_HEADER)?;
+    value.to_str().ok()?.parse().ok()
+}
+
+fn read_events(response: Response<Body>, start: Instant, result: &mut ChatResult) {
+    let reader = BufReader::new(response.into_body().into_reader());
+    let mut last: Option<Instant> = None;
+    for line in reader.lines() {
+        let Ok(line) = line else {
+            return;
+        };
+        let Some(data) = line.strip_prefix("data: ") else {
+            continue;
+        };
+        let Ok(event) = serde_json::from_str::<ChatEvent>(data) else {
+            continue;
+        };
+        result.usage = event.usage.unwrap_or(result.usage);
+        if let Some(report) = event.fescuetide {
+            result.outcome = Some(report.outcome);
+        }
+        for choice in event.choices {
+            let Some(content) = choice.delta.content else {
+                continue;
+            };
+            let now = Instant::now();
+            match last {
+                None => result.first_token = Some(now - start),
+                Some(last) => result.gaps.push(now - last),
+            }
+            last = Some(now);
+            result.text.push_str(&content);
+        }
+    }
+}
--- /dev/null
+++ b/crates/tools/fescuetide_bench/src/fleet.rs
@@ -0,0 +1,415 @@
+//! A fleet of real processes on loopback.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use anyhow::Context;
+use fescuetide_base::ChangeId;
+use fescuetide_base::ClassName;
+use fescuetide_base::ClassVersion;
+use fescuetide_base::ClockMillis;
+use fescuetide_base::SpanMillis;
+use fescuetide_classes::ChangeAction;
+use fescuetide_classes::ClassChange;
+use fescuetide_classes::ClassTargets;
+use fescuetide_net::ControlMeter;
+use fescuetide_net::LogClient;
+use fescuetide_wire::log::CLASS_STREAM;
+use fescuetide_wire::log::ChangeWire;
+use fescuetide_wire::log::ClassRecord;
+use fescuetide_wire::vms::VmWire;
+
+use crate::ports::free_address;
+use crate::process::ChildProcess;
+use crate::process::ProgramPaths;
+use crate::process::build_programs;
+use crate::process::wait_for;
+
+/// Longest time until all processes answer.
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Longest time of a call of a stand-in.
+const CALL_TIMEOUT_MS: u64 = 5_000;
+
+/// What a fleet consists of.
+#[derive(Clone, Debug)]
+pub struct FleetSettings {
+    /// The region.
+    pub region: String,
+    /// The availability zones; VMs are spread over them in turn.
+    pub zones: Vec<String>,
+    /// Number of routers.
+    pub routers: usize,
+    /// Number of engines in the pool `fescuetide-pool`.
+    pub engines: usize,
+    /// The pool of plain services.
+    pub service_pool: String,
+    /// Number of plain services.
+    pub services: usize,
+    /// The classes to publish at the start.
+    pub classes: Vec<(ClassName, ClassTargets)>,
+    /// Options of engine stand-ins.
+    pub engine_options: Vec<String>,
+    /// Options of service stand-ins.
+    pub service_options: Vec<String>,
+    /// Lines added to the routers' settings.
+    pub router_lines: Vec<String>,
+    /// Lines added to the side processes' settings.
+    pub side_lines: Vec<String>,
+}
+
+impl Default for FleetSettings {
+    fn default() -> Self {
+        Self {
+            region: "ch-west".to_owned(),
+            zones: ["lsn-a", "lsn-b", "gva-1"].map(str::to_owned).to_vec(),
+            routers: 3,
+            engines: 12,
+            service_pool: "deck-api".to_owned(),
+            services: 3,
+            classes: Vec::new(),
+            engine_options: Vec::new(),
+            service_options: Vec::new(),
+            router_lines: Vec::new(),
+            side_lines: Vec::new(),
+        }
+    }
+}
+
+/// An upstream with its side process.
+#[derive(Debug)]
+pub struct UpstreamPair {
+    /// Its entry in the VM list.
+    pub vm: VmWire,
+    /// The upstream's own address.
+    pub upstream_address: SocketAddr,
+    /// Where the upstream writes what it ran.
+    pub journal: PathBuf,
+    /// The upstream.
+    pub upstream: Option<ChildProcess>,
+    /// The side process.
+    pub side: Option<ChildProcess>,
+}
+
+/// A router of the fleet.
+#[derive(Debug)]
+pub struct RouterNode {
+    /// Its entry in the VM list.
+    pub vm: VmWire,
+    /// The process.
+    pub process: Option<ChildProcess>,
+}
+
+/// A running fleet. All its processes end when it is dropped.
+#[derive(Debug)]
+pub struct FleetProcesses {
+    /// The settings it was started with.
+    pub settings: FleetSettings,
+    /// Logs, settings files and journals.
+    pub folder: PathBuf,
+    /// The routers.
+    pub routers: Vec<RouterNode>,
+    /// Engines, then plain services.
+    pub upstreams: Vec<UpstreamPair>,
+    /// The log service's address.
+    pub log_address: SocketAddr,
+    /// The VM list's address.
+    pub vms_address: SocketAddr,
+    /// The log service.
+    pub log: Option<ChildProcess>,
+    /// The VM list.
+    pub vms: Option<ChildProcess>,
+    programs: ProgramPaths,
+}
+
+impl FleetProcesses {
+    /// Starts all processes and waits until all routers take requests.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process does not start or does not answer in time.
+    pub fn start(settings: FleetSettings) -> anyhow::Result<Self> {
+        let programs = build_programs()?;
+        let mut fleet = Self {
+            settings,
+            folder: new_folder()?,
+            routers: Vec::new(),
+            upstreams: Vec::new(),
+            log_address: free_address()?,
+            vms_address: free_address()?,
+            log: None,
+            vms: None,
+            programs,
+        };
+        fleet.start_log()?;
+        fleet.start_vms()?;
+        for index in 0..fleet.settings.engines {
+            fleet.add_upstream("engine", index)?;
+        }
+        for index in 0..fleet.settings.services {
+            fleet.add_upstream("service", index)?;
+        }
+        for index in 0..fleet.settings.routers {
+            fleet.add_router(index)?;
+        }
+        wait_for("start of the VM list", START_TIMEOUT, || {
+            fleet.publish_vms().is_ok()
+        })?;
+        let classes = fleet.settings.classes.clone();
+        for (class, targets) in classes {
+            fleet.publish_class(&class, targets, ClassVersion::default())?;
+        }
+        wait_for("start of the routers", START_TIMEOUT, || {
+            fleet.routers.iter().all(|router| is_ready(router.vm.data))
+        })?;
+        Ok(fleet)
+    }
+
+    /// Starts the log service.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process does not start.
+    pub fn start_log(&mut self) -> anyhow::Result<()> {
+        let arguments = stand_in_arguments("log", self.log_address);
+        self.log = Some(self.start_stand_in("log", &arguments)?);
+        let address = self.log_address;
+        wait_for("start of the log service", START_TIMEOUT, || {
+            ureq::get(format!("http://{address}/streams/{CLASS_STREAM}"))
+                .call()
+                .is_ok()
+        })
+    }
+
+    fn start_vms(&mut self) -> anyhow::Result<()> {
+        let arguments = stand_in_arguments("vms", self.vms_address);
+        self.vms = Some(self.start_stand_in("vms", &arguments)?);
+        Ok(())
+    }
+
+    fn start_stand_in(&self, name: &str, arguments: &[String]) -> anyhow::Result<ChildProcess> {
+        ChildProcess::start(name, &self.programs.standin, arguments, &self.folder)
+    }
+
+    fn zone(&self, index: usize) -> String {
+        let zones = &self.settings.zones;
+        zones[index % zones.len()].clone()
+    }
+
+    fn new_vm(&self, role: &str, index: usize, pool: &str) -> anyhow::Result<VmWire> {
+        Ok(VmWire {
+            name: format!("{role}-{}", index + 1),
+            role: role.to_owned(),
+            pool: pool.to_owned(),
+            zone: self.zone(index),
+            region: self.settings.region.clone(),
+            data: free_address()?,
+            control: free_address()?,
+            leaving: false,
+        })
+    }
+
+    /// Adds an upstream and starts its processes. The VM list is not published yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process does not start.
+    pub fn add_upstream(&mut self, role: &str, index: usize) -> anyhow::Result<()> {
+        let pool = match role {
+            "engine" => "fescuetide-pool".to_owned(),
+            _ => self.settings.service_pool.clone(),
+        };
+        let vm = self.new_vm(role, index, &pool)?;
+        self.upstreams.push(UpstreamPair {
+            journal: self.folder.join(format!("{}.journal", vm.name)),
+            vm,
+            upstream_address: free_address()?,
+            upstream: None,
+            side: None,
+        });
+        let place = self.upstreams.len() - 1;
+        self.start_upstream(place)?;
+        self.start_side(place)
+    }
+
+    /// Starts the upstream at `place` of the list of upstreams.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process does not start.
+    pub fn start_upstream(&mut self, place: usize) -> anyhow::Result<()> {
+        let pair = &self.upstreams[place];
+        let mut arguments = stand_in_arguments(&pair.vm.role, pair.upstream_address);
+        arguments.extend(["--name".to_owned(), pair.vm.name.clone()]);
+        arguments.extend(["--journal".to_owned(), pair.journal.display().to_string()]);
+        arguments.extend(match pair.vm.role.as_str() {
+            "engine" => self.settings.engine_options.clone(),
+            _ => self.settings.service_options.clone(),
+        });
+        let process = self.start_stand_in(&pair.vm.name, &arguments)?;
+        self.upstreams[place].upstream = Some(process);
+        Ok(())
+    }
+
+    /// Starts the side process at `place` of the list of upstreams.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process does not start.
+    pub fn start_side(&mut self, place: usize) -> anyhow::Result<()> {
+        let pair = &self.upstreams[place];
+        let mut text = String::from("role = \"side\"\n\n[side]\n");
+        write_vm_lines(&mut text, &pair.vm)?;
+        writeln!(text, "pool = \"{}\"", pair.vm.pool)?;
+        writeln!(text, "kind = \"{}\"", pair.vm.role)?;
+        writeln!(text, "data_listen = \"{}\"", pair.vm.data)?;
+        writeln!(text, "upstream_url = \"http://{}\"", pair.upstream_address)?;
+        writeln!(text, "vm_list_url = \"http://{}\"", self.vms_address)?;
+        for line in &self.settings.side_lines {
+            writeln!(text, "{line}")?;
+        }
+        let process = self.start_daemon(&format!("{}-side", pair.vm.name), &text)?;
+        self.upstreams[place].side = Some(process);
+        Ok(())
+    }
+
+    /// Adds a router and starts it. The VM list is not published yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process does not start.
+    pub fn add_router(&mut self, index: usize) -> anyhow::Result<()> {
+        let vm = self.new_vm("router", index, "fescuetide-router")?;
+        self.routers.push(RouterNode { vm, process: None });
+        let place = self.routers.len() - 1;
+        self.start_router(place)
+    }
+
+    /// Starts the router at `place` of the list of routers.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process does not start.
+    pub fn start_router(&mut self, place: usize) -> anyhow::Result<()> {
+        let vm = &self.routers[place].vm;
+        let mut text = String::from("role = \"router\"\n\n[router]\n");
+        write_vm_lines(&mut text, vm)?;
+        writeln!(text, "listen = \"{}\"", vm.data)?;
+        writeln!(text, "log_url = \"http://{}\"", self.log_address)?;
+        writeln!(text, "vm_list_url = \"http://{}\"", self.vms_address)?;
+        for line in &self.settings.router_lines {
+            writeln!(text, "{line}")?;
+        }
+        let process = self.start_daemon(&vm.name, &text)?;
+        self.routers[place].process = Some(process);
+        Ok(())
+    }
+
+    fn start_daemon(&self, name: &str, settings: &str) -> anyhow::Result<ChildProcess> {
+        let path = self.folder.join(format!("{name}.toml"));
+        std::fs::write(&path, settings)?;
+        let arguments = [path.display().to_string()];
+        ChildProcess::start(name, &self.programs.daemon, &arguments, &self.folder)
+    }
+
+    /// Publishes the VM list as it stands.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the VM list does not take it.
+    pub fn publish_vms(&self) -> anyhow::Result<()> {
+        let mut list: Vec<&VmWire> = Vec::new();
+        for router in &self.routers {
+            list.push(&router.vm);
+        }
+        for pair in &self.upstreams {
+            list.push(&pair.vm);
+        }
+        ureq::put(format!("http://{}/vms", self.vms_address)).send_json(&list)?;
+        Ok(())
+    }
+
+    /// Appends a change of a class to the log.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the log does not take it.
+    pub fn publish_class(
+        &self,
+        class: &ClassName,
+        targets: ClassTargets,
+        based_on: ClassVersion,
+    ) -> anyhow::Result<()> {
+        let change = ClassChange {
+            id: ChangeId::generate(),
+            class: class.clone(),
+            based_on,
+            action: ChangeAction::Set(targets),
+            author: "bench".to_owned(),
+            at: ClockMillis::now(),
+        };
+        let record = ClassRecord::Change(ChangeWire::from(change));
+        self.log_client()
+            .append(CLASS_STREAM, &record)
+            .with_context(|| format!("class {class} cannot be published"))?;
+        Ok(())
+    }
+
+    /// A client of the fleet's log service.
+    pub fn log_client(&self) -> LogClient {
+        LogClient::new(
+            format!("http://{}", self.log_address),
+            SpanMillis::new(CALL_TIMEOUT_MS),
+            ControlMeter::default(),
+        )
+    }
+
+    /// The callers' addresses of all routers.
+    pub fn router_addresses(&self) -> Vec<SocketAddr> {
+        self.routers.iter().map(|router| router.vm.data).collect()
+    }
+}
+
+impl Drop for FleetProcesses {
+    fn drop(&mut self) {
+        self.routers.clear();
+        self.upstreams.clear();
+        self.log = None;
+        self.vms = None;
+        if std::env::var_os("FESCUETIDE_KEEP").is_none() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+/// Whether the router at `address` takes requests.
+pub fn is_ready(address: SocketAddr) -> bool {
+    ureq::get(format!("http://{address}/readyz")).call().is_ok()
+}
+
+fn write_vm_lines(text: &mut String, vm: &VmWire) -> anyhow::Result<()> {
+    writeln!(text, "vm = \"{}\"", vm.name)?;
+    writeln!(text, "zone = \"{}\"", vm.zone)?;
+    writeln!(text, "region = \"{}\"", vm.region)?;
+    writeln!(text, "control_listen = \"{}\"", vm.control)?;
+    Ok(())
+}
+
+fn stand_in_arguments(role: &str, address: SocketAddr) -> Vec<String> {
+    vec![role.to_owned(), "--listen".to_owned(), address.to_string()]
+}
+
+/// Creates an empty folder for one fleet.
+fn new_folder() -> anyhow::Result<PathBuf> {
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let count = COUNT.fetch_add(1, Ordering::Relaxed);
+    let name = format!("fescuetide-{}-{count}", std::process::id());
+    let folder = Path::new(&std::env::temp_dir()).join(name);
+    std::fs::create_dir_all(&folder)?;
+    Ok(folder)
+}
--- /dev/null
+++ b/crates/tools/fescuetide_bench/src/ports.rs
@@ -0,0 +1,34 @@
+//! Free ports on loopback.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
+
+/// Ports are taken below the range that the kernel uses for outgoing connections, which starts at 32768.
+const PORT_FIRST: u16 = 10_000;
+const PORT_COUNT: u16 = 22_000;
+
+/// Distance between the starting points of processes with successive ids.
+const PORT_STRIDE: u32 = 211;
+
+static NEXT: AtomicU16 = AtomicU16::new(0);
+
+/// Finds a free port on 127.0.0.1 that this process has not handed out before.
+///
+/// # Errors
+///
+/// Fails when no port in the range is free.
+pub fn free_address() -> anyhow::Result<SocketAddr> {
+    let start = (std::process::id().wrapping_mul(PORT_STRIDE) % u32::from(PORT_COUNT)) as u16;
+    for _ in 0..PORT_COUNT {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = PORT_FIRST + (start + step % PORT_COUNT) % PORT_COUNT;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    anyhow::bail!("no port from {PORT_FIRST} on is free")
+}
--- /dev/null
+++ b/crates/tools/fescuetide_bench/src/process.rs
@@ -0,0 +1,202 @@
+//! Child processes and the programs that they run.
+
+use std::fs::File;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::OnceLock;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use anyhow::Context;
+
+/// How often a wait looks again.
+const WAIT_STEP_MS: u64 = 10;
+
+/// A signal to send to a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SignalKind {
+    /// Ends the process without warning.
+    Kill,
+    /// Asks the process to stop.
+    Terminate,
+    /// Pauses the process.
+    Pause,
+    /// Resumes a paused process.
+    Resume,
+}
+
+impl SignalKind {
+    fn option(self) -> &'static str {
+        match self {
+            Self::Kill => "-KILL",
+            Self::Terminate => "-TERM",
+            Self::Pause => "-STOP",
+            Self::Resume => "-CONT",
+        }
+    }
+}
+
+/// A child process that is ended when dropped.
+#[derive(Debug)]
+pub struct ChildProcess {
+    name: String,
+    child: Child,
+}
+
+impl ChildProcess {
+    /// Starts `program` with its output in a file below `folder`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program cannot be started.
+    pub fn start(
+        name: &str,
+        program: &Path,
+        arguments: &[String],
+        folder: &Path,
+    ) -> anyhow::Result<Self> {
+        let path = folder.join(format!("{name}.log"));
+        let output = File::options().create(true).append(true).open(path)?;
+        let child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(output.try_clone()?)
+            .stderr(output)
+            .spawn()
+            .with_context(|| format!("cannot start {}", program.display()))?;
+        Ok(Self {
+            name: name.to_owned(),
+            child,
+        })
+    }
+
+    /// The name given at the start.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// The process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process no longer exists.
+    pub fn signal(&self, kind: SignalKind) -> anyhow::Result<()> {
+        let status = Command::new("kill")
+            .arg(kind.option())
+            .arg(self.child.id().to_string())
+            .status()?;
+        anyhow::ensure!(status.success(), "cannot signal {}", self.name);
+        Ok(())
+    }
+
+    /// Waits until the process has ended. Returns whether it did so within `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be waited for.
+    pub fn wait_ended(&mut self, timeout: Duration) -> anyhow::Result<bool> {
+        let start = Instant::now();
+        while start.elapsed() < timeout {
+            if self.child.try_wait()?.is_some() {
+                return Ok(true);
+            }
+            thread::sleep(Duration::from_millis(WAIT_STEP_MS));
+        }
+        Ok(false)
+    }
+}
+
+impl Drop for ChildProcess {
+    fn drop(&mut self) {
+        // The process may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Waits until `done` returns true.
+///
+/// # Errors
+///
+/// Fails with `what` when that takes longer than `timeout`.
+pub fn wait_for(
+    what: &str,
+    timeout: Duration,
+    mut done: impl FnMut() -> bool,
+) -> anyhow::Result<()> {
+    let start = Instant::now();
+    while start.elapsed() < timeout {
+        if done() {
+            return Ok(());
+        }
+        thread::sleep(Duration::from_millis(WAIT_STEP_MS));
+    }
+    anyhow::bail!("{what} took longer than {timeout:?}")
+}
+
+/// The programs of the fleet.
+#[derive(Clone, Debug)]
+pub struct ProgramPaths {
+    /// `fescuetided`.
+    pub daemon: PathBuf,
+    /// `fescuetide-standin`.
+    pub standin: PathBuf,
+    /// `fescuetide`.
+    pub tool: PathBuf,
+}
+
+/// Builds the fleet's programs once per process and returns where they are.
+///
+/// # Errors
+///
+/// Fails when the build fails.
+pub fn build_programs() -> anyhow::Result<ProgramPaths> {
+    static PROGRAMS: OnceLock<Result<ProgramPaths, String>> = OnceLock::new();
+    let result = PROGRAMS.get_or_init(|| run_build().map_err(|error| format!("{error:#}")));
+    result.clone().map_err(anyhow::Error::msg)
+}
+
+fn run_build() -> anyhow::Result<ProgramPaths> {
+    let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let manifest = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../../Cargo.toml");
+    let mut command = Command::new(cargo);
+    command
+        .args(["build", "--quiet", "--locked", "--manifest-path"])
+        .arg(&manifest)
+        .args(["-p", "fescuetided", "-p", "fescuetide_standin"])
+        .args(["-p", "fescuetide_cli"]);
+    let profile = if cfg!(debug_assertions) {
+        "debug"
+    } else {
+        command.arg("--release");
+        "release"
+    };
+    let status = command.status().context("cannot run cargo")?;
+    anyhow::ensure!(status.success(), "the fleet's programs do not build");
+    let folder = target_folder(profile)?;
+    Ok(ProgramPaths {
+        daemon: folder.join("fescuetided"),
+        standin: folder.join("fescuetide-standin"),
+        tool: folder.join("fescuetide"),
+    })
+}
+
+/// The folder of built programs: the nearest one above this program that has the profile's name.
+fn target_folder(profile: &str) -> anyhow::Result<PathBuf> {
+    let program = std::env::current_exe()?;
+    for folder in program.ancestors() {
+        if folder.file_name().is_some_and(|name| name == profile) {
+            return Ok(folder.to_owned());
+        }
+    }
+    anyhow::bail!("{} is not below a folder {profile}", program.display())
+}
--- /dev/null
+++ b/crates/tools/fescuetide_standin/src/answer.rs
@@ -0,0 +1,58 @@
+//! The text that stand-in engines generate. It depends on the prompt only, so that a client can check that it got the
+//! whole answer to its own request.
+
+use fescuetide_base::StableHash;
+use fescuetide_wire::api::ChatMessage;
+
+/// Tokens generated when a request names no limit.
+pub const DEFAULT_ANSWER_TOKENS: u32 = 16;
+
+/// Splits messages into tokens, each given by its hash. A word is a token, and so is the start of a message.
+pub fn prompt_tokens(messages: &[ChatMessage]) -> Vec<u64> {
+    let mut tokens = Vec::new();
+    for message in messages {
+        tokens.push(
+            StableHash::new()
+                .field(b"role")
+                .field(message.role.as_bytes())
+                .finish(),
+        );
+        push_words(&mut tokens, &message.content);
+    }
+    tokens
+}
+
+/// Appends the tokens of a text.
+pub fn push_words(tokens: &mut Vec<u64>, text: &str) {
+    for word in text.split_whitespace() {
+        tokens.push(StableHash::of_bytes(word.as_bytes()));
+    }
+}
+
+/// The token at `index` of the answer to a prompt, as text with a space behind it.
+pub fn answer_token(prompt: u64, index: u32) -> String {
+    let hash = StableHash::new()
+        .field(&prompt.to_le_bytes())
+        .field(&index.to_le_bytes())
+        .finish();
+    format!("w{:04x} ", hash & 0xffff)
+}
+
+/// The hash of a whole prompt.
+pub fn prompt_hash(tokens: &[u64]) -> u64 {
+    let mut hash = StableHash::new();
+    for token in tokens {
+        hash = hash.field(&token.to_le_bytes());
+    }
+    hash.finish()
+}
+
+/// The whole answer to a prompt.
+pub fn whole_answer(messages: &[ChatMessage], length: u32) -> String {
+    let prompt = prompt_hash(&prompt_tokens(messages));
+    let mut text = String::new();
+    for index in 0..length {
+        text.push_str(&answer_token(prompt, index));
+    }
+    text
+}
--- /dev/null
+++ b/crates/tools/fescuetide_standin/src/lib.rs
@@ -0,0 +1,13 @@
+//! Stand-ins for the platform and for upstreams, for tests and the demo.
+//!
+//! Each stand-in speaks the published interface of what it stands for, and writes down what it ran, so that a check
+//! can compare this with what callers were told.
+
+pub mod answer;
+pub mod engine;
+pub mod http;
+pub mod journal;
+pub mod log;
+pub mod prefix;
+pub mod service;
+pub mod vms;
--- /dev/null
+++ b/crates/tools/fescuetide_standin/src/prefix.rs
@@ -0,0 +1,71 @@
+//! The prefix cache of a stand-in engine.
+
+use fescuetide_base::StableHash;
+use indexmap::IndexSet;
+
+/// Tokens of one cache block.
+pub const BLOCK_TOKENS: usize = 16;
+
+/// A cache of prompt prefixes in blocks, least recently used first.
+#[derive(Debug)]
+pub struct PrefixCache {
+    capacity_blocks: usize,
+    blocks: IndexSet<u64>,
+}
+
+impl PrefixCache {
+    /// Creates an empty cache.
+    pub fn new(capacity_blocks: usize) -> Self {
+        Self {
+            capacity_blocks,
+            blocks: IndexSet::new(),
+        }
+    }
+
+    /// The number of leading tokens that are cached, a multiple of [`BLOCK_TOKENS`].
+    pub fn cached_tokens(&self, tokens: &[u64]) -> usize {
+        let mut count = 0;
+        for block in block_chain(tokens) {
+            if !self.blocks.contains(&block) {
+                break;
+            }
+            count += BLOCK_TOKENS;
+        }
+        count
+    }
+
+    /// Stores all whole blocks of `tokens` as the most recently used ones.
+    pub fn store(&mut self, tokens: &[u64]) {
+        // The first block of a chain is stored last, so that eviction takes a chain's tail before its head.
+        let chain: Vec<u64> = block_chain(tokens).collect();
+        for block in chain.into_iter().rev() {
+            self.blocks.shift_remove(&block);
+            self.blocks.insert(block);
+        }
+        let excess = self.blocks.len().saturating_sub(self.capacity_blocks);
+        self.blocks.drain(..excess);
+    }
+
+    /// The number of blocks stored.
+    pub fn len(&self) -> usize {
+        self.blocks.len()
+    }
+
+    /// Whether nothing is stored.
+    pub fn is_empty(&self) -> bool {
+        self.blocks.is_empty()
+    }
+}
+
+/// Hashes of the whole blocks of `tokens`; each depends on all tokens before it.
+pub fn block_chain(tokens: &[u64]) -> impl Iterator<Item = u64> {
+    let mut chained = 0_u64;
+    tokens.chunks_exact(BLOCK_TOKENS).map(move |block| {
+        let mut hash = StableHash::new().field(&chained.to_le_bytes());
+        for token in block {
+            hash = hash.field(&token.to_le_bytes());
+        }
+        chained = hash.finish();
+        chained
+    })
+}
--- /dev/null
+++ b/crates/tools/fescuetide_standin/src/service.rs
@@ -0,0 +1,106 @@
+//! Stand-in of a plain service.
+
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use astra::Request;
+use astra::Response;
+use fescuetide_base::StableHash;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::http::header_value;
+use crate::http::json_response;
+use crate::http::read_body;
+use crate::journal::JournalEvent;
+use crate::journal::JournalFile;
+use crate::journal::JournalLine;
+
+/// What a plain service answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceAnswer {
+    /// The service's name.
+    pub service: String,
+    /// The path that was called.
+    pub path: String,
+    /// Hash of the body that was received.
+    pub body: u64,
+    /// The number of this run at the service, from 1.
+    pub run: u64,
+}
+
+/// Settings of a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceSettings {
+    /// Its name.
+    pub name: String,
+    /// Time of a run in ms.
+    pub run_ms: u64,
+}
+
+impl Default for ServiceSettings {
+    fn default() -> Self {
+        Self {
+            name: "service".to_owned(),
+            run_ms: 5,
+        }
+    }
+}
+
+/// A plain service that journals each run.
+#[derive(Debug)]
+pub struct ServiceStandIn {
+    settings: ServiceSettings,
+    journal: JournalFile,
+    runs: AtomicU64,
+}
+
+impl ServiceStandIn {
+    /// Creates the service.
+    pub fn new(settings: ServiceSettings, journal: JournalFile) -> Self {
+        Self {
+            settings,
+            journal,
+            runs: AtomicU64::new(0),
+        }
+    }
+
+    /// Serves at `address` until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns when the listener fails.
+    pub fn serve(self, address: SocketAddr) -> anyhow::Result<()> {
+        crate::http::serve(address, move |request| self.handle(request))
+    }
+
+    fn handle(&self, mut request: Request) -> Response {
+        let body = StableHash::of_bytes(&read_body(&mut request));
+        let line = JournalLine {
+            at_ms: 0,
+            name: String::new(),
+            event: JournalEvent::Start,
+            attempt: header_value(&request, "x-request-id").unwrap_or_default(),
+            key: header_value(&request, "idempotency-key"),
+            content: body,
+            prompt_tokens: 0,
+            cached_tokens: 0,
+        };
+        self.journal.write(line.clone());
+        thread::sleep(Duration::from_millis(self.settings.run_ms));
+        self.journal.write(JournalLine {
+            event: JournalEvent::Done,
+            ..line
+        });
+        let answer = ServiceAnswer {
+            service: self.settings.name.clone(),
+            path: request.uri().path().to_owned(),
+            body,
+            run: self.runs.fetch_add(1, Ordering::Relaxed) + 1,
+        };
+        json_response(200, &answer)
+    }
+}
--- /dev/null
+++ b/crates/transport/fescuetide_net/src/lib.rs
@@ -0,0 +1,44 @@
+//! Transport: framed connections with their pool, platform clients and control RPC set-up.
+//!
+//! Every byte sent or received beyond serving requests is counted in a [`ControlMeter`].
+
+mod event_body;
+mod framed;
+mod http;
+mod meter;
+mod platform;
+mod pool;
+mod rpc;
+
+pub use event_body::EventBody;
+pub use event_body::EventSource;
+pub use framed::FrameError;
+pub use framed::FramedStream;
+pub use meter::ControlMeter;
+pub use platform::LogClient;
+pub use platform::PlatformError;
+pub use platform::VmListClient;
+pub use platform::VmListReply;
+pub use pool::LinkPool;
+pub use pool::LinkSettings;
+pub use pool::SideLink;
+pub use rpc::ControlTransport;
+pub use rpc::MeteredStream;
+pub use rpc::PostcardCodec;
+pub use rpc::connect_control;
+pub use rpc::rpc_deadline;
+pub use rpc::serve_control;
+
+/// The types most users need.
+pub mod prelude {
+    pub use crate::ControlMeter;
+    pub use crate::FrameError;
+    pub use crate::FramedStream;
+    pub use crate::LinkPool;
+    pub use crate::LinkSettings;
+    pub use crate::LogClient;
+    pub use crate::PlatformError;
+    pub use crate::SideLink;
+    pub use crate::VmListClient;
+    pub use crate::VmListReply;
+}
--- /dev/null
+++ b/crates/transport/fescuetide_net/src/platform.rs
@@ -0,0 +1,175 @@
+//! Clients of the platform's log service and VM list. Calls block.
+
+use std::fmt;
+
+use fescuetide_base::FindingList;
+use fescuetide_base::LogOffset;
+use fescuetide_base::SpanMillis;
+use fescuetide_base::VmName;
+use fescuetide_members::VmEntry;
+use fescuetide_wire::log::AppendReply;
+use fescuetide_wire::log::ReadReply;
+use fescuetide_wire::vms::VmListWire;
+use serde::Serialize;
+use ureq::Agent;
+
+use crate::ControlMeter;
+use crate::http::metered_agent;
+
+/// Why a call of the platform failed.
+#[derive(Debug)]
+pub enum PlatformError {
+    /// The call failed before or after it took effect: an append may have happened.
+    Http(ureq::Error),
+    /// The platform answered with an error status: the call had no effect.
+    Status(u16),
+    /// The answer is not what the interface says.
+    Answer(FindingList),
+    /// The value cannot be written as JSON.
+    Json(serde_json::Error),
+}
+
+impl fmt::Display for PlatformError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Http(error) => write!(f, "call failed: {error}"),
+            Self::Status(status) => write!(f, "answered with status {status}"),
+            Self::Answer(list) => write!(f, "answer is malformed: {list}"),
+            Self::Json(error) => write!(f, "cannot write JSON: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for PlatformError {}
+
+impl From<ureq::Error> for PlatformError {
+    fn from(error: ureq::Error) -> Self {
+        Self::Http(error)
+    }
+}
+
+/// A client of the log service.
+#[derive(Clone, Debug)]
+pub struct LogClient {
+    agent: Agent,
+    base: String,
+}
+
+impl LogClient {
+    /// Creates a client for the service at `base`, for example `http://10.0.0.9:7000`.
+    pub fn new(base: impl Into<String>, timeout: SpanMillis, meter: ControlMeter) -> Self {
+        Self {
+            agent: metered_agent(meter, timeout),
+            base: base.into(),
+        }
+    }
+
+    /// Appends a record as JSON and returns its offset.
+    ///
+    /// # Errors
+    ///
+    /// After [`PlatformError::Http`] the record may have been appended; read the stream to find out.
+    pub fn append<T: Serialize>(
+        &self,
+        stream: &str,
+        record: &T,
+    ) -> Result<LogOffset, PlatformError> {
+        let text = serde_json::to_string(record).map_err(PlatformError::Json)?;
+        let url = format!("{}/streams/{stream}", self.base);
+        let mut response = self.agent.post(url).send(text)?;
+        let status = response.status().as_u16();
+        if status != 200 {
+            return Err(PlatformError::Status(status));
+        }
+        let reply: AppendReply = response.body_mut().read_json()?;
+        Ok(LogOffset::new(reply.offset))
+    }
+
+    /// Reads up to `limit` records from `from` on.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the service does not answer in time.
+    pub fn read(
+        &self,
+        stream: &str,
+        from: LogOffset,
+        limit: u32,
+    ) -> Result<ReadReply, PlatformError> {
+        let url = format!("{}/streams/{stream}?from={from}&limit={limit}", self.base);
+        let mut response = self.agent.get(url).call()?;
+        let status = response.status().as_u16();
+        if status != 200 {
+            return Err(PlatformError::Status(status));
+        }
+        Ok(response.body_mut().read_json()?)
+    }
+}
+
+/// What a read of the VM list gave.
+#[derive(Clone, Debug)]
+pub enum VmListReply {
+    /// The list still has the version that the reader has.
+    Unchanged,
+    /// A new list.
+    Changed {
+        /// Its version.
+        version: u64,
+        /// All VMs.
+        list: Vec<VmEntry>,
+    },
+}
+
+/// A client of the VM list.
+#[derive(Clone, Debug)]
+pub struct VmListClient {
+    agent: Agent,
+    base: String,
+    reader: VmName,
+}
+
+impl VmListClient {
+    /// Creates a client that reads the list at `base` as `reader`.
+    pub fn new(
+        base: impl Into<String>,
+        reader: VmName,
+        timeout: SpanMillis,
+        meter: ControlMeter,
+    ) -> Self {
+        Self {
+            agent: metered_agent(meter, timeout),
+            base: base.into(),
+            reader,
+        }
+    }
+
+    /// Reads the list, unless it still has version `known`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not answer in time or an entry is malformed.
+    pub fn read(&self, known: u64) -> Result<VmListReply, PlatformError> {
+        let url = format!("{}/vms?reader={}&version={known}", self.base, self.reader);
+        let mut response = self.agent.get(url).call()?;
+        match response.status().as_u16() {
+            200 => {}
+            304 => return Ok(VmListReply::Unchanged),
+            status => return Err(PlatformError::Status(status)),
+        }
+        let wire: VmListWire = response.body_mut().read_json()?;
+        let mut list = Vec::with_capacity(wire.vms.len());
+        let mut findings = FindingList::default();
+        for vm in wire.vms {
+            match VmEntry::try_from(vm) {
+                Ok(entry) => list.push(entry),
+                Err(found) => findings.extend(found),
+            }
+        }
+        findings
+            .into_result(VmListReply::Changed {
+                version: wire.version,
+                list,
+            })
+            .map_err(PlatformError::Answer)
+    }
+}
