Serve HTTP with hyper instead of astra

Ruled out: the fleet's own framing, as the hung streams also occurred between side process and engine stand-in, where only HTTP is used.

Change: fescuetide_net::serve_http runs blocking handlers behind hyper's HTTP/1.1 server. It also tells handlers when a caller has left.

--- a/crates/process/fescuetide_router/src/call.rs
+++ b/crates/process/fescuetide_router/src/call.rs
@@ -540,6 +540,20 @@
         })
     }
 
+    /// Ends a request whose caller has left.
+    pub(crate) fn abandon(&mut self) -> CallEnd {
+        self.cancel();
+        self.ended = true;
+        self.shared.metrics.count("request.abandoned");
+        CallEnd {
+            outcome: CallOutcome::Failed,
+            reason: "caller has left".to_owned(),
+            retry_after: None,
+            usage: TokenUsage::default(),
+            attempts: self.attempts,
+        }
+    }
+
     fn cancel(&mut self) {
         if let Some(mut attempt) = self.current.take() {
             attempt.cancel(&self.shared);
--- a/crates/process/fescuetide_router/src/request.rs
+++ b/crates/process/fescuetide_router/src/request.rs
@@ -2,7 +2,6 @@
 
 use std::str::FromStr;
 
-use astra::Request;
 use fescuetide_base::ChatName;
 use fescuetide_base::ClassName;
 use fescuetide_base::ClockMillis;
@@ -14,6 +13,8 @@
 use fescuetide_base::SpanMillis;
 use fescuetide_base::WorkspaceName;
 use fescuetide_classes::ClassTargets;
+use fescuetide_net::BodyError;
+use fescuetide_net::HttpRequest;
 use fescuetide_wire::api::CHAT_HEADER;
 use fescuetide_wire::api::CLASS_HEADER;
 use fescuetide_wire::api::ChatRequest;
@@ -43,7 +44,7 @@
 /// Reads a chat-completions request.
 pub(crate) fn parse_chat(
     shared: &RouterShared,
-    request: &mut Request,
+    request: &HttpRequest,
 ) -> Result<CallSpec, RejectReason> {
     let body = read_body(shared, request)?;
     let mut list = FindingList::default();
@@ -60,7 +61,7 @@
 /// Reads a call of a plain service below `/svc/{pool}/`.
 pub(crate) fn parse_service(
     shared: &RouterShared,
-    request: &mut Request,
+    request: &HttpRequest,
     pool: &str,
     path: String,
 ) -> Result<CallSpec, RejectReason> {
@@ -73,7 +74,7 @@
         list.add("path", format!("pool {pool} does not exist"));
     }
     let work = CallWork::Service {
-        method: request.method().to_string(),
+        method: request.method.to_string(),
         path,
         content_type: header_text(request, "content-type", &mut list),
         body,
@@ -83,7 +84,7 @@
 
 fn make_spec(
     shared: &RouterShared,
-    request: &Request,
+    request: &HttpRequest,
     pool: PoolName,
     work: Option<CallWork>,
     mut list: FindingList,
@@ -151,7 +152,11 @@
     }
 }
 
-fn parse_deadline(shared: &RouterShared, request: &Request, list: &mut FindingList) -> SpanMillis {
+fn parse_deadline(
+    shared: &RouterShared,
+    request: &HttpRequest,
+    list: &mut FindingList,
+) -> SpanMillis {
     let fallback = SpanMillis::new(shared.settings.default_deadline_ms);
     let given: Option<SpanMillis> = optional_header(request, DEADLINE_HEADER, list);
     let Some(span) = given else {
@@ -181,39 +186,31 @@
     Some((chat.stream, model))
 }
 
-fn read_body(shared: &RouterShared, request: &mut Request) -> Result<Vec<u8>, RejectReason> {
-    let limit = shared.settings.body_limit_bytes;
-    let mut body = Vec::new();
-    for part in request.body_mut() {
-        let part = match part {
-            Ok(part) => part,
-            Err(error) => {
-                let mut list = FindingList::default();
-                list.add("body", format!("cannot be read: {error}"));
-                return Err(RejectReason::Malformed(list));
-            }
-        };
-        if body.len() + part.len() > limit {
-            return Err(RejectReason::TooLarge(limit));
+fn read_body(shared: &RouterShared, request: &HttpRequest) -> Result<Vec<u8>, RejectReason> {
+    match &request.body {
+        Ok(body) => Ok(body.clone()),
+        Err(BodyError::TooLarge) => Err(RejectReason::TooLarge(shared.settings.body_limit_bytes)),
+        Err(BodyError::Broken) => {
+            let mut list = FindingList::default();
+            list.add("body", "connection broke off");
+            Err(RejectReason::Malformed(list))
         }
-        body.extend_from_slice(&part);
     }
-    Ok(body)
 }
 
-fn required_header<T>(request: &Request, name: &str, list: &mut FindingList) -> Option<T>
+fn required_header<T>(request: &HttpRequest, name: &str, list: &mut FindingList) -> Option<T>
 where
     T: FromStr,
     T::Err: ToString,
 {
-    if !request.headers().contains_key(name) {
+    if !request.headers.contains_key(name) {
         list.add(format!("header {name}"), "is required");
         return None;
     }
     optional_header(request, name, list)
 }
 
-fn optional_header<T>(request: &Request, name: &str, list: &mut FindingList) -> Option<T>
+fn optional_header<T>(request: &HttpRequest, name: &str, list: &mut FindingList) -> Option<T>
 where
     T: FromStr,
     T::Err: ToString,
@@ -222,8 +219,8 @@
     parse_value(&format!("header {name}"), &text, list)
 }
 
-fn header_text(request: &Request, name: &str, list: &mut FindingList) -> Option<String> {
-    let value = request.headers().get(name)?;
+fn header_text(request: &HttpRequest, name: &str, list: &mut FindingList) -> Option<String> {
+    let value = request.headers.get(name)?;
     match value.to_str() {
         Ok(text) => Some(text.to_owned()),
         Err(_) => {
--- a/crates/process/fescuetide_router/src/respond.rs
+++ b/crates/process/fescuetide_router/src/respond.rs
@@ -1,13 +1,11 @@
 //! Responses to callers.
 
-use astra::Body;
-use astra::Response;
-use astra::ResponseBuilder;
 use fescuetide_base::FindingList;
 use fescuetide_base::RequestId;
 use fescuetide_base::SpanMillis;
-use fescuetide_net::EventBody;
+use fescuetide_net::CallerPresence;
 use fescuetide_net::EventSource;
+use fescuetide_net::HttpResponse;
 use fescuetide_wire::api::ATTEMPTS_HEADER;
 use fescuetide_wire::api::CallOutcome;
 use fescuetide_wire::api::CallReport;
@@ -30,24 +28,29 @@
 use crate::request::RejectReason;
 
 /// Runs a request and builds its response.
-pub(crate) fn respond(mut runner: CallRunner, guard: ActiveGuard) -> Response {
+pub(crate) fn respond(
+    mut runner: CallRunner,
+    guard: ActiveGuard,
+    caller: &CallerPresence,
+) -> HttpResponse {
     let is_chat = matches!(runner.spec().work, CallWork::Chat { .. });
     let wants_events = matches!(runner.spec().work, CallWork::Chat { stream: true, .. });
-    let first = next_news(&mut runner);
+    let first = next_news(&mut runner, caller);
     match first {
         CallEvent::Head(200, _) if wants_events => stream_chat(runner, guard, None),
         CallEvent::Chunk(bytes) if wants_events => stream_chat(runner, guard, Some(bytes)),
         CallEvent::End(end) if end.outcome != CallOutcome::Completed => {
             end_response(runner.spec(), &end)
         }
-        other => collect(runner, other, is_chat),
+        other => collect(runner, other, is_chat, caller),
     }
 }
 
-/// The next event other than a heartbeat.
-fn next_news(runner: &mut CallRunner) -> CallEvent {
+/// The next event other than a heartbeat. A request whose caller has left is cancelled.
+fn next_news(runner: &mut CallRunner, caller: &CallerPresence) -> CallEvent {
     loop {
         match runner.next() {
+            CallEvent::Alive if caller.is_gone() => return CallEvent::End(runner.abandon()),
             CallEvent::Alive => {}
             event => return event,
         }
@@ -55,7 +58,12 @@
 }
 
 /// Collects the whole response.
-fn collect(mut runner: CallRunner, first: CallEvent, is_chat: bool) -> Response {
+fn collect(
+    mut runner: CallRunner,
+    first: CallEvent,
+    is_chat: bool,
+    caller: &CallerPresence,
+) -> HttpResponse {
     let mut status = 200;
     let mut content_type = "application/octet-stream".to_owned();
     let mut body = Vec::new();
@@ -70,6 +78,9 @@
             CallEvent::Alive => {}
             CallEvent::End(end) => break end,
         }
+        if caller.is_gone() {
+            break runner.abandon();
+        }
         event = runner.next();
     };
     if end.outcome != CallOutcome::Completed {
@@ -79,11 +90,8 @@
         content_type = "application/json".to_owned();
         body = chat_json(runner.spec(), &end, &body);
     }
-    finish(
-        headed(status, runner.spec().request, end.outcome, end.attempts)
-            .header("content-type", content_type),
-        body,
-    )
+    let response = HttpResponse::whole(status, &content_type, body);
+    label(response, runner.spec().request, end.outcome, end.attempts)
 }
 
 fn chat_json(spec: &CallSpec, end: &CallEnd, text: &[u8]) -> Vec<u8> {
@@ -101,12 +109,8 @@
     to_json(&value)
 }
 
-fn stream_chat(runner: CallRunner, guard: ActiveGuard, first: Option<Vec<u8>>) -> Response {
-    let builder = ResponseBuilder::new()
-        .status(200)
-        .header(REQUEST_HEADER, runner.spec().request.to_string())
-        .header("content-type", "text/event-stream")
-        .header("cache-control", "no-store");
+fn stream_chat(runner: CallRunner, guard: ActiveGuard, first: Option<Vec<u8>>) -> HttpResponse {
+    let request = runner.spec().request;
     let source = ChatEvents {
         runner,
         first,
@@ -114,7 +118,9 @@
         ended: false,
         _guard: guard,
     };
-    build(builder, Body::wrap_reader(EventBody::new(source)))
+    HttpResponse::stream("text/event-stream", source)
+        .with_header(REQUEST_HEADER, request)
+        .with_header("cache-control", "no-store")
 }
 
 /// Turns a request's events into server-sent events.
@@ -223,26 +229,21 @@
 }
 
 /// The response to a request that did not complete.
-fn end_response(spec: &CallSpec, end: &CallEnd) -> Response {
+fn end_response(spec: &CallSpec, end: &CallEnd) -> HttpResponse {
     let status = match end.outcome {
         CallOutcome::Completed => 200,
         CallOutcome::NotRun => 503,
         CallOutcome::Failed => 502,
         CallOutcome::Unknown => 504,
     };
-    let mut builder = headed(status, spec.request, end.outcome, end.attempts)
-        .header("content-type", "application/json");
-    if let Some(span) = end.retry_after {
-        builder = builder.header("retry-after", span.as_secs_ceil());
-    }
-    finish(
-        builder,
-        to_json(&error_body(&end.reason, None, end.outcome)),
-    )
+    let body = error_body(&end.reason, None, end.outcome);
+    let response = HttpResponse::whole(status, "application/json", to_json(&body));
+    let response = label(response, spec.request, end.outcome, end.attempts);
+    with_retry_after(response, end.retry_after)
 }
 
 /// The response to a request that was rejected before anything ran.
-pub(crate) fn reject_response(reason: &RejectReason) -> Response {
+pub(crate) fn reject_response(reason: &RejectReason) -> HttpResponse {
     match reason {
         RejectReason::TooLarge(limit) => {
             let message = format!("body is over the limit of {limit} bytes");
@@ -260,14 +261,18 @@
     message: &str,
     field: Option<String>,
     retry_after: Option<SpanMillis>,
-) -> Response {
+) -> HttpResponse {
     let body = error_body(message, field, CallOutcome::NotRun);
-    let mut builder = headed(status, RequestId::generate(), CallOutcome::NotRun, 0)
-        .header("content-type", "application/json");
-    if let Some(span) = retry_after {
-        builder = builder.header("retry-after", span.as_secs_ceil());
+    let response = HttpResponse::whole(status, "application/json", to_json(&body));
+    let response = label(response, RequestId::generate(), CallOutcome::NotRun, 0);
+    with_retry_after(response, retry_after)
+}
+
+fn with_retry_after(response: HttpResponse, span: Option<SpanMillis>) -> HttpResponse {
+    match span {
+        Some(span) => response.with_header("retry-after", span.as_secs_ceil()),
+        None => response,
     }
-    finish(builder, to_json(&body))
 }
 
 fn first_field(list: &FindingList) -> Option<String> {
@@ -291,23 +296,17 @@
     }
 }
 
-fn headed(status: u16, request: RequestId, outcome: CallOutcome, attempts: u32) -> ResponseBuilder {
-    ResponseBuilder::new()
-        .status(status)
-        .header(REQUEST_HEADER, request.to_string())
-        .header(OUTCOME_HEADER, outcome.to_string())
-        .header(ATTEMPTS_HEADER, attempts)
-}
-
-fn finish(builder: ResponseBuilder, body: Vec<u8>) -> Response {
-    build(builder, Body::new(body))
-}
-
-/// Builds a response. A header value that does not parse, such as an upstream's content type, gives an empty body.
-fn build(builder: ResponseBuilder, body: Body) -> Response {
-    builder
-        .body(body)
-        .unwrap_or_else(|_| Response::new(Body::empty()))
+/// Adds the headers that every response carries.
+fn label(
+    response: HttpResponse,
+    request: RequestId,
+    outcome: CallOutcome,
+    attempts: u32,
+) -> HttpResponse {
+    response
+        .with_header(REQUEST_HEADER, request)
+        .with_header(OUTCOME_HEADER, outcome)
+        .with_header(ATTEMPTS_HEADER, attempts)
 }
 
 fn to_json<T: Serialize>(value: &T) -> Vec<u8> {
--- a/crates/process/fescuetide_side/src/control.rs
+++ b/crates/process/fescuetide_side/src/control.rs
@@ -1,5 +1,6 @@
 //! The control thread: load reports, the VM list and control RPC.
 
+use std::cmp::Reverse;
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::thread;
@@ -213,7 +214,7 @@
             .finish();
         ranked.push((score, entry));
     }
-    ranked.sort_unstable_by(|one, other| other.0.cmp(&one.0));
+    ranked.sort_unstable_by_key(|(score, _)| Reverse(*score));
     ranked.into_iter().map(|(_, entry)| entry).collect()
 }
 
--- a/crates/tools/fescuetide_bench/src/workload.rs
+++ b/crates/tools/fescuetide_bench/src/workload.rs
@@ -18,7 +18,7 @@
     }
 
     /// The next number.
-    pub fn next(&mut self) -> u64 {
+    pub fn draw(&mut self) -> u64 {
         self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let mut mixed = self.0;
         mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -28,7 +28,7 @@
 
     /// A number below `limit`.
     pub fn below(&mut self, limit: u64) -> u64 {
-        self.next() % limit.max(1)
+        self.draw() % limit.max(1)
     }
 }
 
--- a/crates/tools/fescuetide_standin/src/engine.rs
+++ b/crates/tools/fescuetide_standin/src/engine.rs
@@ -11,12 +11,9 @@
 use std::thread;
 use std::time::Duration;
 
-use astra::Body;
-use astra::Request;
-use astra::Response;
-use astra::ResponseBuilder;
-use fescuetide_net::EventBody;
 use fescuetide_net::EventSource;
+use fescuetide_net::HttpRequest;
+use fescuetide_net::HttpResponse;
 use fescuetide_wire::api::ChatChoice;
 use fescuetide_wire::api::ChatDelta;
 use fescuetide_wire::api::ChatEvent;
@@ -140,12 +137,12 @@
         crate::http::serve(address, move |request| engine.handle(request))
     }
 
-    fn handle(&self, mut request: Request) -> Response {
-        let path = request.uri().path().to_owned();
-        match (request.method().as_str(), path.as_str()) {
+    fn handle(&self, request: HttpRequest) -> HttpResponse {
+        let path = request.uri.path().to_owned();
+        match (request.method.as_str(), path.as_str()) {
             ("GET", "/health") => empty_response(200),
             ("GET", "/load") => json_response(200, &self.load()),
-            ("POST", "/v1/chat/completions") => self.generate(&mut request),
+            ("POST", "/v1/chat/completions") => self.generate(&request),
             ("DELETE", _) => match path.strip_prefix(REQUEST_PREFIX) {
                 Some(attempt) => {
                     self.cancel(attempt);
@@ -165,7 +162,7 @@
         }
     }
 
-    fn generate(&self, request: &mut Request) -> Response {
+    fn generate(&self, request: &HttpRequest) -> HttpResponse {
         let attempt = header_value(request, "x-request-id").unwrap_or_default();
         let priority = header_value(request, "x-priority")
             .and_then(|text| text.parse().ok())
@@ -307,16 +304,12 @@
     }
 }
 
-fn stream_response(receiver: Receiver<EngineNews>) -> Response {
+fn stream_response(receiver: Receiver<EngineNews>) -> HttpResponse {
     let source = EngineEvents {
         receiver,
         ended: false,
     };
-    ResponseBuilder::new()
-        .status(200)
-        .header("content-type", "text/event-stream")
-        .body(Body::wrap_reader(EventBody::new(source)))
-        .unwrap_or_else(|_| Response::new(Body::empty()))
+    HttpResponse::stream("text/event-stream", source)
 }
 
 struct EngineEvents {
--- a/crates/tools/fescuetide_standin/src/http.rs
+++ b/crates/tools/fescuetide_standin/src/http.rs
@@ -1,63 +1,47 @@
 //! Small helpers for the stand-ins' HTTP servers.
 
 use std::net::SocketAddr;
+use std::thread;
 
-use astra::Body;
-use astra::Request;
-use astra::Response;
-use astra::ResponseBuilder;
-use astra::Server;
+use fescuetide_net::HttpRequest;
+use fescuetide_net::HttpResponse;
+use fescuetide_net::HttpSettings;
+use fescuetide_net::serve_http;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-/// Most connections of a stand-in; each holds a thread.
-const WORKER_LIMIT: usize = 256;
-
 /// Serves until the process ends.
 ///
 /// # Errors
 ///
-/// Returns when the listener fails.
+/// Fails when the address cannot be bound.
 pub fn serve<F>(address: SocketAddr, handle: F) -> anyhow::Result<()>
 where
-    F: Fn(Request) -> Response + Send + Sync + 'static,
+    F: Fn(HttpRequest) -> HttpResponse + Send + Sync + 'static,
 {
-    Server::bind(address)
-        .max_workers(WORKER_LIMIT)
-        .http1_only()
-        .http1_writev(true)
-        .serve(move |request: Request, _| handle(request))?;
-    Ok(())
+    serve_http(address, HttpSettings::default(), handle)?;
+    loop {
+        thread::park();
+    }
 }
 
 /// A response with a JSON body.
-pub fn json_response<T: Serialize>(status: u16, value: &T) -> Response {
+pub fn json_response<T: Serialize>(status: u16, value: &T) -> HttpResponse {
     let bytes = serde_json::to_vec(value).unwrap_or_default();
-    ResponseBuilder::new()
-        .status(status)
-        .header("content-type", "application/json")
-        .body(Body::new(bytes))
-        .unwrap_or_else(|_| Response::new(Body::empty()))
+    HttpResponse::whole(status, "application/json", bytes)
 }
 
 /// A response without body.
-pub fn empty_response(status: u16) -> Response {
-    ResponseBuilder::new()
-        .status(status)
-        .body(Body::empty())
-        .unwrap_or_else(|_| Response::new(Body::empty()))
+pub fn empty_response(status: u16) -> HttpResponse {
+    HttpResponse::whole(status, "text/plain", Vec::new())
 }
 
-/// Reads the whole body.
-pub fn read_body(request: &mut Request) -> Vec<u8> {
-    let mut body = Vec::new();
-    for part in request.body_mut() {
-        match part {
-            Ok(part) => body.extend_from_slice(&part),
-            Err(_) => break,
-        }
+/// The body, empty when it did not arrive.
+pub fn body_of(request: &HttpRequest) -> &[u8] {
+    match &request.body {
+        Ok(body) => body,
+        Err(_) => &[],
     }
-    body
 }
 
 /// Reads a JSON body.
@@ -65,14 +49,14 @@
 /// # Errors
 ///
 /// Gives the response to send when the body is malformed.
-pub fn read_json<T: DeserializeOwned>(request: &mut Request) -> Result<T, Box<Response>> {
-    let body = read_body(request);
-    serde_json::from_slice(&body).map_err(|error| Box::new(json_response(400, &error.to_string())))
+pub fn read_json<T: DeserializeOwned>(request: &HttpRequest) -> Result<T, Box<HttpResponse>> {
+    serde_json::from_slice(body_of(request))
+        .map_err(|error| Box::new(json_response(400, &error.to_string())))
 }
 
 /// A parameter of the query.
-pub fn query_value(request: &Request, name: &str) -> Option<String> {
-    let query = request.uri().query()?;
+pub fn query_value(request: &HttpRequest, name: &str) -> Option<String> {
+    let query = request.uri.query()?;
     for pair in query.split('&') {
         let Some((key, value)) = pair.split_once('=') else {
             continue;
@@ -85,7 +69,7 @@
 }
 
 /// A header as text.
-pub fn header_value(request: &Request, name: &str) -> Option<String> {
-    let value = request.headers().get(name)?;
+pub fn header_value(request: &HttpRequest, name: &str) -> Option<String> {
+    let value = request.headers.get(name)?;
     value.to_str().ok().map(str::to_owned)
 }
--- a/crates/tools/fescuetide_standin/src/log.rs
+++ b/crates/tools/fescuetide_standin/src/log.rs
@@ -4,17 +4,17 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
-use astra::Request;
-use astra::Response;
+use fescuetide_net::HttpRequest;
+use fescuetide_net::HttpResponse;
 use fescuetide_wire::log::AppendReply;
 use fescuetide_wire::log::ReadReply;
 use fescuetide_wire::log::RecordWire;
 use indexmap::IndexMap;
 
+use crate::http::body_of;
 use crate::http::empty_response;
 use crate::http::json_response;
 use crate::http::query_value;
-use crate::http::read_body;
 
 /// Most records of one read when the reader names no limit.
 const READ_LIMIT: u64 = 1_000;
@@ -44,15 +44,15 @@
         crate::http::serve(address, move |request| self.handle(request))
     }
 
-    fn handle(&self, mut request: Request) -> Response {
-        let path = request.uri().path().to_owned();
+    fn handle(&self, request: HttpRequest) -> HttpResponse {
+        let path = request.uri.path().to_owned();
         let Some(stream) = path.strip_prefix(STREAM_PREFIX) else {
             return empty_response(404);
         };
-        match request.method().as_str() {
+        match request.method.as_str() {
             "POST" => {
-                let body = read_body(&mut request);
-                let text = String::from_utf8_lossy(&body).into_owned();
+                let body = body_of(&request);
+                let text = String::from_utf8_lossy(body).into_owned();
                 json_response(200, &self.append(stream, text))
             }
             "GET" => {
@@ -92,7 +92,7 @@
     }
 }
 
-fn number_value(request: &Request, name: &str, fallback: u64) -> u64 {
+fn number_value(request: &HttpRequest, name: &str, fallback: u64) -> u64 {
     query_value(request, name)
         .and_then(|text| text.parse().ok())
         .unwrap_or(fallback)
--- a/crates/tools/fescuetide_standin/src/service.rs
+++ b/crates/tools/fescuetide_standin/src/service.rs
@@ -6,15 +6,15 @@
 use std::thread;
 use std::time::Duration;
 
-use astra::Request;
-use astra::Response;
 use fescuetide_base::StableHash;
+use fescuetide_net::HttpRequest;
+use fescuetide_net::HttpResponse;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::http::body_of;
 use crate::http::header_value;
 use crate::http::json_response;
-use crate::http::read_body;
 use crate::journal::JournalEvent;
 use crate::journal::JournalFile;
 use crate::journal::JournalLine;
@@ -77,8 +77,8 @@
         crate::http::serve(address, move |request| self.handle(request))
     }
 
-    fn handle(&self, mut request: Request) -> Response {
-        let body = StableHash::of_bytes(&read_body(&mut request));
+    fn handle(&self, request: HttpRequest) -> HttpResponse {
+        let body = StableHash::of_bytes(body_of(&request));
         let line = JournalLine {
             at_ms: 0,
             name: String::new(),
@@ -97,7 +97,7 @@
         });
         let answer = ServiceAnswer {
             service: self.settings.name.clone(),
-            path: request.uri().path().to_owned(),
+            path: request.uri.path().to_owned(),
             body,
             run: self.runs.fetch_add(1, Ordering::Relaxed) + 1,
         };
--- a/crates/tools/fescuetide_standin/src/vms.rs
+++ b/crates/tools/fescuetide_standin/src/vms.rs
@@ -4,8 +4,8 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
-use astra::Request;
-use astra::Response;
+use fescuetide_net::HttpRequest;
+use fescuetide_net::HttpResponse;
 use fescuetide_wire::vms::VmListWire;
 use fescuetide_wire::vms::VmWire;
 
@@ -30,13 +30,13 @@
         crate::http::serve(address, move |request| self.handle(request))
     }
 
-    fn handle(&self, mut request: Request) -> Response {
-        if request.uri().path() != "/vms" {
+    fn handle(&self, request: HttpRequest) -> HttpResponse {
+        if request.uri.path() != "/vms" {
             return empty_response(404);
         }
-        match request.method().as_str() {
+        match request.method.as_str() {
             "GET" => self.read(query_value(&request, "version")),
-            "PUT" => match read_json::<Vec<VmWire>>(&mut request) {
+            "PUT" => match read_json::<Vec<VmWire>>(&request) {
                 Ok(vms) => self.replace(vms),
                 Err(response) => *response,
             },
@@ -44,7 +44,7 @@
         }
     }
 
-    fn read(&self, known: Option<String>) -> Response {
+    fn read(&self, known: Option<String>) -> HttpResponse {
         let list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
         let known: Option<u64> = known.and_then(|text| text.parse().ok());
         if known == Some(list.version) && list.version > 0 {
@@ -53,7 +53,7 @@
         json_response(200, &*list)
     }
 
-    fn replace(&self, vms: Vec<VmWire>) -> Response {
+    fn replace(&self, vms: Vec<VmWire>) -> HttpResponse {
         let mut list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
         list.version += 1;
         list.vms = vms;
--- a/crates/transport/fescuetide_net/src/lib.rs
+++ b/crates/transport/fescuetide_net/src/lib.rs
@@ -2,18 +2,27 @@
 //!
 //! Every byte sent or received beyond serving requests is counted in a [`ControlMeter`].
 
-mod event_body;
 mod framed;
 mod http;
+mod http_server;
 mod meter;
 mod platform;
 mod pool;
 mod rpc;
 
-pub use event_body::EventBody;
-pub use event_body::EventSource;
 pub use framed::FrameError;
 pub use framed::FramedStream;
+pub use http_server::BodyError;
+pub use http_server::CallerPresence;
+pub use http_server::EventSource;
+pub use http_server::HeaderMap;
+pub use http_server::HttpBody;
+pub use http_server::HttpRequest;
+pub use http_server::HttpResponse;
+pub use http_server::HttpSettings;
+pub use http_server::Method;
+pub use http_server::Uri;
+pub use http_server::serve_http;
 pub use meter::ControlMeter;
 pub use platform::LogClient;
 pub use platform::PlatformError;
