--- a/crates/process/fescuetide_router/src/http.rs
+++ b/crates/process/fescuetide_router/src/http.rs
@@ -12,7 +12,6 @@
 use fescuetide_net::serve_http;
 
 use crate::RouterShared;
-use crate::call::CallRunner;
 use crate::call::CallSpec;
 use crate::request::RejectReason;
 use crate::request::parse_chat;
@@ -20,6 +19,7 @@
 use crate::respond::error_response;
 use crate::respond::reject_response;
 use crate::respond::respond;
+use crate::runner::CallRunner;
 
 /// Path of chat completions.
 const CHAT_PATH: &str = "/v1/chat/completions";
--- a/crates/process/fescuetide_router/src/lib.rs
+++ b/crates/process/fescuetide_router/src/lib.rs
@@ -8,15 +8,20 @@
 mod control;
 mod http;
 mod metrics;
+mod plan;
 mod platform;
 mod request;
 mod respond;
+mod retry;
+mod runner;
 mod settings;
 mod view;
 
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
@@ -31,8 +36,8 @@
 use fescuetide_net::LinkPool;
 use fescuetide_net::LinkSettings;
 
-use crate::call::RetryLedger;
 use crate::metrics::RouterMetrics;
+use crate::retry::RetryLedger;
 use crate::view::RouterView;
 
 pub use crate::settings::RouterSettings;
@@ -56,6 +61,10 @@
         !self.draining.swap(true, Ordering::AcqRel)
     }
 
+    pub(crate) fn lock_breaker(&self) -> MutexGuard<'_, VmBreaker> {
+        self.breaker.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
     }
--- a/crates/process/fescuetide_router/src/respond.rs
+++ b/crates/process/fescuetide_router/src/respond.rs
@@ -21,11 +21,11 @@
 
 use crate::call::CallEnd;
 use crate::call::CallEvent;
-use crate::call::CallRunner;
 use crate::call::CallSpec;
 use crate::call::CallWork;
 use crate::http::ActiveGuard;
 use crate::request::RejectReason;
+use crate::runner::CallRunner;
 
 /// Runs a request and builds its response.
 pub(crate) fn respond(
--- /dev/null
+++ b/crates/process/fescuetide_router/src/runner.rs
@@ -0,0 +1,345 @@
+//! The way of a request through one or more attempts.
+
+use std::sync::Arc;
+use std::thread;
+
+use fescuetide_base::AttemptId;
+use fescuetide_base::ClockMillis;
+use fescuetide_base::LoadCount;
+use fescuetide_base::SpanMillis;
+use fescuetide_base::StableHash;
+use fescuetide_limits::RetryBudget;
+use fescuetide_members::VmEntry;
+use fescuetide_wire::api::CallOutcome;
+use fescuetide_wire::api::TokenUsage;
+use fescuetide_wire::frame::AdmissionRule;
+use fescuetide_wire::frame::AttemptEnding;
+use fescuetide_wire::frame::AttemptTag;
+use fescuetide_wire::frame::DispatchFrame;
+use fescuetide_wire::frame::RefusalReason;
+
+use crate::RouterShared;
+use crate::attempt::AttemptEvent;
+use crate::attempt::LiveAttempt;
+use crate::attempt::NotSent;
+use crate::call::CallEnd;
+use crate::call::CallEvent;
+use crate::call::CallSpec;
+use crate::call::CallWork;
+use crate::plan::CandidatePlan;
+use crate::plan::RefusalNote;
+
+/// First wait before a retry; it doubles with each further one and is shortened by jitter.
+const RETRY_WAIT_MS: u64 = 50;
+
+/// Longest wait before a retry.
+const RETRY_WAIT_LIMIT_MS: u64 = 1_000;
+
+/// When a caller should come back if no side process said so.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// Runs a request to its end.
+pub(crate) struct CallRunner {
+    shared: Arc<RouterShared>,
+    spec: CallSpec,
+    plan: CandidatePlan,
+    lost_on: Vec<VmEntry>,
+    current: Option<LiveAttempt>,
+    admitted: bool,
+    delivered: Vec<u8>,
+    head_sent: bool,
+    attempts: u32,
+    ended: bool,
+    last_reason: String,
+}
+
+impl CallRunner {
+    pub(crate) fn new(shared: Arc<RouterShared>, spec: CallSpec) -> Self {
+        shared.retries.with_budget(&spec, RetryBudget::note_request);
+        let plan = CandidatePlan::new(&shared, &spec, &[]);
+        Self {
+            shared,
+            spec,
+            plan,
+            lost_on: Vec::new(),
+            current: None,
+            admitted: false,
+            delivered: Vec::new(),
+            head_sent: false,
+            attempts: 0,
+            ended: false,
+            last_reason: "no upstream is available".to_owned(),
+        }
+    }
+
+    pub(crate) fn spec(&self) -> &CallSpec {
+        &self.spec
+    }
+
+    /// Waits for the next event. After the end it must not be called again.
+    pub(crate) fn next(&mut self) -> CallEvent {
+        loop {
+            if ClockMillis::now() >= self.spec.deadline {
+                return self.end_at_deadline();
+            }
+            let Some(mut attempt) = self.current.take() else {
+                if !self.start_next() {
+                    return self.end_not_run();
+                }
+                continue;
+            };
+            let event = attempt.next(&self.shared);
+            match event {
+                AttemptEvent::Head(status, content_type) => {
+                    self.note_admitted(attempt);
+                    if self.head_sent {
+                        continue;
+                    }
+                    self.head_sent = true;
+                    return CallEvent::Head(status, content_type);
+                }
+                AttemptEvent::Chunk(bytes) => {
+                    self.note_admitted(attempt);
+                    self.delivered.extend_from_slice(&bytes);
+                    return CallEvent::Chunk(bytes);
+                }
+                AttemptEvent::Alive => {
+                    self.note_admitted(attempt);
+                    return CallEvent::Alive;
+                }
+                AttemptEvent::End(ending) => {
+                    if let Some(event) = self.take_ending(&attempt, ending) {
+                        return event;
+                    }
+                }
+                AttemptEvent::Refused {
+                    reason,
+                    load,
+                    retry_after,
+                } => self.note_refusal(&attempt, reason, load, retry_after),
+                AttemptEvent::Lost(reason) => {
+                    if let Some(event) = self.take_loss(&attempt, reason) {
+                        return event;
+                    }
+                }
+            }
+        }
+    }
+
+    fn note_admitted(&mut self, attempt: LiveAttempt) {
+        self.admitted = true;
+        self.current = Some(attempt);
+    }
+
+    fn take_ending(&mut self, attempt: &LiveAttempt, ending: AttemptEnding) -> Option<CallEvent> {
+        match ending {
+            AttemptEnding::Completed {
+                prompt_tokens,
+                cached_tokens,
+                completion_tokens,
+            } => {
+                self.shared.lock_breaker().note_success(&attempt.vm().name);
+                let usage = TokenUsage {
+                    prompt_tokens,
+                    cached_tokens,
+                    completion_tokens,
+                };
+                let reason = String::new();
+                Some(self.end(CallOutcome::Completed, reason, None, usage))
+            }
+            AttemptEnding::NotRun(reason) => {
+                self.admitted = false;
+                self.last_reason = reason;
+                self.shared
+                    .lock_breaker()
+                    .note_failure(&attempt.vm().name, ClockMillis::now());
+                None
+            }
+            AttemptEnding::Failed(reason) => self.take_loss(attempt, reason),
+            AttemptEnding::Cancelled => self.take_loss(attempt, "attempt was cancelled".to_owned()),
+        }
+    }
+
+    /// Handles an attempt that may have run. Returns the end unless the request is tried again.
+    fn take_loss(&mut self, attempt: &LiveAttempt, reason: String) -> Option<CallEvent> {
+        let vm = attempt.vm().clone();
+        tracing::debug!(tag = %attempt.tag(), vm = %vm.name, %reason, "attempt lost");
+        self.shared
+            .lock_breaker()
+            .note_failure(&vm.name, ClockMillis::now());
+        self.last_reason = reason.clone();
+        self.lost_on.push(vm);
+        if !self.spec.targets.repeatable {
+            return Some(self.end(CallOutcome::Unknown, reason, None, TokenUsage::default()));
+        }
+        if !self.may_retry() {
+            return Some(self.end(CallOutcome::Failed, reason, None, TokenUsage::default()));
+        }
+        self.wait_before_retry();
+        self.plan = CandidatePlan::new(&self.shared, &self.spec, &self.lost_on);
+        None
+    }
+
+    fn may_retry(&self) -> bool {
+        let is_service = matches!(self.spec.work, CallWork::Service { .. });
+        if is_service && self.head_sent {
+            // Bytes of the response have reached the caller; another run's response need not match them.
+            return false;
+        }
+        self.shared
+            .retries
+            .with_budget(&self.spec, RetryBudget::try_retry)
+    }
+
+    fn wait_before_retry(&self) {
+        let doubled = RETRY_WAIT_MS << self.lost_on.len().min(8);
+        let limit = doubled.min(RETRY_WAIT_LIMIT_MS);
+        let left = self.spec.deadline.since(ClockMillis::now()).as_millis();
+        let jitter = StableHash::new()
+            .field(self.spec.request.as_uuid().as_bytes())
+            .field(&self.attempts.to_le_bytes())
+            .finish();
+        let wait = (limit / 2 + jitter % (limit / 2)).min(left);
+        thread::sleep(SpanMillis::new(wait).into());
+    }
+
+    /// Starts an attempt at the next candidate. Returns whether there was one.
+    fn start_next(&mut self) -> bool {
+        while let Some((vm, rule)) = self.plan.next_candidate() {
+            let tag = AttemptTag {
+                request: self.spec.request,
+                attempt: AttemptId::generate(),
+            };
+            let dispatch = self.make_dispatch(tag, rule);
+            match LiveAttempt::start(&self.shared, &vm, dispatch) {
+                Ok(attempt) => {
+                    self.attempts += 1;
+                    self.current = Some(attempt);
+                    return true;
+                }
+                Err(NotSent(error)) => {
+                    self.shared.metrics.count("connect.failed");
+                    self.last_reason = format!("VM {} cannot be reached: {error}", vm.name);
+                    self.shared
+                        .lock_breaker()
+                        .note_failure(&vm.name, ClockMillis::now());
+                }
+            }
+        }
+        false
+    }
+
+    fn make_dispatch(&self, tag: AttemptTag, admission: AdmissionRule) -> DispatchFrame {
+        let now = ClockMillis::now();
+        let late_at = self.spec.received + self.spec.targets.lateness.within;
+        DispatchFrame {
+            tag,
+            target: Default::default(),
+            workspace: self.spec.workspace.clone(),
+            class: self.spec.class.clone(),
+            repeatable: self.spec.targets.repeatable,
+            key: self.spec.work_key(),
+            slack: late_at.since(now),
+            deadline: self.spec.deadline.since(now),
+            admission,
+            work: self.spec.work_body(&self.delivered),
+        }
+    }
+
+    fn note_refusal(
+        &mut self,
+        attempt: &LiveAttempt,
+        reason: RefusalReason,
+        load: LoadCount,
+        retry_after: SpanMillis,
+    ) {
+        self.shared.metrics.count("attempt.refused");
+        self.last_reason = reason.to_string();
+        self.plan.note_refusal(RefusalNote {
+            vm: attempt.vm().clone(),
+            reason,
+            load,
+            retry_after,
+        });
+    }
+
+    fn end_not_run(&mut self) -> CallEvent {
+        let retry_after = self.plan.retry_after(SpanMillis::new(RETRY_AFTER_MS));
+        let reason = self.last_reason.clone();
+        // After a loss the request may have run, so it cannot end as not run.
+        let outcome = if self.lost_on.is_empty() {
+            CallOutcome::NotRun
+        } else {
+            CallOutcome::Failed
+        };
+        self.end(outcome, reason, Some(retry_after), TokenUsage::default())
+    }
+
+    fn end_at_deadline(&mut self) -> CallEvent {
+        let in_progress = self.current.is_some();
+        self.cancel();
+        let reason = "deadline has passed".to_owned();
+        if !in_progress {
+            self.last_reason = reason;
+            return self.end_not_run();
+        }
+        let outcome = if self.spec.targets.repeatable {
+            CallOutcome::Failed
+        } else {
+            CallOutcome::Unknown
+        };
+        self.end(outcome, reason, None, TokenUsage::default())
+    }
+
+    fn end(
+        &mut self,
+        outcome: CallOutcome,
+        reason: String,
+        retry_after: Option<SpanMillis>,
+        usage: TokenUsage,
+    ) -> CallEvent {
+        self.ended = true;
+        self.shared.metrics.count(match outcome {
+            CallOutcome::Completed => "request.completed",
+            CallOutcome::NotRun => "request.not_run",
+            CallOutcome::Failed => "request.failed",
+            CallOutcome::Unknown => "request.unknown",
+        });
+        CallEvent::End(CallEnd {
+            outcome,
+            reason,
+            retry_after,
+            usage,
+            attempts: self.attempts,
+        })
+    }
+
+    /// Ends a request whose caller has left.
+    pub(crate) fn abandon(&mut self) -> CallEnd {
+        self.cancel();
+        self.ended = true;
+        self.shared.metrics.count("request.abandoned");
+        CallEnd {
+            outcome: CallOutcome::Failed,
+            reason: "caller has left".to_owned(),
+            retry_after: None,
+            usage: TokenUsage::default(),
+            attempts: self.attempts,
+        }
+    }
+
+    fn cancel(&mut self) {
+        if let Some(mut attempt) = self.current.take() {
+            attempt.cancel(&self.shared);
+        }
+    }
+}
+
+impl Drop for CallRunner {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.shared.metrics.count("request.abandoned");
+            self.cancel();
+        }
+    }
+}
