--- a/crates/process/fescuetide_router/src/attempt.rs
+++ b/crates/process/fescuetide_router/src/attempt.rs
@@ -19,6 +19,7 @@
 use fescuetide_wire::frame::SideFrame;
 
 use crate::RouterShared;
+use crate::policy::AttemptCount;
 
 /// How often a response is resumed before the attempt counts as lost.
 const RESUME_LIMIT: u32 = 3;
@@ -62,6 +63,7 @@
     accepted: bool,
     head_seen: bool,
     ended: bool,
+    _count: AttemptCount,
 }
 
 impl LiveAttempt {
@@ -91,6 +93,7 @@
             accepted: false,
             head_seen: false,
             ended: false,
+            _count: shared.policy.count_attempt(&vm.name),
         };
         let sent = match &mut attempt.link {
             Some(link) => link.stream.send(&RouterFrame::Dispatch(Box::new(dispatch))),
--- a/crates/process/fescuetide_router/src/lib.rs
+++ b/crates/process/fescuetide_router/src/lib.rs
@@ -10,6 +10,7 @@
 mod metrics;
 mod plan;
 mod platform;
+mod policy;
 mod request;
 mod respond;
 mod retry;
@@ -37,9 +38,11 @@
 use fescuetide_net::LinkSettings;
 
 use crate::metrics::RouterMetrics;
+use crate::policy::PolicyState;
 use crate::retry::RetryLedger;
 use crate::view::RouterView;
 
+pub use crate::policy::RoutingPolicy;
 pub use crate::settings::RouterSettings;
 
 /// State shared by the threads of a router.
@@ -49,6 +52,7 @@
     pub(crate) links: LinkPool,
     pub(crate) breaker: Mutex<VmBreaker>,
     pub(crate) retries: RetryLedger,
+    pub(crate) policy: Arc<PolicyState>,
     pub(crate) metrics: RouterMetrics,
     pub(crate) meter: ControlMeter,
     pub(crate) draining: AtomicBool,
@@ -96,6 +100,7 @@
             links,
             breaker: Mutex::new(VmBreaker::new(BreakerSettings::default())),
             retries: RetryLedger::default(),
+            policy: Arc::default(),
             metrics: RouterMetrics::new(&settings)?,
             meter: ControlMeter::default(),
             draining: AtomicBool::new(false),
--- a/crates/process/fescuetide_router/src/plan.rs
+++ b/crates/process/fescuetide_router/src/plan.rs
@@ -38,6 +38,7 @@
     vms: Vec<VmEntry>,
     cursor: usize,
     stage: WalkStage,
+    first_rule: AdmissionRule,
     refusals: Vec<RefusalNote>,
 }
 
@@ -48,6 +49,7 @@
             vms: Vec::new(),
             cursor: 0,
             stage: WalkStage::OwnCap,
+            first_rule: shared.settings.policy.first_rule(),
             refusals: Vec::new(),
         };
         let view = shared.view.load();
@@ -63,7 +65,8 @@
         let now = ClockMillis::now();
         let breaker = shared.lock_breaker();
         let mut held = Vec::new();
-        for vm in route.rank(&key, shard) {
+        let policy = shared.settings.policy;
+        for vm in shared.policy.order(policy, route, &key, shard) {
             let lost = lost_on.iter().any(|entry| entry.name == vm.name);
             if lost || !breaker.allows(&vm.name, now) {
                 held.push(vm.clone());
@@ -80,7 +83,7 @@
         if self.stage == WalkStage::OwnCap {
             if let Some(vm) = self.vms.get(self.cursor) {
                 self.cursor += 1;
-                return Some((vm.clone(), AdmissionRule::OwnCap));
+                return Some((vm.clone(), self.first_rule));
             }
             self.stage = WalkStage::LeastLoaded;
         }
--- a/crates/process/fescuetide_router/src/settings.rs
+++ b/crates/process/fescuetide_router/src/settings.rs
@@ -10,6 +10,8 @@
 use fescuetide_base::ZoneName;
 use serde::Deserialize;
 
+use crate::RoutingPolicy;
+
 /// Settings of a router.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -46,6 +48,8 @@
     pub exchange_interval_ms: u64,
     /// How many engines a workspace's chats are spread over at first.
     pub shard_size: usize,
+    /// The routing policy. All values but the default are for measurement only.
+    pub policy: RoutingPolicy,
     /// Address of a StatsD server; no metrics are sent without it.
     pub statsd: Option<SocketAddr>,
 }
@@ -69,6 +73,7 @@
             log_interval_ms: 1_000,
             exchange_interval_ms: 500,
             shard_size: 4,
+            policy: RoutingPolicy::Fescuetide,
             statsd: None,
         }
     }
--- a/crates/tools/fescuetide_standin/src/engine.rs
+++ b/crates/tools/fescuetide_standin/src/engine.rs
@@ -260,6 +260,7 @@
             }
             sequence.prefill_left = None;
             cache.store(&sequence.tokens);
+            self.write_line(JournalEvent::Cached, sequence);
         }
         if sequence.next_index < sequence.length {
             let text = answer_token(sequence.prompt, sequence.next_index);
--- a/crates/tools/fescuetide_standin/src/journal.rs
+++ b/crates/tools/fescuetide_standin/src/journal.rs
@@ -18,6 +18,8 @@
 pub enum JournalEvent {
     /// A run began.
     Start,
+    /// The prompt has been taken in; from now on its blocks are in the cache.
+    Cached,
     /// A run ended with a complete answer.
     Done,
     /// A run was cancelled.
