--- /dev/null
+++ b/crates/tools/fescuetide_bench/src/action.rs
@@ -0,0 +1,231 @@
+//! Changes and faults of a run, as data.
+
+use std::thread;
+use std::time::Duration;
+
+use fescuetide_base::ClassName;
+use fescuetide_base::ClassVersion;
+use fescuetide_base::ClockMillis;
+use fescuetide_base::LogOffset;
+use fescuetide_base::SpanMillis;
+use fescuetide_classes::ClassTargets;
+use fescuetide_classes::LatenessTarget;
+use fescuetide_wire::log::CLASS_STREAM;
+
+use crate::fleet::FleetProcesses;
+use crate::process::ChildProcess;
+use crate::process::SignalKind;
+
+/// Longest time that a process gets to end after SIGTERM.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Which process of the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FaultTarget {
+    /// A router.
+    Router(usize),
+    /// The side process of an upstream, by its place in the list of upstreams.
+    Side(usize),
+    /// An upstream.
+    Upstream(usize),
+    /// The log service.
+    Log,
+    /// The VM list.
+    VmList,
+}
+
+/// What happens.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FaultAction {
+    /// An upstream is listed as leaving.
+    ListLeaving(usize),
+    /// A VM's upstream and side process are killed, and the VM is taken off the list.
+    RemoveVm(usize),
+    /// A new engine joins; it is listed once its side process takes connections.
+    AddEngine,
+    /// SIGSTOP.
+    Pause(FaultTarget),
+    /// SIGCONT.
+    Resume(FaultTarget),
+    /// SIGKILL.
+    Kill(FaultTarget),
+    /// A process that has ended is started again at its address.
+    Start(FaultTarget),
+    /// SIGTERM; the process has to end by itself.
+    Drain(FaultTarget),
+    /// Operators publish this many conflicting changes of a class at the same time.
+    RaceChanges(String, u32),
+}
+
+/// An action with its time from the start of the load.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TimedAction {
+    /// When, in ms.
+    pub at_ms: u64,
+    /// What.
+    pub action: FaultAction,
+}
+
+/// Builds a timed action.
+pub fn at(at_ms: u64, action: FaultAction) -> TimedAction {
+    TimedAction { at_ms, action }
+}
+
+/// An action as it was carried out.
+#[derive(Clone, Debug)]
+pub struct ActionRecord {
+    /// When it was complete, in ms since the Unix epoch.
+    pub at_ms: u64,
+    /// The action.
+    pub action: FaultAction,
+    /// The VM or service it was done to, empty when it is none.
+    pub vm: String,
+    /// The class log's next offset after changes were published.
+    pub class_next: Option<u64>,
+}
+
+/// Carries out one action.
+///
+/// # Errors
+///
+/// Fails when a process cannot be signalled or started, or does not end after SIGTERM.
+pub fn apply_action(
+    fleet: &mut FleetProcesses,
+    action: &FaultAction,
+) -> anyhow::Result<ActionRecord> {
+    let mut vm = String::new();
+    let mut class_next = None;
+    match action {
+        FaultAction::ListLeaving(place) => {
+            fleet.upstreams[*place].vm.leaving = true;
+            vm = fleet.upstreams[*place].vm.name.clone();
+            fleet.publish_vms()?;
+        }
+        FaultAction::RemoveVm(place) => {
+            let pair = &mut fleet.upstreams[*place];
+            pair.side = None;
+            pair.upstream = None;
+            pair.removed = true;
+            vm = pair.vm.name.clone();
+            fleet.publish_vms()?;
+        }
+        FaultAction::AddEngine => vm = add_engine(fleet)?,
+        FaultAction::Pause(target) => vm = signal(fleet, *target, SignalKind::Pause)?,
+        FaultAction::Resume(target) => vm = signal(fleet, *target, SignalKind::Resume)?,
+        FaultAction::Kill(target) => {
+            vm = name_of(fleet, *target);
+            *slot_of(fleet, *target) = None;
+        }
+        FaultAction::Start(target) => {
+            vm = name_of(fleet, *target);
+            start_target(fleet, *target)?;
+        }
+        FaultAction::Drain(target) => {
+            vm = signal(fleet, *target, SignalKind::Terminate)?;
+            if let Some(process) = slot_of(fleet, *target) {
+                let ended = process.wait_ended(DRAIN_TIMEOUT)?;
+                anyhow::ensure!(ended, "{vm} did not end within {DRAIN_TIMEOUT:?}");
+            }
+            *slot_of(fleet, *target) = None;
+        }
+        FaultAction::RaceChanges(class, count) => {
+            race_changes(fleet, class, *count)?;
+            let read = fleet
+                .log_client()
+                .read(CLASS_STREAM, LogOffset::default(), 1)?;
+            class_next = Some(read.next);
+        }
+    }
+    Ok(ActionRecord {
+        at_ms: ClockMillis::now().as_millis(),
+        action: action.clone(),
+        vm,
+        class_next,
+    })
+}
+
+fn add_engine(fleet: &mut FleetProcesses) -> anyhow::Result<String> {
+    let place = fleet.upstreams.len();
+    let mut index = 0;
+    for pair in &fleet.upstreams {
+        index += usize::from(pair.vm.role == "engine");
+    }
+    fleet.add_upstream("engine", index)?;
+    fleet.wait_upstream(place)?;
+    fleet.publish_vms()?;
+    Ok(fleet.upstreams[place].vm.name.clone())
+}
+
+fn signal(
+    fleet: &mut FleetProcesses,
+    target: FaultTarget,
+    kind: SignalKind,
+) -> anyhow::Result<String> {
+    if let Some(process) = slot_of(fleet, target) {
+        process.signal(kind)?;
+    }
+    Ok(name_of(fleet, target))
+}
+
+fn slot_of(fleet: &mut FleetProcesses, target: FaultTarget) -> &mut Option<ChildProcess> {
+    match target {
+        FaultTarget::Router(place) => &mut fleet.routers[place].process,
+        FaultTarget::Side(place) => &mut fleet.upstreams[place].side,
+        FaultTarget::Upstream(place) => &mut fleet.upstreams[place].upstream,
+        FaultTarget::Log => &mut fleet.log,
+        FaultTarget::VmList => &mut fleet.vms,
+    }
+}
+
+fn name_of(fleet: &FleetProcesses, target: FaultTarget) -> String {
+    match target {
+        FaultTarget::Router(place) => fleet.routers[place].vm.name.clone(),
+        FaultTarget::Side(place) | FaultTarget::Upstream(place) => {
+            fleet.upstreams[place].vm.name.clone()
+        }
+        FaultTarget::Log => "log".to_owned(),
+        FaultTarget::VmList => "vms".to_owned(),
+    }
+}
+
+fn start_target(fleet: &mut FleetProcesses, target: FaultTarget) -> anyhow::Result<()> {
+    match target {
+        FaultTarget::Router(place) => fleet.start_router(place),
+        FaultTarget::Side(place) => fleet.start_side(place),
+        FaultTarget::Upstream(place) => fleet.start_upstream(place),
+        FaultTarget::Log | FaultTarget::VmList => {
+            anyhow::bail!("the platform's state would be lost; pause it instead")
+        }
+    }
+}
+
+/// Publishes changes that are all based on the class's first version; at most one may win.
+fn race_changes(fleet: &FleetProcesses, class: &str, count: u32) -> anyhow::Result<()> {
+    let class: ClassName = class.parse()?;
+    thread::scope(|scope| {
+        let mut operators = Vec::new();
+        for number in 0..count {
+            let class = &class;
+            operators.push(scope.spawn(move || publish_change(fleet, class, number)));
+        }
+        for operator in operators {
+            match operator.join() {
+                Ok(result) => result?,
+                Err(_) => anyhow::bail!("an operator's thread panicked"),
+            }
+        }
+        Ok(())
+    })
+}
+
+fn publish_change(fleet: &FleetProcesses, class: &ClassName, number: u32) -> anyhow::Result<()> {
+    let targets = ClassTargets {
+        lateness: LatenessTarget {
+            within: SpanMillis::new(1_000 + u64::from(number)),
+            ..LatenessTarget::default()
+        },
+        repeatable: true,
+        ..ClassTargets::default()
+    };
+    fleet.publish_class(class, targets, ClassVersion::new(1))
+}
--- /dev/null
+++ b/crates/tools/fescuetide_bench/src/caller.rs
@@ -0,0 +1,223 @@
+//! Sends the requests of a trace and notes what callers were told.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use fescuetide_base::ClockMillis;
+use fescuetide_base::IdempotencyKey;
+use fescuetide_standin::service::ServiceAnswer;
+use fescuetide_wire::api::CHAT_HEADER;
+use fescuetide_wire::api::CLASS_HEADER;
+use fescuetide_wire::api::CallOutcome;
+use fescuetide_wire::api::DEADLINE_HEADER;
+use fescuetide_wire::api::KEY_HEADER;
+use fescuetide_wire::api::TokenUsage;
+use fescuetide_wire::api::WORKSPACE_HEADER;
+use indexmap::IndexMap;
+use serde_json::json;
+use ureq::Agent;
+
+use crate::client::ChatResult;
+use crate::client::outcome_of;
+use crate::client::read_events;
+use crate::trace::ChatScript;
+use crate::trace::TraceCall;
+use crate::trace::TraceWork;
+
+/// Time that callers wait for a whole response.
+const DEADLINE_MS: u64 = 20_000;
+
+/// Longest silence of a router before a caller gives up. Routers keep to the deadline, so this only bounds a run.
+const SILENCE_LIMIT: Duration = Duration::from_secs(40);
+
+/// What one caller was told.
+#[derive(Clone, Debug)]
+pub struct CallRecord {
+    /// Index of the request in the trace.
+    pub index: usize,
+    /// The router that took the request.
+    pub router: usize,
+    /// When it was sent, in ms since the Unix epoch.
+    pub sent_ms: u64,
+    /// When it ended for the caller, in ms since the Unix epoch.
+    pub told_ms: u64,
+    /// Whether a connection to a router was made.
+    pub reached: bool,
+    /// The outcome it was told, `None` when the connection broke off.
+    pub outcome: Option<CallOutcome>,
+    /// Whether the response is the whole response to this request.
+    pub is_own: bool,
+    /// Time to the first token.
+    pub first_token: Option<Duration>,
+    /// Times between tokens.
+    pub gaps: Vec<Duration>,
+    /// Token counts.
+    pub usage: TokenUsage,
+}
+
+/// Sends requests of one trace to the routers of one fleet.
+#[derive(Clone, Debug)]
+pub struct TraceCaller {
+    agent: Agent,
+    routers: Vec<SocketAddr>,
+    keys: IndexMap<u64, IdempotencyKey>,
+}
+
+impl TraceCaller {
+    /// Creates a caller. Idempotency keys carry their creation time, so they are made now and not in the trace.
+    pub fn new(routers: Vec<SocketAddr>, calls: &[TraceCall]) -> Self {
+        let mut keys = IndexMap::new();
+        for call in calls {
+            if let TraceWork::Call { key: Some(key), .. } = &call.work {
+                keys.entry(*key).or_insert_with(IdempotencyKey::generate);
+            }
+        }
+        // Without idle connections, a failure to connect always means that the request was not sent.
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_per_read(Some(SILENCE_LIMIT))
+            .max_idle_connections(0)
+            .build();
+        Self {
+            agent: config.into(),
+            routers,
+            keys,
+        }
+    }
+
+    /// Sends a request. When a router cannot be connected, the next one is tried, as a balancer would.
+    pub fn send(&self, index: usize, call: &TraceCall) -> CallRecord {
+        let start = ClockMillis::now();
+        let mut record = None;
+        for step in 0..self.routers.len() {
+            let router = (call.router + step) % self.routers.len();
+            let found = self.send_to(index, router, call);
+            let done = found.reached;
+            record = Some(found);
+            if done {
+                break;
+            }
+        }
+        let mut record = record.unwrap_or_else(|| blank_record(index, call.router));
+        record.sent_ms = start.as_millis();
+        record.told_ms = ClockMillis::now().as_millis();
+        record
+    }
+
+    fn send_to(&self, index: usize, router: usize, call: &TraceCall) -> CallRecord {
+        let record = blank_record(index, router);
+        match &call.work {
+            TraceWork::Chat {
+                script,
+                turn,
+                answer_tokens,
+            } => self.send_chat(record, call, (script, *turn, *answer_tokens)),
+            TraceWork::Call { path, body, key } => {
+                self.send_service(record, call, path, body, *key)
+            }
+        }
+    }
+
+    fn send_chat(
+        &self,
+        mut record: CallRecord,
+        call: &TraceCall,
+        (script, turn, answer_tokens): (&ChatScript, usize, u32),
+    ) -> CallRecord {
+        let start = Instant::now();
+        let address = self.routers[record.router];
+        let response = self
+            .agent
+            .post(format!("http://{address}/v1/chat/completions"))
+            .header(WORKSPACE_HEADER, &call.workspace)
+            .header(CHAT_HEADER, &script.name)
+            .header(CLASS_HEADER, &call.class)
+            .header(DEADLINE_HEADER, DEADLINE_MS.to_string())
+            .send_json(json!({
+                "model": "deck-1",
+                "stream": true,
+                "max_tokens": answer_tokens,
+                "messages": script.prompt(turn),
+            }));
+        let response = match response {
+            Ok(response) => response,
+            Err(error) => {
+                record.reached = !is_not_sent(&error);
+                return record;
+            }
+        };
+        if response.status() != 200 {
+            record.outcome = outcome_of(&response);
+            return record;
+        }
+        let mut result = ChatResult {
+            outcome: None,
+            text: String::new(),
+            is_whole: false,
+            first_token: None,
+            gaps: Vec::new(),
+            usage: TokenUsage::default(),
+        };
+        read_events(response, start, &mut result);
+        record.outcome = result.outcome;
+        record.is_own = result.text == script.answer(turn);
+        record.first_token = result.first_token;
+        record.gaps = result.gaps;
+        record.usage = result.usage;
+        record
+    }
+
+    fn send_service(
+        &self,
+        mut record: CallRecord,
+        call: &TraceCall,
+        path: &str,
+        body: &str,
+        key: Option<u64>,
+    ) -> CallRecord {
+        let address = self.routers[record.router];
+        let mut request = self
+            .agent
+            .post(format!("http://{address}{path}"))
+            .header("content-type", "application/json")
+            .header(WORKSPACE_HEADER, &call.workspace)
+            .header(CLASS_HEADER, &call.class)
+            .header(DEADLINE_HEADER, DEADLINE_MS.to_string());
+        if let Some(key) = key.and_then(|key| self.keys.get(&key)) {
+            request = request.header(KEY_HEADER, key.to_string());
+        }
+        match request.send(body) {
+            Ok(mut response) => {
+                record.outcome = outcome_of(&response);
+                let answer: Result<ServiceAnswer, _> = response.body_mut().read_json();
+                record.is_own = answer.is_ok_and(|answer| answer.body == call.content);
+            }
+            Err(error) => record.reached = !is_not_sent(&error),
+        }
+        record
+    }
+}
+
+fn blank_record(index: usize, router: usize) -> CallRecord {
+    CallRecord {
+        index,
+        router,
+        sent_ms: 0,
+        told_ms: 0,
+        reached: true,
+        outcome: None,
+        is_own: false,
+        first_token: None,
+        gaps: Vec::new(),
+        usage: TokenUsage::default(),
+    }
+}
+
+fn is_not_sent(error: &ureq::Error) -> bool {
+    match error {
+        ureq::Error::Io(cause) => cause.kind() == std::io::ErrorKind::ConnectionRefused,
+        ureq::Error::ConnectionFailed => true,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/tools/fescuetide_bench/src/check.rs
@@ -0,0 +1,271 @@
+//! Compares the stand-ins' journals with what callers were told, and finds breaches of the guarantees.
+//!
+//! P1, the load bound, is not among them: it is measured by samples of the loads, see
+//! [`measure`](crate::measure).
+
+use std::fmt;
+
+use fescuetide_standin::journal::JournalEvent;
+use fescuetide_standin::journal::JournalLine;
+use fescuetide_wire::api::CallOutcome;
+use indexmap::IndexMap;
+use uuid::Uuid;
+
+use crate::action::ActionRecord;
+use crate::action::FaultAction;
+use crate::action::FaultTarget;
+use crate::caller::CallRecord;
+use crate::offsets::OffsetSample;
+use crate::trace::TraceCall;
+use crate::trace::TraceWork;
+
+/// Time from the listing of an upstream as leaving until it receives no new work.
+const LEAVING_LIMIT_MS: u64 = 3_000;
+
+/// Time from the acceptance of a change until it is in force on every router.
+const CHANGE_LIMIT_MS: u64 = 5_000;
+
+/// A guarantee of section 1.2 of the design page.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum PromiseKind {
+    /// Complete responses, and each to its own request.
+    P2,
+    /// Told "not run" only when it did not run.
+    P3,
+    /// Not repeatable requests run at most once.
+    P4,
+    /// Leaving upstreams receive no new work.
+    P5,
+    /// A graceful shutdown cuts off nothing.
+    P6,
+    /// Changes are in force within seconds and never revert.
+    P7,
+}
+
+/// One breach.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PromiseBreach {
+    /// The guarantee.
+    pub promise: PromiseKind,
+    /// What was found.
+    pub detail: String,
+}
+
+impl fmt::Display for PromiseBreach {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}: {}", self.promise, self.detail)
+    }
+}
+
+/// What a run left behind, as far as the check needs it.
+#[derive(Clone, Copy, Debug)]
+pub struct RunEvidence<'a> {
+    /// The requests.
+    pub calls: &'a [TraceCall],
+    /// What callers were told.
+    pub records: &'a [CallRecord],
+    /// What the upstreams ran.
+    pub journal: &'a [JournalLine],
+    /// What was done to the fleet.
+    pub actions: &'a [ActionRecord],
+    /// Class-log offsets of the routers.
+    pub offsets: &'a [OffsetSample],
+}
+
+/// Finds all breaches.
+pub fn find_breaches(evidence: &RunEvidence<'_>) -> Vec<PromiseBreach> {
+    let mut breaches = Vec::new();
+    let runs = list_runs(evidence.journal);
+    check_responses(evidence, &runs, &mut breaches);
+    check_not_run(evidence, &runs, &mut breaches);
+    check_single_runs(evidence, &mut breaches);
+    check_leaving(evidence, &mut breaches);
+    check_cut_off(evidence, &mut breaches);
+    check_changes(evidence, &mut breaches);
+    breaches
+}
+
+/// The runs of one content, over all upstreams.
+#[derive(Clone, Debug, Default)]
+struct ContentRuns {
+    starts: Vec<u64>,
+    done: u32,
+}
+
+fn list_runs(journal: &[JournalLine]) -> IndexMap<u64, ContentRuns> {
+    let mut runs: IndexMap<u64, ContentRuns> = IndexMap::new();
+    for line in journal {
+        let entry = runs.entry(line.content).or_default();
+        match line.event {
+            JournalEvent::Start => entry.starts.push(line.at_ms),
+            JournalEvent::Done => entry.done += 1,
+            _ => {}
+        }
+    }
+    runs
+}
+
+fn check_responses(
+    evidence: &RunEvidence<'_>,
+    runs: &IndexMap<u64, ContentRuns>,
+    breaches: &mut Vec<PromiseBreach>,
+) {
+    for record in evidence.records {
+        if record.outcome != Some(CallOutcome::Completed) {
+            continue;
+        }
+        let call = &evidence.calls[record.index];
+        if !record.is_own {
+            let detail = format!("{} got a response that is not its own", name_call(call));
+            add(breaches, PromiseKind::P2, detail);
+        }
+        if runs.get(&call.content).is_none_or(|runs| runs.done == 0) {
+            let detail = format!("{} completed, but no run of it ended", name_call(call));
+            add(breaches, PromiseKind::P2, detail);
+        }
+    }
+}
+
+fn check_not_run(
+    evidence: &RunEvidence<'_>,
+    runs: &IndexMap<u64, ContentRuns>,
+    breaches: &mut Vec<PromiseBreach>,
+) {
+    let mut sends: IndexMap<u64, u32> = IndexMap::new();
+    for record in evidence.records {
+        let content = evidence.calls[record.index].content;
+        *sends.entry(content).or_default() += 1;
+    }
+    for record in evidence.records {
+        if record.outcome != Some(CallOutcome::NotRun) {
+            continue;
+        }
+        let call = &evidence.calls[record.index];
+        let Some(found) = runs.get(&call.content) else {
+            continue;
+        };
+        // A key that was sent again may run later for another send; a request sent once must never run.
+        let single = sends.get(&call.content) == Some(&1);
+        for start in &found.starts {
+            if single || *start <= record.told_ms {
+                let detail = format!("{} was told not-run, but ran", name_call(call));
+                add(breaches, PromiseKind::P3, detail);
+                break;
+            }
+        }
+    }
+}
+
+fn check_single_runs(evidence: &RunEvidence<'_>, breaches: &mut Vec<PromiseBreach>) {
+    let mut keys: IndexMap<&str, u32> = IndexMap::new();
+    for line in evidence.journal {
+        if let (JournalEvent::Start, Some(key)) = (line.event, &line.key) {
+            *keys.entry(key).or_default() += 1;
+        }
+    }
+    for (key, count) in keys {
+        if count > 1 {
+            add(
+                breaches,
+                PromiseKind::P4,
+                format!("key {key} ran {count} times"),
+            );
+        }
+    }
+}
+
+fn check_leaving(evidence: &RunEvidence<'_>, breaches: &mut Vec<PromiseBreach>) {
+    for record in evidence.actions {
+        if !matches!(record.action, FaultAction::ListLeaving(_)) {
+            continue;
+        }
+        let limit = record.at_ms + LEAVING_LIMIT_MS;
+        for line in evidence.journal {
+            if line.name != record.vm || line.event != JournalEvent::Start {
+                continue;
+            }
+            // Attempt ids carry the time at which the router made the attempt. The run itself may start later.
+            if dispatch_ms(&line.attempt).is_some_and(|at_ms| at_ms > limit) {
+                let detail = format!("{} got attempt {} while leaving", line.name, line.attempt);
+                add(breaches, PromiseKind::P5, detail);
+            }
+        }
+    }
+}
+
+fn dispatch_ms(attempt: &str) -> Option<u64> {
+    let (seconds, nanos) = Uuid::parse_str(attempt).ok()?.get_timestamp()?.to_unix();
+    Some(seconds * 1_000 + u64::from(nanos) / 1_000_000)
+}
+
+fn check_cut_off(evidence: &RunEvidence<'_>, breaches: &mut Vec<PromiseBreach>) {
+    for record in evidence.records {
+        if record.outcome.is_some() || !record.reached {
+            continue;
+        }
+        let target = FaultTarget::Router(record.router);
+        let during = |action: &FaultAction| {
+            evidence.actions.iter().any(|done| {
+                done.action == *action && (record.sent_ms..=record.told_ms).contains(&done.at_ms)
+            })
+        };
+        if during(&FaultAction::Kill(target)) {
+            continue;
+        }
+        let name = name_call(&evidence.calls[record.index]);
+        let drained = evidence
+            .actions
+            .iter()
+            .any(|done| done.action == FaultAction::Drain(target));
+        if drained {
+            let detail = format!("{name} was cut off by a router that shut down");
+            add(breaches, PromiseKind::P6, detail);
+        } else {
+            let detail = format!("{name} was cut off without a fault of its router");
+            add(breaches, PromiseKind::P2, detail);
+        }
+    }
+}
+
+fn check_changes(evidence: &RunEvidence<'_>, breaches: &mut Vec<PromiseBreach>) {
+    for record in evidence.actions {
+        let Some(next) = record.class_next else {
+            continue;
+        };
+        for sample in evidence.offsets {
+            if sample.at_ms > record.at_ms + CHANGE_LIMIT_MS && sample.offset < next {
+                let detail = format!(
+                    "router {} is at class offset {}, but {next} was in the log {} ms before",
+                    sample.router,
+                    sample.offset,
+                    sample.at_ms - record.at_ms
+                );
+                add(breaches, PromiseKind::P7, detail);
+            }
+        }
+    }
+    let mut last: IndexMap<usize, u64> = IndexMap::new();
+    for sample in evidence.offsets {
+        let before = last
+            .insert(sample.router, sample.offset)
+            .unwrap_or_default();
+        if sample.offset < before {
+            let detail = format!(
+                "router {} went back from class offset {before} to {}",
+                sample.router, sample.offset
+            );
+            add(breaches, PromiseKind::P7, detail);
+        }
+    }
+}
+
+fn name_call(call: &TraceCall) -> String {
+    match &call.work {
+        TraceWork::Chat { script, turn, .. } => format!("turn {turn} of {}", script.name),
+        TraceWork::Call { path, body, .. } => format!("call of {path} with {body}"),
+    }
+}
+
+fn add(breaches: &mut Vec<PromiseBreach>, promise: PromiseKind, detail: String) {
+    breaches.push(PromiseBreach { promise, detail });
+}
--- a/crates/tools/fescuetide_bench/src/client.rs
+++ b/crates/tools/fescuetide_bench/src/client.rs
@@ -114,7 +114,7 @@
     value.to_str().ok()?.parse().ok()
 }
 
-fn read_events(response: Response<Body>, start: Instant, result: &mut ChatResult) {
+pub(crate) fn read_events(response: Response<Body>, start: Instant, result: &mut ChatResult) {
     let reader = BufReader::new(response.into_body().into_reader());
     let mut last: Option<Instant> = None;
     for line in reader.lines() {
--- /dev/null
+++ b/crates/tools/fescuetide_bench/src/compare.rs
@@ -0,0 +1,178 @@
+//! The experiments churn, surge and faults.
+
+use std::path::Path;
+
+use serde_json::Value;
+
+use crate::experiment::ExperimentOptions;
+use crate::experiment::ExperimentPlan;
+use crate::experiment::plan_churn;
+use crate::experiment::plan_surge;
+use crate::faults::FaultName;
+use crate::faults::PARALLEL_RUNS;
+use crate::faults::list_sets;
+use crate::faults::plan_set;
+use crate::measure::RunFigures;
+use crate::plot::plot_reuse;
+use crate::plot::plot_skew;
+use crate::report::TargetVerdict;
+use crate::report::final_json;
+use crate::report::print_table;
+use crate::report::print_verdicts;
+use crate::runner::RunRecord;
+use crate::runner::run_all;
+
+/// Control bytes per router and second.
+const CONTROL_TARGET: f64 = 2_000.0;
+
+/// Reuse through churn.
+const REUSE_TARGET: f64 = 0.95;
+
+/// Reuse through churn as a multiple of random routing's.
+const RANDOM_TARGET: f64 = 2.5;
+
+/// Factor by which the 99th percentile of the time to first token is better than plain rendezvous hashing's.
+const FIRST_TOKEN_TARGET: f64 = 2.0;
+
+/// What an experiment found.
+#[derive(Clone, Debug)]
+pub struct ExperimentResult {
+    /// The JSON object of its last line.
+    pub json: Value,
+    /// Breaches of guarantees.
+    pub breaches: usize,
+}
+
+/// Runs churn.
+///
+/// # Errors
+///
+/// Fails when a fleet cannot be run or a plot cannot be written.
+pub fn run_churn(
+    options: &ExperimentOptions,
+    plots: Option<&Path>,
+) -> anyhow::Result<ExperimentResult> {
+    let (figures, records) = run_plan(plan_churn(options)?)?;
+    let reuse = figures[0].reuse.total.ratio();
+    let mut verdicts = vec![TargetVerdict {
+        target: format!("reuse through churn ≥ {REUSE_TARGET}"),
+        found: format!("{reuse:.3}"),
+        met: reuse >= REUSE_TARGET,
+    }];
+    if let Some(random) = figures.iter().find(|run| run.label == "random") {
+        let multiple = reuse / random.reuse.total.ratio();
+        verdicts.push(TargetVerdict {
+            target: format!("reuse ≥ {RANDOM_TARGET} × random"),
+            found: format!("{multiple:.2} ×"),
+            met: multiple >= RANDOM_TARGET,
+        });
+    }
+    push_common(&figures[0], &mut verdicts);
+    print_verdicts(&verdicts);
+    if let Some(folder) = plots {
+        plot_reuse(folder, &figures)?;
+        plot_skew(folder, "churn", &records)?;
+    }
+    Ok(result_of("churn", options, &figures))
+}
+
+/// Runs surge.
+///
+/// # Errors
+///
+/// Fails when a fleet cannot be run or a plot cannot be written.
+pub fn run_surge(
+    options: &ExperimentOptions,
+    plots: Option<&Path>,
+) -> anyhow::Result<ExperimentResult> {
+    let (figures, records) = run_plan(plan_surge(options)?)?;
+    let own = &figures[0];
+    let mut verdicts = vec![TargetVerdict {
+        target: "load within the cap in every sample".to_owned(),
+        found: format!("{} of {} over it", own.skew.over_cap, own.skew.samples),
+        met: own.skew.over_cap == 0,
+    }];
+    if let Some(plain) = figures.iter().find(|run| run.label == "rendezvous") {
+        let factor = plain.first_token.p99 as f64 / own.first_token.p99.max(1) as f64;
+        verdicts.push(TargetVerdict {
+            target: format!("p99 first token {FIRST_TOKEN_TARGET} × better than rendezvous"),
+            found: format!("{factor:.2} ×"),
+            met: factor >= FIRST_TOKEN_TARGET,
+        });
+    }
+    push_common(own, &mut verdicts);
+    print_verdicts(&verdicts);
+    if let Some(folder) = plots {
+        plot_skew(folder, "surge", &records)?;
+    }
+    Ok(result_of("surge", options, &figures))
+}
+
+/// Runs faults, alone and in pairs.
+///
+/// # Errors
+///
+/// Fails when a fleet cannot be run.
+pub fn run_faults(
+    options: &ExperimentOptions,
+    only: &[FaultName],
+) -> anyhow::Result<ExperimentResult> {
+    let deployment = options.deployment.load()?;
+    let mut specs = Vec::new();
+    for set in list_sets(only, options.quick) {
+        specs.push(plan_set(options, &deployment, &set));
+    }
+    let mut figures = Vec::new();
+    for batch in specs.chunks(PARALLEL_RUNS) {
+        let mut batch_figures = Vec::new();
+        for (spec, run) in batch.iter().zip(run_all(batch.to_vec())?) {
+            batch_figures.push(RunFigures::new(&spec.calls, &run)?);
+        }
+        print_table(&batch_figures);
+        figures.extend(batch_figures);
+    }
+    let items = figures
+        .iter()
+        .map(|run| run.to_json("fault", false))
+        .collect();
+    Ok(ExperimentResult {
+        json: final_json("faults", options.seed, &figures, items),
+        breaches: figures.iter().map(|run| run.breaches.len()).sum(),
+    })
+}
+
+fn run_plan(plan: ExperimentPlan) -> anyhow::Result<(Vec<RunFigures>, Vec<RunRecord>)> {
+    println!("{}", plan.description);
+    let records = run_all(plan.runs)?;
+    let mut figures = Vec::new();
+    for run in &records {
+        figures.push(RunFigures::new(&plan.calls, run)?);
+    }
+    print_table(&figures);
+    Ok((figures, records))
+}
+
+fn push_common(own: &RunFigures, verdicts: &mut Vec<TargetVerdict>) {
+    let found = own.control_bytes_per_s;
+    verdicts.push(TargetVerdict {
+        target: format!("control ≤ {CONTROL_TARGET} bytes/s per router"),
+        found: found.map_or("not measured".to_owned(), |bytes| format!("{bytes:.0}")),
+        met: found.is_some_and(|bytes| bytes <= CONTROL_TARGET),
+    });
+    verdicts.push(TargetVerdict {
+        target: "no violations".to_owned(),
+        found: own.breaches.len().to_string(),
+        met: own.breaches.is_empty(),
+    });
+}
+
+fn result_of(name: &str, options: &ExperimentOptions, figures: &[RunFigures]) -> ExperimentResult {
+    let items = figures
+        .iter()
+        .map(|run| run.to_json("policy", true))
+        .collect();
+    ExperimentResult {
+        json: final_json(name, options.seed, figures, items),
+        breaches: figures.iter().map(|run| run.breaches.len()).sum(),
+    }
+}
--- /dev/null
+++ b/crates/tools/fescuetide_bench/src/deployment.rs
@@ -0,0 +1,172 @@
+//! The example deployments, from their settings below `examples/`.
+
+use std::path::Path;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use anyhow::Context;
+use fescuetide_base::ClassName;
+use fescuetide_classes::ClassTargets;
+use indexmap::IndexMap;
+use serde::Deserialize;
+use toml::Table;
+
+use crate::fleet::FleetSettings;
+use crate::trace::ClassLoad;
+
+/// Keys of a daemon's table that a fleet on loopback sets itself.
+const REPLACED_KEYS: [&str; 12] = [
+    "vm",
+    "zone",
+    "region",
+    "kind",
+    "pool",
+    "listen",
+    "data_listen",
+    "control_listen",
+    "upstream_url",
+    "log_url",
+    "vm_list_url",
+    "statsd",
+];
+
+/// One of the example deployments.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum DeploymentKind {
+    /// Foliengut AG.
+    #[default]
+    Foliengut,
+    /// Corrib Softworks.
+    Corrib,
+}
+
+impl FromStr for DeploymentKind {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "foliengut" => Ok(Self::Foliengut),
+            "corrib" => Ok(Self::Corrib),
+            _ => Err(format!(
+                "{text:?} is not a deployment; expected foliengut or corrib"
+            )),
+        }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ClassFile {
+    classes: IndexMap<ClassName, ClassTargets>,
+}
+
+/// A deployment's settings.
+#[derive(Clone, Debug)]
+pub struct DeploymentSettings {
+    /// The fleet, with addresses left to be chosen on loopback.
+    pub fleet: FleetSettings,
+    /// Classes of chats.
+    pub chat_classes: Vec<ClassLoad>,
+    /// Classes of service calls.
+    pub call_classes: Vec<ClassLoad>,
+}
+
+impl DeploymentKind {
+    /// The folder of its settings.
+    pub fn folder(self) -> PathBuf {
+        let name = match self {
+            Self::Foliengut => "foliengut",
+            Self::Corrib => "corrib",
+        };
+        Path::new(env!("CARGO_MANIFEST_DIR"))
+            .join("../../../examples")
+            .join(name)
+    }
+
+    fn zones(self) -> [&'static str; 3] {
+        match self {
+            Self::Foliengut => ["lsn-a", "lsn-b", "gva-1"],
+            Self::Corrib => ["ie-east-a", "ie-east-b", "ie-east-c"],
+        }
+    }
+
+    /// Classes whose requests go to plain services.
+    fn call_classes(self) -> &'static [&'static str] {
+        match self {
+            Self::Foliengut => &["licence-check", "export-receipt"],
+            Self::Corrib => &["booking-change"],
+        }
+    }
+
+    /// Reads the settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a file is missing or malformed.
+    pub fn load(self) -> anyhow::Result<DeploymentSettings> {
+        let router = read_table(&self.folder().join("router.toml"), "router")?;
+        let engine = read_table(&self.folder().join("side-engine.toml"), "side")?;
+        let service = read_table(&self.folder().join("side-service.toml"), "side")?;
+        let path = self.folder().join("classes.toml");
+        let file: ClassFile = toml::from_str(&read_text(&path)?)
+            .with_context(|| format!("{} is malformed", path.display()))?;
+        let mut chat_classes = Vec::new();
+        let mut call_classes = Vec::new();
+        for (name, targets) in &file.classes {
+            let is_call = self.call_classes().contains(&name.as_str());
+            let list = if is_call {
+                &mut call_classes
+            } else {
+                &mut chat_classes
+            };
+            list.push(ClassLoad {
+                name: name.to_string(),
+                weight: 1,
+                repeatable: targets.repeatable,
+            });
+        }
+        Ok(DeploymentSettings {
+            fleet: FleetSettings {
+                region: text_of(&router, "region")?,
+                zones: self.zones().map(str::to_owned).to_vec(),
+                service_pool: text_of(&service, "pool")?,
+                classes: file.classes.into_iter().collect(),
+                router_lines: other_lines(&router)?,
+                side_lines: other_lines(&engine)?,
+                ..FleetSettings::default()
+            },
+            chat_classes,
+            call_classes,
+        })
+    }
+}
+
+fn read_text(path: &Path) -> anyhow::Result<String> {
+    std::fs::read_to_string(path).with_context(|| format!("cannot read {}", path.display()))
+}
+
+/// Reads the role's table of a daemon's settings file.
+fn read_table(path: &Path, role: &str) -> anyhow::Result<Table> {
+    let file: Table = toml::from_str(&read_text(path)?)
+        .with_context(|| format!("{} is malformed", path.display()))?;
+    let table = file.get(role).and_then(|value| value.as_table());
+    table
+        .cloned()
+        .with_context(|| format!("{} has no table [{role}]", path.display()))
+}
+
+fn text_of(table: &Table, key: &str) -> anyhow::Result<String> {
+    let value = table.get(key).and_then(|value| value.as_str());
+    value
+        .map(str::to_owned)
+        .with_context(|| format!("settings have no {key}"))
+}
+
+/// The settings that are neither addresses nor names, as lines.
+fn other_lines(table: &Table) -> anyhow::Result<Vec<String>> {
+    let mut rest = table.clone();
+    for key in REPLACED_KEYS {
+        rest.remove(key);
+    }
+    Ok(toml::to_string(&rest)?.lines().map(str::to_owned).collect())
+}
--- /dev/null
+++ b/crates/tools/fescuetide_bench/src/experiment.rs
@@ -0,0 +1,237 @@
+//! The experiments' fleets, loads and faults, as data.
+
+use std::sync::Arc;
+
+use crate::action::FaultAction;
+use crate::action::TimedAction;
+use crate::action::at;
+use crate::deployment::DeploymentKind;
+use crate::deployment::DeploymentSettings;
+use crate::runner::RunSpec;
+use crate::scale::EngineScale;
+use crate::scale::RequestWork;
+use crate::trace::LoadSpec;
+use crate::trace::SurgeLoad;
+use crate::trace::TraceCall;
+use crate::trace::build_trace;
+use crate::trace::chat_rate;
+use crate::trace::mean_work;
+
+/// Share of the engines' capacity that is offered.
+const OFFERED_SHARE: f64 = 0.65;
+
+/// Policies that churn and surge compare.
+const COMPARED_POLICIES: [&str; 4] = ["fescuetide", "rendezvous", "least_loaded", "random"];
+
+/// Policies that the demo compares.
+const DEMO_POLICIES: [&str; 3] = ["fescuetide", "random", "round_robin"];
+
+/// Time from the listing of an engine as leaving until it is killed, in ms.
+const LEAVING_SPAN_MS: u64 = 4_000;
+
+/// Calls of plain services in the demo, per second.
+const DEMO_CALLS_PER_S: f64 = 20.0;
+
+/// What the command line asks of an experiment.
+#[derive(Clone, Debug)]
+pub struct ExperimentOptions {
+    /// The seed.
+    pub seed: u64,
+    /// Whether to run a short form.
+    pub quick: bool,
+    /// The deployment.
+    pub deployment: DeploymentKind,
+    /// How long requests arrive, in s; `None` for the experiment's own span.
+    pub seconds: Option<u64>,
+}
+
+impl Default for ExperimentOptions {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            quick: false,
+            deployment: DeploymentKind::default(),
+            seconds: None,
+        }
+    }
+}
+
+impl ExperimentOptions {
+    fn span_ms(&self, quick: u64, full: u64) -> u64 {
+        match self.seconds {
+            Some(seconds) => seconds * 1_000,
+            None if self.quick => quick,
+            None => full,
+        }
+    }
+}
+
+/// The runs of an experiment on one trace.
+#[derive(Clone, Debug)]
+pub struct ExperimentPlan {
+    /// The trace.
+    pub calls: Arc<Vec<TraceCall>>,
+    /// The runs.
+    pub runs: Vec<RunSpec>,
+    /// Capacity and offered load, for people.
+    pub description: String,
+}
+
+/// Churn: one engine leaves and one joins in each period.
+///
+/// # Errors
+///
+/// Fails when the deployment's settings cannot be read.
+pub fn plan_churn(options: &ExperimentOptions) -> anyhow::Result<ExperimentPlan> {
+    let deployment = options.deployment.load()?;
+    let span_ms = options.span_ms(20_000, 65_000);
+    let period_ms = if options.quick { 5_000 } else { 10_000 };
+    let load = chat_load(options, &deployment, span_ms, OFFERED_SHARE);
+    let mut actions = Vec::new();
+    let mut place = 0;
+    let mut at_ms = period_ms;
+    while at_ms < span_ms {
+        actions.push(at(at_ms, FaultAction::ListLeaving(place)));
+        actions.push(at(at_ms, FaultAction::AddEngine));
+        if at_ms + LEAVING_SPAN_MS < span_ms {
+            let killed_ms = at_ms + LEAVING_SPAN_MS;
+            actions.push(at(killed_ms, FaultAction::RemoveVm(place)));
+        }
+        place += 1;
+        at_ms += period_ms;
+    }
+    let note = format!("one engine leaves and one joins every {period_ms} ms");
+    Ok(compare(
+        &deployment,
+        &load,
+        actions,
+        (&COMPARED_POLICIES, &note),
+    ))
+}
+
+/// Surge: 3 of 10 workspaces, one of them a large one, send at 8 × their rate for half of the time.
+///
+/// # Errors
+///
+/// Fails when the deployment's settings cannot be read.
+pub fn plan_surge(options: &ExperimentOptions) -> anyhow::Result<ExperimentPlan> {
+    let deployment = options.deployment.load()?;
+    let span_ms = options.span_ms(20_000, 60_000);
+    let surge = SurgeLoad {
+        workspaces: vec![2, 3, 4],
+        factor: 8,
+        from_ms: span_ms / 4,
+        to_ms: span_ms * 3 / 4,
+    };
+    let weights = LoadSpec::default().weights;
+    let usual: u64 = weights.iter().sum();
+    let mut surging = usual;
+    for workspace in &surge.workspaces {
+        surging += weights[*workspace] * (surge.factor - 1);
+    }
+    // The load during the surge is the offered share.
+    let share = OFFERED_SHARE * usual as f64 / surging as f64;
+    let note = format!(
+        "workspaces {:?} at {} × their rate from {} to {} ms",
+        surge.workspaces, surge.factor, surge.from_ms, surge.to_ms
+    );
+    let mut load = chat_load(options, &deployment, span_ms, share);
+    load.surge = Some(surge);
+    Ok(compare(
+        &deployment,
+        &load,
+        Vec::new(),
+        (&COMPARED_POLICIES, &note),
+    ))
+}
+
+/// The demo: chats and service calls of all classes.
+///
+/// # Errors
+///
+/// Fails when the deployment's settings cannot be read.
+pub fn plan_demo(options: &ExperimentOptions) -> anyhow::Result<ExperimentPlan> {
+    let deployment = options.deployment.load()?;
+    let span_ms = options.span_ms(15_000, 15_000);
+    let mut load = chat_load(options, &deployment, span_ms, OFFERED_SHARE);
+    load.calls_per_s = DEMO_CALLS_PER_S;
+    load.call_classes = deployment.call_classes.clone();
+    Ok(compare(
+        &deployment,
+        &load,
+        Vec::new(),
+        (&DEMO_POLICIES, "all classes"),
+    ))
+}
+
+/// Chats at a share of the engines' capacity.
+fn chat_load(
+    options: &ExperimentOptions,
+    deployment: &DeploymentSettings,
+    span_ms: u64,
+    share: f64,
+) -> LoadSpec {
+    let shape = LoadSpec::default();
+    // A turn adds its user message and the answer before it, each with the token that starts a message.
+    let user_words = (shape.turn_words.0 + shape.turn_words.1) as f64 / 2.0;
+    let work = RequestWork {
+        answer_tokens: f64::from(shape.answer_tokens),
+        new_tokens: user_words + f64::from(shape.answer_tokens) + 2.0,
+    };
+    let engines = deployment.fleet.engines as f64;
+    LoadSpec {
+        seed: options.seed,
+        span_ms,
+        chats_per_s: share * engines * EngineScale::default().capacity_per_s(work),
+        chat_classes: deployment.chat_classes.clone(),
+        service_pool: deployment.fleet.service_pool.clone(),
+        routers: deployment.fleet.routers as u64,
+        ..shape
+    }
+}
+
+/// Runs of several policies on the same trace.
+fn compare(
+    deployment: &DeploymentSettings,
+    load: &LoadSpec,
+    actions: Vec<TimedAction>,
+    (policies, note): (&[&str], &str),
+) -> ExperimentPlan {
+    let scale = EngineScale::default();
+    let calls = Arc::new(build_trace(load));
+    let mut runs = Vec::new();
+    for policy in policies {
+        let mut fleet = deployment.fleet.clone();
+        fleet.engine_options = scale.options();
+        fleet.router_lines.push(format!("policy = \"{policy}\""));
+        if load.call_classes.is_empty() {
+            fleet.services = 0;
+        }
+        runs.push(RunSpec {
+            label: (*policy).to_owned(),
+            fleet,
+            calls: Arc::clone(&calls),
+            actions: actions.clone(),
+            span_ms: load.span_ms,
+            watch_offsets: false,
+            progress: Arc::default(),
+        });
+    }
+    let capacity = scale.capacity_per_s(mean_work(&calls)) * deployment.fleet.engines as f64;
+    let window = match &load.surge {
+        Some(surge) => (surge.from_ms + load.gap_ms.1, surge.to_ms),
+        None => (0, load.span_ms),
+    };
+    let offered = chat_rate(&calls, window.0, window.1);
+    let description = format!(
+        "capacity {capacity:.1} chat turns/s, offered {offered:.1}/s ({:.0}%) from {} to {} ms; {note}",
+        offered / capacity * 100.0,
+        window.0,
+        window.1
+    );
+    ExperimentPlan {
+        calls,
+        runs,
+        description,
+    }
+}
--- /dev/null
+++ b/crates/tools/fescuetide_bench/src/faults.rs
@@ -0,0 +1,203 @@
+//! Named faults on real processes, alone and in pairs.
+
+use std::str::FromStr;
+use std::sync::Arc;
+
+use crate::action::FaultAction;
+use crate::action::FaultTarget;
+use crate::action::TimedAction;
+use crate::action::at;
+use crate::deployment::DeploymentSettings;
+use crate::experiment::ExperimentOptions;
+use crate::runner::RunSpec;
+use crate::scale::EngineScale;
+use crate::trace::LoadSpec;
+use crate::trace::ResendLoad;
+use crate::trace::build_trace;
+
+/// Runs at the same time; each has a fleet of 17 processes.
+pub const PARALLEL_RUNS: usize = 4;
+
+/// Chat turns per second; the fleets are small, since faults and not load are looked at.
+const CHATS_PER_S: f64 = 8.0;
+
+/// Service calls per second.
+const CALLS_PER_S: f64 = 12.0;
+
+/// A named fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum FaultName {
+    /// A side process and an engine are paused for longer than the silence limit.
+    Pause,
+    /// The log does not answer.
+    Outage,
+    /// Keys of calls that are not repeatable are sent again at other routers.
+    Once,
+    /// An engine and a service crash and start again.
+    Crash,
+    /// A router and a side process are asked to shut down and start again.
+    Drain,
+    /// Operators publish conflicting changes.
+    Config,
+    /// A router and a side process are killed and start again.
+    Kill,
+}
+
+impl FaultName {
+    /// All faults.
+    pub const ALL: [Self; 7] = [
+        Self::Pause,
+        Self::Outage,
+        Self::Once,
+        Self::Crash,
+        Self::Drain,
+        Self::Config,
+        Self::Kill,
+    ];
+
+    /// The name on the command line.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Pause => "pause",
+            Self::Outage => "outage",
+            Self::Once => "once",
+            Self::Crash => "crash",
+            Self::Drain => "drain",
+            Self::Config => "config",
+            Self::Kill => "kill",
+        }
+    }
+
+    /// What happens to a fleet of 3 routers, 4 engines and 2 services.
+    fn actions(self, class: &str) -> Vec<TimedAction> {
+        use FaultTarget::*;
+        match self {
+            Self::Pause => vec![
+                at(1_000, FaultAction::Pause(Side(0))),
+                at(1_500, FaultAction::Pause(Upstream(1))),
+                at(2_000, FaultAction::Pause(Side(4))),
+                at(5_500, FaultAction::Resume(Side(0))),
+                at(5_600, FaultAction::Resume(Upstream(1))),
+                at(6_000, FaultAction::Resume(Side(4))),
+            ],
+            Self::Outage => vec![
+                at(1_200, FaultAction::Pause(Log)),
+                at(5_200, FaultAction::Resume(Log)),
+            ],
+            Self::Once => Vec::new(),
+            Self::Crash => vec![
+                at(1_400, FaultAction::Kill(Upstream(0))),
+                at(2_400, FaultAction::Kill(Upstream(4))),
+                at(3_000, FaultAction::Start(Upstream(0))),
+                at(3_400, FaultAction::Start(Upstream(4))),
+            ],
+            Self::Drain => vec![
+                at(1_600, FaultAction::Drain(Router(0))),
+                at(2_600, FaultAction::Start(Router(0))),
+                at(3_200, FaultAction::Drain(Side(2))),
+                at(4_200, FaultAction::Start(Side(2))),
+                at(4_400, FaultAction::Drain(Side(5))),
+                at(5_000, FaultAction::Start(Side(5))),
+            ],
+            Self::Config => vec![
+                at(1_300, FaultAction::RaceChanges(class.to_owned(), 4)),
+                at(3_300, FaultAction::RaceChanges(class.to_owned(), 4)),
+            ],
+            Self::Kill => vec![
+                at(1_700, FaultAction::Kill(Router(1))),
+                at(2_700, FaultAction::Start(Router(1))),
+                at(3_100, FaultAction::Kill(Side(3))),
+                at(3_600, FaultAction::Kill(Side(5))),
+                at(4_100, FaultAction::Start(Side(3))),
+                at(4_600, FaultAction::Start(Side(5))),
+            ],
+        }
+    }
+}
+
+impl FromStr for FaultName {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        for name in Self::ALL {
+            if name.as_str() == text {
+                return Ok(name);
+            }
+        }
+        Err(format!("{text:?} is not a fault"))
+    }
+}
+
+/// Pairs that the short form runs; the full form runs all.
+const QUICK_PAIRS: [(FaultName, FaultName); 4] = [
+    (FaultName::Pause, FaultName::Outage),
+    (FaultName::Once, FaultName::Kill),
+    (FaultName::Crash, FaultName::Drain),
+    (FaultName::Once, FaultName::Outage),
+];
+
+/// The sets of faults to run, each on a fleet of its own.
+pub fn list_sets(only: &[FaultName], quick: bool) -> Vec<Vec<FaultName>> {
+    let mut sets = Vec::new();
+    if !only.is_empty() {
+        sets.extend(only.iter().map(|name| vec![*name]));
+        return sets;
+    }
+    sets.extend(FaultName::ALL.map(|name| vec![name]));
+    if quick {
+        sets.extend(QUICK_PAIRS.map(|(one, other)| vec![one, other]));
+        return sets;
+    }
+    for (place, one) in FaultName::ALL.into_iter().enumerate() {
+        for other in &FaultName::ALL[place + 1..] {
+            sets.push(vec![one, *other]);
+        }
+    }
+    sets
+}
+
+/// Builds the run of a set of faults.
+pub fn plan_set(
+    options: &ExperimentOptions,
+    deployment: &DeploymentSettings,
+    set: &[FaultName],
+) -> RunSpec {
+    let span_ms = if options.quick { 8_000 } else { 12_000 };
+    let mut fleet = deployment.fleet.clone();
+    fleet.engines = 4;
+    fleet.services = 2;
+    fleet.engine_options = EngineScale::default().options();
+    let resends = set.contains(&FaultName::Once).then_some(ResendLoad {
+        count: 2,
+        within_ms: 400,
+    });
+    let load = LoadSpec {
+        seed: options.seed,
+        span_ms,
+        chats_per_s: CHATS_PER_S,
+        calls_per_s: CALLS_PER_S,
+        chat_classes: deployment.chat_classes.clone(),
+        call_classes: deployment.call_classes.clone(),
+        service_pool: fleet.service_pool.clone(),
+        routers: fleet.routers as u64,
+        resends,
+        ..LoadSpec::default()
+    };
+    let class = &deployment.chat_classes[0].name;
+    let mut actions = Vec::new();
+    let mut names = Vec::new();
+    for name in set {
+        actions.extend(name.actions(class));
+        names.push(name.as_str());
+    }
+    actions.sort_by_key(|timed| timed.at_ms);
+    RunSpec {
+        label: names.join("+"),
+        fleet,
+        calls: Arc::new(build_trace(&load)),
+        actions,
+        span_ms,
+        watch_offsets: true,
+        progress: Arc::default(),
+    }
+}
--- a/crates/tools/fescuetide_bench/src/fleet.rs
+++ b/crates/tools/fescuetide_bench/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Write;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::atomic::AtomicU32;
@@ -94,6 +95,8 @@
     pub upstream: Option<ChildProcess>,
     /// The side process.
     pub side: Option<ChildProcess>,
+    /// Whether the VM is off the VM list.
+    pub removed: bool,
 }
 
 /// A router of the fleet.
@@ -231,6 +234,7 @@
             upstream_address: free_address()?,
             upstream: None,
             side: None,
+            removed: false,
         });
         let place = self.upstreams.len() - 1;
         self.start_upstream(place)?;
@@ -317,6 +321,19 @@
         ChildProcess::start(name, &self.programs.daemon, &arguments, &self.folder)
     }
 
+    /// Waits until the upstream at `place` and its side process take connections.
+    ///
+    /// # Errors
+    ///
+    /// Fails when that takes too long.
+    pub fn wait_upstream(&self, place: usize) -> anyhow::Result<()> {
+        let pair = &self.upstreams[place];
+        wait_for("start of an upstream", START_TIMEOUT, || {
+            TcpStream::connect(pair.upstream_address).is_ok()
+                && TcpStream::connect(pair.vm.data).is_ok()
+        })
+    }
+
     /// Publishes the VM list as it stands.
     ///
     /// # Errors
@@ -328,6 +345,9 @@
             list.push(&router.vm);
         }
         for pair in &self.upstreams {
+            if pair.removed {
+                continue;
+            }
             list.push(&pair.vm);
         }
         ureq::put(format!("http://{}/vms", self.vms_address)).send_json(&list)?;
--- a/crates/tools/fescuetide_bench/src/main.rs
+++ b/crates/tools/fescuetide_bench/src/main.rs
@@ -1,9 +1,15 @@
 //! The demo and the experiments.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
+use fescuetide_bench::compare::run_churn;
+use fescuetide_bench::compare::run_faults;
+use fescuetide_bench::compare::run_surge;
 use fescuetide_bench::demo;
-use fescuetide_bench::demo::DemoSettings;
+use fescuetide_bench::experiment::ExperimentOptions;
+use fescuetide_bench::faults::FaultName;
+use fescuetide_bench::signals::watch_signals;
 use lexopt::Arg;
 use lexopt::Parser;
 use lexopt::ValueExt;
@@ -17,33 +23,55 @@
 Usage: fescuetide_bench NAME [OPTIONS]
 
 Names:
-  demo            A fleet with returning chats for some seconds
+  demo              Returning chats and service calls, for fescuetide, random
+                    and round robin
+  churn             One engine leaves and one joins every 10 s
+  surge             3 of 10 workspaces at 8 times their usual rate
+  faults            Named faults, each alone and then in pairs
 
 Options:
-  --seed N        Seed of the traffic (default 1)
-  --seconds N     How long traffic is sent (default 10)
-  -h, --help      Print this help
+  --seed N          Seed of the load (default 1)
+  --deployment NAME foliengut (default) or corrib
+  --seconds N       How long requests arrive (not for faults)
+  --quick           A shorter form
+  --only NAMES      Faults to run, such as pause,kill
+  --json            Print one JSON object as the last line
+  --plot FOLDER     Write SVG plots of churn or surge
+  -h, --help        Print this help
+
+The exit code is 1 when a guarantee was broken or a run failed, and 2 for a
+wrong command line.
 ";
 
 enum BenchCommand {
     Help,
-    Demo(DemoSettings),
+    Run(BenchRun),
+}
+
+#[derive(Default)]
+struct BenchRun {
+    name: String,
+    options: ExperimentOptions,
+    only: Vec<FaultName>,
+    json: bool,
+    plots: Option<PathBuf>,
 }
 
 fn main() -> ExitCode {
-    let result = match parse_command() {
+    let run = match parse_command() {
         Ok(BenchCommand::Help) => {
             print!("{HELP_TEXT}");
-            Ok(())
+            return ExitCode::SUCCESS;
         }
-        Ok(BenchCommand::Demo(settings)) => demo::run(&settings),
+        Ok(BenchCommand::Run(run)) => run,
         Err(error) => {
             eprintln!("fescuetide_bench: {error}; see fescuetide_bench --help");
             return ExitCode::from(USAGE_EXIT_CODE);
         }
     };
-    match result {
-        Ok(()) => ExitCode::SUCCESS,
+    match run_command(&run) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::FAILURE,
         Err(error) => {
             eprintln!("fescuetide_bench: {error:#}");
             ExitCode::FAILURE
@@ -51,22 +79,46 @@
     }
 }
 
+/// Runs the command and returns the number of breaches of guarantees.
+fn run_command(run: &BenchRun) -> anyhow::Result<usize> {
+    watch_signals()?;
+    let plots = run.plots.as_deref();
+    let result = match run.name.as_str() {
+        "churn" => run_churn(&run.options, plots)?,
+        "surge" => run_surge(&run.options, plots)?,
+        "faults" => run_faults(&run.options, &run.only)?,
+        _ => return demo::run(&run.options),
+    };
+    if run.json {
+        println!("{}", result.json);
+    }
+    Ok(result.breaches)
+}
+
 fn parse_command() -> Result<BenchCommand, lexopt::Error> {
     let mut parser = Parser::from_env();
-    let mut settings = DemoSettings::default();
-    let mut name = None;
+    let mut run = BenchRun::default();
     while let Some(argument) = parser.next()? {
         match argument {
             Arg::Short('h') | Arg::Long("help") => return Ok(BenchCommand::Help),
-            Arg::Long("seed") => settings.seed = parser.value()?.parse()?,
-            Arg::Long("seconds") => settings.seconds = parser.value()?.parse()?,
-            Arg::Value(value) if name.is_none() => name = Some(value.string()?),
+            Arg::Long("seed") => run.options.seed = parser.value()?.parse()?,
+            Arg::Long("seconds") => run.options.seconds = Some(parser.value()?.parse()?),
+            Arg::Long("deployment") => run.options.deployment = parser.value()?.parse()?,
+            Arg::Long("quick") => run.options.quick = true,
+            Arg::Long("json") => run.json = true,
+            Arg::Long("plot") => run.plots = Some(parser.value()?.into()),
+            Arg::Long("only") => {
+                for name in parser.value()?.string()?.split(',') {
+                    run.only.push(name.parse()?);
+                }
+            }
+            Arg::Value(value) if run.name.is_empty() => run.name = value.string()?,
             other => return Err(other.unexpected()),
         }
     }
-    match name.as_deref() {
-        Some("demo") => Ok(BenchCommand::Demo(settings)),
-        Some(other) => Err(format!("{other:?} is not an experiment").into()),
-        None => Err("the name is missing".into()),
+    match run.name.as_str() {
+        "demo" | "churn" | "surge" | "faults" => Ok(BenchCommand::Run(run)),
+        "" => Err("the name is missing".into()),
+        other => Err(format!("{other:?} is not an experiment").into()),
     }
 }
--- /dev/null
+++ b/crates/tools/fescuetide_bench/src/measure.rs
@@ -0,0 +1,197 @@
+//! The figures of a run.
+
+use std::time::Duration;
+
+use fescuetide_wire::api::CallOutcome;
+use hdrhistogram::Histogram;
+use serde_json::Map;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::check::PromiseBreach;
+use crate::check::RunEvidence;
+use crate::check::find_breaches;
+use crate::reuse::ReuseReport;
+use crate::reuse::compute_reuse;
+use crate::runner::RunRecord;
+use crate::trace::TraceCall;
+
+/// Samples of the first seconds are left out: at loads near 0 any single request is many times the mean.
+pub const WARM_UP_MS: u64 = 3_000;
+
+/// Quantiles in ms.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TimeQuantiles {
+    /// The median.
+    pub p50: u64,
+    /// 95 in 100 are at most this.
+    pub p95: u64,
+    /// 99 in 100 are at most this.
+    pub p99: u64,
+}
+
+impl TimeQuantiles {
+    fn new<'a>(spans: impl Iterator<Item = &'a Duration>) -> anyhow::Result<Self> {
+        let mut histogram: Histogram<u64> = Histogram::new(3)?;
+        for span in spans {
+            histogram.saturating_record(span.as_millis() as u64);
+        }
+        Ok(Self {
+            p50: histogram.value_at_quantile(0.50),
+            p95: histogram.value_at_quantile(0.95),
+            p99: histogram.value_at_quantile(0.99),
+        })
+    }
+}
+
+/// Skew of a run: highest engine load ÷ mean load.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SkewFigures {
+    /// Samples counted.
+    pub samples: u64,
+    /// The highest.
+    pub max: f64,
+    /// The cap ÷ mean in the sample with the highest skew.
+    pub cap_at_max: f64,
+    /// 99 in 100 are at most this.
+    pub p99: f64,
+    /// Samples with an engine above the cap `max(1, ceil(1.25 × mean))`.
+    pub over_cap: u64,
+    /// Mean load over all samples.
+    pub mean_load: f64,
+}
+
+/// All figures of a run.
+#[derive(Clone, Debug)]
+pub struct RunFigures {
+    /// The policy or fault.
+    pub label: String,
+    /// Requests sent.
+    pub requests: u64,
+    /// Requests by outcome, in the order of [`CallOutcome`].
+    pub outcomes: [u64; 4],
+    /// Connections that broke off.
+    pub broken: u64,
+    /// Time to the first token.
+    pub first_token: TimeQuantiles,
+    /// Time between tokens.
+    pub gap: TimeQuantiles,
+    /// Cache reuse.
+    pub reuse: ReuseReport,
+    /// Skew.
+    pub skew: SkewFigures,
+    /// Control bytes per router and second.
+    pub control_bytes_per_s: Option<f64>,
+    /// Breaches of guarantees.
+    pub breaches: Vec<PromiseBreach>,
+}
+
+impl RunFigures {
+    /// Computes the figures.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a histogram cannot be made.
+    pub fn new(calls: &[TraceCall], run: &RunRecord) -> anyhow::Result<Self> {
+        let mut outcomes = [0; 4];
+        let mut broken = 0;
+        for record in &run.records {
+            match record.outcome {
+                Some(outcome) => outcomes[outcome as usize] += 1,
+                None => broken += 1,
+            }
+        }
+        let records = &run.records;
+        let evidence = RunEvidence {
+            calls,
+            records,
+            journal: &run.journal,
+            actions: &run.actions,
+            offsets: &run.offsets,
+        };
+        Ok(Self {
+            label: run.label.clone(),
+            requests: records.len() as u64,
+            outcomes,
+            broken,
+            first_token: TimeQuantiles::new(
+                records
+                    .iter()
+                    .filter_map(|record| record.first_token.as_ref()),
+            )?,
+            gap: TimeQuantiles::new(records.iter().flat_map(|record| &record.gaps))?,
+            reuse: compute_reuse(calls, &run.journal, &run.actions, run.started_ms),
+            skew: measure_skew(run),
+            control_bytes_per_s: run.control_bytes_per_s,
+            breaches: find_breaches(&evidence),
+        })
+    }
+
+    /// The number of requests with this outcome.
+    pub fn count(&self, outcome: CallOutcome) -> u64 {
+        self.outcomes[outcome as usize]
+    }
+
+    /// The figures as the JSON object of a run. `label` is the name of its first field.
+    pub fn to_json(&self, label: &str, measures_routing: bool) -> Value {
+        let mut fields = Map::new();
+        fields.insert(label.to_owned(), json!(self.label));
+        if measures_routing {
+            fields.insert("reuse".to_owned(), json!(rounded(self.reuse.total.ratio())));
+            fields.insert("skew_max".to_owned(), json!(rounded(self.skew.max)));
+            fields.insert("skew_p99".to_owned(), json!(rounded(self.skew.p99)));
+            fields.insert("over_cap".to_owned(), json!(self.skew.over_cap));
+            fields.insert("samples".to_owned(), json!(self.skew.samples));
+        }
+        if let Some(bytes) = self.control_bytes_per_s {
+            fields.insert(
+                "control_bytes_per_s".to_owned(),
+                json!(bytes.round() as u64),
+            );
+        }
+        for (name, value) in [
+            ("ttft_p95_ms", self.first_token.p95),
+            ("ttft_p99_ms", self.first_token.p99),
+            ("completed", self.count(CallOutcome::Completed)),
+            ("not_run", self.count(CallOutcome::NotRun)),
+            ("failed", self.count(CallOutcome::Failed)),
+            ("unknown", self.count(CallOutcome::Unknown)),
+            ("broken", self.broken),
+            ("violations", self.breaches.len() as u64),
+        ] {
+            fields.insert(name.to_owned(), json!(value));
+        }
+        Value::Object(fields)
+    }
+}
+
+fn rounded(value: f64) -> f64 {
+    (value * 1_000.0).round() / 1_000.0
+}
+
+fn measure_skew(run: &RunRecord) -> SkewFigures {
+    let from = run.started_ms + WARM_UP_MS.min(run.span_ms / 4);
+    let to = run.started_ms + run.span_ms;
+    let mut figures = SkewFigures::default();
+    let mut ratios = Vec::new();
+    for sample in &run.samples {
+        let mean = sample.mean();
+        if !(from..to).contains(&sample.at_ms) || mean == 0.0 {
+            continue;
+        }
+        let ratio = f64::from(sample.peak()) / mean;
+        if ratio > figures.max {
+            figures.max = ratio;
+            figures.cap_at_max = f64::from(sample.cap()) / mean;
+        }
+        figures.over_cap += u64::from(sample.peak() > sample.cap());
+        figures.mean_load += mean;
+        ratios.push(ratio);
+    }
+    figures.samples = ratios.len() as u64;
+    figures.mean_load /= ratios.len().max(1) as f64;
+    ratios.sort_by(f64::total_cmp);
+    let place = (ratios.len() * 99).div_ceil(100).saturating_sub(1);
+    figures.p99 = ratios.get(place).copied().unwrap_or_default();
+    figures
+}
--- /dev/null
+++ b/crates/tools/fescuetide_bench/src/plot.rs
@@ -0,0 +1,131 @@
+//! SVG plots of reuse and skew over time.
+
+use std::path::Path;
+
+use plotters::prelude::*;
+
+use crate::measure::RunFigures;
+use crate::runner::RunRecord;
+
+/// Size of a plot in pixels.
+const SIZE: (u32, u32) = (900, 420);
+
+/// The highest skew that is drawn.
+const SKEW_LIMIT: f64 = 4.0;
+
+/// Samples that are averaged into one point of the skew plot: one second.
+const SKEW_POINT_SAMPLES: usize = 10;
+
+struct PlotLine {
+    label: String,
+    points: Vec<(f64, f64)>,
+}
+
+/// Writes `reuse.svg`: reuse in each second through churn.
+///
+/// # Errors
+///
+/// Fails when the file cannot be written.
+pub fn plot_reuse(folder: &Path, runs: &[RunFigures]) -> anyhow::Result<()> {
+    let mut lines = Vec::new();
+    for run in runs {
+        let mut points = Vec::new();
+        for (second, tally) in run.reuse.seconds.iter().enumerate() {
+            if tally.ideal > 0 {
+                points.push((second as f64, tally.ratio()));
+            }
+        }
+        lines.push(PlotLine {
+            label: run.label.clone(),
+            points,
+        });
+    }
+    draw(
+        &folder.join("reuse.svg"),
+        ("Cache reuse through churn", "served ÷ possible", 1.05),
+        &lines,
+    )
+}
+
+/// Writes `skew-NAME.svg`: highest load ÷ mean load, as the mean over each second.
+///
+/// # Errors
+///
+/// Fails when the file cannot be written.
+pub fn plot_skew(folder: &Path, name: &str, runs: &[RunRecord]) -> anyhow::Result<()> {
+    let mut lines = Vec::new();
+    for run in runs {
+        let mut points = Vec::new();
+        for chunk in run.samples.chunks(SKEW_POINT_SAMPLES) {
+            let mut sum = 0.0;
+            let mut count = 0.0;
+            for sample in chunk {
+                if sample.mean() > 0.0 {
+                    sum += f64::from(sample.peak()) / sample.mean();
+                    count += 1.0;
+                }
+            }
+            let Some(at_ms) = chunk[0].at_ms.checked_sub(run.started_ms) else {
+                continue;
+            };
+            if count > 0.0 {
+                points.push((at_ms as f64 / 1_000.0, (sum / count).min(SKEW_LIMIT)));
+            }
+        }
+        lines.push(PlotLine {
+            label: run.label.clone(),
+            points,
+        });
+    }
+    let title = format!("Skew through {name}");
+    draw(
+        &folder.join(format!("skew-{name}.svg")),
+        (&title, "highest load ÷ mean", SKEW_LIMIT),
+        &lines,
+    )
+}
+
+fn draw(
+    path: &Path,
+    (title, value, height): (&str, &str, f64),
+    lines: &[PlotLine],
+) -> anyhow::Result<()> {
+    if let Some(folder) = path.parent() {
+        std::fs::create_dir_all(folder)?;
+    }
+    let mut width = 1.0_f64;
+    for line in lines {
+        for (second, _) in &line.points {
+            width = width.max(*second);
+        }
+    }
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption(title, ("sans-serif", 20))
+        .margin(10)
+        .x_label_area_size(35)
+        .y_label_area_size(45)
+        .build_cartesian_2d(0.0..width, 0.0..height)?;
+    chart
+        .configure_mesh()
+        .x_desc("seconds")
+        .y_desc(value)
+        .draw()?;
+    for (place, line) in lines.iter().enumerate() {
+        let color = Palette99::pick(place).to_rgba();
+        chart
+            .draw_series(LineSeries::new(
+                line.points.iter().copied(),
+                color.stroke_width(2),
+            ))?
+            .label(&line.label)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color.stroke_width(2)));
+    }
+    chart
+        .configure_series_labels()
+        .background_style(WHITE.mix(0.8))
+        .draw()?;
+    area.present()?;
+    Ok(())
+}
--- a/crates/tools/fescuetide_bench/src/process.rs
+++ b/crates/tools/fescuetide_bench/src/process.rs
@@ -13,6 +13,8 @@
 
 use anyhow::Context;
 
+use crate::signals::check_signals;
+
 /// How often a wait looks again.
 const WAIT_STEP_MS: u64 = 10;
 
@@ -138,6 +140,7 @@
         if done() {
             return Ok(());
         }
+        check_signals()?;
         thread::sleep(Duration::from_millis(WAIT_STEP_MS));
     }
     anyhow::bail!("{what} took longer than {timeout:?}")
--- /dev/null
+++ b/crates/tools/fescuetide_bench/src/progress.rs
@@ -0,0 +1,91 @@
+//! The progress line of runs that go on at the same time, on standard error.
+
+use std::io::IsTerminal;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Interval between lines on a terminal, where each replaces the one before.
+const TERMINAL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Interval between lines elsewhere.
+const PLAIN_INTERVAL: Duration = Duration::from_secs(5);
+
+/// How often the thread looks whether it should end.
+const STEP: Duration = Duration::from_millis(50);
+
+/// Counts of one run.
+#[derive(Debug, Default)]
+pub struct RunProgress {
+    /// Requests sent.
+    pub sent: AtomicUsize,
+    /// Requests in progress.
+    pub open: AtomicUsize,
+}
+
+/// Prints progress until dropped.
+#[derive(Debug)]
+pub struct ProgressPrinter {
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl ProgressPrinter {
+    /// Starts printing the counts of these runs.
+    pub fn start(runs: Vec<(String, Arc<RunProgress>)>) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let seen = Arc::clone(&stop);
+        let thread = thread::spawn(move || print_lines(&runs, &seen));
+        Self {
+            stop,
+            thread: Some(thread),
+        }
+    }
+}
+
+impl Drop for ProgressPrinter {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Release);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn print_lines(runs: &[(String, Arc<RunProgress>)], stop: &AtomicBool) {
+    let mut output = std::io::stderr();
+    let is_terminal = output.is_terminal();
+    let interval = if is_terminal {
+        TERMINAL_INTERVAL
+    } else {
+        PLAIN_INTERVAL
+    };
+    let start = Instant::now();
+    let mut due = interval;
+    while !stop.load(Ordering::Acquire) {
+        thread::sleep(STEP);
+        if start.elapsed() < due {
+            continue;
+        }
+        due += interval;
+        let mut line = format!("{:>3} s", start.elapsed().as_secs());
+        for (label, progress) in runs {
+            let sent = progress.sent.load(Ordering::Relaxed);
+            let open = progress.open.load(Ordering::Relaxed);
+            line.push_str(&format!("  {label}: {sent} sent, {open} open"));
+        }
+        let _ = match is_terminal {
+            true => write!(output, "\r{line}\x1b[K"),
+            false => writeln!(output, "{line}"),
+        };
+    }
+    if is_terminal {
+        let _ = writeln!(output);
+    }
+}
--- /dev/null
+++ b/crates/tools/fescuetide_bench/src/report.rs
@@ -0,0 +1,125 @@
+//! Tables for people and the JSON line for programs.
+
+use fescuetide_wire::api::CallOutcome;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::measure::RunFigures;
+
+/// Breaches that are printed in full per run.
+const BREACH_LIMIT: usize = 10;
+
+/// Width of the first column.
+const NAME_WIDTH: usize = 26;
+
+/// Width of each further column.
+const VALUE_WIDTH: usize = 18;
+
+/// A target with what was measured.
+#[derive(Clone, Debug)]
+pub struct TargetVerdict {
+    /// The target.
+    pub target: String,
+    /// What was measured.
+    pub found: String,
+    /// Whether the target is met.
+    pub met: bool,
+}
+
+/// Prints the figures of all runs, one column a run.
+pub fn print_table(runs: &[RunFigures]) {
+    println!();
+    print_row("", runs, |run| run.label.clone());
+    print_row("requests", runs, |run| run.requests.to_string());
+    for outcome in [
+        CallOutcome::Completed,
+        CallOutcome::NotRun,
+        CallOutcome::Failed,
+        CallOutcome::Unknown,
+    ] {
+        print_row(&format!("  {outcome}"), runs, |run| {
+            run.count(outcome).to_string()
+        });
+    }
+    print_row("  broken off", runs, |run| run.broken.to_string());
+    print_row("first token p50/95/99 ms", runs, |run| {
+        let times = run.first_token;
+        format!("{}/{}/{}", times.p50, times.p95, times.p99)
+    });
+    print_row("tokens apart p50/95/99 ms", runs, |run| {
+        let times = run.gap;
+        format!("{}/{}/{}", times.p50, times.p95, times.p99)
+    });
+    print_row("cache reuse", runs, |run| {
+        format!("{:.3}", run.reuse.total.ratio())
+    });
+    print_row("  leaving not counted", runs, |run| {
+        format!("{:.3}", run.reuse.total.ratio_listed())
+    });
+    print_row("  prompt from cache", runs, |run| {
+        let total = run.reuse.total;
+        format!("{:.3}", total.served as f64 / total.prompt.max(1) as f64)
+    });
+    print_row("skew p99", runs, |run| format!("{:.2}", run.skew.p99));
+    print_row("skew max (cap then)", runs, |run| {
+        format!("{:.2} ({:.2})", run.skew.max, run.skew.cap_at_max)
+    });
+    print_row("samples over cap", runs, |run| {
+        format!("{} of {}", run.skew.over_cap, run.skew.samples)
+    });
+    print_row("mean load", runs, |run| {
+        format!("{:.1}", run.skew.mean_load)
+    });
+    print_row("control bytes/s/router", runs, |run| {
+        run.control_bytes_per_s
+            .map_or("-".to_owned(), |bytes| format!("{bytes:.0}"))
+    });
+    print_row("violations", runs, |run| run.breaches.len().to_string());
+    println!();
+    print_breaches(runs);
+}
+
+fn print_row(name: &str, runs: &[RunFigures], value: impl Fn(&RunFigures) -> String) {
+    let mut line = format!("{name:<NAME_WIDTH$}");
+    for run in runs {
+        line.push_str(&format!("{:>VALUE_WIDTH$}", value(run)));
+    }
+    println!("{line}");
+}
+
+/// Prints the breaches of all runs.
+pub fn print_breaches(runs: &[RunFigures]) {
+    for run in runs {
+        for breach in run.breaches.iter().take(BREACH_LIMIT) {
+            println!("{}: {breach}", run.label);
+        }
+        if run.breaches.len() > BREACH_LIMIT {
+            println!("{}: {} more", run.label, run.breaches.len() - BREACH_LIMIT);
+        }
+    }
+}
+
+/// Prints whether each target is met.
+pub fn print_verdicts(verdicts: &[TargetVerdict]) {
+    for verdict in verdicts {
+        let word = if verdict.met { "met" } else { "MISSED" };
+        println!("target {}: {} - {word}", verdict.target, verdict.found);
+    }
+}
+
+/// The last line of an experiment's output.
+pub fn final_json(experiment: &str, seed: u64, runs: &[RunFigures], items: Vec<Value>) -> Value {
+    let mut requests = 0;
+    let mut violations = 0;
+    for run in runs {
+        requests += run.requests;
+        violations += run.breaches.len();
+    }
+    json!({
+        "experiment": experiment,
+        "seed": seed,
+        "requests": requests,
+        "violations": violations,
+        "runs": items,
+    })
+}
--- /dev/null
+++ b/crates/tools/fescuetide_bench/src/reuse.rs
@@ -0,0 +1,162 @@
+//! Cache reuse: prompt tokens served from cache ÷ prompt tokens that a perfect router could have served.
+//!
+//! The journals of all engines are replayed in order of time. When a run starts, the perfect router's share is the
+//! longest prefix in whole cache blocks that some engine still alive has processed before, however long ago. An engine
+//! counts as alive until it is killed, also while it is listed as leaving.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use fescuetide_standin::answer::prompt_tokens;
+use fescuetide_standin::answer::push_words;
+use fescuetide_standin::journal::JournalEvent;
+use fescuetide_standin::journal::JournalLine;
+use fescuetide_standin::prefix::BLOCK_TOKENS;
+use fescuetide_standin::prefix::block_chain;
+use indexmap::IndexMap;
+
+use crate::action::ActionRecord;
+use crate::action::FaultAction;
+use crate::trace::TraceCall;
+use crate::trace::TraceWork;
+
+/// Prompt tokens of some runs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReuseTally {
+    /// All prompt tokens.
+    pub prompt: u64,
+    /// Tokens served from cache.
+    pub served: u64,
+    /// Tokens that a perfect router could have served from cache.
+    pub ideal: u64,
+    /// As `ideal`, without engines listed as leaving, which take no new work.
+    pub ideal_listed: u64,
+}
+
+impl ReuseTally {
+    /// The ratio of tokens served to those that could have been.
+    pub fn ratio(&self) -> f64 {
+        self.served as f64 / self.ideal.max(1) as f64
+    }
+
+    /// The ratio when leaving engines are not counted.
+    pub fn ratio_listed(&self) -> f64 {
+        self.served as f64 / self.ideal_listed.max(1) as f64
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.prompt += other.prompt;
+        self.served += other.served;
+        self.ideal += other.ideal;
+        self.ideal_listed += other.ideal_listed;
+    }
+}
+
+/// Reuse of a run.
+#[derive(Clone, Debug, Default)]
+pub struct ReuseReport {
+    /// Over the whole run.
+    pub total: ReuseTally,
+    /// For each second of the run.
+    pub seconds: Vec<ReuseTally>,
+}
+
+struct PromptChain {
+    prompt_tokens: u64,
+    prompt_blocks: usize,
+    /// Blocks of prompt and answer.
+    blocks: Vec<u64>,
+}
+
+/// Computes the reuse of a run that started at `started_ms`. `journal` is in order of time.
+pub fn compute_reuse(
+    calls: &[TraceCall],
+    journal: &[JournalLine],
+    actions: &[ActionRecord],
+    started_ms: u64,
+) -> ReuseReport {
+    let chains = list_chains(calls);
+    let mut report = ReuseReport::default();
+    let mut caches: IndexMap<&str, HashSet<u64>> = IndexMap::new();
+    let mut leaving: Vec<&str> = Vec::new();
+    let mut due = actions.iter().peekable();
+    for line in journal {
+        while let Some(record) = due.next_if(|record| record.at_ms <= line.at_ms) {
+            match record.action {
+                FaultAction::ListLeaving(_) => leaving.push(&record.vm),
+                FaultAction::RemoveVm(_) => {
+                    caches.swap_remove(record.vm.as_str());
+                }
+                _ => {}
+            }
+        }
+        let Some(chain) = chains.get(&line.content) else {
+            continue;
+        };
+        match line.event {
+            JournalEvent::Start => {
+                let tally = tally_start(line, chain, &caches, &leaving);
+                let second = (line.at_ms.saturating_sub(started_ms) / 1_000) as usize;
+                if report.seconds.len() <= second {
+                    report.seconds.resize(second + 1, ReuseTally::default());
+                }
+                report.seconds[second].add(&tally);
+                report.total.add(&tally);
+            }
+            JournalEvent::Cached => {
+                let blocks = &chain.blocks[..chain.prompt_blocks];
+                caches.entry(&line.name).or_default().extend(blocks);
+            }
+            JournalEvent::Done => caches.entry(&line.name).or_default().extend(&chain.blocks),
+            _ => {}
+        }
+    }
+    report
+}
+
+fn tally_start(
+    line: &JournalLine,
+    chain: &PromptChain,
+    caches: &IndexMap<&str, HashSet<u64>>,
+    leaving: &[&str],
+) -> ReuseTally {
+    let mut tally = ReuseTally {
+        prompt: chain.prompt_tokens,
+        served: line.cached_tokens,
+        ..ReuseTally::default()
+    };
+    for (name, cache) in caches {
+        let mut tokens = 0;
+        for block in &chain.blocks[..chain.prompt_blocks] {
+            if !cache.contains(block) {
+                break;
+            }
+            tokens += BLOCK_TOKENS as u64;
+        }
+        tally.ideal = tally.ideal.max(tokens);
+        if !leaving.contains(name) {
+            tally.ideal_listed = tally.ideal_listed.max(tokens);
+        }
+    }
+    tally
+}
+
+fn list_chains(calls: &[TraceCall]) -> IndexMap<u64, PromptChain> {
+    let mut chains = IndexMap::new();
+    for call in calls {
+        let TraceWork::Chat { script, turn, .. } = &call.work else {
+            continue;
+        };
+        let script = Arc::clone(script);
+        let mut tokens = prompt_tokens(script.prompt(*turn));
+        let count = tokens.len();
+        push_words(&mut tokens, script.answer(*turn));
+        let chain = PromptChain {
+            prompt_tokens: count as u64,
+            prompt_blocks: count / BLOCK_TOKENS,
+            blocks: block_chain(&tokens).collect(),
+        };
+        chains.insert(call.content, chain);
+    }
+    chains
+}
--- /dev/null
+++ b/crates/tools/fescuetide_bench/src/runner.rs
@@ -0,0 +1,299 @@
+//! Runs a trace and a list of actions against a fleet of its own and gathers the evidence.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use fescuetide_base::ClockMillis;
+use fescuetide_standin::journal::JournalLine;
+use fescuetide_standin::journal::read_journal;
+
+use crate::action::ActionRecord;
+use crate::action::TimedAction;
+use crate::action::apply_action;
+use crate::caller::CallRecord;
+use crate::caller::TraceCaller;
+use crate::fleet::FleetProcesses;
+use crate::fleet::FleetSettings;
+use crate::offsets::OffsetSample;
+use crate::offsets::OffsetSampler;
+use crate::probe::StatusProbe;
+use crate::progress::ProgressPrinter;
+use crate::progress::RunProgress;
+use crate::sampler::LoadSample;
+use crate::sampler::LoadSampler;
+use crate::sampler::SampleTargets;
+use crate::signals::check_signals;
+use crate::signals::is_stopped;
+use crate::trace::TraceCall;
+
+/// Side processes learn the mean load with their second report, after about this time.
+const SETTLE: Duration = Duration::from_millis(1_500);
+
+/// How often waiting loops look again.
+const STEP: Duration = Duration::from_millis(20);
+
+/// One run: a fleet, the load and what happens to it.
+#[derive(Clone, Debug)]
+pub struct RunSpec {
+    /// Name in tables.
+    pub label: String,
+    /// The fleet.
+    pub fleet: FleetSettings,
+    /// The load.
+    pub calls: Arc<Vec<TraceCall>>,
+    /// Changes and faults, in order of time.
+    pub actions: Vec<TimedAction>,
+    /// How long requests arrive, in ms.
+    pub span_ms: u64,
+    /// Whether routers are asked for their class-log offsets, which costs control bytes.
+    pub watch_offsets: bool,
+    /// Counts for the progress line.
+    pub progress: Arc<RunProgress>,
+}
+
+/// What a run left behind.
+#[derive(Clone, Debug)]
+pub struct RunRecord {
+    /// Name in tables.
+    pub label: String,
+    /// Start of the load, in ms since the Unix epoch.
+    pub started_ms: u64,
+    /// How long requests arrived, in ms.
+    pub span_ms: u64,
+    /// What callers were told.
+    pub records: Vec<CallRecord>,
+    /// Engine loads.
+    pub samples: Vec<LoadSample>,
+    /// Class-log offsets of the routers.
+    pub offsets: Vec<OffsetSample>,
+    /// What was done to the fleet.
+    pub actions: Vec<ActionRecord>,
+    /// Control bytes per router and second, unless a router was restarted.
+    pub control_bytes_per_s: Option<f64>,
+    /// What all upstreams ran, in order of time.
+    pub journal: Vec<JournalLine>,
+}
+
+/// Runs `specs` at the same time, each on a fleet of its own.
+///
+/// # Errors
+///
+/// Fails when a fleet cannot be started or an action fails.
+pub fn run_all(specs: Vec<RunSpec>) -> anyhow::Result<Vec<RunRecord>> {
+    let mut shown = Vec::new();
+    for spec in &specs {
+        shown.push((spec.label.clone(), Arc::clone(&spec.progress)));
+    }
+    let _printer = ProgressPrinter::start(shown);
+    let mut threads = Vec::new();
+    for spec in specs {
+        threads.push(thread::spawn(move || run_one(&spec)));
+    }
+    let mut records = Vec::new();
+    let mut first_error = None;
+    for thread in threads {
+        match thread.join() {
+            Ok(Ok(record)) => records.push(record),
+            Ok(Err(error)) => first_error = first_error.or(Some(error)),
+            Err(_) => anyhow::bail!("a run panicked"),
+        }
+    }
+    match first_error {
+        Some(error) => Err(error),
+        None => Ok(records),
+    }
+}
+
+/// Runs one spec.
+///
+/// # Errors
+///
+/// Fails when the fleet cannot be started or an action fails.
+pub fn run_one(spec: &RunSpec) -> anyhow::Result<RunRecord> {
+    check_signals()?;
+    let mut fleet = FleetProcesses::start(spec.fleet.clone())?;
+    eprintln!("{}: fleet is ready", spec.label);
+    let targets = SampleTargets::default();
+    renew_targets(&fleet, &targets);
+    let sampler = LoadSampler::start(Arc::clone(&targets))?;
+    let offsets = match spec.watch_offsets {
+        true => Some(OffsetSampler::start(&fleet)?),
+        false => None,
+    };
+    thread::sleep(SETTLE);
+    let control = control_bytes(&fleet);
+    let start = Instant::now();
+    let started_ms = ClockMillis::now().as_millis();
+    let load = LoadThreads::start(spec, &fleet, start)?;
+    let actions = apply_all(&mut fleet, spec, start, &targets, &load);
+    // On an error the load is stopped before the fleet is.
+    load.ends.store(actions.is_err(), Ordering::Release);
+    wait_until(start, spec.span_ms, &load);
+    let span = start.elapsed().as_secs_f64();
+    let routers = fleet.routers.len() as f64;
+    let control_bytes_per_s = match (control, control_bytes(&fleet)) {
+        (Some(before), Some(after)) if after >= before => {
+            Some((after - before) as f64 / span / routers)
+        }
+        _ => None,
+    };
+    let records = load.finish()?;
+    let record = RunRecord {
+        label: spec.label.clone(),
+        started_ms,
+        span_ms: spec.span_ms,
+        records,
+        samples: sampler.finish()?,
+        offsets: match offsets {
+            Some(offsets) => offsets.finish()?,
+            None => Vec::new(),
+        },
+        actions: actions?,
+        control_bytes_per_s,
+        journal: read_journals(&fleet)?,
+    };
+    check_signals()?;
+    eprintln!("{}: done, {} requests", spec.label, record.records.len());
+    Ok(record)
+}
+
+fn apply_all(
+    fleet: &mut FleetProcesses,
+    spec: &RunSpec,
+    start: Instant,
+    targets: &SampleTargets,
+    load: &LoadThreads,
+) -> anyhow::Result<Vec<ActionRecord>> {
+    let mut records = Vec::new();
+    for timed in &spec.actions {
+        wait_until(start, timed.at_ms, load);
+        check_signals()?;
+        let record = apply_action(fleet, &timed.action)?;
+        let seconds = start.elapsed().as_secs_f64();
+        eprintln!(
+            "{}: {seconds:.1} s {:?} {}",
+            spec.label, timed.action, record.vm
+        );
+        records.push(record);
+        renew_targets(fleet, targets);
+    }
+    Ok(records)
+}
+
+fn wait_until(start: Instant, at_ms: u64, load: &LoadThreads) {
+    let until = Duration::from_millis(at_ms);
+    while start.elapsed() < until && !is_stopped() && !load.ends.load(Ordering::Acquire) {
+        thread::sleep(STEP.min(until.saturating_sub(start.elapsed())));
+    }
+}
+
+fn renew_targets(fleet: &FleetProcesses, targets: &SampleTargets) {
+    let mut list = Vec::new();
+    for pair in &fleet.upstreams {
+        if pair.vm.role == "engine" && !pair.removed {
+            list.push(pair.vm.control);
+        }
+    }
+    *targets.lock().unwrap_or_else(PoisonError::into_inner) = list;
+}
+
+fn control_bytes(fleet: &FleetProcesses) -> Option<u64> {
+    let probe = StatusProbe::new().ok()?;
+    let mut bytes = 0;
+    for router in &fleet.routers {
+        bytes += probe.router(router.vm.control).ok()?.control_bytes;
+    }
+    Some(bytes)
+}
+
+fn read_journals(fleet: &FleetProcesses) -> anyhow::Result<Vec<JournalLine>> {
+    let mut lines = Vec::new();
+    for pair in &fleet.upstreams {
+        if pair.journal.exists() {
+            lines.extend(read_journal(&pair.journal)?);
+        }
+    }
+    // The sort is stable, so lines of one upstream keep their order.
+    lines.sort_by_key(|line| line.at_ms);
+    Ok(lines)
+}
+
+/// The thread that starts each request at its time.
+struct LoadThreads {
+    ends: Arc<AtomicBool>,
+    records: Arc<Mutex<Vec<CallRecord>>>,
+    thread: JoinHandle<()>,
+}
+
+impl LoadThreads {
+    fn start(spec: &RunSpec, fleet: &FleetProcesses, start: Instant) -> anyhow::Result<Self> {
+        let calls = Arc::clone(&spec.calls);
+        let caller = Arc::new(TraceCaller::new(fleet.router_addresses(), &calls));
+        let ends = Arc::new(AtomicBool::new(false));
+        let records = Arc::new(Mutex::new(Vec::new()));
+        let (seen, kept) = (Arc::clone(&ends), Arc::clone(&records));
+        let progress = Arc::clone(&spec.progress);
+        let thread = thread::Builder::new()
+            .name("bench-load".to_owned())
+            .spawn(move || send_all(&progress, &calls, &caller, start, (&seen, &kept)))?;
+        Ok(Self {
+            ends,
+            records,
+            thread,
+        })
+    }
+
+    /// Waits until every request has ended for its caller.
+    fn finish(self) -> anyhow::Result<Vec<CallRecord>> {
+        if self.thread.join().is_err() {
+            anyhow::bail!("the load thread panicked");
+        }
+        let mut records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
+        Ok(std::mem::take(&mut *records))
+    }
+}
+
+fn send_all(
+    progress: &Arc<RunProgress>,
+    calls: &Arc<Vec<TraceCall>>,
+    caller: &Arc<TraceCaller>,
+    start: Instant,
+    (ends, records): (&AtomicBool, &Arc<Mutex<Vec<CallRecord>>>),
+) {
+    let mut threads = Vec::new();
+    for (index, call) in calls.iter().enumerate() {
+        let at = Duration::from_millis(call.at_ms);
+        while let Some(left) = at.checked_sub(start.elapsed())
+            && !left.is_zero()
+        {
+            thread::sleep(left.min(STEP));
+        }
+        if ends.load(Ordering::Acquire) || is_stopped() {
+            break;
+        }
+        let (calls, caller) = (Arc::clone(calls), Arc::clone(caller));
+        let (progress, records) = (Arc::clone(progress), Arc::clone(records));
+        progress.sent.fetch_add(1, Ordering::Relaxed);
+        progress.open.fetch_add(1, Ordering::Relaxed);
+        threads.push(thread::spawn(move || {
+            let record = caller.send(index, &calls[index]);
+            progress.open.fetch_sub(1, Ordering::Relaxed);
+            let mut records = records.lock().unwrap_or_else(PoisonError::into_inner);
+            records.push(record);
+        }));
+    }
+    if is_stopped() {
+        // The fleet is about to end; nobody waits for the open requests.
+        return;
+    }
+    for thread in threads {
+        let _ = thread.join();
+    }
+}
--- /dev/null
+++ b/crates/tools/fescuetide_bench/src/sampler.rs
@@ -0,0 +1,136 @@
+//! Samples the engines' loads: all side processes are asked at the same moment.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use fescuetide_base::ClockMillis;
+use fescuetide_base::SpanMillis;
+use fescuetide_net::ControlMeter;
+use fescuetide_net::connect_control;
+use fescuetide_net::rpc_deadline;
+use fescuetide_wire::rpc::SideControlClient;
+use futures::future::join_all;
+use indexmap::IndexMap;
+use tarpc::client;
+use tokio::time::MissedTickBehavior;
+
+/// Interval between samples.
+const SAMPLE_MS: u64 = 100;
+
+/// A side process that does not answer within this time is left out of a sample.
+const ANSWER_TIMEOUT_MS: u64 = 80;
+
+/// The loads of all engines that take work, at one moment.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LoadSample {
+    /// When, in ms since the Unix epoch.
+    pub at_ms: u64,
+    /// The loads.
+    pub loads: Vec<u32>,
+}
+
+impl LoadSample {
+    /// The mean load.
+    pub fn mean(&self) -> f64 {
+        let sum: u32 = self.loads.iter().sum();
+        f64::from(sum) / (self.loads.len().max(1)) as f64
+    }
+
+    /// The highest load.
+    pub fn peak(&self) -> u32 {
+        self.loads.iter().copied().max().unwrap_or_default()
+    }
+
+    /// The cap that follows from the mean.
+    pub fn cap(&self) -> u32 {
+        (1.25 * self.mean()).ceil().max(1.0) as u32
+    }
+}
+
+/// The engines' side processes, which change while the sampler runs.
+pub type SampleTargets = Arc<Mutex<Vec<SocketAddr>>>;
+
+/// A thread that samples until it is stopped.
+#[derive(Debug)]
+pub struct LoadSampler {
+    stop: Arc<AtomicBool>,
+    thread: JoinHandle<Vec<LoadSample>>,
+}
+
+impl LoadSampler {
+    /// Starts sampling.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no runtime can be made.
+    pub fn start(targets: SampleTargets) -> anyhow::Result<Self> {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let stop = Arc::new(AtomicBool::new(false));
+        let seen = Arc::clone(&stop);
+        let thread = thread::Builder::new()
+            .name("bench-sampler".to_owned())
+            .spawn(move || runtime.block_on(sample_loop(&targets, &seen)))?;
+        Ok(Self { stop, thread })
+    }
+
+    /// Stops sampling and returns all samples.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the thread panicked.
+    pub fn finish(self) -> anyhow::Result<Vec<LoadSample>> {
+        self.stop.store(true, Ordering::Release);
+        self.thread
+            .join()
+            .map_err(|_| anyhow::anyhow!("the sampler panicked"))
+    }
+}
+
+async fn sample_loop(targets: &SampleTargets, stop: &AtomicBool) -> Vec<LoadSample> {
+    let mut links: IndexMap<SocketAddr, SideControlClient> = IndexMap::new();
+    let mut samples = Vec::new();
+    let mut ticks = tokio::time::interval(Duration::from_millis(SAMPLE_MS));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    while !stop.load(Ordering::Acquire) {
+        ticks.tick().await;
+        let wanted = targets
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        links.retain(|address, _| wanted.contains(address));
+        for address in wanted {
+            if links.contains_key(&address) {
+                continue;
+            }
+            if let Ok(transport) = connect_control(address, ControlMeter::default()).await {
+                let link = SideControlClient::new(client::Config::default(), transport).spawn();
+                links.insert(address, link);
+            }
+        }
+        let at_ms = ClockMillis::now().as_millis();
+        let answers = join_all(links.values().map(|link| {
+            let context = rpc_deadline(SpanMillis::new(ANSWER_TIMEOUT_MS));
+            link.status(context)
+        }))
+        .await;
+        let mut loads = Vec::new();
+        for answer in answers {
+            if let Ok(status) = answer
+                && !status.draining
+            {
+                loads.push(status.load);
+            }
+        }
+        samples.push(LoadSample { at_ms, loads });
+    }
+    samples
+}
--- a/crates/tools/fescuetide_bench/src/workload.rs
+++ b/crates/tools/fescuetide_bench/src/workload.rs
@@ -47,7 +47,7 @@
     /// Creates a chat that starts with its workspace's guide of `guide_words` words.
     pub fn new(seed: u64, workspace: usize, chat: usize, class: &str, guide_words: usize) -> Self {
         let name = format!("workspace-{workspace}");
-        let guide = words(
+        let guide = seeded_words(
             &mut SeededRandom::new(seed ^ StableHash::of_bytes(name.as_bytes())),
             guide_words,
         );
@@ -64,7 +64,7 @@
     /// The next turn's request.
     pub fn next_call(&mut self) -> ChatCall {
         let length = 20 + self.random.below(30) as usize;
-        let text = words(&mut self.random, length);
+        let text = seeded_words(&mut self.random, length);
         self.messages.push(message("user", text));
         ChatCall {
             workspace: self.workspace.clone(),
@@ -93,7 +93,8 @@
     }
 }
 
-fn words(random: &mut SeededRandom, count: usize) -> String {
+/// A text of `count` words.
+pub fn seeded_words(random: &mut SeededRandom, count: usize) -> String {
     let mut text = String::with_capacity(count * 7);
     for _ in 0..count {
         text.push_str(&format!("t{:05x} ", random.below(0xf_ffff)));
