--- a/crates/tools/fescuetide_bench/src/compare.rs
+++ b/crates/tools/fescuetide_bench/src/compare.rs
@@ -117,7 +117,7 @@
     options: &ExperimentOptions,
     only: &[FaultName],
 ) -> anyhow::Result<ExperimentResult> {
-    let deployment = options.deployment.load()?;
+    let deployment = options.load_deployment()?;
     let mut specs = Vec::new();
     for set in list_sets(only, options.quick) {
         specs.push(plan_set(options, &deployment, &set));
--- a/crates/tools/fescuetide_bench/src/experiment.rs
+++ b/crates/tools/fescuetide_bench/src/experiment.rs
@@ -43,6 +43,8 @@
     pub deployment: DeploymentKind,
     /// How long requests arrive, in s; `None` for the experiment's own span.
     pub seconds: Option<u64>,
+    /// Lines added to the routers' settings, for trials.
+    pub lines: Vec<String>,
 }
 
 impl Default for ExperimentOptions {
@@ -52,11 +54,23 @@
             quick: false,
             deployment: DeploymentKind::default(),
             seconds: None,
+            lines: Vec::new(),
         }
     }
 }
 
 impl ExperimentOptions {
+    /// Reads the deployment's settings and adds the lines for trials.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the settings cannot be read.
+    pub fn load_deployment(&self) -> anyhow::Result<DeploymentSettings> {
+        let mut deployment = self.deployment.load()?;
+        deployment.fleet.router_lines.extend(self.lines.clone());
+        Ok(deployment)
+    }
+
     fn span_ms(&self, quick: u64, full: u64) -> u64 {
         match self.seconds {
             Some(seconds) => seconds * 1_000,
@@ -83,7 +97,7 @@
 ///
 /// Fails when the deployment's settings cannot be read.
 pub fn plan_churn(options: &ExperimentOptions) -> anyhow::Result<ExperimentPlan> {
-    let deployment = options.deployment.load()?;
+    let deployment = options.load_deployment()?;
     let span_ms = options.span_ms(20_000, 65_000);
     let period_ms = if options.quick { 5_000 } else { 10_000 };
     let load = chat_load(options, &deployment, span_ms, OFFERED_SHARE);
@@ -115,7 +129,7 @@
 ///
 /// Fails when the deployment's settings cannot be read.
 pub fn plan_surge(options: &ExperimentOptions) -> anyhow::Result<ExperimentPlan> {
-    let deployment = options.deployment.load()?;
+    let deployment = options.load_deployment()?;
     let span_ms = options.span_ms(20_000, 60_000);
     let surge = SurgeLoad {
         workspaces: vec![2, 3, 4],
@@ -151,7 +165,7 @@
 ///
 /// Fails when the deployment's settings cannot be read.
 pub fn plan_demo(options: &ExperimentOptions) -> anyhow::Result<ExperimentPlan> {
-    let deployment = options.deployment.load()?;
+    let deployment = options.load_deployment()?;
     let span_ms = options.span_ms(15_000, 15_000);
     let mut load = chat_load(options, &deployment, span_ms, OFFERED_SHARE);
     load.calls_per_s = DEMO_CALLS_PER_S;
--- a/crates/tools/fescuetide_bench/src/main.rs
+++ b/crates/tools/fescuetide_bench/src/main.rs
@@ -34,6 +34,7 @@
   --deployment NAME foliengut (default) or corrib
   --seconds N       How long requests arrive (not for faults)
   --quick           A shorter form
+  --set LINE        A line for the routers' settings, for trials
   --only NAMES      Faults to run, such as pause,kill
   --json            Print one JSON object as the last line
   --plot FOLDER     Write SVG plots of churn or surge
@@ -104,6 +105,7 @@
             Arg::Long("seed") => run.options.seed = parser.value()?.parse()?,
             Arg::Long("seconds") => run.options.seconds = Some(parser.value()?.parse()?),
             Arg::Long("deployment") => run.options.deployment = parser.value()?.parse()?,
+            Arg::Long("set") => run.options.lines.push(parser.value()?.string()?),
             Arg::Long("quick") => run.options.quick = true,
             Arg::Long("json") => run.json = true,
             Arg::Long("plot") => run.plots = Some(parser.value()?.into()),
