Record each request with its attempts and count burn per class

Cause: operators must be able to trace any request, also after its router is gone, and see how fast a class uses up its targets. RPC trace and burn. Checked: cargo test -p fescuetide_records (7 tests, one with 256 generated cases against a list of events).

--- a/crates/process/fescuetide_router/src/control.rs
+++ b/crates/process/fescuetide_router/src/control.rs
@@ -12,6 +12,7 @@
 use fescuetide_base::ClockMillis;
 use fescuetide_base::LogOffset;
 use fescuetide_base::PoolName;
+use fescuetide_base::RequestId;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
 use fescuetide_classes::ChangeVerdict;
@@ -23,11 +24,14 @@
 use fescuetide_net::connect_control;
 use fescuetide_net::rpc_deadline;
 use fescuetide_net::serve_control;
+use fescuetide_records::RequestRecord;
 use fescuetide_summary::LoadCollector;
 use fescuetide_summary::PoolSum;
 use fescuetide_summary::UpstreamReport;
 use fescuetide_wire::log::ClassRecord;
 use fescuetide_wire::log::ReadReply;
+use fescuetide_wire::records::BurnWire;
+use fescuetide_wire::records::RequestWire;
 use fescuetide_wire::rpc::ExchangeWire;
 use fescuetide_wire::rpc::ReportWire;
 use fescuetide_wire::rpc::RouterControl;
@@ -47,6 +51,7 @@
 use crate::platform;
 use crate::platform::PlatformNews;
 use crate::platform::apply_list;
+use crate::records::RecordKeeper;
 use crate::view::RouterView;
 
 /// How often news from the platform thread is taken in.
@@ -61,12 +66,17 @@
     classes: ClassTable,
     vms: VmTable,
     collector: LoadCollector,
+    records: RecordKeeper,
 }
 
 type SharedState = Rc<RefCell<ControlState>>;
 
 /// Starts the control thread and the platform thread.
-pub(crate) fn start(shared: &Arc<RouterShared>, listener: TcpListener) -> anyhow::Result<()> {
+pub(crate) fn start(
+    shared: &Arc<RouterShared>,
+    listener: TcpListener,
+    record_receiver: Receiver<RequestRecord>,
+) -> anyhow::Result<()> {
     listener.set_nonblocking(true)?;
     let (news_sender, news_receiver) = channel::unbounded();
     let (offset_sender, offset_receiver) = channel::unbounded();
@@ -77,27 +87,32 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
+    let records = RecordKeeper::start(shared, record_receiver)?;
     let shared = Arc::clone(shared);
     thread::Builder::new()
         .name("router-control".to_owned())
-        .spawn(move || run_control(&runtime, shared, listener, &news_receiver, &offset_sender))?;
+        .spawn(move || {
+            let state = ControlState {
+                shared,
+                classes: ClassTable::default(),
+                vms: VmTable::default(),
+                collector: LoadCollector::default(),
+                records,
+            };
+            run_control(&runtime, state, listener, &news_receiver, &offset_sender);
+        })?;
     Ok(())
 }
 
 fn run_control(
     runtime: &Runtime,
-    shared: Arc<RouterShared>,
+    state: ControlState,
     listener: TcpListener,
     news: &Receiver<PlatformNews>,
     offsets: &Sender<LogOffset>,
 ) {
-    let meter = shared.meter.clone();
-    let state = Rc::new(RefCell::new(ControlState {
-        shared,
-        classes: ClassTable::default(),
-        vms: VmTable::default(),
-        collector: LoadCollector::default(),
-    }));
+    let meter = state.shared.meter.clone();
+    let state = Rc::new(RefCell::new(state));
     let local = LocalSet::new();
     local.block_on(runtime, async {
         match tokio::net::TcpListener::from_std(listener) {
@@ -141,6 +156,9 @@
         if changed {
             state.borrow().publish();
         }
+        let mut state = state.borrow_mut();
+        let state = &mut *state;
+        state.records.step(&state.classes, ClockMillis::now());
     }
 }
 
@@ -333,6 +351,14 @@
         }
     }
 
+    async fn trace(self, _: Context, request: RequestId) -> Option<RequestWire> {
+        self.state.borrow().records.find(request)
+    }
+
+    async fn burn(self, _: Context) -> Vec<BurnWire> {
+        self.state.borrow().records.burn(ClockMillis::now())
+    }
+
     async fn drain(self, _: Context) {
         if self.state.borrow().shared.start_drain() {
             tracing::info!("drain was asked for; no new requests are taken");
--- a/crates/process/fescuetide_router/src/lib.rs
+++ b/crates/process/fescuetide_router/src/lib.rs
@@ -6,10 +6,12 @@
 mod attempt;
 mod call;
 mod control;
+mod history;
 mod http;
 mod metrics;
 mod plan;
 mod platform;
+mod records;
 mod request;
 mod respond;
 mod retry;
@@ -37,6 +39,7 @@
 use fescuetide_net::LinkSettings;
 
 use crate::metrics::RouterMetrics;
+use crate::records::RecordSender;
 use crate::retry::RetryLedger;
 use crate::view::RouterView;
 
@@ -49,6 +52,7 @@
     pub(crate) links: LinkPool,
     pub(crate) breaker: Mutex<VmBreaker>,
     pub(crate) retries: RetryLedger,
+    pub(crate) records: RecordSender,
     pub(crate) metrics: RouterMetrics,
     pub(crate) meter: ControlMeter,
     pub(crate) draining: AtomicBool,
@@ -91,18 +95,20 @@
             .with_context(|| format!("cannot listen on {}", settings.control_listen))?;
         let incarnation = ProcessIncarnation::new(ClockMillis::now().as_millis());
         let links = LinkPool::new(settings.vm.clone(), incarnation, LinkSettings::default());
+        let (records, record_receiver) = RecordSender::channel();
         let shared = Arc::new(RouterShared {
             view: ArcSwap::from_pointee(RouterView::default()),
             links,
             breaker: Mutex::new(VmBreaker::new(BreakerSettings::default())),
             retries: RetryLedger::default(),
+            records,
             metrics: RouterMetrics::new(&settings)?,
             meter: ControlMeter::default(),
             draining: AtomicBool::new(false),
             active: AtomicU32::new(0),
             settings,
         });
-        control::start(&shared, control)?;
+        control::start(&shared, control, record_receiver)?;
         http::start(Arc::clone(&shared))?;
         tracing::info!(
             vm = %shared.settings.vm,
--- /dev/null
+++ b/crates/process/fescuetide_router/src/records.rs
@@ -0,0 +1,178 @@
+//! Keeps records of ended requests and appends them to the log service in batches.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam::channel;
+use crossbeam::channel::Receiver;
+use crossbeam::channel::Sender;
+use fescuetide_base::ClockMillis;
+use fescuetide_base::RequestId;
+use fescuetide_base::SpanMillis;
+use fescuetide_classes::ClassTable;
+use fescuetide_net::ControlMeter;
+use fescuetide_net::LogClient;
+use fescuetide_records::BurnLedger;
+use fescuetide_records::RecordSettings;
+use fescuetide_records::RequestLog;
+use fescuetide_records::RequestRecord;
+use fescuetide_wire::records::BurnWire;
+use fescuetide_wire::records::CountWire;
+use fescuetide_wire::records::REQUEST_STREAM;
+use fescuetide_wire::records::RequestBatch;
+use fescuetide_wire::records::RequestWire;
+
+use crate::RouterShared;
+
+/// Longest time of an append.
+const APPEND_TIMEOUT_MS: u64 = 3_000;
+
+/// Most requests of one batch. It keeps a batch below a megabyte.
+const BATCH_LIMIT: usize = 1_000;
+
+/// Records that may wait between traffic threads and the control thread.
+const QUEUE_LIMIT: usize = 10_000;
+
+/// The sending side for traffic threads.
+#[derive(Clone, Debug)]
+pub(crate) struct RecordSender {
+    sender: Sender<RequestRecord>,
+}
+
+impl RecordSender {
+    /// Creates the queue from traffic threads to the control thread.
+    pub(crate) fn channel() -> (Self, Receiver<RequestRecord>) {
+        let (sender, receiver) = channel::bounded(QUEUE_LIMIT);
+        (Self { sender }, receiver)
+    }
+
+    /// Passes a record on. Returns whether there was room.
+    pub(crate) fn send(&self, record: RequestRecord) -> bool {
+        self.sender.try_send(record).is_ok()
+    }
+}
+
+/// A batch on its way to the log service, and whether it arrived.
+#[derive(Debug)]
+struct BatchReply {
+    records: Vec<RequestRecord>,
+    appended: bool,
+}
+
+/// Owned by the control thread.
+pub(crate) struct RecordKeeper {
+    shared: Arc<RouterShared>,
+    receiver: Receiver<RequestRecord>,
+    batches: Sender<Vec<RequestRecord>>,
+    replies: Receiver<BatchReply>,
+    log: RequestLog,
+    ledger: BurnLedger,
+    in_flight: bool,
+    due: ClockMillis,
+}
+
+impl RecordKeeper {
+    /// Starts the thread that appends batches.
+    pub(crate) fn start(
+        shared: &Arc<RouterShared>,
+        receiver: Receiver<RequestRecord>,
+    ) -> anyhow::Result<Self> {
+        let (batches, batch_receiver) = channel::bounded(1);
+        let (reply_sender, replies) = channel::unbounded();
+        let append_shared = Arc::clone(shared);
+        thread::Builder::new()
+            .name("router-records".to_owned())
+            .spawn(move || append_batches(&append_shared, &batch_receiver, &reply_sender))?;
+        Ok(Self {
+            shared: Arc::clone(shared),
+            receiver,
+            batches,
+            replies,
+            log: RequestLog::new(RecordSettings::default()),
+            ledger: BurnLedger::default(),
+            in_flight: false,
+            due: ClockMillis::now(),
+        })
+    }
+
+    /// Takes in records of ended requests and sends a batch when one is due.
+    pub(crate) fn step(&mut self, classes: &ClassTable, now: ClockMillis) {
+        for record in self.receiver.try_iter() {
+            if let Some((_, targets)) = classes.get(&record.class) {
+                self.ledger.note(&record.class, record.burn(&targets), now);
+            }
+            self.log.add(record);
+        }
+        for reply in self.replies.try_iter() {
+            self.in_flight = false;
+            if !reply.appended {
+                self.log.return_pending(reply.records);
+            }
+        }
+        self.shared
+            .metrics
+            .gauge("records.dropped", self.log.dropped());
+        if self.in_flight || now < self.due {
+            return;
+        }
+        let records = self.log.take_pending(BATCH_LIMIT);
+        if records.is_empty() {
+            return;
+        }
+        self.due = now + SpanMillis::new(self.shared.settings.record_interval_ms);
+        self.in_flight = self.batches.send(records).is_ok();
+    }
+
+    /// The request under `id`, while it is kept.
+    pub(crate) fn find(&self, id: RequestId) -> Option<RequestWire> {
+        self.log.find(id).cloned().map(RequestWire::from)
+    }
+
+    /// The counts of all classes over all windows.
+    pub(crate) fn burn(&self, now: ClockMillis) -> Vec<BurnWire> {
+        let mut list = Vec::new();
+        for class in self.ledger.classes() {
+            let counts = self.ledger.windows(class, now);
+            list.push(BurnWire {
+                class: class.clone(),
+                counts: counts.into_iter().map(CountWire::from).collect(),
+            });
+        }
+        list
+    }
+}
+
+/// Appends batches until the control thread is gone.
+fn append_batches(
+    shared: &RouterShared,
+    batches: &Receiver<Vec<RequestRecord>>,
+    replies: &Sender<BatchReply>,
+) {
+    let settings = &shared.settings;
+    // Records are part of serving requests and do not count as control traffic.
+    let log = LogClient::new(
+        settings.log_url.clone(),
+        SpanMillis::new(APPEND_TIMEOUT_MS),
+        ControlMeter::default(),
+    );
+    for records in batches {
+        let batch = RequestBatch {
+            router: settings.vm.clone(),
+            requests: records.iter().cloned().map(RequestWire::from).collect(),
+        };
+        let result = log.append(REQUEST_STREAM, &batch);
+        if let Err(error) = &result {
+            shared.metrics.count("records.failed");
+            tracing::debug!(%error, "request records were not appended");
+            thread::sleep(Duration::from_millis(settings.record_interval_ms));
+        }
+        let reply = BatchReply {
+            records,
+            appended: result.is_ok(),
+        };
+        if replies.send(reply).is_err() {
+            return;
+        }
+    }
+}
--- a/crates/process/fescuetide_router/src/runner.rs
+++ b/crates/process/fescuetide_router/src/runner.rs
@@ -10,6 +10,8 @@
 use fescuetide_base::StableHash;
 use fescuetide_limits::RetryBudget;
 use fescuetide_members::VmEntry;
+use fescuetide_records::AttemptResult;
+use fescuetide_records::RecordOutcome;
 use fescuetide_wire::api::CallOutcome;
 use fescuetide_wire::api::TokenUsage;
 use fescuetide_wire::frame::AdmissionRule;
@@ -26,6 +28,7 @@
 use crate::call::CallEvent;
 use crate::call::CallSpec;
 use crate::call::CallWork;
+use crate::history::CallHistory;
 use crate::plan::CandidatePlan;
 use crate::plan::RefusalNote;
 
@@ -51,6 +54,7 @@
     attempts: u32,
     ended: bool,
     last_reason: String,
+    history: CallHistory,
 }
 
 impl CallRunner {
@@ -69,6 +73,7 @@
             attempts: 0,
             ended: false,
             last_reason: "no upstream is available".to_owned(),
+            history: CallHistory::default(),
         }
     }
 
@@ -92,6 +97,9 @@
             match event {
                 AttemptEvent::Head(status, content_type) => {
                     self.note_admitted(attempt);
+                    if matches!(self.spec.work, CallWork::Service { .. }) {
+                        self.history.note_part(&self.spec);
+                    }
                     if self.head_sent {
                         continue;
                     }
@@ -100,6 +108,7 @@
                 }
                 AttemptEvent::Chunk(bytes) => {
                     self.note_admitted(attempt);
+                    self.history.note_part(&self.spec);
                     self.delivered.extend_from_slice(&bytes);
                     return CallEvent::Chunk(bytes);
                 }
@@ -139,6 +148,8 @@
                 completion_tokens,
             } => {
                 self.shared.lock_breaker().note_success(&attempt.vm().name);
+                self.history
+                    .note_result(attempt.tag().attempt, AttemptResult::Completed);
                 let usage = TokenUsage {
                     prompt_tokens,
                     cached_tokens,
@@ -149,6 +160,8 @@
             }
             AttemptEnding::NotRun(reason) => {
                 self.admitted = false;
+                self.history
+                    .note_result(attempt.tag().attempt, AttemptResult::NotRun(reason.clone()));
                 self.last_reason = reason;
                 self.shared
                     .lock_breaker()
@@ -167,6 +180,8 @@
         self.shared
             .lock_breaker()
             .note_failure(&vm.name, ClockMillis::now());
+        self.history
+            .note_result(attempt.tag().attempt, AttemptResult::Lost(reason.clone()));
         self.last_reason = reason.clone();
         self.lost_on.push(vm);
         if !self.spec.targets.repeatable {
@@ -211,6 +226,7 @@
                 attempt: AttemptId::generate(),
             };
             let dispatch = self.make_dispatch(tag, rule);
+            self.history.note_sent(tag.attempt, &vm.name);
             match LiveAttempt::start(&self.shared, &vm, dispatch) {
                 Ok(attempt) => {
                     self.attempts += 1;
@@ -220,6 +236,8 @@
                 Err(NotSent(error)) => {
                     self.shared.metrics.count("connect.failed");
                     self.last_reason = format!("VM {} cannot be reached: {error}", vm.name);
+                    self.history
+                        .note_result(tag.attempt, AttemptResult::NotSent(error.to_string()));
                     self.shared
                         .lock_breaker()
                         .note_failure(&vm.name, ClockMillis::now());
@@ -255,6 +273,10 @@
     ) {
         self.shared.metrics.count("attempt.refused");
         self.last_reason = reason.to_string();
+        self.history.note_result(
+            attempt.tag().attempt,
+            AttemptResult::Refused(reason.to_string()),
+        );
         self.plan.note_refusal(RefusalNote {
             vm: attempt.vm().clone(),
             reason,
@@ -305,6 +327,7 @@
             CallOutcome::Failed => "request.failed",
             CallOutcome::Unknown => "request.unknown",
         });
+        self.send_record(record_outcome(outcome), &reason);
         CallEvent::End(CallEnd {
             outcome,
             reason,
@@ -319,6 +342,7 @@
         self.cancel();
         self.ended = true;
         self.shared.metrics.count("request.abandoned");
+        self.send_record(RecordOutcome::Abandoned, "caller has left");
         CallEnd {
             outcome: CallOutcome::Failed,
             reason: "caller has left".to_owned(),
@@ -328,8 +352,18 @@
         }
     }
 
+    fn send_record(&mut self, outcome: RecordOutcome, reason: &str) {
+        let router = &self.shared.settings.vm;
+        let record = self.history.finish(router, &self.spec, outcome, reason);
+        if !self.shared.records.send(record) {
+            self.shared.metrics.count("records.overflow");
+        }
+    }
+
     fn cancel(&mut self) {
         if let Some(mut attempt) = self.current.take() {
+            self.history
+                .note_result(attempt.tag().attempt, AttemptResult::Cancelled);
             attempt.cancel(&self.shared);
         }
     }
@@ -338,8 +372,16 @@
 impl Drop for CallRunner {
     fn drop(&mut self) {
         if !self.ended {
-            self.shared.metrics.count("request.abandoned");
-            self.cancel();
+            self.abandon();
         }
     }
 }
+
+fn record_outcome(outcome: CallOutcome) -> RecordOutcome {
+    match outcome {
+        CallOutcome::Completed => RecordOutcome::Completed,
+        CallOutcome::NotRun => RecordOutcome::NotRun,
+        CallOutcome::Failed => RecordOutcome::Failed,
+        CallOutcome::Unknown => RecordOutcome::Unknown,
+    }
+}
--- a/crates/protocol/fescuetide_wire/src/lib.rs
+++ b/crates/protocol/fescuetide_wire/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod codec;
 pub mod frame;
 pub mod log;
+pub mod records;
 pub mod rpc;
 pub mod vms;
 
--- a/crates/protocol/fescuetide_wire/src/rpc.rs
+++ b/crates/protocol/fescuetide_wire/src/rpc.rs
@@ -2,6 +2,7 @@
 
 use fescuetide_base::LoadCount;
 use fescuetide_base::PoolName;
+use fescuetide_base::RequestId;
 use fescuetide_base::VmName;
 use fescuetide_classes::ClassSnapshot;
 use fescuetide_summary::PoolSum;
@@ -9,6 +10,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::records::BurnWire;
+use crate::records::RequestWire;
+
 /// A side process's report to its collector.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ReportWire {
@@ -116,6 +120,10 @@
     async fn snapshot(above: u64) -> Option<ClassSnapshot>;
     /// The router's status.
     async fn status() -> RouterStatus;
+    /// The record of a request that this router served, while it is kept.
+    async fn trace(request: RequestId) -> Option<RequestWire>;
+    /// Counts of all classes for the burn report.
+    async fn burn() -> Vec<BurnWire>;
     /// Stops taking requests. Requests in progress run to their end.
     async fn drain();
 }
--- /dev/null
+++ b/crates/state/fescuetide_records/src/log.rs
@@ -0,0 +1,98 @@
+//! The last requests of a router.
+
+use fescuetide_base::RequestId;
+use indexmap::IndexMap;
+
+use crate::RequestRecord;
+
+/// Settings of a request log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RecordSettings {
+    /// Requests that are kept.
+    pub capacity: usize,
+    /// Requests that may wait to be appended to the log service. In an outage the oldest are dropped.
+    pub pending_limit: usize,
+}
+
+impl Default for RecordSettings {
+    fn default() -> Self {
+        Self {
+            capacity: 10_000,
+            pending_limit: 5_000,
+        }
+    }
+}
+
+/// Keeps the last requests, and those that are not yet appended to the log service.
+#[derive(Clone, Debug, Default)]
+pub struct RequestLog {
+    settings: RecordSettings,
+    records: IndexMap<RequestId, RequestRecord>,
+    pending: Vec<RequestRecord>,
+    dropped: u64,
+}
+
+impl RequestLog {
+    /// Creates an empty log.
+    pub fn new(settings: RecordSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Adds a request that has ended.
+    pub fn add(&mut self, record: RequestRecord) {
+        self.keep_pending(record.clone());
+        if self.records.len() >= self.settings.capacity {
+            // Removal in batches, since each one moves all records that follow.
+            let batch = (self.settings.capacity / 16).max(1);
+            self.records.drain(..batch.min(self.records.len()));
+        }
+        self.records.insert(record.request, record);
+    }
+
+    /// The request under `id`, while it is kept.
+    pub fn find(&self, id: RequestId) -> Option<&RequestRecord> {
+        self.records.get(&id)
+    }
+
+    /// Takes up to `limit` requests to append, oldest first.
+    pub fn take_pending(&mut self, limit: usize) -> Vec<RequestRecord> {
+        let count = limit.min(self.pending.len());
+        self.pending.drain(..count).collect()
+    }
+
+    /// Gives back requests whose append failed.
+    pub fn return_pending(&mut self, mut records: Vec<RequestRecord>) {
+        records.append(&mut self.pending);
+        for record in records {
+            self.keep_pending(record);
+        }
+    }
+
+    /// Requests that were never appended because too many waited.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+
+    /// The number of requests kept.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether no request is kept.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    fn keep_pending(&mut self, record: RequestRecord) {
+        if self.pending.len() >= self.settings.pending_limit {
+            let batch = (self.settings.pending_limit / 16).max(1);
+            let count = batch.min(self.pending.len());
+            self.pending.drain(..count);
+            self.dropped += count as u64;
+        }
+        self.pending.push(record);
+    }
+}
