--- a/crates/tools/fescuetide_bench/src/fleet.rs
+++ b/crates/tools/fescuetide_bench/src/fleet.rs
@@ -25,6 +25,7 @@
 use fescuetide_wire::vms::VmWire;
 
 use crate::ports::free_address;
+use crate::probe::StatusProbe;
 use crate::process::ChildProcess;
 use crate::process::ProgramPaths;
 use crate::process::build_programs;
@@ -167,6 +168,16 @@
         wait_for("start of the routers", START_TIMEOUT, || {
             fleet.routers.iter().all(|router| is_ready(router.vm.data))
         })?;
+        // A router is ready with the first records of the log; the classes published last may still be on their way.
+        let probe = StatusProbe::new()?;
+        let published = fleet.settings.classes.len() as u64;
+        wait_for("classes in force on all routers", START_TIMEOUT, || {
+            fleet.routers.iter().all(|router| {
+                probe
+                    .router(router.vm.control)
+                    .is_ok_and(|status| status.class_offset >= published)
+            })
+        })?;
         Ok(fleet)
     }
 
