Refuse requests above the stream limit at once

Cause: requests beyond the worker limit waited in the server's queue without an answer. Change: they get 503 'not-run' with Retry-After at once. Test: request_above_the_stream_limit_is_refused_at_once. The test was not run against the earlier code.

--- a/crates/process/fescuetide_router/src/http.rs
+++ b/crates/process/fescuetide_router/src/http.rs
@@ -30,6 +30,9 @@
 /// When callers should come back to a router that does not take requests. The balancer knows others.
 const NOT_READY_RETRY_MS: u64 = 1_000;
 
+/// When callers should come back to a router at its stream limit.
+const BUSY_RETRY: SpanMillis = SpanMillis::new(1_000);
+
 /// Counts a request as active until dropped.
 pub(crate) struct ActiveGuard {
     shared: Arc<RouterShared>,
@@ -62,6 +65,7 @@
         name: "router-http".to_owned(),
         worker_limit: shared.settings.stream_limit,
         body_limit_bytes: shared.settings.body_limit_bytes,
+        busy: || error_response(503, "router is at its stream limit", None, Some(BUSY_RETRY)),
     };
     serve_http(address, settings, move |request| handle(&shared, &request))
         .with_context(|| format!("cannot listen on {address}"))
--- a/crates/tools/fescuetide_bench/tests/api.rs
+++ b/crates/tools/fescuetide_bench/tests/api.rs
@@ -276,3 +276,40 @@
     );
     assert_eq!(lines.len(), 2, "{lines:?}");
 }
+
+/// Guards against requests above the stream limit waiting for a worker instead of being refused at once.
+#[test]
+fn request_above_the_stream_limit_is_refused_at_once() {
+    let fleet = FleetProcesses::start(FleetSettings {
+        routers: 1,
+        engines: 1,
+        services: 0,
+        classes: vec![class("chat", true)],
+        engine_options: ["--step-ms", "200"].map(str::to_owned).to_vec(),
+        router_lines: vec!["stream_limit = 1".to_owned()],
+        ..FleetSettings::default()
+    })
+    .expect("fleet starts");
+    let router = fleet.router_addresses()[0];
+    let body = json!({
+        "model": "m", "max_tokens": 200, "stream": true,
+        "messages": [{ "role": "user", "content": "one" }],
+    });
+    let open = post(
+        router,
+        "/v1/chat/completions",
+        &good_headers(),
+        &body.to_string(),
+    );
+    assert_eq!(open.status().as_u16(), 200);
+    let refused = post(
+        router,
+        "/v1/chat/completions",
+        &good_headers(),
+        &good_body(),
+    );
+    assert_eq!(refused.status().as_u16(), 503);
+    assert_eq!(outcome_of(&refused), Some(CallOutcome::NotRun));
+    assert!(refused.headers().contains_key("retry-after"));
+    drop(open);
+}
--- a/crates/transport/fescuetide_net/src/http_server.rs
+++ b/crates/transport/fescuetide_net/src/http_server.rs
@@ -28,6 +28,7 @@
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -41,6 +42,9 @@
 /// Parts of a streamed response that may wait for the network.
 const STREAM_QUEUE_PARTS: usize = 16;
 
+/// Worker threads beyond the limit, which tell further callers that the server is busy.
+const SPARE_WORKERS: usize = 4;
+
 /// How long the server waits after a connection could not be accepted, for example without free file descriptors.
 const ACCEPT_PAUSE_MS: u64 = 50;
 
@@ -49,10 +53,12 @@
 pub struct HttpSettings {
     /// Prefix of thread names.
     pub name: String,
-    /// Requests that run at once; further ones wait.
+    /// Requests that run at once. Further ones are answered with [`busy`](Self::busy) at once.
     pub worker_limit: usize,
     /// The largest request body in bytes.
     pub body_limit_bytes: usize,
+    /// Makes the response to a request above the limit.
+    pub busy: fn() -> HttpResponse,
 }
 
 impl Default for HttpSettings {
@@ -61,6 +67,7 @@
             name: "http".to_owned(),
             worker_limit: 256,
             body_limit_bytes: 16 * 1024 * 1024,
+            busy: || HttpResponse::whole(503, "text/plain", "server is busy\n"),
         }
     }
 }
@@ -167,16 +174,21 @@
     listener.set_nonblocking(true)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
-        .max_blocking_threads(settings.worker_limit)
+        .max_blocking_threads(settings.worker_limit + SPARE_WORKERS)
         .thread_name(format!("{}-worker", settings.name))
         .build()?;
-    let handle = Arc::new(handle);
+    let server = Arc::new(HttpServer {
+        workers: Semaphore::new(settings.worker_limit),
+        body_limit_bytes: settings.body_limit_bytes,
+        busy: settings.busy,
+        handle,
+    });
     thread::Builder::new()
         .name(format!("{}-io", settings.name))
         .spawn(move || {
             runtime.block_on(async {
                 match TcpListener::from_std(listener) {
-                    Ok(listener) => accept_loop(listener, settings, handle).await,
+                    Ok(listener) => accept_loop(listener, server).await,
                     Err(error) => tracing::error!(%error, "HTTP is not served"),
                 }
             });
@@ -184,15 +196,21 @@
     Ok(())
 }
 
-async fn accept_loop<F>(listener: TcpListener, settings: HttpSettings, handle: Arc<F>)
+struct HttpServer<F> {
+    workers: Semaphore,
+    body_limit_bytes: usize,
+    busy: fn() -> HttpResponse,
+    handle: F,
+}
+
+async fn accept_loop<F>(listener: TcpListener, server: Arc<HttpServer<F>>)
 where
     F: Fn(HttpRequest) -> HttpResponse + Send + Sync + 'static,
 {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let limit = settings.body_limit_bytes;
-                tokio::spawn(serve_connection(stream, limit, Arc::clone(&handle)));
+                tokio::spawn(serve_connection(stream, Arc::clone(&server)));
             }
             Err(error) => {
                 tracing::debug!(%error, "connection was not accepted");
@@ -202,15 +220,15 @@
     }
 }
 
-async fn serve_connection<F>(stream: TcpStream, body_limit: usize, handle: Arc<F>)
+async fn serve_connection<F>(stream: TcpStream, server: Arc<HttpServer<F>>)
 where
     F: Fn(HttpRequest) -> HttpResponse + Send + Sync + 'static,
 {
     // Tokens are small and each is to leave at once.
     let _ = stream.set_nodelay(true);
     let service = service_fn(|request| {
-        let handle = Arc::clone(&handle);
-        async move { Ok::<_, Infallible>(serve_request(request, body_limit, handle).await) }
+        let server = Arc::clone(&server);
+        async move { Ok::<_, Infallible>(serve_request(request, server).await) }
     });
     let result = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -224,14 +242,13 @@
 
 async fn serve_request<F>(
     request: Request<Incoming>,
-    body_limit: usize,
-    handle: Arc<F>,
+    server: Arc<HttpServer<F>>,
 ) -> Response<WireBody>
 where
     F: Fn(HttpRequest) -> HttpResponse + Send + Sync + 'static,
 {
     let (head, body) = request.into_parts();
-    let body = match Limited::new(body, body_limit).collect().await {
+    let body = match Limited::new(body, server.body_limit_bytes).collect().await {
         Ok(collected) => Ok(collected.to_bytes().to_vec()),
         Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(BodyError::TooLarge),
         Err(_) => Err(BodyError::Broken),
@@ -249,7 +266,15 @@
         caller,
         done: false,
     };
-    tokio::task::spawn_blocking(move || run_handler(&*handle, request, head_sender));
+    let runner = Arc::clone(&server);
+    tokio::task::spawn_blocking(move || {
+        // The worker thread is taken until the whole response is sent.
+        let response = match runner.workers.try_acquire() {
+            Ok(_permit) => return run_handler(&runner.handle, request, head_sender),
+            Err(_) => (runner.busy)(),
+        };
+        send_response(response, head_sender);
+    });
     let response = head_receiver.await;
     watch.finish();
     // The handler is gone only when it panicked.
@@ -283,7 +308,11 @@
 ) where
     F: Fn(HttpRequest) -> HttpResponse,
 {
-    let response = handle(request);
+    send_response(handle(request), head_sender);
+}
+
+/// Sends the head, and then the parts of a streamed body as they come.
+fn send_response(response: HttpResponse, head_sender: oneshot::Sender<Response<WireBody>>) {
     let (body, stream) = match response.body {
         HttpBody::Whole(bytes) => (Full::new(Bytes::from(bytes)).boxed_unsync(), None),
         HttpBody::Stream(source) => {
