--- a/crates/tools/fescuetide_bench/src/fleet.rs
+++ b/crates/tools/fescuetide_bench/src/fleet.rs
@@ -26,6 +26,7 @@
 use fescuetide_wire::vms::VmWire;
 
 use crate::ports::free_address;
+use crate::probe::StatusProbe;
 use crate::process::ChildProcess;
 use crate::process::ProgramPaths;
 use crate::process::build_programs;
@@ -58,6 +59,9 @@
     pub engine_options: Vec<String>,
     /// Options of service stand-ins.
     pub service_options: Vec<String>,
+    /// Whether one upstream serves all side processes of its role. It keeps the number of processes down where only the
+    /// fleet's own processes are measured.
+    pub shared_upstream: bool,
     /// Lines added to the routers' settings.
     pub router_lines: Vec<String>,
     /// Lines added to the side processes' settings.
@@ -76,6 +80,7 @@
             classes: Vec::new(),
             engine_options: Vec::new(),
             service_options: Vec::new(),
+            shared_upstream: false,
             router_lines: Vec::new(),
             side_lines: Vec::new(),
         }
@@ -170,6 +175,16 @@
         wait_for("start of the routers", START_TIMEOUT, || {
             fleet.routers.iter().all(|router| is_ready(router.vm.data))
         })?;
+        // A router is ready with the first records of the log; the classes published last may still be on their way.
+        let probe = StatusProbe::new()?;
+        let published = fleet.settings.classes.len() as u64;
+        wait_for("classes in force on all routers", START_TIMEOUT, || {
+            fleet.routers.iter().all(|router| {
+                probe
+                    .router(router.vm.control)
+                    .is_ok_and(|status| status.class_offset >= published)
+            })
+        })?;
         Ok(fleet)
     }
 
@@ -237,10 +252,24 @@
             removed: false,
         });
         let place = self.upstreams.len() - 1;
-        self.start_upstream(place)?;
+        match self.find_shared(role, place) {
+            Some(address) => self.upstreams[place].upstream_address = address,
+            None => self.start_upstream(place)?,
+        }
         self.start_side(place)
     }
 
+    /// The address of the upstream that serves all side processes of a role.
+    fn find_shared(&self, role: &str, place: usize) -> Option<SocketAddr> {
+        if !self.settings.shared_upstream {
+            return None;
+        }
+        let first = self.upstreams[..place]
+            .iter()
+            .find(|pair| pair.vm.role == role)?;
+        Some(first.upstream_address)
+    }
+
     /// Starts the upstream at `place` of the list of upstreams.
     ///
     /// # Errors
--- a/crates/tools/fescuetide_bench/src/main.rs
+++ b/crates/tools/fescuetide_bench/src/main.rs
@@ -9,6 +9,8 @@
 use fescuetide_bench::demo;
 use fescuetide_bench::experiment::ExperimentOptions;
 use fescuetide_bench::faults::FaultName;
+use fescuetide_bench::scale;
+use fescuetide_bench::scale::ScaleSettings;
 use fescuetide_bench::signals::watch_signals;
 use lexopt::Arg;
 use lexopt::Parser;
@@ -28,13 +30,15 @@
   churn             One engine leaves and one joins every 10 s
   surge             3 of 10 workspaces at 8 times their usual rate
   faults            Named faults, each alone and then in pairs
+  scale             Control cost per router at three fleet sizes
 
 Options:
   --seed N          Seed of the load (default 1)
   --deployment NAME foliengut (default) or corrib
-  --seconds N       How long requests arrive (not for faults)
+  --seconds N       How long requests arrive (not for faults and scale)
   --quick           A shorter form
   --set LINE        A line for the routers' settings, for trials
+  --sizes LIST      Scale: numbers of routers (default 8,24,72)
   --only NAMES      Faults to run, such as pause,kill
   --json            Print one JSON object as the last line
   --plot FOLDER     Write SVG plots of churn or surge
@@ -54,6 +58,7 @@
     name: String,
     options: ExperimentOptions,
     only: Vec<FaultName>,
+    sizes: Option<Vec<usize>>,
     json: bool,
     plots: Option<PathBuf>,
 }
@@ -88,6 +93,7 @@
         "churn" => run_churn(&run.options, plots)?,
         "surge" => run_surge(&run.options, plots)?,
         "faults" => run_faults(&run.options, &run.only)?,
+        "scale" => return run_scale(run),
         _ => return demo::run(&run.options),
     };
     if run.json {
@@ -96,6 +102,29 @@
     Ok(result.breaches)
 }
 
+fn run_scale(run: &BenchRun) -> anyhow::Result<usize> {
+    let fallback = ScaleSettings::default();
+    let violations = scale::run(&ScaleSettings {
+        seed: run.options.seed,
+        sizes: run.sizes.clone().unwrap_or(fallback.sizes),
+        json: run.json,
+        ..fallback
+    })?;
+    Ok(violations as usize)
+}
+
+/// Reads a list such as `8,24,72`.
+fn parse_sizes(text: &str) -> Result<Vec<usize>, lexopt::Error> {
+    let mut sizes = Vec::new();
+    for part in text.split(',') {
+        let size: usize = part
+            .parse()
+            .map_err(|_| format!("{part:?} is not a number of routers"))?;
+        sizes.push(size);
+    }
+    Ok(sizes)
+}
+
 fn parse_command() -> Result<BenchCommand, lexopt::Error> {
     let mut parser = Parser::from_env();
     let mut run = BenchRun::default();
@@ -107,6 +136,7 @@
             Arg::Long("deployment") => run.options.deployment = parser.value()?.parse()?,
             Arg::Long("set") => run.options.lines.push(parser.value()?.string()?),
             Arg::Long("quick") => run.options.quick = true,
+            Arg::Long("sizes") => run.sizes = Some(parse_sizes(&parser.value()?.string()?)?),
             Arg::Long("json") => run.json = true,
             Arg::Long("plot") => run.plots = Some(parser.value()?.into()),
             Arg::Long("only") => {
@@ -119,7 +149,7 @@
         }
     }
     match run.name.as_str() {
-        "demo" | "churn" | "surge" | "faults" => Ok(BenchCommand::Run(run)),
+        "demo" | "churn" | "surge" | "faults" | "scale" => Ok(BenchCommand::Run(run)),
         "" => Err("the name is missing".into()),
         other => Err(format!("{other:?} is not an experiment").into()),
     }
--- a/crates/tools/fescuetide_bench/src/trace.rs
+++ b/crates/tools/fescuetide_bench/src/trace.rs
@@ -11,7 +11,7 @@
 use fescuetide_standin::answer::whole_answer;
 use fescuetide_wire::api::ChatMessage;
 
-use crate::scale::RequestWork;
+use crate::engines::RequestWork;
 use crate::workload::SeededRandom;
 use crate::workload::seeded_words;
 
