--- a/crates/state/fescuetide_classes/src/lib.rs
+++ b/crates/state/fescuetide_classes/src/lib.rs
@@ -22,12 +22,21 @@
 //! ```
 
 mod change;
+mod follower;
+mod schedule;
 mod table;
 mod targets;
 
 pub use change::ChangeAction;
 pub use change::ChangeVerdict;
 pub use change::ClassChange;
+pub use follower::ClassFollower;
+pub use follower::FollowPosition;
+pub use follower::FollowReport;
+pub use follower::StreamEntry;
+pub use follower::StreamPage;
+pub use schedule::SnapshotSchedule;
+pub use schedule::SnapshotSettings;
 pub use table::ClassEntry;
 pub use table::ClassSnapshot;
 pub use table::ClassTable;
@@ -40,6 +49,7 @@
     pub use crate::ChangeAction;
     pub use crate::ChangeVerdict;
     pub use crate::ClassChange;
+    pub use crate::ClassFollower;
     pub use crate::ClassSnapshot;
     pub use crate::ClassTable;
     pub use crate::ClassTargets;
--- /dev/null
+++ b/crates/state/fescuetide_classes/src/schedule.rs
@@ -0,0 +1,96 @@
+//! When a snapshot is written.
+
+use fescuetide_base::ClockMillis;
+use fescuetide_base::LogOffset;
+use fescuetide_base::SpanMillis;
+
+use crate::ClassFollower;
+
+/// Settings of snapshot writing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SnapshotSettings {
+    /// Records after the newest snapshot that make a new one due.
+    pub record_limit: u64,
+    /// Age of the newest snapshot that makes a new one due. It must be well below the log's retention.
+    pub interval: SpanMillis,
+    /// Longest random wait of a writer, so that usually only one router writes.
+    pub jitter: SpanMillis,
+}
+
+impl Default for SnapshotSettings {
+    fn default() -> Self {
+        Self {
+            record_limit: 256,
+            interval: SpanMillis::new(600_000),
+            jitter: SpanMillis::new(3_000),
+        }
+    }
+}
+
+/// Decides when this process writes a snapshot.
+///
+/// The decision depends only on records read from the log. A snapshot that raced with another record is not sealed, so
+/// it leaves the next one due, and a lost append reply needs no handling of its own.
+#[derive(Clone, Copy, Debug)]
+pub struct SnapshotSchedule {
+    settings: SnapshotSettings,
+    /// The newest sealed snapshot and when it was first seen.
+    newest: Option<LogOffset>,
+    newest_at: ClockMillis,
+    /// When the snapshot that is due gets written.
+    write_at: Option<ClockMillis>,
+}
+
+impl SnapshotSchedule {
+    /// Creates a schedule at `now`.
+    pub fn new(settings: SnapshotSettings, now: ClockMillis) -> Self {
+        Self {
+            settings,
+            newest: None,
+            newest_at: now,
+            write_at: None,
+        }
+    }
+
+    /// Whether to append a snapshot of the follower's table now. `random` decides on the wait within the jitter.
+    pub fn should_write(
+        &mut self,
+        follower: &ClassFollower,
+        random: u64,
+        now: ClockMillis,
+    ) -> bool {
+        if follower.sealed_offset() != self.newest {
+            self.newest = follower.sealed_offset();
+            self.newest_at = now;
+            self.write_at = None;
+        }
+        if !self.is_due(follower, now) {
+            self.write_at = None;
+            return false;
+        }
+        let wait = SpanMillis::new(random % (self.settings.jitter.as_millis() + 1));
+        let write_at = *self.write_at.get_or_insert(now + wait);
+        if now < write_at {
+            return false;
+        }
+        // The snapshot is due until it is read back as sealed; a lost or raced one is written again after this time.
+        self.write_at = Some(now + self.settings.jitter + wait + SpanMillis::new(1_000));
+        true
+    }
+
+    fn is_due(&self, follower: &ClassFollower, now: ClockMillis) -> bool {
+        let next = follower.table().next_offset();
+        if next.get() == 0 || !follower.is_current() {
+            return false;
+        }
+        if now.since(self.newest_at) >= self.settings.interval {
+            return true;
+        }
+        match self.newest {
+            Some(offset) if offset >= follower.first_offset() => {
+                next.get().saturating_sub(offset.get()) > self.settings.record_limit
+            }
+            _ => follower.first_offset().get() > 0 || next.get() >= self.settings.record_limit,
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/fescuetide_classes/tests/schedule.rs
@@ -0,0 +1,78 @@
+//! When snapshots are written.
+
+use fescuetide_base::prelude::*;
+use fescuetide_classes::SnapshotSchedule;
+use fescuetide_classes::SnapshotSettings;
+use fescuetide_classes::StreamEntry;
+use fescuetide_classes::StreamPage;
+use fescuetide_classes::prelude::*;
+
+fn settings() -> SnapshotSettings {
+    SnapshotSettings {
+        record_limit: 4,
+        interval: SpanMillis::new(60_000),
+        jitter: SpanMillis::new(0),
+    }
+}
+
+fn fold(follower: &mut ClassFollower, first: u64, entries: Vec<StreamEntry>) {
+    let asked = follower.read_offset();
+    let next = LogOffset::new(asked.get() + entries.len() as u64);
+    let mut page = StreamPage {
+        asked,
+        first: LogOffset::new(first),
+        next,
+        entries: Vec::new(),
+    };
+    for (index, entry) in entries.into_iter().enumerate() {
+        page.entries
+            .push((LogOffset::new(asked.get() + index as u64), entry));
+    }
+    follower.fold(&page);
+}
+
+/// Guards against records expiring while the only snapshot raced with a change: such a snapshot stops counting as soon
+/// as the change expires.
+#[test]
+fn raced_snapshot_is_written_again() {
+    let mut follower = ClassFollower::default();
+    let start = ClockMillis::new(0);
+    let mut schedule = SnapshotSchedule::new(settings(), start);
+    fold(&mut follower, 0, vec![StreamEntry::Unreadable; 3]);
+    assert!(!schedule.should_write(&follower, 0, start));
+    fold(&mut follower, 0, vec![StreamEntry::Unreadable; 1]);
+    assert!(schedule.should_write(&follower, 0, start));
+    let captured = follower.table().snapshot().clone();
+    let raced = vec![StreamEntry::Unreadable, StreamEntry::Snapshot(captured)];
+    fold(&mut follower, 0, raced);
+    assert!(!schedule.should_write(&follower, 0, start));
+    let later = start + SpanMillis::new(2_000);
+    assert!(schedule.should_write(&follower, 0, later));
+    let sealed = StreamEntry::Snapshot(follower.table().snapshot().clone());
+    fold(&mut follower, 0, vec![sealed]);
+    assert!(!schedule.should_write(&follower, 0, later + SpanMillis::new(10_000)));
+}
+
+/// Guards against the newest snapshot expiring when nothing changes for longer than the log's retention.
+#[test]
+fn snapshot_is_renewed_by_age() {
+    let mut follower = ClassFollower::default();
+    let mut schedule = SnapshotSchedule::new(settings(), ClockMillis::new(0));
+    fold(&mut follower, 0, vec![StreamEntry::Unreadable]);
+    let sealed = StreamEntry::Snapshot(follower.table().snapshot().clone());
+    fold(&mut follower, 0, vec![sealed]);
+    assert!(!schedule.should_write(&follower, 0, ClockMillis::new(59_000)));
+    assert!(!schedule.should_write(&follower, 0, ClockMillis::new(118_000)));
+    assert!(schedule.should_write(&follower, 0, ClockMillis::new(119_000)));
+}
+
+/// Guards against a log without any snapshot that counts, which a new reader could not start from.
+#[test]
+fn expired_snapshot_is_replaced_at_once() {
+    let mut follower = ClassFollower::default();
+    let mut schedule = SnapshotSchedule::new(settings(), ClockMillis::new(0));
+    fold(&mut follower, 0, vec![StreamEntry::Unreadable; 2]);
+    assert!(!schedule.should_write(&follower, 0, ClockMillis::new(0)));
+    fold(&mut follower, 2, Vec::new());
+    assert!(schedule.should_write(&follower, 0, ClockMillis::new(0)));
+}
--- /dev/null
+++ b/crates/state/fescuetide_classes/tests/stream_fuzz.rs
@@ -0,0 +1,398 @@
+//! Random histories of the class stream, compared with a simple fold over the whole history.
+//!
+//! CI runs a fixed seed. `FESCUETIDE_FUZZ_CASES=N` runs N cases with a seed that is printed, or with
+//! `FESCUETIDE_FUZZ_SEED`.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use fescuetide_base::prelude::*;
+use fescuetide_classes::FollowPosition;
+use fescuetide_classes::StreamEntry;
+use fescuetide_classes::StreamPage;
+use fescuetide_classes::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+use proptest_state_machine::prop_state_machine;
+
+const READERS: usize = 3;
+const CASES: u32 = 400;
+const SEED: u64 = 5_600;
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// A change based on an older version by `lag`; a writer that lost the reply appends it `copies` times.
+    Publish {
+        class: u8,
+        lag: u64,
+        within: u64,
+        remove: bool,
+        copies: u8,
+    },
+    /// Operators that all saw the same version.
+    Race {
+        class: u8,
+        operators: u8,
+    },
+    ReadPage {
+        reader: usize,
+        limit: usize,
+    },
+    CatchUp {
+        reader: usize,
+        limit: usize,
+    },
+    /// A reader takes a peer's table while one of its reads is under way.
+    TakePeer {
+        reader: usize,
+        peer: usize,
+    },
+    Restart {
+        reader: usize,
+    },
+    /// A snapshot writer is paused between taking the state and appending it.
+    Capture {
+        reader: usize,
+    },
+    AppendCaptured,
+    Expire {
+        keep: u64,
+    },
+}
+
+/// The whole history; a snapshot is `None`.
+#[derive(Clone, Debug, Default)]
+struct History {
+    records: Vec<Option<ClassChange>>,
+    first: usize,
+}
+
+type OracleTable = BTreeMap<String, (u64, Option<ClassTargets>)>;
+
+impl History {
+    /// The accepted changes and the table up to `end`.
+    fn fold(&self, end: usize) -> (BTreeSet<usize>, OracleTable) {
+        let mut table = OracleTable::new();
+        let mut accepted = BTreeSet::new();
+        let mut seen = BTreeSet::new();
+        for (offset, record) in self.records[..end].iter().enumerate() {
+            let Some(change) = record else { continue };
+            if !seen.insert(change.id) {
+                continue;
+            }
+            let name = change.class.to_string();
+            let version = table.get(&name).map_or(0, |entry| entry.0);
+            let targets = match change.action {
+                ChangeAction::Set(targets) => Some(targets),
+                ChangeAction::Remove => None,
+            };
+            let valid = targets.is_none_or(|targets| targets.lateness.within.as_millis() > 0);
+            if valid && change.based_on.get() == version {
+                table.insert(name, (version + 1, targets));
+                accepted.insert(offset);
+            }
+        }
+        (accepted, table)
+    }
+
+    fn push(&mut self, class: u8, lag: u64, action: ChangeAction) {
+        let name = format!("class-{class}");
+        let version = self
+            .fold(self.records.len())
+            .1
+            .get(&name)
+            .map_or(0, |entry| entry.0);
+        self.records.push(Some(ClassChange {
+            id: ChangeId::from_u128(self.records.len() as u128 + 1),
+            class: name.parse().expect("class name"),
+            based_on: ClassVersion::new(version.saturating_sub(lag)),
+            action,
+            author: "operator".to_owned(),
+            at: ClockMillis::new(0),
+        }));
+    }
+}
+
+fn targets_within(millis: u64) -> ChangeAction {
+    let lateness = LatenessTarget {
+        within: SpanMillis::new(millis),
+        ..Default::default()
+    };
+    ChangeAction::Set(ClassTargets {
+        lateness,
+        ..Default::default()
+    })
+}
+
+struct HistoryMachine;
+
+impl ReferenceStateMachine for HistoryMachine {
+    type State = History;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<History> {
+        Just(History::default()).boxed()
+    }
+
+    fn transitions(_: &History) -> BoxedStrategy<Step> {
+        let reader = || 0..READERS;
+        prop_oneof![
+            4 => (0..3_u8, 0..2_u64, 0..50_u64, prop::bool::weighted(0.2), 1..3_u8).prop_map(
+                |(class, lag, within, remove, copies)| Step::Publish { class, lag, within, remove, copies }),
+            2 => (0..3_u8, 2..4_u8).prop_map(|(class, operators)| Step::Race { class, operators }),
+            3 => (reader(), 1..4_usize).prop_map(|(reader, limit)| Step::ReadPage { reader, limit }),
+            3 => (reader(), 1..9_usize).prop_map(|(reader, limit)| Step::CatchUp { reader, limit }),
+            1 => (reader(), reader()).prop_map(|(reader, peer)| Step::TakePeer { reader, peer }),
+            1 => reader().prop_map(|reader| Step::Restart { reader }),
+            2 => reader().prop_map(|reader| Step::Capture { reader }),
+            2 => Just(Step::AppendCaptured),
+            1 => (0..6_u64).prop_map(|keep| Step::Expire { keep }),
+        ]
+        .boxed()
+    }
+
+    fn apply(mut state: History, step: &Step) -> History {
+        match *step {
+            Step::Publish {
+                class,
+                lag,
+                within,
+                remove,
+                copies,
+            } => {
+                let action = if remove {
+                    ChangeAction::Remove
+                } else {
+                    targets_within(within)
+                };
+                state.push(class, lag, action);
+                for _ in 1..copies {
+                    let repeated = state.records.last().cloned().flatten();
+                    state.records.push(repeated);
+                }
+            }
+            Step::Race { class, operators } => {
+                let start = state.records.len();
+                state.push(class, 0, targets_within(1));
+                for operator in 1..operators {
+                    let mut change = state.records[start].clone().expect("a change");
+                    change.id = ChangeId::from_u128(state.records.len() as u128 + 1);
+                    change.action = targets_within(1 + u64::from(operator));
+                    state.records.push(Some(change));
+                }
+                let winners = state.fold(state.records.len()).0.split_off(&start);
+                assert_eq!(winners.len(), 1, "the oracle has one winner");
+            }
+            Step::AppendCaptured => state.records.push(None),
+            Step::Expire { keep } => {
+                let end = state.records.len();
+                state.first = state.first.max(end.saturating_sub(keep as usize));
+            }
+            _ => {}
+        }
+        state
+    }
+}
+
+#[derive(Default)]
+struct Stream {
+    entries: Vec<StreamEntry>,
+    readers: [ClassFollower; READERS],
+    captured: ClassSnapshot,
+    highest: [u64; READERS],
+}
+
+fn read(stream: &Stream, first: usize, asked: LogOffset, limit: usize) -> StreamPage {
+    let start = first.max(asked.get() as usize).min(stream.entries.len());
+    let end = stream.entries.len().min(start + limit);
+    let mut entries = Vec::new();
+    for offset in start..end {
+        entries.push((
+            LogOffset::new(offset as u64),
+            stream.entries[offset].clone(),
+        ));
+    }
+    let next = LogOffset::new(stream.entries.len() as u64);
+    StreamPage {
+        asked,
+        first: LogOffset::new(first as u64),
+        next,
+        entries,
+    }
+}
+
+/// Reads a page and checks each verdict with the oracle.
+fn fold_page(
+    stream: &mut Stream,
+    history: &History,
+    reader: usize,
+    page: &StreamPage,
+) -> FollowPosition {
+    let before = stream.readers[reader].table().next_offset().get() as usize;
+    let report = stream.readers[reader].fold(page);
+    let (accepted, _) = history.fold(history.records.len());
+    for (offset, change, verdict) in report.verdicts {
+        let earlier = &history.records[..offset.get() as usize];
+        let is_repeated = earlier
+            .iter()
+            .flatten()
+            .any(|record| record.id == change.id);
+        assert_eq!(
+            verdict == ChangeVerdict::Repeated,
+            is_repeated,
+            "offset {offset}"
+        );
+        let is_accepted = matches!(verdict, ChangeVerdict::Accepted(_));
+        assert_eq!(
+            is_accepted,
+            accepted.contains(&(offset.get() as usize)),
+            "offset {offset}"
+        );
+    }
+    let after = stream.readers[reader].table().next_offset().get() as usize;
+    assert!(
+        after == before || after >= history.first,
+        "reader moved to offset {after}, but records from there to {} have expired",
+        history.first
+    );
+    report.position
+}
+
+fn catch_up(stream: &mut Stream, history: &History, reader: usize, limit: usize) {
+    let end = stream.entries.len();
+    let mut reachable =
+        stream.readers[reader].table().next_offset().get() as usize >= history.first;
+    for entry in &stream.entries[history.first..] {
+        if let StreamEntry::Snapshot(snapshot) = entry {
+            reachable |= snapshot.next_offset.get() as usize >= history.first;
+        }
+    }
+    let mut position = FollowPosition::Behind;
+    let mut gaps = 0;
+    for _ in 0..3 * (end + 2) {
+        let asked = stream.readers[reader].read_offset();
+        let page = read(stream, history.first, asked, limit);
+        position = fold_page(stream, history, reader, &page);
+        // A search that began before a snapshot was appended may end once without it.
+        gaps += u32::from(position == FollowPosition::Gap);
+        if position == FollowPosition::Current || gaps == 2 {
+            break;
+        }
+    }
+    if reachable {
+        assert_eq!(position, FollowPosition::Current);
+        assert_eq!(
+            stream.readers[reader].table().next_offset().get() as usize,
+            end
+        );
+    } else {
+        assert_eq!(position, FollowPosition::Gap);
+    }
+}
+
+struct StreamTest;
+
+impl StateMachineTest for StreamTest {
+    type SystemUnderTest = Stream;
+    type Reference = HistoryMachine;
+
+    fn init_test(_: &History) -> Stream {
+        Stream::default()
+    }
+
+    fn apply(mut stream: Stream, history: &History, step: Step) -> Stream {
+        match step {
+            Step::ReadPage { reader, limit } => {
+                let asked = stream.readers[reader].read_offset();
+                let page = read(&stream, history.first, asked, limit);
+                fold_page(&mut stream, history, reader, &page);
+            }
+            Step::CatchUp { reader, limit } => catch_up(&mut stream, history, reader, limit),
+            Step::TakePeer { reader, peer } => {
+                let asked = stream.readers[reader].read_offset();
+                let page = read(&stream, history.first, asked, 2);
+                let snapshot = stream.readers[peer].table().snapshot().clone();
+                stream.readers[reader].take_peer(snapshot);
+                let position = fold_page(&mut stream, history, reader, &page);
+                assert_ne!(
+                    position,
+                    FollowPosition::Regressed,
+                    "the log lost no records"
+                );
+            }
+            Step::Restart { reader } => {
+                stream.readers[reader] = ClassFollower::default();
+                stream.highest[reader] = 0;
+            }
+            Step::Capture { reader } => {
+                stream.captured = stream.readers[reader].table().snapshot().clone();
+            }
+            Step::AppendCaptured => {
+                stream
+                    .entries
+                    .push(StreamEntry::Snapshot(stream.captured.clone()));
+            }
+            Step::Publish { .. } | Step::Race { .. } | Step::Expire { .. } => {
+                for record in history.records[stream.entries.len()..].iter().flatten() {
+                    stream.entries.push(StreamEntry::Change(record.clone()));
+                }
+            }
+        }
+        for (reader, highest) in stream.readers.iter().zip(&mut stream.highest) {
+            let offset = reader.table().next_offset().get();
+            assert!(
+                offset >= *highest,
+                "reader went back from offset {highest} to {offset}"
+            );
+            *highest = offset;
+        }
+        stream
+    }
+
+    fn check_invariants(stream: &Stream, history: &History) {
+        for reader in &stream.readers {
+            let offset = reader.table().next_offset().get();
+            let mut found = OracleTable::new();
+            for (name, entry) in &reader.table().snapshot().entries {
+                found.insert(name.to_string(), (entry.version.get(), entry.targets));
+            }
+            assert_eq!(
+                found,
+                history.fold(offset as usize).1,
+                "table at offset {offset}"
+            );
+        }
+    }
+}
+
+fn fuzz_config() -> ProptestConfig {
+    let number = |name: &str| {
+        std::env::var(name)
+            .ok()
+            .and_then(|text| text.parse::<u64>().ok())
+    };
+    let cases = number("FESCUETIDE_FUZZ_CASES");
+    let fallback = match cases {
+        Some(_) => ClockMillis::now().as_millis(),
+        None => SEED,
+    };
+    let seed = number("FESCUETIDE_FUZZ_SEED").unwrap_or(fallback);
+    println!("FESCUETIDE_FUZZ_SEED={seed}");
+    ProptestConfig {
+        cases: cases.map_or(CASES, |cases| cases as u32),
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(fuzz_config())]
+
+    /// Guards against readers that disagree, an accepted change that reverts, a race with no or several winners, and
+    /// a snapshot that hides a change.
+    #[test]
+    fn readers_agree_with_the_whole_history(sequential 1..60 => StreamTest);
+}
