Choose the seed of the class stream test once

proptest evaluates the configuration before each case, so a run with a random seed printed one seed per case. It now prints one.

--- a/crates/state/fescuetide_classes/tests/stream_fuzz.rs
+++ b/crates/state/fescuetide_classes/tests/stream_fuzz.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::sync::LazyLock;
 
 use fescuetide_base::prelude::*;
 use fescuetide_classes::FollowPosition;
@@ -18,7 +19,7 @@
 use proptest_state_machine::prop_state_machine;
 
 const READERS: usize = 3;
-const CASES: u32 = 400;
+const CASES: u64 = 400;
 const SEED: u64 = 5_600;
 
 #[derive(Clone, Debug)]
@@ -367,12 +368,9 @@
     }
 }
 
-fn fuzz_config() -> ProptestConfig {
-    let number = |name: &str| {
-        std::env::var(name)
-            .ok()
-            .and_then(|text| text.parse::<u64>().ok())
-    };
+/// The seed and the number of cases. proptest evaluates the configuration before each case, so they are chosen once.
+static SEED_AND_CASES: LazyLock<(u64, u64)> = LazyLock::new(|| {
+    let number = |name: &str| std::env::var(name).ok()?.parse::<u64>().ok();
     let cases = number("FESCUETIDE_FUZZ_CASES");
     let fallback = match cases {
         Some(_) => ClockMillis::now().as_millis(),
@@ -380,8 +378,13 @@
     };
     let seed = number("FESCUETIDE_FUZZ_SEED").unwrap_or(fallback);
     println!("FESCUETIDE_FUZZ_SEED={seed}");
+    (seed, cases.unwrap_or(CASES))
+});
+
+fn fuzz_config() -> ProptestConfig {
+    let (seed, cases) = *SEED_AND_CASES;
     ProptestConfig {
-        cases: cases.map_or(CASES, |cases| cases as u32),
+        cases: cases as u32,
         rng_seed: RngSeed::Fixed(seed),
         failure_persistence: None,
         ..ProptestConfig::default()
