--- /dev/null
+++ b/crates/process/fescuetide_router/src/class_log.rs
@@ -0,0 +1,115 @@
+//! The class-log thread: reads the class stream and appends snapshots.
+//!
+//! It is not part of the platform thread, because a log that is down holds each call for its whole timeout, and reads
+//! of the VM list must not wait for it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel::Receiver;
+use crossbeam::channel::RecvTimeoutError;
+use crossbeam::channel::Sender;
+use fescuetide_base::ClockMillis;
+use fescuetide_base::LogOffset;
+use fescuetide_base::SpanMillis;
+use fescuetide_classes::ClassSnapshot;
+use fescuetide_classes::StreamPage;
+use fescuetide_net::LogClient;
+use fescuetide_wire::log::CLASS_STREAM;
+use fescuetide_wire::log::ClassRecord;
+
+use crate::RouterShared;
+
+/// Longest time of a call of the log service.
+const CALL_TIMEOUT_MS: u64 = 2_000;
+
+/// Longest wait after a failed read, so that a change is in force soon after an outage.
+const RETRY_INTERVAL_MS: u64 = 1_000;
+
+/// Most records of one read.
+const READ_LIMIT_RECORDS: u32 = 1_000;
+
+/// What the control thread asks for.
+#[derive(Debug)]
+pub(crate) enum ClassOrder {
+    /// Read from this offset at the next interval.
+    Follow(LogOffset),
+    /// Read from this offset now.
+    Pull(LogOffset),
+    /// Append a snapshot and read it back.
+    Append(ClassSnapshot),
+}
+
+/// News from the class log.
+#[derive(Debug)]
+pub(crate) enum ClassNews {
+    /// Records were read.
+    Page(StreamPage),
+    /// The log service did not answer a read.
+    ReadFailed,
+}
+
+/// Reads at the interval and on order until the control thread is gone.
+pub(crate) fn run(
+    shared: &Arc<RouterShared>,
+    news: &Sender<ClassNews>,
+    orders: &Receiver<ClassOrder>,
+) {
+    let settings = &shared.settings;
+    let log = LogClient::new(
+        settings.log_url.clone(),
+        SpanMillis::new(CALL_TIMEOUT_MS),
+        shared.meter.clone(),
+    );
+    let mut offset = LogOffset::default();
+    let mut due = ClockMillis::default();
+    loop {
+        let wait = Duration::from(due.since(ClockMillis::now()));
+        match orders.recv_timeout(wait) {
+            Ok(ClassOrder::Follow(next)) => {
+                offset = next;
+                continue;
+            }
+            Ok(ClassOrder::Pull(next)) => {
+                offset = next;
+                due = ClockMillis::default();
+                continue;
+            }
+            Ok(ClassOrder::Append(snapshot)) => {
+                append_snapshot(shared, &log, snapshot);
+                due = ClockMillis::default();
+                continue;
+            }
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+        let mut interval = settings.log_interval_ms;
+        let item = match log.read(CLASS_STREAM, offset, READ_LIMIT_RECORDS) {
+            Ok(reply) => ClassNews::Page(reply.to_page(offset)),
+            Err(error) => {
+                shared.metrics.count("class_log.failed");
+                tracing::debug!(%error, "class log cannot be read");
+                interval = interval.min(RETRY_INTERVAL_MS);
+                ClassNews::ReadFailed
+            }
+        };
+        due = ClockMillis::now() + SpanMillis::new(interval);
+        if news.send(item).is_err() {
+            return;
+        }
+    }
+}
+
+fn append_snapshot(shared: &RouterShared, log: &LogClient, snapshot: ClassSnapshot) {
+    let covered = snapshot.next_offset;
+    match log.append(CLASS_STREAM, &ClassRecord::Snapshot(snapshot)) {
+        Ok(offset) => {
+            shared.metrics.count("class_snapshot.written");
+            tracing::info!(%covered, %offset, "class snapshot is written");
+        }
+        Err(error) => {
+            shared.metrics.count("class_snapshot.failed");
+            tracing::debug!(%error, "class snapshot may not be written");
+        }
+    }
+}
--- a/crates/process/fescuetide_router/src/control.rs
+++ b/crates/process/fescuetide_router/src/control.rs
@@ -10,14 +10,10 @@
 use crossbeam::channel::Receiver;
 use crossbeam::channel::Sender;
 use fescuetide_base::ClockMillis;
-use fescuetide_base::LogOffset;
 use fescuetide_base::PoolName;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
-use fescuetide_classes::ChangeVerdict;
-use fescuetide_classes::ClassChange;
 use fescuetide_classes::ClassSnapshot;
-use fescuetide_classes::ClassTable;
 use fescuetide_members::VmEntry;
 use fescuetide_members::VmTable;
 use fescuetide_net::connect_control;
@@ -26,8 +22,6 @@
 use fescuetide_summary::LoadCollector;
 use fescuetide_summary::PoolSum;
 use fescuetide_summary::UpstreamReport;
-use fescuetide_wire::log::ClassRecord;
-use fescuetide_wire::log::ReadReply;
 use fescuetide_wire::rpc::ExchangeWire;
 use fescuetide_wire::rpc::ReportWire;
 use fescuetide_wire::rpc::RouterControl;
@@ -44,6 +38,11 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::RouterShared;
+use crate::class_log;
+use crate::class_log::ClassNews;
+use crate::class_log::ClassOrder;
+use crate::classes::ClassControl;
+use crate::peers;
 use crate::platform;
 use crate::platform::PlatformNews;
 use crate::platform::apply_list;
@@ -56,45 +55,61 @@
 const EXCHANGE_TIMEOUT_MS: u64 = 1_000;
 
 /// Control state; only the control thread touches it.
-struct ControlState {
-    shared: Arc<RouterShared>,
-    classes: ClassTable,
+pub(crate) struct ControlState {
+    pub(crate) shared: Arc<RouterShared>,
+    pub(crate) classes: ClassControl,
     vms: VmTable,
     collector: LoadCollector,
 }
 
-type SharedState = Rc<RefCell<ControlState>>;
+pub(crate) type SharedState = Rc<RefCell<ControlState>>;
 
-/// Starts the control thread and the platform thread.
+/// Starts the control thread, the platform thread and the class-log thread.
 pub(crate) fn start(shared: &Arc<RouterShared>, listener: TcpListener) -> anyhow::Result<()> {
     listener.set_nonblocking(true)?;
     let (news_sender, news_receiver) = channel::unbounded();
-    let (offset_sender, offset_receiver) = channel::unbounded();
+    let (class_sender, class_receiver) = channel::unbounded();
+    let (order_sender, order_receiver) = channel::unbounded();
     let platform_shared = Arc::clone(shared);
     thread::Builder::new()
         .name("router-platform".to_owned())
-        .spawn(move || platform::run(&platform_shared, &news_sender, &offset_receiver))?;
+        .spawn(move || platform::run(&platform_shared, &news_sender))?;
+    let class_shared = Arc::clone(shared);
+    thread::Builder::new()
+        .name("router-class-log".to_owned())
+        .spawn(move || class_log::run(&class_shared, &class_sender, &order_receiver))?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
     let shared = Arc::clone(shared);
     thread::Builder::new()
         .name("router-control".to_owned())
-        .spawn(move || run_control(&runtime, shared, listener, &news_receiver, &offset_sender))?;
+        .spawn(move || {
+            let news = NewsReceivers {
+                platform: news_receiver,
+                classes: class_receiver,
+            };
+            run_control(&runtime, shared, listener, &news, order_sender);
+        })?;
     Ok(())
 }
 
+struct NewsReceivers {
+    platform: Receiver<PlatformNews>,
+    classes: Receiver<ClassNews>,
+}
+
 fn run_control(
     runtime: &Runtime,
     shared: Arc<RouterShared>,
     listener: TcpListener,
-    news: &Receiver<PlatformNews>,
-    offsets: &Sender<LogOffset>,
+    news: &NewsReceivers,
+    orders: Sender<ClassOrder>,
 ) {
     let meter = shared.meter.clone();
     let state = Rc::new(RefCell::new(ControlState {
+        classes: ClassControl::new(&shared, orders),
         shared,
-        classes: ClassTable::default(),
         vms: VmTable::default(),
         collector: LoadCollector::default(),
     }));
@@ -110,93 +125,47 @@
             Err(error) => tracing::error!(%error, "control RPC is not served"),
         }
         tokio::task::spawn_local(exchange_loop(Rc::clone(&state)));
-        news_loop(&state, news, offsets).await;
+        tokio::task::spawn_local(peers::peer_table_loop(Rc::clone(&state)));
+        news_loop(&state, news).await;
     });
 }
 
 /// Takes in news from the platform and publishes a new view when something changed.
-async fn news_loop(
-    state: &SharedState,
-    news: &Receiver<PlatformNews>,
-    offsets: &Sender<LogOffset>,
-) {
+async fn news_loop(state: &SharedState, news: &NewsReceivers) {
     let mut ticks = tokio::time::interval(Duration::from_millis(NEWS_INTERVAL_MS));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
+        let now = ClockMillis::now();
+        let mut state = state.borrow_mut();
+        let state = &mut *state;
         let mut changed = false;
-        for item in news.try_iter() {
-            let mut state = state.borrow_mut();
-            let state = &mut *state;
+        for item in news.platform.try_iter() {
             changed |= match item {
-                PlatformNews::VmList(reply) => {
-                    apply_list(&mut state.vms, reply, ClockMillis::now())
-                }
-                PlatformNews::ClassRecords(reply) => fold_records(state, &reply),
+                PlatformNews::VmList(reply) => apply_list(&mut state.vms, reply, now),
             };
-            if offsets.send(state.classes.next_offset()).is_err() {
-                return;
-            }
         }
+        for item in news.classes.try_iter() {
+            changed |= state.classes.take_news(&state.shared, item);
+        }
+        state.classes.write_snapshot(&state.shared, now);
         if changed {
-            state.borrow().publish();
+            state.publish();
         }
     }
 }
 
 impl ControlState {
-    fn publish(&self) {
-        let view = RouterView::new(
-            self.classes.clone(),
-            self.vms.clone(),
-            &self.shared.settings.region,
-        );
+    /// Publishes a view of the tables as they stand.
+    pub(crate) fn publish(&mut self) {
+        let Some(classes) = self.classes.publish(&self.shared) else {
+            return;
+        };
+        let view = RouterView::new(classes, self.vms.clone(), &self.shared.settings.region);
         self.shared.view.store(Arc::new(view));
     }
 }
 
-/// Folds records of the class log. Returns whether the table moved.
-fn fold_records(state: &mut ControlState, reply: &ReadReply) -> bool {
-    let mut changed = false;
-    for record in &reply.records {
-        changed |= fold_record(state, record.offset, &record.data);
-    }
-    changed
-}
-
-fn fold_record(state: &mut ControlState, offset: u64, data: &str) -> bool {
-    let offset = LogOffset::new(offset);
-    let parsed: Result<ClassRecord, _> = serde_json::from_str(data);
-    let result = match parsed {
-        Ok(ClassRecord::Change(wire)) => {
-            let change = ClassChange::from(wire);
-            let result = state.classes.apply(offset, &change);
-            if let Ok(verdict) = &result {
-                log_verdict(&change, verdict);
-            }
-            result.map(|_| ())
-        }
-        Ok(ClassRecord::Snapshot(_)) => state.classes.advance(offset),
-        Err(error) => {
-            tracing::warn!(%offset, %error, "class record cannot be read and has no effect");
-            state.classes.advance(offset)
-        }
-    };
-    result.is_ok()
-}
-
-fn log_verdict(change: &ClassChange, verdict: &ChangeVerdict) {
-    match verdict {
-        ChangeVerdict::Accepted(version) => {
-            tracing::info!(class = %change.class, %version, "class is in force");
-        }
-        ChangeVerdict::Rejected(findings) => {
-            tracing::info!(class = %change.class, change = %change.id, %findings, "change is rejected");
-        }
-        ChangeVerdict::Repeated => {}
-    }
-}
-
 /// Sends this collector's sums to all other routers of its region at the interval.
 async fn exchange_loop(state: SharedState) {
     let shared = Arc::clone(&state.borrow().shared);
@@ -233,14 +202,12 @@
                 }
             };
             let context = rpc_deadline(SpanMillis::new(EXCHANGE_TIMEOUT_MS));
-            if link
-                .client
-                .exchange(context, message.clone())
-                .await
-                .is_err()
-            {
-                shared.metrics.count("exchange.failed");
-                links.swap_remove(&peer.name);
+            match link.client.exchange(context, message.clone()).await {
+                Ok(offset) => state.borrow_mut().classes.note_peer_offset(offset),
+                Err(_) => {
+                    shared.metrics.count("exchange.failed");
+                    links.swap_remove(&peer.name);
+                }
             }
         }
     }
@@ -251,7 +218,8 @@
     client: RouterControlClient,
 }
 
-fn list_peers(state: &ControlState) -> Vec<VmEntry> {
+/// The other live routers of the region.
+pub(crate) fn list_peers(state: &ControlState) -> Vec<VmEntry> {
     let settings = &state.shared.settings;
     let mut peers = Vec::new();
     for entry in state.vms.live_routers() {
@@ -306,12 +274,13 @@
         state
             .collector
             .note_peer(sums.collector, received, ClockMillis::now());
+        state.classes.note_peer_offset(sums.class_offset);
         state.classes.next_offset().get()
     }
 
     async fn snapshot(self, _: Context, above: u64) -> Option<ClassSnapshot> {
         let state = self.state.borrow();
-        if state.classes.next_offset().get() <= above {
+        if !state.classes.is_complete() || state.classes.next_offset().get() <= above {
             return None;
         }
         Some(state.classes.snapshot().clone())
--- a/crates/process/fescuetide_router/src/lib.rs
+++ b/crates/process/fescuetide_router/src/lib.rs
@@ -5,9 +5,12 @@
 
 mod attempt;
 mod call;
+mod class_log;
+mod classes;
 mod control;
 mod http;
 mod metrics;
+mod peers;
 mod plan;
 mod platform;
 mod request;
--- a/crates/process/fescuetide_router/src/settings.rs
+++ b/crates/process/fescuetide_router/src/settings.rs
@@ -40,8 +40,14 @@
     pub default_deadline_ms: u64,
     /// Interval between reads of the VM list, in ms.
     pub vm_list_interval_ms: u64,
-    /// Interval between reads of the class log, in ms.
+    /// Interval between reads of the class log, in ms. Peers' offsets cause further reads.
     pub log_interval_ms: u64,
+    /// Records after the newest snapshot on the class log that make a new one due.
+    pub snapshot_records: u64,
+    /// Age of the newest snapshot that makes a new one due, in ms. It must be well below the log's retention.
+    pub snapshot_interval_ms: u64,
+    /// Longest random wait before a snapshot is written, in ms.
+    pub snapshot_jitter_ms: u64,
     /// Interval between exchanges with other collectors, in ms.
     pub exchange_interval_ms: u64,
     /// How many engines a workspace's chats are spread over at first.
@@ -66,7 +72,10 @@
             heartbeat_ms: 1_000,
             default_deadline_ms: 60_000,
             vm_list_interval_ms: 1_000,
-            log_interval_ms: 1_000,
+            log_interval_ms: 3_000,
+            snapshot_records: 256,
+            snapshot_interval_ms: 600_000,
+            snapshot_jitter_ms: 3_000,
             exchange_interval_ms: 500,
             shard_size: 4,
             statsd: None,
--- a/crates/protocol/fescuetide_wire/src/log.rs
+++ b/crates/protocol/fescuetide_wire/src/log.rs
@@ -7,10 +7,13 @@
 use fescuetide_base::ClassName;
 use fescuetide_base::ClassVersion;
 use fescuetide_base::ClockMillis;
+use fescuetide_base::LogOffset;
 use fescuetide_classes::ChangeAction;
 use fescuetide_classes::ClassChange;
 use fescuetide_classes::ClassSnapshot;
 use fescuetide_classes::ClassTargets;
+use fescuetide_classes::StreamEntry;
+use fescuetide_classes::StreamPage;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -35,6 +38,27 @@
     pub records: Vec<RecordWire>,
 }
 
+impl ReadReply {
+    /// The page of the class stream that this is the reply for, after a read from `asked`.
+    pub fn to_page(&self, asked: LogOffset) -> StreamPage {
+        let mut entries = Vec::with_capacity(self.records.len());
+        for record in &self.records {
+            let entry = match serde_json::from_str(&record.data) {
+                Ok(ClassRecord::Change(wire)) => StreamEntry::Change(wire.into()),
+                Ok(ClassRecord::Snapshot(snapshot)) => StreamEntry::Snapshot(snapshot),
+                Err(_) => StreamEntry::Unreadable,
+            };
+            entries.push((LogOffset::new(record.offset), entry));
+        }
+        StreamPage {
+            asked,
+            first: LogOffset::new(self.first),
+            next: LogOffset::new(self.next),
+            entries,
+        }
+    }
+}
+
 /// One record of a stream.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct RecordWire {
