Report all findings of a settings file together

A settings file was read in one step, so only its first fault was shown, ranges were not checked, and an unknown key ended the check.

fescuetide_settings reads each key of a table by itself and collects findings with line and key.

--- a/crates/base/fescuetide_base/src/finding.rs
+++ b/crates/base/fescuetide_base/src/finding.rs
@@ -2,6 +2,7 @@
 
 use std::error::Error;
 use std::fmt;
+use std::ops::RangeInclusive;
 
 /// One error in some input, with the place it was found at.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -41,6 +42,36 @@
         });
     }
 
+    /// Adds a finding when `value` is not in `range`.
+    pub fn check_range<T: PartialOrd + fmt::Display>(
+        &mut self,
+        place: &str,
+        value: T,
+        range: RangeInclusive<T>,
+    ) {
+        if !range.contains(&value) {
+            self.add(
+                place,
+                format!(
+                    "{value} is not between {} and {}",
+                    range.start(),
+                    range.end()
+                ),
+            );
+        }
+    }
+
+    /// Adds a finding when `url` is not the base URL of an HTTP service.
+    pub fn check_url(&mut self, place: &str, url: &str) {
+        let host = url.strip_prefix("http://").unwrap_or_default();
+        if host.is_empty() || host.contains(['/', ' ', '?', '#']) {
+            self.add(
+                place,
+                format!("{url:?} is not a base URL such as \"http://10.0.0.9:7000\""),
+            );
+        }
+    }
+
     /// Adds all findings of another list.
     pub fn extend(&mut self, other: FindingList) {
         self.findings.extend(other.findings);
--- a/crates/process/fescuetide_router/src/settings.rs
+++ b/crates/process/fescuetide_router/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
+use fescuetide_base::FindingList;
 use fescuetide_base::PoolName;
 use fescuetide_base::RegionName;
 use fescuetide_base::SpanMillis;
@@ -11,7 +12,7 @@
 use serde::Deserialize;
 
 /// Settings of a router.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct RouterSettings {
     /// The VM's name.
@@ -83,7 +84,58 @@
     }
 }
 
+/// Longest interval of any kind, in ms.
+const INTERVAL_LIMIT_MS: u64 = 60_000;
+
+/// Longest interval between reads of the class log, in ms, so that a change is in force within 5 s.
+const LOG_INTERVAL_LIMIT_MS: u64 = 4_000;
+
+/// One day in ms.
+const DAY_MS: u64 = 86_400_000;
+
 impl RouterSettings {
+    /// Checks all values. The findings' places are keys.
+    pub fn check(&self) -> FindingList {
+        let mut list = FindingList::default();
+        list.check_url("log_url", &self.log_url);
+        list.check_url("vm_list_url", &self.vm_list_url);
+        list.check_range("stream_limit", self.stream_limit, 1..=65_536);
+        list.check_range("body_limit_bytes", self.body_limit_bytes, 1_024..=1 << 30);
+        list.check_range("heartbeat_ms", self.heartbeat_ms, 50..=INTERVAL_LIMIT_MS);
+        list.check_range("default_deadline_ms", self.default_deadline_ms, 1..=DAY_MS);
+        list.check_range(
+            "vm_list_interval_ms",
+            self.vm_list_interval_ms,
+            50..=INTERVAL_LIMIT_MS,
+        );
+        list.check_range(
+            "log_interval_ms",
+            self.log_interval_ms,
+            50..=LOG_INTERVAL_LIMIT_MS,
+        );
+        list.check_range("snapshot_records", self.snapshot_records, 1..=1_000_000);
+        list.check_range(
+            "snapshot_interval_ms",
+            self.snapshot_interval_ms,
+            1_000..=DAY_MS,
+        );
+        list.check_range(
+            "snapshot_jitter_ms",
+            self.snapshot_jitter_ms,
+            0..=INTERVAL_LIMIT_MS,
+        );
+        list.check_range(
+            "exchange_interval_ms",
+            self.exchange_interval_ms,
+            50..=INTERVAL_LIMIT_MS,
+        );
+        list.check_range("shard_size", self.shard_size, 1..=65_536);
+        if self.listen == self.control_listen {
+            list.add("control_listen", "is the same address as listen");
+        }
+        list
+    }
+
     /// The longest silence on a connection in use.
     pub(crate) fn silence_limit(&self) -> SpanMillis {
         SpanMillis::new(self.heartbeat_ms * 3)
--- a/crates/process/fescuetide_side/src/settings.rs
+++ b/crates/process/fescuetide_side/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use fescuetide_base::FindingList;
 use fescuetide_base::PoolName;
 use fescuetide_base::RegionName;
 use fescuetide_base::SpanMillis;
@@ -20,7 +21,7 @@
 }
 
 /// Settings of a side process.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct SideSettings {
     /// The VM's name.
@@ -87,7 +88,40 @@
     }
 }
 
+/// Longest interval of any kind, in ms.
+const INTERVAL_LIMIT_MS: u64 = 60_000;
+
+/// One day in ms.
+const DAY_MS: u64 = 86_400_000;
+
 impl SideSettings {
+    /// Checks all values. The findings' places are keys.
+    pub fn check(&self) -> FindingList {
+        let mut list = FindingList::default();
+        list.check_url("upstream_url", &self.upstream_url);
+        list.check_url("vm_list_url", &self.vm_list_url);
+        list.check_range("load_multiple", self.load_multiple, 1.0..=100.0);
+        list.check_range("heartbeat_ms", self.heartbeat_ms, 50..=INTERVAL_LIMIT_MS);
+        list.check_range(
+            "report_interval_ms",
+            self.report_interval_ms,
+            50..=INTERVAL_LIMIT_MS,
+        );
+        list.check_range(
+            "vm_list_interval_ms",
+            self.vm_list_interval_ms,
+            50..=INTERVAL_LIMIT_MS,
+        );
+        list.check_range("orphan_timeout_ms", self.orphan_timeout_ms, 1..=DAY_MS);
+        list.check_range("answer_retention_ms", self.answer_retention_ms, 1..=DAY_MS);
+        list.check_range("key_retention_ms", self.key_retention_ms, 1..=DAY_MS);
+        list.check_range("upstream_silence_ms", self.upstream_silence_ms, 1..=DAY_MS);
+        if self.data_listen == self.control_listen {
+            list.add("control_listen", "is the same address as data_listen");
+        }
+        list
+    }
+
     pub(crate) fn heartbeat(&self) -> SpanMillis {
         SpanMillis::new(self.heartbeat_ms)
     }
--- /dev/null
+++ b/crates/process/fescuetided/src/lib.rs
@@ -0,0 +1,3 @@
+//! Settings of the fescuetide daemon.
+
+pub mod settings;
--- a/crates/process/fescuetided/src/logs.rs
+++ b/crates/process/fescuetided/src/logs.rs
@@ -1,10 +1,9 @@
 //! Set-up of structured logs.
 
+use fescuetided::settings::LogFormat;
+use fescuetided::settings::LogSettings;
 use tracing_subscriber::EnvFilter;
 
-use crate::settings::LogFormat;
-use crate::settings::LogSettings;
-
 /// Starts logging to standard error.
 pub(crate) fn start(settings: &LogSettings) {
     let filter = EnvFilter::try_new(&settings.level).unwrap_or_else(|_| EnvFilter::new("info"));
--- a/crates/process/fescuetided/src/main.rs
+++ b/crates/process/fescuetided/src/main.rs
@@ -2,7 +2,6 @@
 
 mod command;
 mod logs;
-mod settings;
 
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -14,10 +13,11 @@
 use anyhow::Context;
 use fescuetide_router::RouterProcess;
 use fescuetide_side::SideProcess;
+use fescuetided::settings;
 
 use crate::command::DaemonCommand;
-use crate::settings::DaemonSettings;
-use crate::settings::RoleSettings;
+use fescuetided::settings::DaemonSettings;
+use fescuetided::settings::RoleSettings;
 
 /// Exit code for a wrong command line or wrong settings.
 const USAGE_EXIT_CODE: u8 = 2;
--- a/crates/process/fescuetided/src/settings.rs
+++ b/crates/process/fescuetided/src/settings.rs
@@ -4,13 +4,15 @@
 
 use fescuetide_base::FindingList;
 use fescuetide_router::RouterSettings;
+use fescuetide_settings::SettingsDocument;
 use fescuetide_side::SideSettings;
 use serde::Deserialize;
+use tracing_subscriber::EnvFilter;
 
 /// How log lines are written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
-pub(crate) enum LogFormat {
+pub enum LogFormat {
     /// For people.
     #[default]
     Text,
@@ -19,13 +21,13 @@
 }
 
 /// Settings of logs.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
-pub(crate) struct LogSettings {
+pub struct LogSettings {
     /// A level such as `info`, or a filter such as `fescuetide_side=debug`.
-    pub(crate) level: String,
+    pub level: String,
     /// The format.
-    pub(crate) format: LogFormat,
+    pub format: LogFormat,
 }
 
 impl Default for LogSettings {
@@ -39,7 +41,7 @@
 
 /// The role with its settings.
 #[derive(Clone, Debug)]
-pub(crate) enum RoleSettings {
+pub enum RoleSettings {
     /// A router.
     Router(RouterSettings),
     /// A side process.
@@ -48,60 +50,71 @@
 
 /// All settings of a daemon.
 #[derive(Clone, Debug)]
-pub(crate) struct DaemonSettings {
-    pub(crate) log: LogSettings,
-    pub(crate) role: RoleSettings,
+pub struct DaemonSettings {
+    /// Logs.
+    pub log: LogSettings,
+    /// The role.
+    pub role: RoleSettings,
 }
 
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
 enum RoleName {
     Router,
     Side,
 }
 
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct SettingsFile {
-    role: RoleName,
-    #[serde(default)]
-    log: LogSettings,
-    router: Option<RouterSettings>,
-    side: Option<SideSettings>,
+impl RoleName {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Router => "router",
+            Self::Side => "side",
+        }
+    }
 }
 
 /// Reads and checks a settings file.
-pub(crate) fn load(path: &Path) -> Result<DaemonSettings, FindingList> {
-    let place = path.display().to_string();
-    let mut list = FindingList::default();
-    let text = match std::fs::read_to_string(path) {
-        Ok(text) => text,
-        Err(error) => {
-            list.add(place, error.to_string());
-            return Err(list);
-        }
-    };
-    let file: SettingsFile = match toml::from_str(&text) {
-        Ok(file) => file,
-        Err(error) => {
-            list.add(place, error.to_string());
-            return Err(list);
-        }
+///
+/// # Errors
+///
+/// Returns all findings together, each with its line and key.
+pub fn load(path: &Path) -> Result<DaemonSettings, FindingList> {
+    let mut document = SettingsDocument::load(path)?;
+    document.deny_other_keys(&["role", "log", "router", "side"], "unknown key");
+    let role: Option<RoleName> = document.read_key("role");
+    let log: LogSettings = document.read_table("log");
+    let router: RouterSettings = document.read_table("router");
+    document.extend("router", &router.check());
+    let side: SideSettings = document.read_table("side");
+    document.extend("side", &side.check());
+    if let Some(role) = role {
+        check_role_tables(&mut document, role);
+    }
+    if EnvFilter::try_new(&log.level).is_err() {
+        let message = format!("{:?} is not a level or filter", log.level);
+        document.add("log.level", message);
+    }
+    document.finish()?;
+    let role = match role {
+        Some(RoleName::Side) => RoleSettings::Side(side),
+        _ => RoleSettings::Router(router),
     };
-    let role = match (file.role, file.router, file.side) {
-        (RoleName::Router, Some(settings), None) => RoleSettings::Router(settings),
-        (RoleName::Side, None, Some(settings)) => RoleSettings::Side(settings),
-        (role, _, _) => {
-            let name = format!("{role:?}").to_lowercase();
-            list.add(
-                place,
-                format!("role {name} needs the table [{name}] and no other role's"),
-            );
-            return Err(list);
-        }
+    Ok(DaemonSettings { log, role })
+}
+
+fn check_role_tables(document: &mut SettingsDocument, role: RoleName) {
+    let own = role.as_str();
+    let other = match role {
+        RoleName::Router => RoleName::Side.as_str(),
+        RoleName::Side => RoleName::Router.as_str(),
     };
-    Ok(DaemonSettings {
-        log: file.log,
-        role,
-    })
+    if document.contains(other) {
+        document.add(
+            other,
+            format!("is the table of another role; the role is {own}"),
+        );
+    }
+    if !document.contains(own) {
+        document.add(own, format!("is missing; the role {own} needs this table"));
+    }
 }
