--- a/crates/process/fescuetide_router/src/classes.rs
+++ b/crates/process/fescuetide_router/src/classes.rs
@@ -65,6 +65,10 @@
         self.follower.table().next_offset()
     }
 
+    pub(crate) fn table(&self) -> &ClassTable {
+        self.follower.table()
+    }
+
     pub(crate) fn snapshot(&self) -> &ClassSnapshot {
         self.follower.table().snapshot()
     }
--- a/crates/process/fescuetide_router/src/control.rs
+++ b/crates/process/fescuetide_router/src/control.rs
@@ -8,9 +8,9 @@
 
 use crossbeam::channel;
 use crossbeam::channel::Receiver;
-use crossbeam::channel::Sender;
 use fescuetide_base::ClockMillis;
 use fescuetide_base::PoolName;
+use fescuetide_base::RequestId;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
 use fescuetide_classes::ClassSnapshot;
@@ -19,9 +19,12 @@
 use fescuetide_net::connect_control;
 use fescuetide_net::rpc_deadline;
 use fescuetide_net::serve_control;
+use fescuetide_records::RequestRecord;
 use fescuetide_summary::LoadCollector;
 use fescuetide_summary::PoolSum;
 use fescuetide_summary::UpstreamReport;
+use fescuetide_wire::records::BurnWire;
+use fescuetide_wire::records::RequestWire;
 use fescuetide_wire::rpc::ExchangeWire;
 use fescuetide_wire::rpc::ReportWire;
 use fescuetide_wire::rpc::RouterControl;
@@ -40,12 +43,12 @@
 use crate::RouterShared;
 use crate::class_log;
 use crate::class_log::ClassNews;
-use crate::class_log::ClassOrder;
 use crate::classes::ClassControl;
 use crate::peers;
 use crate::platform;
 use crate::platform::PlatformNews;
 use crate::platform::apply_list;
+use crate::records::RecordKeeper;
 use crate::view::RouterView;
 
 /// How often news from the platform thread is taken in.
@@ -60,12 +63,17 @@
     pub(crate) classes: ClassControl,
     vms: VmTable,
     collector: LoadCollector,
+    records: RecordKeeper,
 }
 
 pub(crate) type SharedState = Rc<RefCell<ControlState>>;
 
 /// Starts the control thread, the platform thread and the class-log thread.
-pub(crate) fn start(shared: &Arc<RouterShared>, listener: TcpListener) -> anyhow::Result<()> {
+pub(crate) fn start(
+    shared: &Arc<RouterShared>,
+    listener: TcpListener,
+    record_receiver: Receiver<RequestRecord>,
+) -> anyhow::Result<()> {
     listener.set_nonblocking(true)?;
     let (news_sender, news_receiver) = channel::unbounded();
     let (class_sender, class_receiver) = channel::unbounded();
@@ -81,15 +89,23 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
+    let records = RecordKeeper::start(shared, record_receiver)?;
     let shared = Arc::clone(shared);
     thread::Builder::new()
         .name("router-control".to_owned())
         .spawn(move || {
+            let state = ControlState {
+                classes: ClassControl::new(&shared, order_sender),
+                shared,
+                vms: VmTable::default(),
+                collector: LoadCollector::default(),
+                records,
+            };
             let news = NewsReceivers {
                 platform: news_receiver,
                 classes: class_receiver,
             };
-            run_control(&runtime, shared, listener, &news, order_sender);
+            run_control(&runtime, state, listener, &news);
         })?;
     Ok(())
 }
@@ -101,18 +117,12 @@
 
 fn run_control(
     runtime: &Runtime,
-    shared: Arc<RouterShared>,
+    state: ControlState,
     listener: TcpListener,
     news: &NewsReceivers,
-    orders: Sender<ClassOrder>,
 ) {
-    let meter = shared.meter.clone();
-    let state = Rc::new(RefCell::new(ControlState {
-        classes: ClassControl::new(&shared, orders),
-        shared,
-        vms: VmTable::default(),
-        collector: LoadCollector::default(),
-    }));
+    let meter = state.shared.meter.clone();
+    let state = Rc::new(RefCell::new(state));
     let local = LocalSet::new();
     local.block_on(runtime, async {
         match tokio::net::TcpListener::from_std(listener) {
@@ -152,6 +162,7 @@
         if changed {
             state.publish();
         }
+        state.records.step(state.classes.table(), now);
     }
 }
 
@@ -302,6 +313,14 @@
         }
     }
 
+    async fn trace(self, _: Context, request: RequestId) -> Option<RequestWire> {
+        self.state.borrow().records.find(request)
+    }
+
+    async fn burn(self, _: Context) -> Vec<BurnWire> {
+        self.state.borrow().records.burn(ClockMillis::now())
+    }
+
     async fn drain(self, _: Context) {
         if self.state.borrow().shared.start_drain() {
             tracing::info!("drain was asked for; no new requests are taken");
--- a/crates/process/fescuetide_router/src/settings.rs
+++ b/crates/process/fescuetide_router/src/settings.rs
@@ -51,6 +51,8 @@
     pub snapshot_jitter_ms: u64,
     /// Interval between exchanges with other collectors, in ms.
     pub exchange_interval_ms: u64,
+    /// Interval between batches of request records, in ms.
+    pub record_interval_ms: u64,
     /// How many engines a workspace's chats are spread over at first.
     pub shard_size: usize,
     /// Address of a StatsD server; no metrics are sent without it.
@@ -78,6 +80,7 @@
             snapshot_interval_ms: 600_000,
             snapshot_jitter_ms: 3_000,
             exchange_interval_ms: 500,
+            record_interval_ms: 5_000,
             shard_size: 4,
             statsd: None,
         }
@@ -129,6 +132,11 @@
             self.exchange_interval_ms,
             50..=INTERVAL_LIMIT_MS,
         );
+        list.check_range(
+            "record_interval_ms",
+            self.record_interval_ms,
+            50..=INTERVAL_LIMIT_MS,
+        );
         list.check_range("shard_size", self.shard_size, 1..=65_536);
         if self.listen == self.control_listen {
             list.add("control_listen", "is the same address as listen");
