Add the operators' tool

fescuetide publishes, shows, revises and removes classes, lists accepted and rejected changes with their findings, shows the status of all processes and drains VMs.

--- /dev/null
+++ b/crates/process/fescuetide_cli/src/commands/mod.rs
@@ -0,0 +1,22 @@
+//! The commands, one file each. A new one is added to [`COMMANDS`].
+
+mod class_history;
+mod class_publish;
+mod class_remove;
+mod class_revise;
+mod class_show;
+mod drain;
+mod status;
+
+use crate::arguments::CommandSpec;
+
+/// All commands.
+pub(crate) const COMMANDS: &[CommandSpec] = &[
+    class_publish::SPEC,
+    class_show::SPEC,
+    class_revise::SPEC,
+    class_remove::SPEC,
+    class_history::SPEC,
+    status::SPEC,
+    drain::SPEC,
+];
--- a/crates/process/fescuetide_cli/src/main.rs
+++ b/crates/process/fescuetide_cli/src/main.rs
@@ -1,2 +1,47 @@
-//! Placeholder.
-fn main() {}
+//! The operators' tool: publishes classes, shows the fleet and drains VMs.
+
+mod arguments;
+mod class_file;
+mod class_stream;
+mod commands;
+mod context;
+mod fleet;
+mod report;
+mod wait;
+
+use std::process::ExitCode;
+
+use crate::arguments::CommandArguments;
+use crate::arguments::ToolRequest;
+use crate::context::ToolContext;
+use crate::report::CommandReport;
+use crate::report::ToolError;
+
+fn main() -> ExitCode {
+    let request = match arguments::parse_request() {
+        Ok(request) => request,
+        Err(error) => {
+            eprintln!("fescuetide: {error}; see fescuetide --help");
+            return ExitCode::from(report::USAGE_EXIT_CODE);
+        }
+    };
+    match request {
+        ToolRequest::Help(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        ToolRequest::Version => {
+            println!("fescuetide {}", env!("CARGO_PKG_VERSION"));
+            ExitCode::SUCCESS
+        }
+        ToolRequest::Run(arguments) => {
+            let result = run_command(&arguments);
+            report::print_result(&result, arguments.has_flag("json"))
+        }
+    }
+}
+
+fn run_command(arguments: &CommandArguments) -> Result<CommandReport, ToolError> {
+    let context = ToolContext::new(arguments)?;
+    (arguments.spec.run)(&context, arguments)
+}
--- /dev/null
+++ b/crates/process/fescuetide_cli/src/report.rs
@@ -0,0 +1,126 @@
+//! What a command prints, and its exit code.
+
+use std::process::ExitCode;
+
+use fescuetide_base::FindingList;
+use serde_json::Value;
+use serde_json::json;
+
+/// Exit code of a command that failed.
+pub(crate) const FAILED_EXIT_CODE: u8 = 1;
+
+/// Exit code for wrong usage or findings.
+pub(crate) const USAGE_EXIT_CODE: u8 = 2;
+
+/// What a command found out.
+#[derive(Debug, Default)]
+pub(crate) struct CommandReport {
+    /// For people.
+    pub(crate) text: String,
+    /// For programs; an object.
+    pub(crate) json: Value,
+    /// Findings beside the report; with any the exit code is 2.
+    pub(crate) findings: FindingList,
+    /// What failed beside the report; with it the exit code is 1.
+    pub(crate) failure: Option<String>,
+}
+
+/// Why a command has no report.
+#[derive(Debug)]
+pub(crate) enum ToolError {
+    /// Its input is wrong.
+    Findings(FindingList),
+    /// It failed.
+    Failed(anyhow::Error),
+}
+
+impl ToolError {
+    pub(crate) fn finding(place: impl Into<String>, message: impl Into<String>) -> Self {
+        let mut list = FindingList::default();
+        list.add(place, message);
+        Self::Findings(list)
+    }
+}
+
+impl From<anyhow::Error> for ToolError {
+    fn from(error: anyhow::Error) -> Self {
+        Self::Failed(error)
+    }
+}
+
+impl From<FindingList> for ToolError {
+    fn from(list: FindingList) -> Self {
+        Self::Findings(list)
+    }
+}
+
+/// Prints the result of a command and returns its exit code.
+pub(crate) fn print_result(result: &Result<CommandReport, ToolError>, json: bool) -> ExitCode {
+    let (text, value, findings, failure) = match result {
+        Ok(report) => (
+            report.text.as_str(),
+            report.json.clone(),
+            report.findings.clone(),
+            report.failure.clone(),
+        ),
+        Err(ToolError::Findings(list)) => ("", json!({}), list.clone(), None),
+        Err(ToolError::Failed(error)) => {
+            let failure = format!("{error:#}");
+            ("", json!({}), FindingList::default(), Some(failure))
+        }
+    };
+    if json {
+        print_json(value, &findings, failure.as_deref());
+    } else {
+        print!("{text}");
+        if !findings.is_empty() {
+            eprintln!("{findings}");
+        }
+        if let Some(failure) = &failure {
+            eprintln!("fescuetide: {failure}");
+        }
+    }
+    match failure {
+        Some(_) => ExitCode::from(FAILED_EXIT_CODE),
+        None if !findings.is_empty() => ExitCode::from(USAGE_EXIT_CODE),
+        None => ExitCode::SUCCESS,
+    }
+}
+
+fn print_json(mut value: Value, findings: &FindingList, failure: Option<&str>) {
+    if !findings.is_empty() {
+        value["findings"] = findings_json(findings);
+    }
+    if let Some(failure) = failure {
+        value["error"] = json!(failure);
+    }
+    println!("{value:#}");
+}
+
+/// Findings as a JSON array.
+pub(crate) fn findings_json(findings: &FindingList) -> Value {
+    let list: Vec<Value> = findings
+        .iter()
+        .map(|finding| json!({"place": finding.place, "message": finding.message}))
+        .collect();
+    Value::Array(list)
+}
+
+/// Writes rows as columns of equal width; the first row is the heading.
+pub(crate) fn write_table(text: &mut String, rows: &[Vec<String>]) {
+    let columns = rows.first().map_or(0, Vec::len);
+    let mut widths = vec![0; columns];
+    for row in rows {
+        for (width, cell) in widths.iter_mut().zip(row) {
+            *width = cell.len().max(*width);
+        }
+    }
+    for row in rows {
+        let mut line = String::new();
+        for (width, cell) in widths.iter().zip(row) {
+            line.push_str(&format!("{cell:<width$}  "));
+        }
+        text.push_str(line.trim_end());
+        text.push('\n');
+    }
+}
