--- a/crates/tools/fescuetide_bench/src/lib.rs
+++ b/crates/tools/fescuetide_bench/src/lib.rs
@@ -1,6 +1,7 @@
 //! Fleets of real processes on loopback, load against them, and the measurements.
 
 pub mod client;
+pub mod config;
 pub mod demo;
 pub mod fleet;
 pub mod ports;
--- /dev/null
+++ b/crates/tools/fescuetide_bench/tests/config.rs
@@ -0,0 +1,267 @@
+//! Class configuration with real processes: operators, routers and the log service.
+
+use std::time::Duration;
+
+use fescuetide_base::ClassName;
+use fescuetide_bench::config::ToolResult;
+use fescuetide_bench::config::ToolRun;
+use fescuetide_bench::config::router_table;
+use fescuetide_bench::config::run_tool;
+use fescuetide_bench::fleet::FleetProcesses;
+use fescuetide_bench::fleet::FleetSettings;
+use fescuetide_bench::fleet::is_ready;
+use fescuetide_bench::process::SignalKind;
+use fescuetide_bench::process::wait_for;
+use fescuetide_classes::ClassSnapshot;
+use fescuetide_classes::ClassTargets;
+use fescuetide_wire::log::CLASS_STREAM;
+use fescuetide_wire::log::ClassRecord;
+
+/// Far above every wait that these tests expect.
+const WAIT_LIMIT: Duration = Duration::from_secs(60);
+
+/// How long a state that must not come about is watched for.
+const WATCH_TIME: Duration = Duration::from_secs(3);
+
+fn start_fleet(routers: usize, lines: &[&str]) -> FleetProcesses {
+    let class: ClassName = "chat".parse().expect("class name");
+    let targets = ClassTargets {
+        repeatable: true,
+        ..ClassTargets::default()
+    };
+    FleetProcesses::start(FleetSettings {
+        routers,
+        engines: 1,
+        services: 0,
+        classes: vec![(class, targets)],
+        router_lines: lines.iter().map(|line| (*line).to_owned()).collect(),
+        ..FleetSettings::default()
+    })
+    .expect("fleet starts")
+}
+
+fn revise(fleet: &FleetProcesses, lateness: &str, options: &[&str]) -> ToolResult {
+    let mut arguments = vec!["class", "revise", "chat", lateness];
+    arguments.extend(options);
+    run_tool(fleet, &arguments).expect("tool runs")
+}
+
+/// The class's lateness target in a table, in ms.
+fn lateness_in(table: &ClassSnapshot) -> u64 {
+    let entry = table.entries.values().next().expect("a class");
+    let targets = entry.targets.expect("targets");
+    targets.lateness.within.as_millis()
+}
+
+fn lateness_of(fleet: &FleetProcesses, router: usize) -> Option<u64> {
+    let table = router_table(&fleet.routers[router].vm).ok()??;
+    Some(lateness_in(&table))
+}
+
+fn wait_for_lateness(fleet: &FleetProcesses, lateness: u64) {
+    for router in 0..fleet.routers.len() {
+        wait_for("the class on the router", WAIT_LIMIT, || {
+            lateness_of(fleet, router) == Some(lateness)
+        })
+        .expect("class is in force");
+    }
+}
+
+fn restart_router(fleet: &mut FleetProcesses, router: usize) {
+    fleet.routers[router].process = None;
+    fleet.start_router(router).expect("router starts");
+}
+
+fn wait_ready(fleet: &FleetProcesses, router: usize) {
+    let address = fleet.routers[router].vm.data;
+    wait_for("the router", WAIT_LIMIT, || is_ready(address)).expect("router is ready");
+}
+
+/// Guards against several winners, or different winners on different routers.
+#[test]
+fn racing_operators_get_one_winner_on_every_router() {
+    let fleet = start_fleet(3, &["log_interval_ms = 300"]);
+    let mut runs = Vec::new();
+    for operator in 1..=5 {
+        let lateness = format!("lateness_ms={}", 1_000 + operator);
+        let arguments = ["class", "revise", "chat", &lateness, "--based-on", "1"];
+        runs.push((
+            1_000 + operator,
+            ToolRun::start(&fleet, &arguments).expect("tool starts"),
+        ));
+    }
+    let mut winners = Vec::new();
+    for (lateness, run) in runs {
+        let result = run.wait().expect("tool ends");
+        match result.code {
+            Some(0) => winners.push(lateness),
+            Some(2) => assert!(
+                result.json["findings"]
+                    .to_string()
+                    .contains("version 2 is in force"),
+                "{result:?}"
+            ),
+            _ => panic!("{result:?}"),
+        }
+    }
+    assert_eq!(winners.len(), 1, "winners: {winners:?}");
+    wait_for_lateness(&fleet, winners[0]);
+    let history = run_tool(&fleet, &["class", "history", "chat"]).expect("tool runs");
+    let changes = history.json["changes"].as_array().expect("changes");
+    let rejected = changes
+        .iter()
+        .filter(|change| change["verdict"] == "rejected");
+    assert_eq!((changes.len(), rejected.count()), (6, 4), "{changes:?}");
+}
+
+/// Guards against a change that takes longer than 5 s to be in force on all routers. The routers read the log at a
+/// tenth of the default interval, so that a busy machine does not decide.
+#[test]
+fn change_is_in_force_on_all_routers_in_time() {
+    let fleet = start_fleet(3, &["log_interval_ms = 300"]);
+    for step in 1..=3 {
+        let result = revise(
+            &fleet,
+            &format!("lateness_ms={}", 1_900 + step),
+            &["--wait"],
+        );
+        assert_eq!(result.code, Some(0), "{result:?}");
+        assert_eq!(result.json["routers"], 3);
+        let millis = result.json["in_force_after_ms"].as_u64().expect("time");
+        assert!(millis < 5_000, "in force after {millis} ms");
+        for router in 0..3 {
+            assert_eq!(lateness_of(&fleet, router), Some(1_900 + step));
+        }
+    }
+}
+
+/// Guards against running routers that drop their classes when the log comes back without its records, and against a
+/// new router that trusts such a log rather than its peers.
+#[test]
+fn classes_stay_in_force_when_the_log_starts_empty() {
+    let mut fleet = start_fleet(2, &["log_interval_ms = 300"]);
+    let result = revise(&fleet, "lateness_ms=777", &["--wait"]);
+    assert_eq!(result.code, Some(0), "{result:?}");
+    let before = router_table(&fleet.routers[0].vm).expect("router answers");
+    fleet.log = None;
+    fleet.start_log().expect("log starts");
+    std::thread::sleep(WATCH_TIME);
+    for router in 0..2 {
+        assert!(is_ready(fleet.routers[router].vm.data));
+        let table = router_table(&fleet.routers[router].vm).expect("router answers");
+        assert_eq!(table, before, "router {router}");
+    }
+    restart_router(&mut fleet, 1);
+    wait_ready(&fleet, 1);
+    assert_eq!(lateness_of(&fleet, 1), Some(777));
+}
+
+/// Guards against a router that cannot start while the log is out, although a peer has the table.
+#[test]
+fn router_takes_the_table_from_a_peer_in_a_log_outage() {
+    for fault in [SignalKind::Kill, SignalKind::Pause] {
+        let mut fleet = start_fleet(2, &["log_interval_ms = 300"]);
+        let log = fleet.log.as_ref().expect("log runs");
+        log.signal(fault).expect("signal is sent");
+        restart_router(&mut fleet, 1);
+        wait_ready(&fleet, 1);
+        let tables = [0, 1].map(|router| router_table(&fleet.routers[router].vm).expect("answer"));
+        assert_eq!(tables[0], tables[1], "{fault:?}");
+    }
+}
+
+/// Guards against a router that takes requests without knowing the classes.
+#[test]
+fn router_is_not_ready_with_neither_log_nor_peer() {
+    let mut fleet = start_fleet(1, &["log_interval_ms = 300"]);
+    fleet.log = None;
+    restart_router(&mut fleet, 0);
+    let address = fleet.routers[0].vm.data;
+    std::thread::sleep(WATCH_TIME);
+    assert!(!is_ready(address));
+    assert_eq!(
+        router_table(&fleet.routers[0].vm).expect("router answers"),
+        None
+    );
+}
+
+/// Guards against a stale snapshot, appended by a writer that was paused, that reverts accepted changes on running
+/// routers, on a router that starts from the log, or in the tool.
+#[test]
+fn stale_snapshot_of_a_paused_writer_harms_nobody() {
+    let mut fleet = start_fleet(2, &["log_interval_ms = 300"]);
+    let stale = router_table(&fleet.routers[0].vm).expect("router answers");
+    assert_eq!(revise(&fleet, "lateness_ms=555", &["--wait"]).code, Some(0));
+    let record = ClassRecord::Snapshot(stale.expect("table"));
+    let offset = fleet
+        .log_client()
+        .append(CLASS_STREAM, &record)
+        .expect("append");
+    wait_for("the stale snapshot on the routers", WAIT_LIMIT, || {
+        let table = router_table(&fleet.routers[0].vm).ok().flatten();
+        table.is_some_and(|table| table.next_offset > offset)
+    })
+    .expect("stream is read");
+    restart_router(&mut fleet, 1);
+    wait_ready(&fleet, 1);
+    wait_for_lateness(&fleet, 555);
+    let shown = run_tool(&fleet, &["class", "show", "chat"]).expect("tool runs");
+    assert_eq!(shown.json["classes"][0]["targets"]["lateness_ms"], 555);
+}
+
+/// Guards against records expiring before any snapshot covers them, and against routers that all write one.
+#[test]
+fn routers_write_a_snapshot_that_covers_all_changes() {
+    let lines = [
+        "log_interval_ms = 100",
+        "snapshot_records = 4",
+        "snapshot_jitter_ms = 2000",
+    ];
+    let fleet = start_fleet(3, &lines);
+    for step in 1..=4 {
+        let result = revise(&fleet, &format!("lateness_ms={}", 100 + step), &[]);
+        assert_eq!(result.code, Some(0), "{result:?}");
+    }
+    let mut sealed = 0;
+    wait_for("a snapshot", WAIT_LIMIT, || {
+        let Ok(reply) = fleet
+            .log_client()
+            .read(CLASS_STREAM, Default::default(), 100)
+        else {
+            return false;
+        };
+        for record in reply.records {
+            let Ok(ClassRecord::Snapshot(snapshot)) = serde_json::from_str(&record.data) else {
+                continue;
+            };
+            if snapshot.next_offset.get() == record.offset && lateness_in(&snapshot) == 104 {
+                sealed += 1;
+            }
+        }
+        sealed > 0
+    })
+    .expect("a snapshot that covers all records before it");
+}
+
+/// Guards against a file with weights, addresses or placement that is published in part.
+#[test]
+fn class_file_with_more_than_targets_is_rejected() {
+    let fleet = start_fleet(1, &[]);
+    let text = "[class.plans]\nlateness_ms = 0\nweight = 3\naddress = \"10.0.0.1\"\n[class.fine]\n";
+    std::fs::write(fleet.folder.join("classes.toml"), text).expect("file is written");
+    let result = run_tool(&fleet, &["class", "publish", "classes.toml"]).expect("tool runs");
+    assert_eq!(result.code, Some(2), "{result:?}");
+    let findings = result.json["findings"].as_array().expect("findings");
+    let places: Vec<&str> = findings
+        .iter()
+        .filter_map(|finding| finding["place"].as_str())
+        .collect();
+    let expected = [
+        "classes.toml, line 2, key \"class.plans.lateness_ms\"",
+        "classes.toml, line 3, key \"class.plans.weight\"",
+        "classes.toml, line 4, key \"class.plans.address\"",
+    ];
+    assert_eq!(places, expected);
+    let shown = run_tool(&fleet, &["class", "show"]).expect("tool runs");
+    assert_eq!(shown.json["classes"].as_array().map(Vec::len), Some(1));
+}
