--- a/crates/process/fescuetide_router/src/lib.rs
+++ b/crates/process/fescuetide_router/src/lib.rs
@@ -5,10 +5,13 @@
 
 mod attempt;
 mod call;
+mod class_log;
+mod classes;
 mod control;
 mod history;
 mod http;
 mod metrics;
+mod peers;
 mod plan;
 mod platform;
 mod policy;
--- a/crates/tools/fescuetide_bench/src/lib.rs
+++ b/crates/tools/fescuetide_bench/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod check;
 pub mod client;
 pub mod compare;
+pub mod config;
 pub mod demo;
 pub mod deployment;
 pub mod engines;
