Ask the engine that ran a chat's last turn first

Cause: of the tokens that could have come from caches, a third was computed again. A turn that spilled over because of the load bound left its prefix behind at another engine, the next turn went back to the first rank, and engines that joined took over chats that others held.

Change: a returning turn is first offered to the first 6 of its ranking on the condition that the engine ran the chat's turn before. Side processes keep the last turn of recent chats as a hint.

--- a/crates/process/fescuetide_router/src/call.rs
+++ b/crates/process/fescuetide_router/src/call.rs
@@ -8,10 +8,12 @@
 use fescuetide_base::PoolName;
 use fescuetide_base::RequestId;
 use fescuetide_base::SpanMillis;
+use fescuetide_base::StableHash;
 use fescuetide_base::WorkspaceName;
 use fescuetide_classes::ClassTargets;
 use fescuetide_wire::api::CallOutcome;
 use fescuetide_wire::api::TokenUsage;
+use fescuetide_wire::frame::ChatTurn;
 use fescuetide_wire::frame::WorkBody;
 use fescuetide_wire::frame::WorkKey;
 
@@ -26,6 +28,8 @@
         stream: bool,
         /// The model.
         model: ModelName,
+        /// Messages of the prompt.
+        messages: u32,
     },
     /// A call of a plain service.
     Service {
@@ -59,6 +63,25 @@
         }
     }
 
+    /// The chat that the request belongs to.
+    pub(crate) fn chat_turn(&self) -> Option<ChatTurn> {
+        let CallWork::Chat {
+            model, messages, ..
+        } = &self.work
+        else {
+            return None;
+        };
+        let chat = StableHash::new()
+            .field(self.workspace.as_str().as_bytes())
+            .field(model.as_str().as_bytes())
+            .field(self.chat.as_ref()?.as_str().as_bytes())
+            .finish();
+        Some(ChatTurn {
+            chat,
+            messages: *messages,
+        })
+    }
+
     pub(crate) fn work_key(&self) -> Option<WorkKey> {
         let key = self.key?;
         Some(WorkKey {
--- a/crates/process/fescuetide_router/src/plan.rs
+++ b/crates/process/fescuetide_router/src/plan.rs
@@ -12,9 +12,18 @@
 use crate::RouterShared;
 use crate::call::CallSpec;
 
+/// How many candidates are asked whether they ran the chat's turn before. A chat that was displaced by the load bound
+/// is found again there without any state at the router.
+const HOLDER_PROBES: usize = 6;
+
+/// Messages of a chat's first turn at most: the system's and the user's.
+const FIRST_TURN_MESSAGES: u32 = 2;
+
 /// Which rule candidates are asked by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum WalkStage {
+    /// The first candidates are asked to admit if they ran the chat's turn before.
+    Holders,
     /// Candidates are asked to admit within their own cap.
     OwnCap,
     /// All refused by their caps; the least loaded is asked once more.
@@ -39,6 +48,8 @@
     cursor: usize,
     stage: WalkStage,
     first_rule: AdmissionRule,
+    /// Candidates that are first asked whether they hold the chat.
+    holder_count: usize,
     refusals: Vec<RefusalNote>,
 }
 
@@ -50,6 +61,7 @@
             cursor: 0,
             stage: WalkStage::OwnCap,
             first_rule: shared.settings.policy.first_rule(),
+            holder_count: 0,
             refusals: Vec::new(),
         };
         let view = shared.view.load();
@@ -74,12 +86,24 @@
             }
             plan.vms.push(vm.clone());
         }
+        if lost_on.is_empty() && shared.settings.policy.asks_holders() && is_returning(spec) {
+            plan.holder_count = HOLDER_PROBES.min(plan.vms.len());
+            plan.stage = WalkStage::Holders;
+        }
         plan.vms.extend(held);
         plan
     }
 
     /// The next candidate and the rule to ask it by.
     pub(crate) fn next_candidate(&mut self) -> Option<(VmEntry, AdmissionRule)> {
+        if self.stage == WalkStage::Holders {
+            if self.cursor < self.holder_count {
+                self.cursor += 1;
+                return Some((self.vms[self.cursor - 1].clone(), AdmissionRule::OwnCap));
+            }
+            self.stage = WalkStage::OwnCap;
+            self.cursor = 0;
+        }
         if self.stage == WalkStage::OwnCap {
             if let Some(vm) = self.vms.get(self.cursor) {
                 self.cursor += 1;
@@ -92,13 +116,21 @@
                 self.stage = WalkStage::Exhausted;
                 self.least_loaded()
             }
-            WalkStage::OwnCap | WalkStage::Exhausted => None,
+            WalkStage::Holders | WalkStage::OwnCap | WalkStage::Exhausted => None,
         }
     }
 
+    /// Whether the candidate just given is asked to run the request only if it holds the chat.
+    pub(crate) fn asks_holders(&self) -> bool {
+        self.stage == WalkStage::Holders
+    }
+
     /// Notes that a candidate refused.
     pub(crate) fn note_refusal(&mut self, note: RefusalNote) {
-        self.refusals.push(note);
+        // It is asked again without the condition.
+        if !self.asks_holders() {
+            self.refusals.push(note);
+        }
     }
 
     /// The longest time that a candidate asked to wait, at least `floor`.
@@ -130,3 +162,8 @@
         Some((least.vm.clone(), AdmissionRule::AtMost(mean)))
     }
 }
+
+fn is_returning(spec: &CallSpec) -> bool {
+    spec.chat_turn()
+        .is_some_and(|turn| turn.messages > FIRST_TURN_MESSAGES)
+}
--- a/crates/process/fescuetide_router/src/policy.rs
+++ b/crates/process/fescuetide_router/src/policy.rs
@@ -124,6 +124,11 @@
 }
 
 impl RoutingPolicy {
+    /// Whether engines that ran a chat's turn before are asked first.
+    pub(crate) fn asks_holders(self) -> bool {
+        self == Self::Fescuetide
+    }
+
     /// The rule by which candidates are asked first.
     pub(crate) fn first_rule(self) -> AdmissionRule {
         match self {
--- a/crates/process/fescuetide_router/src/request.rs
+++ b/crates/process/fescuetide_router/src/request.rs
@@ -49,10 +49,11 @@
     let body = read_body(shared, request)?;
     let mut list = FindingList::default();
     let parsed = parse_chat_body(&body, &mut list);
-    let work = parsed.map(|(stream, model)| CallWork::Chat {
+    let work = parsed.map(|(stream, model, messages)| CallWork::Chat {
         body,
         stream,
         model,
+        messages,
     });
     let pool = shared.settings.engine_pool.clone();
     make_spec(shared, request, pool, work, list)
@@ -171,7 +172,7 @@
     span
 }
 
-fn parse_chat_body(body: &[u8], list: &mut FindingList) -> Option<(bool, ModelName)> {
+fn parse_chat_body(body: &[u8], list: &mut FindingList) -> Option<(bool, ModelName, u32)> {
     let chat: ChatRequest = match serde_json::from_slice(body) {
         Ok(chat) => chat,
         Err(error) => {
@@ -183,7 +184,7 @@
         list.add("body messages", "must not be empty");
     }
     let model = parse_value("body model", &chat.model, list)?;
-    Some((chat.stream, model))
+    Some((chat.stream, model, chat.messages.len() as u32))
 }
 
 fn read_body(shared: &RouterShared, request: &HttpRequest) -> Result<Vec<u8>, RejectReason> {
--- a/crates/process/fescuetide_router/src/runner.rs
+++ b/crates/process/fescuetide_router/src/runner.rs
@@ -259,6 +259,8 @@
             key: self.spec.work_key(),
             slack: late_at.since(now),
             deadline: self.spec.deadline.since(now),
+            chat: self.spec.chat_turn(),
+            only_if_held: self.plan.asks_holders(),
             admission,
             work: self.spec.work_body(&self.delivered),
         }
--- a/crates/process/fescuetide_side/src/lib.rs
+++ b/crates/process/fescuetide_side/src/lib.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod answer;
 mod attempts;
+mod chats;
 mod control;
 mod metrics;
 mod server;
@@ -22,6 +23,7 @@
 
 use crate::admission::AdmissionGate;
 use crate::attempts::AttemptTable;
+use crate::chats::ChatTable;
 use crate::metrics::SideMetrics;
 use crate::upstream::UpstreamClient;
 
@@ -34,6 +36,7 @@
     pub(crate) incarnation: ProcessIncarnation,
     pub(crate) gate: AdmissionGate,
     pub(crate) attempts: AttemptTable,
+    pub(crate) chats: ChatTable,
     pub(crate) upstream: UpstreamClient,
     pub(crate) metrics: SideMetrics,
 }
@@ -58,6 +61,7 @@
             incarnation: new_incarnation(),
             gate: AdmissionGate::default(),
             attempts: AttemptTable::default(),
+            chats: ChatTable::default(),
             upstream: UpstreamClient::new(&settings),
             metrics: SideMetrics::new(&settings)?,
             settings,
--- a/crates/process/fescuetide_side/src/server.rs
+++ b/crates/process/fescuetide_side/src/server.rs
@@ -12,6 +12,7 @@
 use fescuetide_net::FramedStream;
 use fescuetide_wire::frame::AttemptEnding;
 use fescuetide_wire::frame::AttemptTag;
+use fescuetide_wire::frame::ChatTurn;
 use fescuetide_wire::frame::DispatchFrame;
 use fescuetide_wire::frame::PROTOCOL_VERSION;
 use fescuetide_wire::frame::RefusalReason;
@@ -129,6 +130,12 @@
         return Err(RefusalReason::OtherIncarnation);
     }
     let now = ClockMillis::now();
+    let is_held = dispatch
+        .chat
+        .is_some_and(|turn| shared.chats.holds(turn, now));
+    if dispatch.only_if_held && !is_held {
+        return Err(RefusalReason::NotHeld);
+    }
     let entry = shared
         .attempts
         .register(dispatch.tag, dispatch.key.clone(), now)?;
@@ -150,6 +157,7 @@
         .spawn(move || {
             let ending = run_shared.upstream.run(&dispatch, &run_entry.answer);
             run_shared.metrics.count(metric_of(&ending));
+            note_chat(&run_shared, dispatch.chat, &ending);
             run_shared.gate.release();
             run_entry.answer.finish(ending, ClockMillis::now());
         });
@@ -160,6 +168,20 @@
     }
 }
 
+/// Keeps the record of chats that the engine holds.
+fn note_chat(shared: &SideShared, turn: Option<ChatTurn>, ending: &AttemptEnding) {
+    match ending {
+        AttemptEnding::Completed { .. } => {
+            if let Some(turn) = turn {
+                shared.chats.note(turn, ClockMillis::now());
+            }
+        }
+        // The engine may have restarted.
+        AttemptEnding::Failed(_) | AttemptEnding::NotRun(_) => shared.chats.clear(),
+        AttemptEnding::Cancelled => {}
+    }
+}
+
 fn metric_of(ending: &AttemptEnding) -> &'static str {
     match ending {
         AttemptEnding::Completed { .. } => "attempt.completed",
--- a/crates/protocol/fescuetide_wire/src/frame.rs
+++ b/crates/protocol/fescuetide_wire/src/frame.rs
@@ -103,12 +103,25 @@
     pub slack: SpanMillis,
     /// Time left until the caller gives up.
     pub deadline: SpanMillis,
+    /// The chat that the request belongs to, if any.
+    pub chat: Option<ChatTurn>,
+    /// Whether the attempt may only be admitted by an engine that ran the chat's turn before.
+    pub only_if_held: bool,
     /// The highest load at which the attempt may be admitted.
     pub admission: AdmissionRule,
     /// The work itself.
     pub work: WorkBody,
 }
 
+/// A chat and how far it has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChatTurn {
+    /// Hash of workspace, model and chat.
+    pub chat: u64,
+    /// Messages of the prompt.
+    pub messages: u32,
+}
+
 /// When an attempt may be admitted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AdmissionRule {
@@ -259,6 +272,8 @@
 pub enum RefusalReason {
     /// The load bound would be exceeded.
     OverBound,
+    /// The engine did not run the chat's turn before.
+    NotHeld,
     /// The queue is too long for the class's lateness target.
     TooLate,
     /// The VM is leaving.
@@ -279,6 +294,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::OverBound => "over the load bound",
+            Self::NotHeld => "engine did not run the chat's turn before",
             Self::TooLate => "queue too long for the lateness target",
             Self::Leaving => "VM is leaving",
             Self::Sealed => "attempt is sealed",
