Place new chats on engines below the mean load

Cause: first turns went to the first of the ranking up to the cap, so that engines were at their cap when turns of chats that they hold came.

Change: turns that no engine holds are first offered to the first 6 of the ranking on the condition that the load is below the mean.

Holders still refuse at their cap.

--- a/crates/process/fescuetide_router/src/plan.rs
+++ b/crates/process/fescuetide_router/src/plan.rs
@@ -7,14 +7,15 @@
 use fescuetide_routing::RankKey;
 use fescuetide_routing::ShardSize;
 use fescuetide_wire::frame::AdmissionRule;
+use fescuetide_wire::frame::AdmitCondition;
 use fescuetide_wire::frame::RefusalReason;
 
 use crate::RouterShared;
 use crate::call::CallSpec;
 
-/// How many candidates are asked whether they ran the chat's turn before. A chat that was displaced by the load bound
-/// is found again there without any state at the router.
-const HOLDER_PROBES: usize = 6;
+/// How many candidates are asked whether they ran the chat's turn before, and then whether their load is below the
+/// mean. A chat that was displaced by the load bound is found again there without any state at the router.
+const PROBE_COUNT: usize = 6;
 
 /// Messages of a chat's first turn at most: the system's and the user's.
 const FIRST_TURN_MESSAGES: u32 = 2;
@@ -24,6 +25,8 @@
 enum WalkStage {
     /// The first candidates are asked to admit if they ran the chat's turn before.
     Holders,
+    /// The first candidates are asked to admit while their load is below the mean.
+    BelowMean,
     /// Candidates are asked to admit within their own cap.
     OwnCap,
     /// All refused by their caps; the least loaded is asked once more.
@@ -48,8 +51,8 @@
     cursor: usize,
     stage: WalkStage,
     first_rule: AdmissionRule,
-    /// Candidates that are first asked whether they hold the chat.
-    holder_count: usize,
+    /// Candidates that are first asked on a condition.
+    probe_count: usize,
     refusals: Vec<RefusalNote>,
 }
 
@@ -61,7 +64,7 @@
             cursor: 0,
             stage: WalkStage::OwnCap,
             first_rule: shared.settings.policy.first_rule(),
-            holder_count: 0,
+            probe_count: 0,
             refusals: Vec::new(),
         };
         let view = shared.view.load();
@@ -86,9 +89,13 @@
             }
             plan.vms.push(vm.clone());
         }
-        if lost_on.is_empty() && shared.settings.policy.asks_holders() && is_returning(spec) {
-            plan.holder_count = HOLDER_PROBES.min(plan.vms.len());
-            plan.stage = WalkStage::Holders;
+        if lost_on.is_empty() && shared.settings.policy.asks_holders() {
+            plan.probe_count = PROBE_COUNT.min(plan.vms.len());
+            plan.stage = match spec.chat_turn() {
+                Some(turn) if turn.messages > FIRST_TURN_MESSAGES => WalkStage::Holders,
+                Some(_) => WalkStage::BelowMean,
+                None => WalkStage::OwnCap,
+            };
         }
         plan.vms.extend(held);
         plan
@@ -96,13 +103,16 @@
 
     /// The next candidate and the rule to ask it by.
     pub(crate) fn next_candidate(&mut self) -> Option<(VmEntry, AdmissionRule)> {
-        if self.stage == WalkStage::Holders {
-            if self.cursor < self.holder_count {
+        while self.is_probing() {
+            if self.cursor < self.probe_count {
                 self.cursor += 1;
                 return Some((self.vms[self.cursor - 1].clone(), AdmissionRule::OwnCap));
             }
-            self.stage = WalkStage::OwnCap;
             self.cursor = 0;
+            self.stage = match self.stage {
+                WalkStage::Holders => WalkStage::BelowMean,
+                _ => WalkStage::OwnCap,
+            };
         }
         if self.stage == WalkStage::OwnCap {
             if let Some(vm) = self.vms.get(self.cursor) {
@@ -116,19 +126,32 @@
                 self.stage = WalkStage::Exhausted;
                 self.least_loaded()
             }
-            WalkStage::Holders | WalkStage::OwnCap | WalkStage::Exhausted => None,
+            WalkStage::Holders
+            | WalkStage::BelowMean
+            | WalkStage::OwnCap
+            | WalkStage::Exhausted => None,
         }
     }
 
-    /// Whether the candidate just given is asked to run the request only if it holds the chat.
-    pub(crate) fn asks_holders(&self) -> bool {
-        self.stage == WalkStage::Holders
+    /// The condition on which the candidate just given is asked.
+    pub(crate) fn condition(&self) -> AdmitCondition {
+        match self.stage {
+            WalkStage::Holders => AdmitCondition::Held,
+            WalkStage::BelowMean => AdmitCondition::BelowMean,
+            WalkStage::OwnCap | WalkStage::LeastLoaded | WalkStage::Exhausted => {
+                AdmitCondition::Always
+            }
+        }
+    }
+
+    fn is_probing(&self) -> bool {
+        matches!(self.stage, WalkStage::Holders | WalkStage::BelowMean)
     }
 
     /// Notes that a candidate refused.
     pub(crate) fn note_refusal(&mut self, note: RefusalNote) {
         // It is asked again without the condition.
-        if !self.asks_holders() {
+        if !self.is_probing() {
             self.refusals.push(note);
         }
     }
@@ -162,8 +185,3 @@
         Some((least.vm.clone(), AdmissionRule::AtMost(mean)))
     }
 }
-
-fn is_returning(spec: &CallSpec) -> bool {
-    spec.chat_turn()
-        .is_some_and(|turn| turn.messages > FIRST_TURN_MESSAGES)
-}
--- a/crates/process/fescuetide_router/src/runner.rs
+++ b/crates/process/fescuetide_router/src/runner.rs
@@ -260,7 +260,7 @@
             slack: late_at.since(now),
             deadline: self.spec.deadline.since(now),
             chat: self.spec.chat_turn(),
-            only_if_held: self.plan.asks_holders(),
+            condition: self.plan.condition(),
             admission,
             work: self.spec.work_body(&self.delivered),
         }
--- a/crates/process/fescuetide_side/src/server.rs
+++ b/crates/process/fescuetide_side/src/server.rs
@@ -10,6 +10,7 @@
 use fescuetide_limits::LoadBound;
 use fescuetide_net::FrameError;
 use fescuetide_net::FramedStream;
+use fescuetide_wire::frame::AdmitCondition;
 use fescuetide_wire::frame::AttemptEnding;
 use fescuetide_wire::frame::AttemptTag;
 use fescuetide_wire::frame::ChatTurn;
@@ -130,12 +131,7 @@
         return Err(RefusalReason::OtherIncarnation);
     }
     let now = ClockMillis::now();
-    let is_held = dispatch
-        .chat
-        .is_some_and(|turn| shared.chats.holds(turn, now));
-    if dispatch.only_if_held && !is_held {
-        return Err(RefusalReason::NotHeld);
-    }
+    check_condition(shared, dispatch, now)?;
     let entry = shared
         .attempts
         .register(dispatch.tag, dispatch.key.clone(), now)?;
@@ -149,6 +145,24 @@
     Ok(entry)
 }
 
+fn check_condition(
+    shared: &SideShared,
+    dispatch: &DispatchFrame,
+    now: ClockMillis,
+) -> Result<(), RefusalReason> {
+    match dispatch.condition {
+        AdmitCondition::Held => match dispatch.chat {
+            Some(turn) if shared.chats.holds(turn, now) => Ok(()),
+            _ => Err(RefusalReason::NotHeld),
+        },
+        AdmitCondition::BelowMean if f64::from(shared.gate.load().get()) < shared.gate.mean() => {
+            Ok(())
+        }
+        AdmitCondition::BelowMean => Err(RefusalReason::AboveMean),
+        AdmitCondition::Always => Ok(()),
+    }
+}
+
 fn start_attempt(shared: &Arc<SideShared>, entry: AttemptEntry, dispatch: DispatchFrame) {
     let run_shared = Arc::clone(shared);
     let run_entry = entry.clone();
--- a/crates/protocol/fescuetide_wire/src/frame.rs
+++ b/crates/protocol/fescuetide_wire/src/frame.rs
@@ -105,14 +105,26 @@
     pub deadline: SpanMillis,
     /// The chat that the request belongs to, if any.
     pub chat: Option<ChatTurn>,
-    /// Whether the attempt may only be admitted by an engine that ran the chat's turn before.
-    pub only_if_held: bool,
+    /// What else the side process checks before it admits the attempt.
+    pub condition: AdmitCondition,
     /// The highest load at which the attempt may be admitted.
     pub admission: AdmissionRule,
     /// The work itself.
     pub work: WorkBody,
 }
 
+/// A condition of admission besides the load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AdmitCondition {
+    /// The engine ran the chat's turn before.
+    Held,
+    /// The load before admission is below the mean. This keeps the room between mean and cap free for chats that the
+    /// engine holds.
+    BelowMean,
+    /// None.
+    Always,
+}
+
 /// A chat and how far it has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChatTurn {
@@ -274,6 +286,8 @@
     OverBound,
     /// The engine did not run the chat's turn before.
     NotHeld,
+    /// The load is not below the mean.
+    AboveMean,
     /// The queue is too long for the class's lateness target.
     TooLate,
     /// The VM is leaving.
@@ -295,6 +309,7 @@
         f.write_str(match self {
             Self::OverBound => "over the load bound",
             Self::NotHeld => "engine did not run the chat's turn before",
+            Self::AboveMean => "load is not below the mean",
             Self::TooLate => "queue too long for the lateness target",
             Self::Leaving => "VM is leaving",
             Self::Sealed => "attempt is sealed",
