Wait shortly for a holder at its cap

Cause: a holder at its cap frees a place about every 100 ms, while a displaced turn computes its whole history again elsewhere.

Change: a holder that refused because of its cap is asked again every 20 ms for holder_wait_ms, at most a tenth of the lateness target.

Conclusion: 100 ms is the default.

--- a/crates/process/fescuetide_router/src/plan.rs
+++ b/crates/process/fescuetide_router/src/plan.rs
@@ -17,6 +17,12 @@
 /// mean. A chat that was displaced by the load bound is found again there without any state at the router.
 const PROBE_COUNT: usize = 6;
 
+/// How often a holder that refused because of its cap is asked again.
+const HOLDER_STEP_MS: u64 = 20;
+
+/// Share of the class's lateness target that may be spent on waiting for a holder.
+const HOLDER_WAIT_SHARE: u64 = 10;
+
 /// Messages of a chat's first turn at most: the system's and the user's.
 const FIRST_TURN_MESSAGES: u32 = 2;
 
@@ -53,6 +59,9 @@
     first_rule: AdmissionRule,
     /// Candidates that are first asked on a condition.
     probe_count: usize,
+    /// Until when a holder that refused because of its cap is asked again.
+    patient_until: ClockMillis,
+    is_waiting: bool,
     refusals: Vec<RefusalNote>,
 }
 
@@ -65,6 +74,8 @@
             stage: WalkStage::OwnCap,
             first_rule: shared.settings.policy.first_rule(),
             probe_count: 0,
+            patient_until: ClockMillis::now() + patience(shared, spec),
+            is_waiting: false,
             refusals: Vec::new(),
         };
         let view = shared.view.load();
@@ -103,6 +114,9 @@
 
     /// The next candidate and the rule to ask it by.
     pub(crate) fn next_candidate(&mut self) -> Option<(VmEntry, AdmissionRule)> {
+        if self.is_waiting {
+            return Some((self.vms[self.cursor - 1].clone(), AdmissionRule::OwnCap));
+        }
         while self.is_probing() {
             if self.cursor < self.probe_count {
                 self.cursor += 1;
@@ -144,12 +158,20 @@
         }
     }
 
+    /// How long to wait before the next candidate is asked.
+    pub(crate) fn wait(&self) -> SpanMillis {
+        SpanMillis::new(if self.is_waiting { HOLDER_STEP_MS } else { 0 })
+    }
+
     fn is_probing(&self) -> bool {
         matches!(self.stage, WalkStage::Holders | WalkStage::BelowMean)
     }
 
     /// Notes that a candidate refused.
     pub(crate) fn note_refusal(&mut self, note: RefusalNote) {
+        let is_full_holder =
+            self.stage == WalkStage::Holders && note.reason == RefusalReason::OverBound;
+        self.is_waiting = is_full_holder && ClockMillis::now() < self.patient_until;
         // It is asked again without the condition.
         if !self.is_probing() {
             self.refusals.push(note);
@@ -185,3 +207,9 @@
         Some((least.vm.clone(), AdmissionRule::AtMost(mean)))
     }
 }
+
+fn patience(shared: &RouterShared, spec: &CallSpec) -> SpanMillis {
+    let within = spec.targets.lateness.within.as_millis();
+    let limit = shared.settings.holder_wait_ms;
+    SpanMillis::new(limit.min(within / HOLDER_WAIT_SHARE))
+}
--- a/crates/process/fescuetide_router/src/runner.rs
+++ b/crates/process/fescuetide_router/src/runner.rs
@@ -221,6 +221,7 @@
     /// Starts an attempt at the next candidate. Returns whether there was one.
     fn start_next(&mut self) -> bool {
         while let Some((vm, rule)) = self.plan.next_candidate() {
+            thread::sleep(self.plan.wait().into());
             let tag = AttemptTag {
                 request: self.spec.request,
                 attempt: AttemptId::generate(),
--- a/crates/process/fescuetide_router/src/settings.rs
+++ b/crates/process/fescuetide_router/src/settings.rs
@@ -57,6 +57,8 @@
     pub record_interval_ms: u64,
     /// How many engines a workspace's chats are spread over at first.
     pub shard_size: usize,
+    /// How long to wait for an engine that holds the chat and is at its cap before the chat goes elsewhere, in ms.
+    pub holder_wait_ms: u64,
     /// The routing policy. All values but the default are for measurement only.
     pub policy: RoutingPolicy,
     /// Address of a StatsD server; no metrics are sent without it.
@@ -86,6 +88,7 @@
             exchange_interval_ms: 500,
             record_interval_ms: 5_000,
             shard_size: 4,
+            holder_wait_ms: 100,
             policy: RoutingPolicy::Fescuetide,
             statsd: None,
         }
@@ -98,6 +101,9 @@
 /// Longest interval between reads of the class log, in ms, so that a change is in force within 5 s.
 const LOG_INTERVAL_LIMIT_MS: u64 = 4_000;
 
+/// Longest wait for an engine at its cap, in ms.
+const HOLDER_WAIT_LIMIT_MS: u64 = 10_000;
+
 /// One day in ms.
 const DAY_MS: u64 = 86_400_000;
 
@@ -142,6 +148,11 @@
             self.record_interval_ms,
             50..=INTERVAL_LIMIT_MS,
         );
+        list.check_range(
+            "holder_wait_ms",
+            self.holder_wait_ms,
+            0..=HOLDER_WAIT_LIMIT_MS,
+        );
         list.check_range("shard_size", self.shard_size, 1..=65_536);
         if self.listen == self.control_listen {
             list.add("control_listen", "is the same address as listen");
