Add the claim ledger

Cause: requests that are not repeatable need one durable claim per key, and every reader of the log has to name the same holder. Change: fescuetide_claims folds claim records in log order: the first claim wins, a claim that names the current one replaces it, repeated appends have no effect, offsets with a gap are refused, and keys outside of the window are unknown.

--- /dev/null
+++ b/crates/state/fescuetide_claims/src/lib.rs
@@ -0,0 +1,63 @@
+//! Claims on idempotency keys: which VM may run a request that is not repeatable.
+//!
+//! Routers append claims to a log that is divided into partitions by key. Every reader of a partition folds the same
+//! records with [`ClaimLedger::fold`] and so names the same current claim for a key: the first claim in log order wins,
+//! and it is replaced only by a claim that names it. A router may dispatch a request only after it has read its own
+//! claim back as the current one.
+//!
+//! ```
+//! use fescuetide_base::prelude::*;
+//! use fescuetide_claims::prelude::*;
+//!
+//! let now = ClockMillis::new(1_000);
+//! let key = ClaimKey {
+//!     workspace: "acme".parse().unwrap(),
+//!     // The first 48 bits are the creation time, 1,000 ms.
+//!     key: IdempotencyKey::from_u128(1_000 << 80),
+//! };
+//! let holder = ClaimHolder {
+//!     vm: "service-1".parse().unwrap(),
+//!     incarnation: ProcessIncarnation::new(7),
+//! };
+//! let claim = ClaimEntry {
+//!     id: ClaimId::from_u128(1),
+//!     key: key.clone(),
+//!     target: holder.clone(),
+//!     router: holder,
+//!     content: 0,
+//!     supersedes: None,
+//! };
+//! let mut ledger = ClaimLedger::new(ClaimWindow::default());
+//! assert_eq!(ledger.look_up(&key, now), KeyStanding::Free);
+//! let verdicts = ledger.fold(LogOffset::new(0), std::slice::from_ref(&claim)).unwrap();
+//! assert_eq!(verdicts, [ClaimVerdict::Current]);
+//! assert_eq!(ledger.look_up(&key, now), KeyStanding::Held(&claim));
+//! ```
+
+mod claim;
+mod ledger;
+mod partition;
+
+pub use claim::ClaimEntry;
+pub use claim::ClaimHolder;
+pub use claim::ClaimKey;
+pub use ledger::ClaimLedger;
+pub use ledger::ClaimVerdict;
+pub use ledger::ClaimWindow;
+pub use ledger::FoldError;
+pub use ledger::KeyStanding;
+pub use partition::ClaimPartition;
+pub use partition::PARTITION_COUNT;
+pub use partition::rank_registrars;
+
+/// The types most users need.
+pub mod prelude {
+    pub use crate::ClaimEntry;
+    pub use crate::ClaimHolder;
+    pub use crate::ClaimKey;
+    pub use crate::ClaimLedger;
+    pub use crate::ClaimPartition;
+    pub use crate::ClaimVerdict;
+    pub use crate::ClaimWindow;
+    pub use crate::KeyStanding;
+}
