--- a/crates/base/fescuetide_base/src/id.rs
+++ b/crates/base/fescuetide_base/src/id.rs
@@ -7,6 +7,8 @@
 use serde::Serialize;
 use uuid::Uuid;
 
+use crate::ClockMillis;
+
 /// The longest name in bytes.
 pub const NAME_LIMIT_BYTES: usize = 128;
 
@@ -191,6 +193,16 @@
     IdempotencyKey
 }
 
+/// Bits of a UUIDv7 below its creation time.
+const TIME_SHIFT_BITS: u32 = 80;
+
+impl IdempotencyKey {
+    /// When the caller created the key (RFC 9562, section 5.7).
+    pub fn created_at(self) -> ClockMillis {
+        ClockMillis::new((self.0.as_u128() >> TIME_SHIFT_BITS) as u64)
+    }
+}
+
 macro_rules! number_type {
     ($(#[$doc:meta])* $name:ident, $inner:ty) => {
         $(#[$doc])*
--- a/crates/process/fescuetide_side/src/answer.rs
+++ b/crates/process/fescuetide_side/src/answer.rs
@@ -85,6 +85,11 @@
         self.lock().cancelled
     }
 
+    /// Bytes of the body so far.
+    pub(crate) fn body_length(&self) -> usize {
+        self.lock().body.len()
+    }
+
     pub(crate) fn is_ended(&self) -> bool {
         self.lock().ending.is_some()
     }
--- a/crates/process/fescuetide_side/src/attempts.rs
+++ b/crates/process/fescuetide_side/src/attempts.rs
@@ -14,6 +14,7 @@
 use fescuetide_wire::frame::WorkKey;
 use indexmap::IndexMap;
 
+use crate::SideSettings;
 use crate::answer::AnswerBuffer;
 
 /// One attempt that was admitted here.
@@ -28,14 +29,16 @@
 enum SlotState {
     Present(AttemptEntry),
     Sealed(ClockMillis),
+    /// It ran here; its response is no longer kept.
+    Expired(ClockMillis),
 }
 
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 enum KeySlot {
     Present(AttemptTag),
-    Sealed(ClockMillis),
-    /// The response is no longer kept, but the key ran here.
-    Expired(ClockMillis),
+    Sealed,
+    /// The key ran here; its response is no longer kept.
+    Expired,
 }
 
 #[derive(Debug, Default)]
@@ -44,24 +47,53 @@
     keys: IndexMap<WorkKey, KeySlot>,
 }
 
-/// How long attempts and keys are kept.
+/// How long and how much of attempts and keys is kept.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct AttemptRetention {
-    /// Ended attempts without key, and seals.
+    /// Ended attempts without key, and long responses to keys.
     pub(crate) answer: SpanMillis,
-    /// Keys and their responses.
+    /// The oldest age of a key, and the time for which seals are kept.
     pub(crate) key: SpanMillis,
     /// Attempts in progress that nobody reads.
     pub(crate) orphan: SpanMillis,
+    /// Longest response that is kept for resends of a key, in bytes.
+    pub(crate) answer_bytes: usize,
+    /// All responses that are kept for resends of keys, in bytes.
+    pub(crate) total_bytes: usize,
+}
+
+impl AttemptRetention {
+    pub(crate) fn of(settings: &SideSettings) -> Self {
+        Self {
+            answer: SpanMillis::new(settings.answer_retention_ms),
+            key: SpanMillis::new(settings.key_retention_ms),
+            orphan: SpanMillis::new(settings.orphan_timeout_ms),
+            answer_bytes: settings.key_answer_limit_bytes,
+            total_bytes: settings.key_total_limit_bytes,
+        }
+    }
+
+    /// Whether a key is so old that its slot may have been dropped.
+    fn is_too_old(&self, key: &WorkKey, now: ClockMillis) -> bool {
+        now.since(key.key.created_at()) > self.key
+    }
 }
 
 /// Records which attempts and keys were seen, so that each runs at most once in this incarnation.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct AttemptTable {
+    retention: AttemptRetention,
     state: Mutex<TableState>,
 }
 
 impl AttemptTable {
+    pub(crate) fn new(retention: AttemptRetention) -> Self {
+        Self {
+            retention,
+            state: Mutex::default(),
+        }
+    }
+
     /// Registers an attempt, or says why it must not start.
     pub(crate) fn register(
         &self,
@@ -74,13 +106,7 @@
             return Err(RefusalReason::Sealed);
         }
         if let Some(key) = &key {
-            match state.keys.get(key) {
-                None => {}
-                Some(KeySlot::Sealed(_)) => return Err(RefusalReason::Sealed),
-                Some(KeySlot::Present(_) | KeySlot::Expired(_)) => {
-                    return Err(RefusalReason::KeySeen);
-                }
-            }
+            self.check_key(&state, key, now)?;
             state.keys.insert(key.clone(), KeySlot::Present(tag));
         }
         let entry = AttemptEntry {
@@ -94,6 +120,22 @@
         Ok(entry)
     }
 
+    fn check_key(
+        &self,
+        state: &TableState,
+        key: &WorkKey,
+        now: ClockMillis,
+    ) -> Result<(), RefusalReason> {
+        if self.retention.is_too_old(key, now) {
+            return Err(RefusalReason::KeyExpired);
+        }
+        match state.keys.get(key) {
+            None => Ok(()),
+            Some(KeySlot::Sealed) => Err(RefusalReason::Sealed),
+            Some(KeySlot::Present(_) | KeySlot::Expired) => Err(RefusalReason::KeySeen),
+        }
+    }
+
     /// The attempt under `tag`, when it is here.
     pub(crate) fn find(&self, tag: AttemptTag) -> Option<AttemptEntry> {
         match self.lock().attempts.get(&tag.attempt) {
@@ -110,54 +152,71 @@
         now: ClockMillis,
     ) -> SealState {
         let mut state = self.lock();
-        if let Some(SlotState::Present(entry)) = state.attempts.get(&tag.attempt) {
-            return SealState::Present(entry.tag);
+        match state.attempts.get(&tag.attempt) {
+            Some(SlotState::Present(entry)) => return SealState::Present(entry.tag),
+            Some(SlotState::Expired(_)) => return SealState::Expired,
+            Some(SlotState::Sealed(_)) | None => {}
         }
         if let Some(key) = key {
+            if self.retention.is_too_old(&key, now) {
+                return SealState::Expired;
+            }
             match state.keys.get(&key) {
                 Some(KeySlot::Present(found)) => return SealState::Present(*found),
-                Some(KeySlot::Expired(_)) => return SealState::Expired,
-                Some(KeySlot::Sealed(_)) | None => {}
+                Some(KeySlot::Expired) => return SealState::Expired,
+                Some(KeySlot::Sealed) | None => {}
             }
-            state.keys.insert(key, KeySlot::Sealed(now));
+            state.keys.insert(key, KeySlot::Sealed);
         }
         state.attempts.insert(tag.attempt, SlotState::Sealed(now));
         SealState::Sealed
     }
 
-    /// Drops what is older than its retention. Returns attempts in progress that nobody reads any more.
-    pub(crate) fn sweep(&self, retention: AttemptRetention, now: ClockMillis) -> Vec<AttemptEntry> {
+    /// Drops what is beyond its retention. Returns attempts in progress that nobody reads any more.
+    pub(crate) fn sweep(&self, now: ClockMillis) -> Vec<AttemptEntry> {
         let mut orphans = Vec::new();
-        let mut expired = Vec::new();
+        let mut kept_bytes = 0;
         let mut state = self.lock();
-        state.attempts.retain(|_, slot| match slot {
-            SlotState::Sealed(at) => now.since(*at) <= retention.key,
-            SlotState::Present(entry) => {
-                let Some(idle) = entry.answer.idle_span(now) else {
-                    return true;
-                };
-                if !entry.answer.is_ended() {
-                    if entry.key.is_none() && idle > retention.orphan {
-                        orphans.push(entry.clone());
-                    }
-                    return true;
+        let TableState { attempts, keys } = &mut *state;
+        // The newest attempts come last, so the walk back drops the oldest responses of keys first.
+        for slot in attempts.values_mut().rev() {
+            let SlotState::Present(entry) = slot else {
+                continue;
+            };
+            let Some(idle) = entry.answer.idle_span(now) else {
+                continue;
+            };
+            if !entry.answer.is_ended() {
+                if entry.key.is_none() && idle > self.retention.orphan {
+                    orphans.push(entry.clone());
                 }
-                match &entry.key {
-                    None => idle <= retention.answer,
-                    Some(key) if idle > retention.key => {
-                        expired.push(key.clone());
-                        false
-                    }
-                    Some(_) => true,
+                continue;
+            }
+            let expired = match &entry.key {
+                None => idle > self.retention.answer,
+                Some(key) => {
+                    let length = entry.answer.body_length();
+                    kept_bytes += length;
+                    let too_long = length > self.retention.answer_bytes;
+                    self.retention.is_too_old(key, now)
+                        || kept_bytes > self.retention.total_bytes
+                        || (too_long && idle > self.retention.answer)
                 }
+            };
+            if !expired {
+                continue;
             }
-        });
-        for key in expired {
-            state.keys.insert(key, KeySlot::Expired(now));
+            if let Some(key) = entry.key.take() {
+                keys.insert(key, KeySlot::Expired);
+            }
+            *slot = SlotState::Expired(now);
         }
-        state.keys.retain(|_, slot| match slot {
-            KeySlot::Present(_) => true,
-            KeySlot::Sealed(at) | KeySlot::Expired(at) => now.since(*at) <= retention.key,
+        attempts.retain(|_, slot| match slot {
+            SlotState::Present(_) => true,
+            SlotState::Sealed(at) | SlotState::Expired(at) => now.since(*at) <= self.retention.key,
+        });
+        keys.retain(|key, slot| {
+            matches!(slot, KeySlot::Present(_)) || !self.retention.is_too_old(key, now)
         });
         orphans
     }
--- a/crates/process/fescuetide_side/src/control.rs
+++ b/crates/process/fescuetide_side/src/control.rs
@@ -32,7 +32,6 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::SideShared;
-use crate::attempts::AttemptRetention;
 use crate::server::cancel_attempt;
 
 /// Longest time of a call of the VM list.
@@ -117,11 +116,6 @@
     let mut link: Option<CollectorLink> = None;
     let mut ticks = tokio::time::interval(Duration::from_millis(settings.report_interval_ms));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let retention = AttemptRetention {
-        answer: SpanMillis::new(settings.answer_retention_ms),
-        key: SpanMillis::new(settings.key_retention_ms),
-        orphan: SpanMillis::new(settings.orphan_timeout_ms),
-    };
     loop {
         ticks.tick().await;
         while let Ok(update) = receiver.try_recv() {
@@ -129,7 +123,7 @@
             leave_if_listed(shared, &table);
         }
         let now = ClockMillis::now();
-        for orphan in shared.attempts.sweep(retention, now) {
+        for orphan in shared.attempts.sweep(now) {
             shared.metrics.count("attempt.orphaned");
             let shared = Arc::clone(shared);
             // The cancellation is a blocking call of the upstream.
--- a/crates/process/fescuetide_side/src/lib.rs
+++ b/crates/process/fescuetide_side/src/lib.rs
@@ -21,6 +21,7 @@
 use fescuetide_base::ProcessIncarnation;
 
 use crate::admission::AdmissionGate;
+use crate::attempts::AttemptRetention;
 use crate::attempts::AttemptTable;
 use crate::metrics::SideMetrics;
 use crate::upstream::UpstreamClient;
@@ -57,7 +58,7 @@
         let shared = Arc::new(SideShared {
             incarnation: new_incarnation(),
             gate: AdmissionGate::default(),
-            attempts: AttemptTable::default(),
+            attempts: AttemptTable::new(AttemptRetention::of(&settings)),
             upstream: UpstreamClient::new(&settings),
             metrics: SideMetrics::new(&settings)?,
             settings,
--- a/crates/process/fescuetide_side/src/settings.rs
+++ b/crates/process/fescuetide_side/src/settings.rs
@@ -54,8 +54,13 @@
     pub orphan_timeout_ms: u64,
     /// How long an ended response is kept, in ms.
     pub answer_retention_ms: u64,
-    /// How long the response to an idempotency key is kept, in ms.
+    /// How long an idempotency key is known, in ms from its creation. Older keys are refused. Must be at least the
+    /// routers' `claim_window_ms`.
     pub key_retention_ms: u64,
+    /// The largest response that is kept for resends of an idempotency key, in bytes.
+    pub key_answer_limit_bytes: usize,
+    /// All responses that are kept for resends, in bytes. The oldest are dropped first.
+    pub key_total_limit_bytes: usize,
     /// Longest silence of the upstream before an attempt counts as failed, in ms.
     pub upstream_silence_ms: u64,
     /// Address of a StatsD server; no metrics are sent without it.
@@ -81,6 +86,8 @@
             orphan_timeout_ms: 15_000,
             answer_retention_ms: 30_000,
             key_retention_ms: 3_600_000,
+            key_answer_limit_bytes: 64 * 1024,
+            key_total_limit_bytes: 64 * 1024 * 1024,
             upstream_silence_ms: 30_000,
             statsd: None,
         }
--- a/crates/protocol/fescuetide_wire/src/frame.rs
+++ b/crates/protocol/fescuetide_wire/src/frame.rs
@@ -273,6 +273,8 @@
     Suspect,
     /// The upstream does not answer.
     UpstreamDown,
+    /// The key is too old for this side process to tell whether it ran.
+    KeyExpired,
 }
 
 impl fmt::Display for RefusalReason {
@@ -286,6 +288,7 @@
             Self::KeySeen => "idempotency key was seen before",
             Self::Suspect => "request is suspected of crashing upstreams",
             Self::UpstreamDown => "upstream does not answer",
+            Self::KeyExpired => "idempotency key is too old",
         })
     }
 }
@@ -297,6 +300,6 @@
     Sealed,
     /// It is here under this tag; its response can be resumed.
     Present(AttemptTag),
-    /// It was here, but its response is no longer kept.
+    /// It was here, but its response is no longer kept, or the key is too old to tell.
     Expired,
 }
--- a/crates/protocol/fescuetide_wire/src/lib.rs
+++ b/crates/protocol/fescuetide_wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! `TryFrom`, so that a change of state types cannot silently change a protocol.
 
 pub mod api;
+pub mod claim;
 pub mod codec;
 pub mod frame;
 pub mod log;
@@ -13,6 +14,9 @@
 /// The types most users need.
 pub mod prelude {
     pub use crate::api::CallOutcome;
+    pub use crate::claim::ClaimRecord;
+    pub use crate::claim::ClaimReply;
+    pub use crate::claim::ClaimWire;
     pub use crate::codec::decode;
     pub use crate::codec::encode;
     pub use crate::frame::*;
--- a/crates/protocol/fescuetide_wire/src/rpc.rs
+++ b/crates/protocol/fescuetide_wire/src/rpc.rs
@@ -2,6 +2,7 @@
 
 use fescuetide_base::LoadCount;
 use fescuetide_base::PoolName;
+use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
 use fescuetide_classes::ClassSnapshot;
 use fescuetide_summary::PoolSum;
@@ -9,6 +10,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::claim::ClaimReply;
+use crate::claim::ClaimWire;
+
 /// A side process's report to its collector.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ReportWire {
@@ -112,6 +116,8 @@
     async fn report(report: ReportWire) -> SumWire;
     /// Takes another collector's sums; the reply has the receiver's class-log offset.
     async fn exchange(sums: ExchangeWire) -> u64;
+    /// Asks the registrar to append a claim; the caller waits for `within`.
+    async fn claim(claim: ClaimWire, within: SpanMillis) -> ClaimReply;
     /// The class table, when it is newer than the given offset.
     async fn snapshot(above: u64) -> Option<ClassSnapshot>;
     /// The router's status.
--- a/crates/state/fescuetide_claims/src/claim.rs
+++ b/crates/state/fescuetide_claims/src/claim.rs
@@ -9,9 +9,6 @@
 use fescuetide_base::VmName;
 use fescuetide_base::WorkspaceName;
 
-/// Bits of a UUIDv7 below its creation time.
-const TIME_SHIFT_BITS: u32 = 80;
-
 /// An idempotency key within its workspace.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct ClaimKey {
@@ -22,9 +19,9 @@
 }
 
 impl ClaimKey {
-    /// When the caller created the key (RFC 9562, section 5.7).
+    /// When the caller created the key.
     pub fn created_at(&self) -> ClockMillis {
-        ClockMillis::new((self.key.as_uuid().as_u128() >> TIME_SHIFT_BITS) as u64)
+        self.key.created_at()
     }
 }
 
