--- a/crates/base/fescuetide_base/src/id.rs
+++ b/crates/base/fescuetide_base/src/id.rs
@@ -196,10 +196,21 @@
 /// Bits of a UUIDv7 below its creation time.
 const TIME_SHIFT_BITS: u32 = 80;
 
+fn creation_time(id: Uuid) -> ClockMillis {
+    ClockMillis::new((id.as_u128() >> TIME_SHIFT_BITS) as u64)
+}
+
 impl IdempotencyKey {
     /// When the caller created the key (RFC 9562, section 5.7).
     pub fn created_at(self) -> ClockMillis {
-        ClockMillis::new((self.0.as_u128() >> TIME_SHIFT_BITS) as u64)
+        creation_time(self.0)
+    }
+}
+
+impl ClaimId {
+    /// When the router created the claim (RFC 9562, section 5.7).
+    pub fn created_at(self) -> ClockMillis {
+        creation_time(self.0)
     }
 }
 
--- a/crates/process/fescuetide_router/src/control.rs
+++ b/crates/process/fescuetide_router/src/control.rs
@@ -12,6 +12,7 @@
 use fescuetide_base::ClockMillis;
 use fescuetide_base::LogOffset;
 use fescuetide_base::PoolName;
+use fescuetide_base::RequestId;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
 use fescuetide_classes::ChangeVerdict;
@@ -23,11 +24,16 @@
 use fescuetide_net::connect_control;
 use fescuetide_net::rpc_deadline;
 use fescuetide_net::serve_control;
+use fescuetide_records::RequestRecord;
 use fescuetide_summary::LoadCollector;
 use fescuetide_summary::PoolSum;
 use fescuetide_summary::UpstreamReport;
+use fescuetide_wire::claim::ClaimReply;
+use fescuetide_wire::claim::ClaimWire;
 use fescuetide_wire::log::ClassRecord;
 use fescuetide_wire::log::ReadReply;
+use fescuetide_wire::records::BurnWire;
+use fescuetide_wire::records::RequestWire;
 use fescuetide_wire::rpc::ExchangeWire;
 use fescuetide_wire::rpc::ReportWire;
 use fescuetide_wire::rpc::RouterControl;
@@ -40,13 +46,20 @@
 use tarpc::client;
 use tarpc::context::Context;
 use tokio::runtime::Runtime;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::oneshot;
 use tokio::task::LocalSet;
 use tokio::time::MissedTickBehavior;
 
 use crate::RouterShared;
+use crate::claim_client::RemoteClaim;
+use crate::claim_client::send_claims;
 use crate::platform;
 use crate::platform::PlatformNews;
 use crate::platform::apply_list;
+use crate::records::RecordKeeper;
+use crate::registrar::ClaimJob;
+use crate::registrar::unavailable;
 use crate::view::RouterView;
 
 /// How often news from the platform thread is taken in.
@@ -61,12 +74,18 @@
     classes: ClassTable,
     vms: VmTable,
     collector: LoadCollector,
+    records: RecordKeeper,
 }
 
 type SharedState = Rc<RefCell<ControlState>>;
 
 /// Starts the control thread and the platform thread.
-pub(crate) fn start(shared: &Arc<RouterShared>, listener: TcpListener) -> anyhow::Result<()> {
+pub(crate) fn start(
+    shared: &Arc<RouterShared>,
+    listener: TcpListener,
+    record_receiver: Receiver<RequestRecord>,
+    claim_receiver: UnboundedReceiver<RemoteClaim>,
+) -> anyhow::Result<()> {
     listener.set_nonblocking(true)?;
     let (news_sender, news_receiver) = channel::unbounded();
     let (offset_sender, offset_receiver) = channel::unbounded();
@@ -77,28 +96,43 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
+    let records = RecordKeeper::start(shared, record_receiver)?;
     let shared = Arc::clone(shared);
     thread::Builder::new()
         .name("router-control".to_owned())
-        .spawn(move || run_control(&runtime, shared, listener, &news_receiver, &offset_sender))?;
+        .spawn(move || {
+            let state = ControlState {
+                shared,
+                classes: ClassTable::default(),
+                vms: VmTable::default(),
+                collector: LoadCollector::default(),
+                records,
+            };
+            let sender = send_claims(Arc::clone(&state.shared), claim_receiver);
+            let local = LocalSet::new();
+            local.spawn_local(sender);
+            run_control(
+                &runtime,
+                &local,
+                state,
+                listener,
+                &news_receiver,
+                &offset_sender,
+            );
+        })?;
     Ok(())
 }
 
 fn run_control(
     runtime: &Runtime,
-    shared: Arc<RouterShared>,
+    local: &LocalSet,
+    state: ControlState,
     listener: TcpListener,
     news: &Receiver<PlatformNews>,
     offsets: &Sender<LogOffset>,
 ) {
-    let meter = shared.meter.clone();
-    let state = Rc::new(RefCell::new(ControlState {
-        shared,
-        classes: ClassTable::default(),
-        vms: VmTable::default(),
-        collector: LoadCollector::default(),
-    }));
-    let local = LocalSet::new();
+    let meter = state.shared.meter.clone();
+    let state = Rc::new(RefCell::new(state));
     local.block_on(runtime, async {
         match tokio::net::TcpListener::from_std(listener) {
             Ok(listener) => {
@@ -141,6 +175,9 @@
         if changed {
             state.borrow().publish();
         }
+        let mut state = state.borrow_mut();
+        let state = &mut *state;
+        state.records.step(&state.classes, ClockMillis::now());
     }
 }
 
@@ -309,6 +346,21 @@
         state.classes.next_offset().get()
     }
 
+    async fn claim(self, _: Context, claim: ClaimWire, within: SpanMillis) -> ClaimReply {
+        let (sender, receiver) = oneshot::channel();
+        let job = ClaimJob {
+            claim: claim.into(),
+            due: ClockMillis::now() + within,
+            reply: Box::new(move |reply| {
+                // The asking router may have given up.
+                let _ = sender.send(reply);
+            }),
+        };
+        let shared = Arc::clone(&self.state.borrow().shared);
+        shared.registrar.submit(job);
+        receiver.await.unwrap_or_else(|_| unavailable())
+    }
+
     async fn snapshot(self, _: Context, above: u64) -> Option<ClassSnapshot> {
         let state = self.state.borrow();
         if state.classes.next_offset().get() <= above {
@@ -333,6 +385,14 @@
         }
     }
 
+    async fn trace(self, _: Context, request: RequestId) -> Option<RequestWire> {
+        self.state.borrow().records.find(request)
+    }
+
+    async fn burn(self, _: Context) -> Vec<BurnWire> {
+        self.state.borrow().records.burn(ClockMillis::now())
+    }
+
     async fn drain(self, _: Context) {
         if self.state.borrow().shared.start_drain() {
             tracing::info!("drain was asked for; no new requests are taken");
--- a/crates/process/fescuetide_router/src/runner.rs
+++ b/crates/process/fescuetide_router/src/runner.rs
@@ -10,6 +10,8 @@
 use fescuetide_base::StableHash;
 use fescuetide_limits::RetryBudget;
 use fescuetide_members::VmEntry;
+use fescuetide_records::AttemptResult;
+use fescuetide_records::RecordOutcome;
 use fescuetide_wire::api::CallOutcome;
 use fescuetide_wire::api::TokenUsage;
 use fescuetide_wire::frame::AdmissionRule;
@@ -26,6 +28,9 @@
 use crate::call::CallEvent;
 use crate::call::CallSpec;
 use crate::call::CallWork;
+use crate::history::CallHistory;
+use crate::keyed::KeyedCall;
+use crate::keyed::KeyedStep;
 use crate::plan::CandidatePlan;
 use crate::plan::RefusalNote;
 
@@ -51,13 +56,18 @@
     attempts: u32,
     ended: bool,
     last_reason: String,
+    history: CallHistory,
+    /// The claims of a request that is not repeatable.
+    keyed: Option<KeyedCall>,
 }
 
 impl CallRunner {
     pub(crate) fn new(shared: Arc<RouterShared>, spec: CallSpec) -> Self {
         shared.retries.with_budget(&spec, RetryBudget::note_request);
         let plan = CandidatePlan::new(&shared, &spec, &[]);
+        let keyed = KeyedCall::new(&spec);
         Self {
+            keyed,
             shared,
             spec,
             plan,
@@ -69,6 +79,7 @@
             attempts: 0,
             ended: false,
             last_reason: "no upstream is available".to_owned(),
+            history: CallHistory::default(),
         }
     }
 
@@ -83,7 +94,11 @@
                 return self.end_at_deadline();
             }
             let Some(mut attempt) = self.current.take() else {
-                if !self.start_next() {
+                if self.keyed.is_some() {
+                    if let Some(event) = self.start_keyed() {
+                        return event;
+                    }
+                } else if !self.start_next() {
                     return self.end_not_run();
                 }
                 continue;
@@ -92,6 +107,9 @@
             match event {
                 AttemptEvent::Head(status, content_type) => {
                     self.note_admitted(attempt);
+                    if matches!(self.spec.work, CallWork::Service { .. }) {
+                        self.history.note_part(&self.spec);
+                    }
                     if self.head_sent {
                         continue;
                     }
@@ -100,6 +118,7 @@
                 }
                 AttemptEvent::Chunk(bytes) => {
                     self.note_admitted(attempt);
+                    self.history.note_part(&self.spec);
                     self.delivered.extend_from_slice(&bytes);
                     return CallEvent::Chunk(bytes);
                 }
@@ -139,6 +158,8 @@
                 completion_tokens,
             } => {
                 self.shared.lock_breaker().note_success(&attempt.vm().name);
+                self.history
+                    .note_result(attempt.tag().attempt, AttemptResult::Completed);
                 let usage = TokenUsage {
                     prompt_tokens,
                     cached_tokens,
@@ -149,6 +170,8 @@
             }
             AttemptEnding::NotRun(reason) => {
                 self.admitted = false;
+                self.history
+                    .note_result(attempt.tag().attempt, AttemptResult::NotRun(reason.clone()));
                 self.last_reason = reason;
                 self.shared
                     .lock_breaker()
@@ -167,6 +190,8 @@
         self.shared
             .lock_breaker()
             .note_failure(&vm.name, ClockMillis::now());
+        self.history
+            .note_result(attempt.tag().attempt, AttemptResult::Lost(reason.clone()));
         self.last_reason = reason.clone();
         self.lost_on.push(vm);
         if !self.spec.targets.repeatable {
@@ -210,7 +235,8 @@
                 request: self.spec.request,
                 attempt: AttemptId::generate(),
             };
-            let dispatch = self.make_dispatch(tag, rule);
+            let dispatch = make_dispatch(&self.spec, &self.delivered, tag, rule);
+            self.history.note_sent(tag.attempt, &vm.name);
             match LiveAttempt::start(&self.shared, &vm, dispatch) {
                 Ok(attempt) => {
                     self.attempts += 1;
@@ -220,6 +246,8 @@
                 Err(NotSent(error)) => {
                     self.shared.metrics.count("connect.failed");
                     self.last_reason = format!("VM {} cannot be reached: {error}", vm.name);
+                    self.history
+                        .note_result(tag.attempt, AttemptResult::NotSent(error.to_string()));
                     self.shared
                         .lock_breaker()
                         .note_failure(&vm.name, ClockMillis::now());
@@ -229,21 +257,29 @@
         false
     }
 
-    fn make_dispatch(&self, tag: AttemptTag, admission: AdmissionRule) -> DispatchFrame {
-        let now = ClockMillis::now();
-        let late_at = self.spec.received + self.spec.targets.lateness.within;
-        DispatchFrame {
-            tag,
-            target: Default::default(),
-            workspace: self.spec.workspace.clone(),
-            class: self.spec.class.clone(),
-            repeatable: self.spec.targets.repeatable,
-            key: self.spec.work_key(),
-            slack: late_at.since(now),
-            deadline: self.spec.deadline.since(now),
-            admission,
-            work: self.spec.work_body(&self.delivered),
-        }
+    /// Claims the key and starts or joins an attempt. Returns the end when there is none.
+    fn start_keyed(&mut self) -> Option<CallEvent> {
+        let keyed = self.keyed.as_mut()?;
+        let (shared, spec) = (&self.shared, &self.spec);
+        let step = keyed.start(shared, spec, &mut self.plan, |tag, rule| {
+            make_dispatch(spec, &[], tag, rule)
+        });
+        let attempt = match step {
+            KeyedStep::Dispatched(attempt) => {
+                self.attempts += 1;
+                attempt
+            }
+            KeyedStep::Joined(attempt) => attempt,
+            KeyedStep::Ended {
+                outcome,
+                reason,
+                retry_after,
+            } => return Some(self.end(outcome, reason, retry_after, TokenUsage::default())),
+        };
+        self.history
+            .note_sent(attempt.tag().attempt, &attempt.vm().name);
+        self.current = Some(attempt);
+        None
     }
 
     fn note_refusal(
@@ -255,6 +291,13 @@
     ) {
         self.shared.metrics.count("attempt.refused");
         self.last_reason = reason.to_string();
+        self.history.note_result(
+            attempt.tag().attempt,
+            AttemptResult::Refused(reason.to_string()),
+        );
+        if let Some(keyed) = &mut self.keyed {
+            keyed.note_refusal(reason);
+        }
         self.plan.note_refusal(RefusalNote {
             vm: attempt.vm().clone(),
             reason,
@@ -267,10 +310,10 @@
         let retry_after = self.plan.retry_after(SpanMillis::new(RETRY_AFTER_MS));
         let reason = self.last_reason.clone();
         // After a loss the request may have run, so it cannot end as not run.
-        let outcome = if self.lost_on.is_empty() {
-            CallOutcome::NotRun
-        } else {
-            CallOutcome::Failed
+        let outcome = match &self.keyed {
+            Some(keyed) => keyed.outcome_without_run(),
+            None if self.lost_on.is_empty() => CallOutcome::NotRun,
+            None => CallOutcome::Failed,
         };
         self.end(outcome, reason, Some(retry_after), TokenUsage::default())
     }
@@ -305,6 +348,7 @@
             CallOutcome::Failed => "request.failed",
             CallOutcome::Unknown => "request.unknown",
         });
+        self.send_record(record_outcome(outcome), &reason);
         CallEvent::End(CallEnd {
             outcome,
             reason,
@@ -319,6 +363,7 @@
         self.cancel();
         self.ended = true;
         self.shared.metrics.count("request.abandoned");
+        self.send_record(RecordOutcome::Abandoned, "caller has left");
         CallEnd {
             outcome: CallOutcome::Failed,
             reason: "caller has left".to_owned(),
@@ -328,9 +373,22 @@
         }
     }
 
+    fn send_record(&mut self, outcome: RecordOutcome, reason: &str) {
+        let router = &self.shared.settings.vm;
+        let record = self.history.finish(router, &self.spec, outcome, reason);
+        if !self.shared.records.send(record) {
+            self.shared.metrics.count("records.overflow");
+        }
+    }
+
     fn cancel(&mut self) {
         if let Some(mut attempt) = self.current.take() {
-            attempt.cancel(&self.shared);
+            self.history
+                .note_result(attempt.tag().attempt, AttemptResult::Cancelled);
+            // A request that is not repeatable runs to its end, since its caller may ask for the response again.
+            if self.keyed.is_none() {
+                attempt.cancel(&self.shared);
+            }
         }
     }
 }
@@ -338,8 +396,38 @@
 impl Drop for CallRunner {
     fn drop(&mut self) {
         if !self.ended {
-            self.shared.metrics.count("request.abandoned");
-            self.cancel();
+            self.abandon();
         }
     }
 }
+
+fn record_outcome(outcome: CallOutcome) -> RecordOutcome {
+    match outcome {
+        CallOutcome::Completed => RecordOutcome::Completed,
+        CallOutcome::NotRun => RecordOutcome::NotRun,
+        CallOutcome::Failed => RecordOutcome::Failed,
+        CallOutcome::Unknown => RecordOutcome::Unknown,
+    }
+}
+
+fn make_dispatch(
+    spec: &CallSpec,
+    delivered: &[u8],
+    tag: AttemptTag,
+    admission: AdmissionRule,
+) -> DispatchFrame {
+    let now = ClockMillis::now();
+    let late_at = spec.received + spec.targets.lateness.within;
+    DispatchFrame {
+        tag,
+        target: Default::default(),
+        workspace: spec.workspace.clone(),
+        class: spec.class.clone(),
+        repeatable: spec.targets.repeatable,
+        key: spec.work_key(),
+        slack: late_at.since(now),
+        deadline: spec.deadline.since(now),
+        admission,
+        work: spec.work_body(delivered),
+    }
+}
--- a/crates/process/fescuetide_side/src/attempts.rs
+++ b/crates/process/fescuetide_side/src/attempts.rs
@@ -144,6 +144,11 @@
         }
     }
 
+    /// Whether `key` was dispatched or sealed here.
+    pub(crate) fn knows_key(&self, key: &WorkKey) -> bool {
+        self.lock().keys.contains_key(key)
+    }
+
     /// Bars an attempt and its key from ever starting here, or tells where the response is.
     pub(crate) fn seal(
         &self,
--- a/crates/protocol/fescuetide_wire/src/claim.rs
+++ b/crates/protocol/fescuetide_wire/src/claim.rs
@@ -107,6 +107,8 @@
         /// Whether the registrar had read the log up to its end. Otherwise a later claim may have replaced this one.
         caught_up: bool,
     },
+    /// No claim holds the key, and this one names a claim to replace. It is not appended.
+    Free,
     /// The key is outside of the window: whether it was claimed cannot be told.
     Unknown,
     /// The log cannot be read or written in time. The claim may still appear in it.
--- a/crates/protocol/fescuetide_wire/src/frame.rs
+++ b/crates/protocol/fescuetide_wire/src/frame.rs
@@ -76,6 +76,8 @@
         tag: AttemptTag,
         /// The key, for requests that are not repeatable.
         key: Option<WorkKey>,
+        /// How long to wait for a dispatch with the key before it is barred.
+        wait: SpanMillis,
     },
     /// Cancels an attempt whose caller has left.
     Cancel {
--- a/crates/protocol/fescuetide_wire/src/lib.rs
+++ b/crates/protocol/fescuetide_wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod codec;
 pub mod frame;
 pub mod log;
+pub mod records;
 pub mod rpc;
 pub mod vms;
 
