Test at-most-once execution against real processes with faults

Cause: the claims and the keyed path had no test with two routers, pauses, kills or faults of the log.

--- a/crates/tools/fescuetide_bench/src/lib.rs
+++ b/crates/tools/fescuetide_bench/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod client;
 pub mod demo;
 pub mod fleet;
+pub mod once;
 pub mod ports;
 pub mod probe;
 pub mod process;
--- /dev/null
+++ b/crates/tools/fescuetide_bench/src/once.rs
@@ -0,0 +1,260 @@
+//! Callers of requests that are not repeatable, and the check of what they were told against the services' journals.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use anyhow::Context;
+use fescuetide_base::ClockMillis;
+use fescuetide_base::IdempotencyKey;
+use fescuetide_standin::journal::JournalEvent;
+use fescuetide_standin::journal::JournalLine;
+use fescuetide_standin::journal::read_journal;
+use fescuetide_standin::log::LogFaults;
+use fescuetide_standin::log::LogStatus;
+use fescuetide_wire::api::ATTEMPTS_HEADER;
+use fescuetide_wire::api::CHAT_HEADER;
+use fescuetide_wire::api::CLASS_HEADER;
+use fescuetide_wire::api::CallOutcome;
+use fescuetide_wire::api::KEY_HEADER;
+use fescuetide_wire::api::WORKSPACE_HEADER;
+use indexmap::IndexMap;
+use ureq::Agent;
+
+use crate::client::outcome_of;
+use crate::fleet::FleetProcesses;
+
+/// Bits of a UUIDv7 below its creation time.
+const TIME_SHIFT_BITS: u32 = 80;
+
+/// The version and variant of a UUIDv7.
+const VERSION_BITS: u128 = 0x7000_8000_0000_0000_0000;
+
+/// Longest time that a caller waits.
+const CALL_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// One request that is not repeatable.
+#[derive(Clone, Debug)]
+pub struct OnceCall {
+    /// Its key.
+    pub key: IdempotencyKey,
+    /// The chat. Requests of different chats prefer different upstreams.
+    pub chat: String,
+    /// How long the caller stays.
+    pub patience: Duration,
+}
+
+impl OnceCall {
+    /// A request with a new key.
+    pub fn new() -> Self {
+        Self::with_key(IdempotencyKey::generate())
+    }
+
+    /// A request with `key`.
+    pub fn with_key(key: IdempotencyKey) -> Self {
+        Self {
+            key,
+            chat: "c-0".to_owned(),
+            patience: CALL_TIMEOUT,
+        }
+    }
+
+    /// The same request from another chat.
+    pub fn in_chat(&self, chat: &str) -> Self {
+        Self {
+            chat: chat.to_owned(),
+            ..self.clone()
+        }
+    }
+}
+
+impl Default for OnceCall {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// What a caller was told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ToldCall {
+    /// The key.
+    pub key: IdempotencyKey,
+    /// The outcome, `None` when there was no response.
+    pub outcome: Option<CallOutcome>,
+    /// The status, 0 when there was no response.
+    pub status: u16,
+    /// The body.
+    pub body: String,
+    /// `Retry-After` in seconds.
+    pub retry_after: Option<u64>,
+    /// Attempts that the router dispatched.
+    pub attempts: u32,
+    /// How long the response took.
+    pub span: Duration,
+}
+
+/// Sends requests to the service pool of a fleet and keeps what it was told.
+#[derive(Debug)]
+pub struct OnceCaller {
+    path: String,
+    class: String,
+    told: Mutex<Vec<ToldCall>>,
+}
+
+impl OnceCaller {
+    /// A caller of `fleet` with requests of `class`.
+    pub fn new(fleet: &FleetProcesses, class: &str) -> Self {
+        Self {
+            path: format!("/svc/{}/receipts", fleet.settings.service_pool),
+            class: class.to_owned(),
+            told: Mutex::default(),
+        }
+    }
+
+    /// Sends a request to the router at `address`.
+    pub fn send(&self, address: SocketAddr, call: &OnceCall) -> ToldCall {
+        let agent: Agent = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(call.patience))
+            .build()
+            .into();
+        let start = Instant::now();
+        let result = agent
+            .post(format!("http://{address}{}", self.path))
+            .header(WORKSPACE_HEADER, "w-1")
+            .header(CHAT_HEADER, &call.chat)
+            .header(CLASS_HEADER, &self.class)
+            .header(KEY_HEADER, call.key.to_string())
+            .send(format!("receipt {}", call.key));
+        let mut told = ToldCall {
+            key: call.key,
+            outcome: None,
+            status: 0,
+            body: String::new(),
+            retry_after: None,
+            attempts: 0,
+            span: start.elapsed(),
+        };
+        if let Ok(mut response) = result {
+            let header = |name: &str| response.headers().get(name)?.to_str().ok()?.parse().ok();
+            told.outcome = outcome_of(&response);
+            told.status = response.status().as_u16();
+            told.retry_after = header("retry-after");
+            told.attempts = header(ATTEMPTS_HEADER).unwrap_or_default() as u32;
+            told.body = response.body_mut().read_to_string().unwrap_or_default();
+        }
+        let mut list = self.told.lock().unwrap_or_else(PoisonError::into_inner);
+        list.push(told.clone());
+        told
+    }
+
+    /// Compares all that was told with the journals of the fleet's services. Returns what does not agree.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a journal cannot be read.
+    pub fn check(&self, fleet: &FleetProcesses) -> anyhow::Result<Vec<String>> {
+        let told = self.told.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut by_key: IndexMap<IdempotencyKey, Vec<&ToldCall>> = IndexMap::new();
+        for call in &*told {
+            by_key.entry(call.key).or_default().push(call);
+        }
+        let runs = list_runs(fleet)?;
+        let mut findings = Vec::new();
+        for (key, calls) in by_key {
+            let count = runs.iter().filter(|run| is_run_of(run, key)).count();
+            check_key(key, &calls, count, &mut findings);
+        }
+        Ok(findings)
+    }
+}
+
+fn check_key(key: IdempotencyKey, calls: &[&ToldCall], runs: usize, findings: &mut Vec<String>) {
+    if runs > 1 {
+        findings.push(format!("{key} ran {runs} times"));
+    }
+    let all_not_run = calls
+        .iter()
+        .all(|call| call.outcome == Some(CallOutcome::NotRun));
+    if all_not_run && runs > 0 {
+        findings.push(format!("{key} was only told not-run, but it ran"));
+    }
+    let mut body: Option<&str> = None;
+    for call in calls {
+        match call.outcome {
+            Some(CallOutcome::Completed) => {
+                if runs == 0 {
+                    findings.push(format!("{key} was told completed, but it did not run"));
+                }
+                if body
+                    .replace(&call.body)
+                    .is_some_and(|other| other != call.body)
+                {
+                    findings.push(format!("{key} got two different responses"));
+                }
+            }
+            Some(CallOutcome::Failed) => {
+                findings.push(format!(
+                    "{key} was told failed, which is for repeatable requests"
+                ));
+            }
+            Some(CallOutcome::NotRun | CallOutcome::Unknown) | None => {}
+        }
+    }
+}
+
+fn is_run_of(line: &JournalLine, key: IdempotencyKey) -> bool {
+    line.event == JournalEvent::Start && line.key.as_deref() == Some(key.to_string().as_str())
+}
+
+/// All journal lines of the fleet's upstreams.
+///
+/// # Errors
+///
+/// Fails when a journal cannot be read.
+pub fn list_runs(fleet: &FleetProcesses) -> anyhow::Result<Vec<JournalLine>> {
+    let mut lines = Vec::new();
+    for pair in &fleet.upstreams {
+        lines.extend(read_journal(&pair.journal).context("journal")?);
+    }
+    Ok(lines)
+}
+
+/// How often `key` was run.
+///
+/// # Errors
+///
+/// Fails when a journal cannot be read.
+pub fn count_runs(fleet: &FleetProcesses, key: IdempotencyKey) -> anyhow::Result<usize> {
+    let lines = list_runs(fleet)?;
+    Ok(lines.iter().filter(|line| is_run_of(line, key)).count())
+}
+
+/// A key that was created at `at`.
+pub fn key_of(at: ClockMillis) -> IdempotencyKey {
+    let random = IdempotencyKey::generate().as_uuid().as_u128();
+    let low = random & ((1 << 62) - 1);
+    IdempotencyKey::from_u128(u128::from(at.as_millis()) << TIME_SHIFT_BITS | VERSION_BITS | low)
+}
+
+/// Sets the faults of the fleet's log service.
+///
+/// # Errors
+///
+/// Fails when the log service does not take them.
+pub fn set_log_faults(fleet: &FleetProcesses, faults: &LogFaults) -> anyhow::Result<()> {
+    ureq::put(format!("http://{}/faults", fleet.log_address)).send_json(faults)?;
+    Ok(())
+}
+
+/// The status of the fleet's log service.
+///
+/// # Errors
+///
+/// Fails when the log service does not answer.
+pub fn read_log_status(fleet: &FleetProcesses) -> anyhow::Result<LogStatus> {
+    let url = format!("http://{}/faults", fleet.log_address);
+    Ok(ureq::get(url).call()?.body_mut().read_json()?)
+}
--- a/crates/tools/fescuetide_bench/src/probe.rs
+++ b/crates/tools/fescuetide_bench/src/probe.rs
@@ -50,6 +50,22 @@
         })
     }
 
+    /// Has the side process with this control address refuse new work.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the side process does not answer.
+    pub fn drain_side(&self, control: SocketAddr) -> anyhow::Result<()> {
+        self.runtime.block_on(async {
+            let transport = connect_control(control, ControlMeter::default()).await?;
+            let link = SideControlClient::new(client::Config::default(), transport).spawn();
+            let context = rpc_deadline(SpanMillis::new(CALL_TIMEOUT_MS));
+            link.drain(context)
+                .await
+                .context("side process does not answer")
+        })
+    }
+
     /// The status of the side process with this control address.
     ///
     /// # Errors
--- a/crates/tools/fescuetide_standin/src/log.rs
+++ b/crates/tools/fescuetide_standin/src/log.rs
@@ -49,6 +49,8 @@
     pub down: bool,
     /// Replies are sent this many ms after the call took effect, or as soon as the faults change.
     pub slow_ms: u64,
+    /// Only appends are slow.
+    pub slow_appends_only: bool,
     /// Appends take effect, but their replies break off.
     pub reply_lost: bool,
     /// Each stream keeps only this many records; 0 keeps all.
@@ -143,7 +145,9 @@
             }
             _ => return empty_response(405),
         };
-        self.delay(&faults, version);
+        if method == "POST" || !faults.slow_appends_only {
+            self.delay(&faults, version);
+        }
         response
     }
 
