--- a/crates/base/fescuetide_base/src/id.rs
+++ b/crates/base/fescuetide_base/src/id.rs
@@ -7,6 +7,8 @@
 use serde::Serialize;
 use uuid::Uuid;
 
+use crate::ClockMillis;
+
 /// The longest name in bytes.
 pub const NAME_LIMIT_BYTES: usize = 128;
 
@@ -191,6 +193,27 @@
     IdempotencyKey
 }
 
+/// Bits of a UUIDv7 below its creation time.
+const TIME_SHIFT_BITS: u32 = 80;
+
+fn creation_time(id: Uuid) -> ClockMillis {
+    ClockMillis::new((id.as_u128() >> TIME_SHIFT_BITS) as u64)
+}
+
+impl IdempotencyKey {
+    /// When the caller created the key (RFC 9562, section 5.7).
+    pub fn created_at(self) -> ClockMillis {
+        creation_time(self.0)
+    }
+}
+
+impl ClaimId {
+    /// When the router created the claim (RFC 9562, section 5.7).
+    pub fn created_at(self) -> ClockMillis {
+        creation_time(self.0)
+    }
+}
+
 macro_rules! number_type {
     ($(#[$doc:meta])* $name:ident, $inner:ty) => {
         $(#[$doc])*
--- a/crates/process/fescuetide_router/src/call.rs
+++ b/crates/process/fescuetide_router/src/call.rs
@@ -8,6 +8,7 @@
 use fescuetide_base::PoolName;
 use fescuetide_base::RequestId;
 use fescuetide_base::SpanMillis;
+use fescuetide_base::StableHash;
 use fescuetide_base::WorkspaceName;
 use fescuetide_classes::ClassTargets;
 use fescuetide_wire::api::CallOutcome;
@@ -67,6 +68,21 @@
         })
     }
 
+    /// Hash of the work, which tells a resend from another request under the same key.
+    pub(crate) fn content_hash(&self) -> u64 {
+        let hash = StableHash::new().field(self.pool.as_str().as_bytes());
+        match &self.work {
+            CallWork::Chat { body, .. } => hash.field(body).finish(),
+            CallWork::Service {
+                method, path, body, ..
+            } => hash
+                .field(method.as_bytes())
+                .field(path.as_bytes())
+                .field(body)
+                .finish(),
+        }
+    }
+
     pub(crate) fn work_body(&self, delivered: &[u8]) -> WorkBody {
         match &self.work {
             CallWork::Chat { body, .. } => WorkBody::Chat {
--- a/crates/process/fescuetide_router/src/lib.rs
+++ b/crates/process/fescuetide_router/src/lib.rs
@@ -5,16 +5,20 @@
 
 mod attempt;
 mod call;
+mod claim_client;
 mod class_log;
 mod classes;
 mod control;
 mod history;
 mod http;
+mod keyed;
 mod metrics;
+mod partition;
 mod peers;
 mod plan;
 mod platform;
 mod records;
+mod registrar;
 mod request;
 mod respond;
 mod retry;
@@ -41,8 +45,10 @@
 use fescuetide_net::LinkPool;
 use fescuetide_net::LinkSettings;
 
+use crate::claim_client::ClaimClient;
 use crate::metrics::RouterMetrics;
 use crate::records::RecordSender;
+use crate::registrar::Registrar;
 use crate::retry::RetryLedger;
 use crate::view::RouterView;
 
@@ -51,11 +57,14 @@
 /// State shared by the threads of a router.
 pub(crate) struct RouterShared {
     pub(crate) settings: RouterSettings,
+    pub(crate) incarnation: ProcessIncarnation,
     pub(crate) view: ArcSwap<RouterView>,
     pub(crate) links: LinkPool,
     pub(crate) breaker: Mutex<VmBreaker>,
     pub(crate) retries: RetryLedger,
     pub(crate) records: RecordSender,
+    pub(crate) registrar: Registrar,
+    pub(crate) claims: ClaimClient,
     pub(crate) metrics: RouterMetrics,
     pub(crate) meter: ControlMeter,
     pub(crate) draining: AtomicBool,
@@ -99,19 +108,24 @@
         let incarnation = ProcessIncarnation::new(ClockMillis::now().as_millis());
         let links = LinkPool::new(settings.vm.clone(), incarnation, LinkSettings::default());
         let (records, record_receiver) = RecordSender::channel();
+        let (claims, claim_receiver) = ClaimClient::channel();
+        let meter = ControlMeter::default();
         let shared = Arc::new(RouterShared {
+            incarnation,
             view: ArcSwap::from_pointee(RouterView::default()),
             links,
             breaker: Mutex::new(VmBreaker::new(BreakerSettings::default())),
             retries: RetryLedger::default(),
             records,
+            registrar: Registrar::new(&settings, meter.clone()),
+            claims,
             metrics: RouterMetrics::new(&settings)?,
-            meter: ControlMeter::default(),
+            meter,
             draining: AtomicBool::new(false),
             active: AtomicU32::new(0),
             settings,
         });
-        control::start(&shared, control, record_receiver)?;
+        control::start(&shared, control, record_receiver, claim_receiver)?;
         http::start(Arc::clone(&shared))?;
         tracing::info!(
             vm = %shared.settings.vm,
--- a/crates/process/fescuetide_router/src/runner.rs
+++ b/crates/process/fescuetide_router/src/runner.rs
@@ -29,6 +29,8 @@
 use crate::call::CallSpec;
 use crate::call::CallWork;
 use crate::history::CallHistory;
+use crate::keyed::KeyedCall;
+use crate::keyed::KeyedStep;
 use crate::plan::CandidatePlan;
 use crate::plan::RefusalNote;
 
@@ -55,13 +57,17 @@
     ended: bool,
     last_reason: String,
     history: CallHistory,
+    /// The claims of a request that is not repeatable.
+    keyed: Option<KeyedCall>,
 }
 
 impl CallRunner {
     pub(crate) fn new(shared: Arc<RouterShared>, spec: CallSpec) -> Self {
         shared.retries.with_budget(&spec, RetryBudget::note_request);
         let plan = CandidatePlan::new(&shared, &spec, &[]);
+        let keyed = KeyedCall::new(&spec);
         Self {
+            keyed,
             shared,
             spec,
             plan,
@@ -88,7 +94,11 @@
                 return self.end_at_deadline();
             }
             let Some(mut attempt) = self.current.take() else {
-                if !self.start_next() {
+                if self.keyed.is_some() {
+                    if let Some(event) = self.start_keyed() {
+                        return event;
+                    }
+                } else if !self.start_next() {
                     return self.end_not_run();
                 }
                 continue;
@@ -225,7 +235,7 @@
                 request: self.spec.request,
                 attempt: AttemptId::generate(),
             };
-            let dispatch = self.make_dispatch(tag, rule);
+            let dispatch = make_dispatch(&self.spec, &self.delivered, tag, rule);
             self.history.note_sent(tag.attempt, &vm.name);
             match LiveAttempt::start(&self.shared, &vm, dispatch) {
                 Ok(attempt) => {
@@ -247,21 +257,29 @@
         false
     }
 
-    fn make_dispatch(&self, tag: AttemptTag, admission: AdmissionRule) -> DispatchFrame {
-        let now = ClockMillis::now();
-        let late_at = self.spec.received + self.spec.targets.lateness.within;
-        DispatchFrame {
-            tag,
-            target: Default::default(),
-            workspace: self.spec.workspace.clone(),
-            class: self.spec.class.clone(),
-            repeatable: self.spec.targets.repeatable,
-            key: self.spec.work_key(),
-            slack: late_at.since(now),
-            deadline: self.spec.deadline.since(now),
-            admission,
-            work: self.spec.work_body(&self.delivered),
-        }
+    /// Claims the key and starts or joins an attempt. Returns the end when there is none.
+    fn start_keyed(&mut self) -> Option<CallEvent> {
+        let keyed = self.keyed.as_mut()?;
+        let (shared, spec) = (&self.shared, &self.spec);
+        let step = keyed.start(shared, spec, &mut self.plan, |tag, rule| {
+            make_dispatch(spec, &[], tag, rule)
+        });
+        let attempt = match step {
+            KeyedStep::Dispatched(attempt) => {
+                self.attempts += 1;
+                attempt
+            }
+            KeyedStep::Joined(attempt) => attempt,
+            KeyedStep::Ended {
+                outcome,
+                reason,
+                retry_after,
+            } => return Some(self.end(outcome, reason, retry_after, TokenUsage::default())),
+        };
+        self.history
+            .note_sent(attempt.tag().attempt, &attempt.vm().name);
+        self.current = Some(attempt);
+        None
     }
 
     fn note_refusal(
@@ -277,6 +295,9 @@
             attempt.tag().attempt,
             AttemptResult::Refused(reason.to_string()),
         );
+        if let Some(keyed) = &mut self.keyed {
+            keyed.note_refusal(reason);
+        }
         self.plan.note_refusal(RefusalNote {
             vm: attempt.vm().clone(),
             reason,
@@ -289,10 +310,10 @@
         let retry_after = self.plan.retry_after(SpanMillis::new(RETRY_AFTER_MS));
         let reason = self.last_reason.clone();
         // After a loss the request may have run, so it cannot end as not run.
-        let outcome = if self.lost_on.is_empty() {
-            CallOutcome::NotRun
-        } else {
-            CallOutcome::Failed
+        let outcome = match &self.keyed {
+            Some(keyed) => keyed.outcome_without_run(),
+            None if self.lost_on.is_empty() => CallOutcome::NotRun,
+            None => CallOutcome::Failed,
         };
         self.end(outcome, reason, Some(retry_after), TokenUsage::default())
     }
@@ -364,7 +385,10 @@
         if let Some(mut attempt) = self.current.take() {
             self.history
                 .note_result(attempt.tag().attempt, AttemptResult::Cancelled);
-            attempt.cancel(&self.shared);
+            // A request that is not repeatable runs to its end, since its caller may ask for the response again.
+            if self.keyed.is_none() {
+                attempt.cancel(&self.shared);
+            }
         }
     }
 }
@@ -385,3 +409,25 @@
         CallOutcome::Unknown => RecordOutcome::Unknown,
     }
 }
+
+fn make_dispatch(
+    spec: &CallSpec,
+    delivered: &[u8],
+    tag: AttemptTag,
+    admission: AdmissionRule,
+) -> DispatchFrame {
+    let now = ClockMillis::now();
+    let late_at = spec.received + spec.targets.lateness.within;
+    DispatchFrame {
+        tag,
+        target: Default::default(),
+        workspace: spec.workspace.clone(),
+        class: spec.class.clone(),
+        repeatable: spec.targets.repeatable,
+        key: spec.work_key(),
+        slack: late_at.since(now),
+        deadline: spec.deadline.since(now),
+        admission,
+        work: spec.work_body(delivered),
+    }
+}
--- a/crates/process/fescuetide_side/src/server.rs
+++ b/crates/process/fescuetide_side/src/server.rs
@@ -4,6 +4,7 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
@@ -17,6 +18,7 @@
 use fescuetide_wire::frame::RefusalReason;
 use fescuetide_wire::frame::RouterFrame;
 use fescuetide_wire::frame::SideFrame;
+use fescuetide_wire::frame::WorkKey;
 
 use crate::SideShared;
 use crate::answer::AnswerStep;
@@ -28,6 +30,9 @@
 /// When a refused router should come back: about the time of two load reports.
 const RETRY_AFTER_MS: u64 = 1_000;
 
+/// How often a seal that waits looks for its key.
+const KEY_STEP_MS: u64 = 5;
+
 /// Accepts connections until the process ends.
 pub(crate) fn accept_connections(shared: &Arc<SideShared>, listener: &TcpListener) {
     for stream in listener.incoming() {
@@ -62,7 +67,8 @@
             RouterFrame::Resume { tag, offset } => {
                 serve_resume(shared, &mut stream, tag, offset)?;
             }
-            RouterFrame::Seal { tag, key } => {
+            RouterFrame::Seal { tag, key, wait } => {
+                wait_for_key(shared, key.as_ref(), wait);
                 let state = shared.attempts.seal(tag, key, ClockMillis::now());
                 stream.send(&SideFrame::Sealed { tag, state })?;
             }
@@ -169,6 +175,17 @@
     }
 }
 
+/// Waits until `key` is here, at most for `wait`.
+fn wait_for_key(shared: &SideShared, key: Option<&WorkKey>, wait: SpanMillis) {
+    let Some(key) = key else {
+        return;
+    };
+    let end = ClockMillis::now() + wait;
+    while ClockMillis::now() < end && !shared.attempts.knows_key(key) {
+        thread::sleep(Duration::from_millis(KEY_STEP_MS));
+    }
+}
+
 fn serve_resume(
     shared: &SideShared,
     stream: &mut FramedStream,
