--- a/crates/process/fescuetide_router/src/attempt.rs
+++ b/crates/process/fescuetide_router/src/attempt.rs
@@ -19,6 +19,7 @@
 use fescuetide_wire::frame::SideFrame;
 
 use crate::RouterShared;
+use crate::policy::AttemptCount;
 
 /// How often a response is resumed before the attempt counts as lost.
 const RESUME_LIMIT: u32 = 3;
@@ -62,6 +63,8 @@
     accepted: bool,
     head_seen: bool,
     ended: bool,
+    /// Counts the attempt for the policy that measures load by attempts in progress.
+    _count: Option<AttemptCount>,
 }
 
 impl LiveAttempt {
@@ -79,7 +82,11 @@
             .links
             .checkout(&vm.name, vm.data, ClockMillis::now())
             .map_err(NotSent)?;
-        Ok(Self::start_on(vm, link, dispatch))
+        let attempt = Self::start_on(vm, link, dispatch);
+        Ok(Self {
+            _count: Some(shared.policy.count_attempt(&vm.name)),
+            ..attempt
+        })
     }
 
     /// Sends the dispatch over `link` to the incarnation that answered there.
@@ -109,6 +116,7 @@
             accepted: false,
             head_seen: false,
             ended: false,
+            _count: None,
         }
     }
 
--- a/crates/process/fescuetide_router/src/lib.rs
+++ b/crates/process/fescuetide_router/src/lib.rs
@@ -17,6 +17,7 @@
 mod peers;
 mod plan;
 mod platform;
+mod policy;
 mod records;
 mod registrar;
 mod request;
@@ -47,11 +48,13 @@
 
 use crate::claim_client::ClaimClient;
 use crate::metrics::RouterMetrics;
+use crate::policy::PolicyState;
 use crate::records::RecordSender;
 use crate::registrar::Registrar;
 use crate::retry::RetryLedger;
 use crate::view::RouterView;
 
+pub use crate::policy::RoutingPolicy;
 pub use crate::settings::RouterSettings;
 
 /// State shared by the threads of a router.
@@ -62,6 +65,7 @@
     pub(crate) links: LinkPool,
     pub(crate) breaker: Mutex<VmBreaker>,
     pub(crate) retries: RetryLedger,
+    pub(crate) policy: Arc<PolicyState>,
     pub(crate) records: RecordSender,
     pub(crate) registrar: Registrar,
     pub(crate) claims: ClaimClient,
@@ -116,6 +120,7 @@
             links,
             breaker: Mutex::new(VmBreaker::new(BreakerSettings::default())),
             retries: RetryLedger::default(),
+            policy: Arc::default(),
             records,
             registrar: Registrar::new(&settings, meter.clone()),
             claims,
