--- /dev/null
+++ b/crates/process/fescuetide_cli/src/commands/burn.rs
@@ -0,0 +1,86 @@
+//! `burn`.
+
+use anyhow::Context;
+use fescuetide_base::ClassName;
+use fescuetide_classes::ClassTable;
+use fescuetide_members::VmEntry;
+use fescuetide_records::BurnCount;
+use fescuetide_records::BurnReport;
+use fescuetide_records::BurnWindow;
+use fescuetide_wire::records::BurnWire;
+use indexmap::IndexMap;
+use serde_json::json;
+
+use crate::arguments::CommandArguments;
+use crate::arguments::CommandSpec;
+use crate::context::ToolContext;
+use crate::fleet;
+use crate::report::CommandReport;
+use crate::report::ToolError;
+
+type ClassCounts = IndexMap<ClassName, [BurnCount; 4]>;
+
+pub(crate) const SPEC: CommandSpec = CommandSpec {
+    name: "burn",
+    summary: "Report how fast targets are used up",
+    usage: "",
+    help: "
+For each class and window: requests, those refused, and the burn rate of each
+target. A rate of 1 uses up exactly what the target allows, 2 twice as much. A
+target of 0 shows the number of requests that missed it. The counts are summed
+over all live routers and reach back to each router's start, at most 6 hours.
+",
+    values: 0..=0,
+    flags: &[],
+    options: &[],
+    run,
+};
+
+fn run(context: &ToolContext, _: &CommandArguments) -> Result<CommandReport, ToolError> {
+    let snapshot = fleet::newest_table(context)?.context("no router has the classes")?;
+    let mut table = ClassTable::default();
+    table.restore(snapshot);
+    let routers = fleet::live_routers(&context.read_vms()?);
+    let mut counts = ClassCounts::new();
+    let mut silent = Vec::new();
+    let results = fleet::ask_all(context, &routers, ask_router);
+    for (router, result) in routers.iter().zip(results) {
+        match result {
+            Ok(list) => merge_counts(&mut counts, list),
+            Err(_) => silent.push(router.name.to_string()),
+        }
+    }
+    let mut report = BurnReport::default();
+    for (class, _, targets) in table.iter() {
+        let counts = counts.get(class).copied().unwrap_or_default();
+        report.add_class(class, &targets, &counts);
+    }
+    let failure = (!silent.is_empty()).then(|| {
+        let names = silent.join(", ");
+        format!("counts of routers that do not answer are missing: {names}")
+    });
+    Ok(CommandReport {
+        text: report.to_string(),
+        json: json!({ "lines": report.lines, "silent": silent }),
+        failure,
+        ..CommandReport::default()
+    })
+}
+
+async fn ask_router(entry: VmEntry) -> anyhow::Result<Vec<BurnWire>> {
+    let link = fleet::connect_router(&entry).await?;
+    Ok(link.burn(fleet::deadline()).await?)
+}
+
+fn merge_counts(counts: &mut ClassCounts, list: Vec<BurnWire>) {
+    for wire in list {
+        // A router of another version may have other windows; its counts cannot be compared.
+        if wire.counts.len() != BurnWindow::ALL.len() {
+            continue;
+        }
+        let sums = counts.entry(wire.class).or_default();
+        for (sum, count) in sums.iter_mut().zip(wire.counts) {
+            sum.merge(&BurnCount::from(count));
+        }
+    }
+}
--- a/crates/process/fescuetide_cli/src/commands/mod.rs
+++ b/crates/process/fescuetide_cli/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The commands, one file each. A new one is added to [`COMMANDS`].
 
+mod burn;
 mod class_history;
 mod class_publish;
 mod class_remove;
@@ -7,6 +8,7 @@
 mod class_show;
 mod drain;
 mod status;
+mod trace;
 
 use crate::arguments::CommandSpec;
 
@@ -18,5 +20,7 @@
     class_remove::SPEC,
     class_history::SPEC,
     status::SPEC,
+    trace::SPEC,
+    burn::SPEC,
     drain::SPEC,
 ];
--- a/crates/tools/fescuetide_bench/src/caller.rs
+++ b/crates/tools/fescuetide_bench/src/caller.rs
@@ -153,6 +153,7 @@
         }
         let mut result = ChatResult {
             outcome: None,
+            request: None,
             text: String::new(),
             is_whole: false,
             first_token: None,
--- a/crates/tools/fescuetide_bench/src/client.rs
+++ b/crates/tools/fescuetide_bench/src/client.rs
@@ -40,6 +40,8 @@
 pub struct ChatResult {
     /// The outcome it was told, `None` when the connection broke off.
     pub outcome: Option<CallOutcome>,
+    /// The request id it was told.
+    pub request: Option<String>,
     /// The text it received.
     pub text: String,
     /// Whether the text is the whole answer to its own prompt.
@@ -82,6 +84,7 @@
         });
         let mut result = ChatResult {
             outcome: None,
+            request: None,
             text: String::new(),
             is_whole: false,
             first_token: None,
@@ -130,6 +133,7 @@
         result.usage = event.usage.unwrap_or(result.usage);
         if let Some(report) = event.fescuetide {
             result.outcome = Some(report.outcome);
+            result.request = Some(report.request);
         }
         for choice in event.choices {
             let Some(content) = choice.delta.content else {
