--- a/crates/process/fescuetide_router/src/control.rs
+++ b/crates/process/fescuetide_router/src/control.rs
@@ -23,6 +23,8 @@
 use fescuetide_summary::LoadCollector;
 use fescuetide_summary::PoolSum;
 use fescuetide_summary::UpstreamReport;
+use fescuetide_wire::claim::ClaimReply;
+use fescuetide_wire::claim::ClaimWire;
 use fescuetide_wire::records::BurnWire;
 use fescuetide_wire::records::RequestWire;
 use fescuetide_wire::rpc::ExchangeWire;
@@ -37,10 +39,14 @@
 use tarpc::client;
 use tarpc::context::Context;
 use tokio::runtime::Runtime;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::oneshot;
 use tokio::task::LocalSet;
 use tokio::time::MissedTickBehavior;
 
 use crate::RouterShared;
+use crate::claim_client::RemoteClaim;
+use crate::claim_client::send_claims;
 use crate::class_log;
 use crate::class_log::ClassNews;
 use crate::classes::ClassControl;
@@ -49,6 +55,8 @@
 use crate::platform::PlatformNews;
 use crate::platform::apply_list;
 use crate::records::RecordKeeper;
+use crate::registrar::ClaimJob;
+use crate::registrar::unavailable;
 use crate::view::RouterView;
 
 /// How often news from the platform thread is taken in.
@@ -73,6 +81,7 @@
     shared: &Arc<RouterShared>,
     listener: TcpListener,
     record_receiver: Receiver<RequestRecord>,
+    claim_receiver: UnboundedReceiver<RemoteClaim>,
 ) -> anyhow::Result<()> {
     listener.set_nonblocking(true)?;
     let (news_sender, news_receiver) = channel::unbounded();
@@ -105,7 +114,10 @@
                 platform: news_receiver,
                 classes: class_receiver,
             };
-            run_control(&runtime, state, listener, &news);
+            let sender = send_claims(Arc::clone(&state.shared), claim_receiver);
+            let local = LocalSet::new();
+            local.spawn_local(sender);
+            run_control(&runtime, &local, state, listener, &news);
         })?;
     Ok(())
 }
@@ -117,13 +129,13 @@
 
 fn run_control(
     runtime: &Runtime,
+    local: &LocalSet,
     state: ControlState,
     listener: TcpListener,
     news: &NewsReceivers,
 ) {
     let meter = state.shared.meter.clone();
     let state = Rc::new(RefCell::new(state));
-    let local = LocalSet::new();
     local.block_on(runtime, async {
         match tokio::net::TcpListener::from_std(listener) {
             Ok(listener) => {
@@ -289,6 +301,21 @@
         state.classes.next_offset().get()
     }
 
+    async fn claim(self, _: Context, claim: ClaimWire, within: SpanMillis) -> ClaimReply {
+        let (sender, receiver) = oneshot::channel();
+        let job = ClaimJob {
+            claim: claim.into(),
+            due: ClockMillis::now() + within,
+            reply: Box::new(move |reply| {
+                // The asking router may have given up.
+                let _ = sender.send(reply);
+            }),
+        };
+        let shared = Arc::clone(&self.state.borrow().shared);
+        shared.registrar.submit(job);
+        receiver.await.unwrap_or_else(|_| unavailable())
+    }
+
     async fn snapshot(self, _: Context, above: u64) -> Option<ClassSnapshot> {
         let state = self.state.borrow();
         if !state.classes.is_complete() || state.classes.next_offset().get() <= above {
--- a/crates/process/fescuetide_router/src/settings.rs
+++ b/crates/process/fescuetide_router/src/settings.rs
@@ -9,6 +9,7 @@
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
 use fescuetide_base::ZoneName;
+use fescuetide_claims::ClaimWindow;
 use serde::Deserialize;
 
 /// Settings of a router.
@@ -53,6 +54,12 @@
     pub exchange_interval_ms: u64,
     /// Interval between batches of request records, in ms.
     pub record_interval_ms: u64,
+    /// How long an idempotency key is known, in ms from its creation. Must be below the log's retention.
+    pub claim_window_ms: u64,
+    /// The largest difference between two clocks of callers and routers, in ms.
+    pub claim_skew_ms: u64,
+    /// Shortest time between two appends to a partition of the claim log, in ms.
+    pub claim_gap_ms: u64,
     /// How many engines a workspace's chats are spread over at first.
     pub shard_size: usize,
     /// Address of a StatsD server; no metrics are sent without it.
@@ -81,6 +88,9 @@
             snapshot_jitter_ms: 3_000,
             exchange_interval_ms: 500,
             record_interval_ms: 5_000,
+            claim_window_ms: 3_600_000,
+            claim_skew_ms: 5_000,
+            claim_gap_ms: 80,
             shard_size: 4,
             statsd: None,
         }
@@ -141,9 +151,20 @@
         if self.listen == self.control_listen {
             list.add("control_listen", "is the same address as listen");
         }
+        list.check_range("claim_window_ms", self.claim_window_ms, 1_000..=DAY_MS);
+        list.check_range("claim_skew_ms", self.claim_skew_ms, 0..=INTERVAL_LIMIT_MS);
+        list.check_range("claim_gap_ms", self.claim_gap_ms, 1..=INTERVAL_LIMIT_MS);
         list
     }
 
+    /// For how long keys are known.
+    pub(crate) fn claim_window(&self) -> ClaimWindow {
+        ClaimWindow {
+            age: SpanMillis::new(self.claim_window_ms),
+            skew: SpanMillis::new(self.claim_skew_ms),
+        }
+    }
+
     /// The longest silence on a connection in use.
     pub(crate) fn silence_limit(&self) -> SpanMillis {
         SpanMillis::new(self.heartbeat_ms * 3)
--- a/crates/process/fescuetide_side/src/settings.rs
+++ b/crates/process/fescuetide_side/src/settings.rs
@@ -55,8 +55,13 @@
     pub orphan_timeout_ms: u64,
     /// How long an ended response is kept, in ms.
     pub answer_retention_ms: u64,
-    /// How long the response to an idempotency key is kept, in ms.
+    /// How long an idempotency key is known, in ms from its creation. Older keys are refused. Must be at least the
+    /// routers' `claim_window_ms`.
     pub key_retention_ms: u64,
+    /// The largest response that is kept for resends of an idempotency key, in bytes.
+    pub key_answer_limit_bytes: usize,
+    /// All responses that are kept for resends, in bytes. The oldest are dropped first.
+    pub key_total_limit_bytes: usize,
     /// Longest silence of the upstream before an attempt counts as failed, in ms.
     pub upstream_silence_ms: u64,
     /// Address of a StatsD server; no metrics are sent without it.
@@ -82,6 +87,8 @@
             orphan_timeout_ms: 15_000,
             answer_retention_ms: 30_000,
             key_retention_ms: 3_600_000,
+            key_answer_limit_bytes: 64 * 1024,
+            key_total_limit_bytes: 64 * 1024 * 1024,
             upstream_silence_ms: 30_000,
             statsd: None,
         }
@@ -91,6 +98,9 @@
 /// Longest interval of any kind, in ms.
 const INTERVAL_LIMIT_MS: u64 = 60_000;
 
+/// Largest limit of kept responses, in bytes.
+const BYTES_LIMIT: usize = 1 << 30;
+
 /// One day in ms.
 const DAY_MS: u64 = 86_400_000;
 
@@ -115,6 +125,16 @@
         list.check_range("orphan_timeout_ms", self.orphan_timeout_ms, 1..=DAY_MS);
         list.check_range("answer_retention_ms", self.answer_retention_ms, 1..=DAY_MS);
         list.check_range("key_retention_ms", self.key_retention_ms, 1..=DAY_MS);
+        list.check_range(
+            "key_answer_limit_bytes",
+            self.key_answer_limit_bytes,
+            0..=BYTES_LIMIT,
+        );
+        list.check_range(
+            "key_total_limit_bytes",
+            self.key_total_limit_bytes,
+            0..=BYTES_LIMIT,
+        );
         list.check_range("upstream_silence_ms", self.upstream_silence_ms, 1..=DAY_MS);
         if self.data_listen == self.control_listen {
             list.add("control_listen", "is the same address as data_listen");
