--- a/crates/state/fescuetide_classes/src/schedule.rs
+++ b/crates/state/fescuetide_classes/src/schedule.rs
@@ -86,11 +86,16 @@
         if now.since(self.newest_at) >= self.settings.interval {
             return true;
         }
+        let first = follower.first_offset();
         match self.newest {
-            Some(offset) if offset >= follower.first_offset() => {
-                next.get().saturating_sub(offset.get()) > self.settings.record_limit
+            Some(offset) if offset >= first => {
+                let after = next.get().saturating_sub(offset.get() + 1);
+                let before = offset.get() - first.get();
+                // Once records expire, a snapshot with more records after it than before it is nearer to expiring
+                // than to the end of the log.
+                after > self.settings.record_limit || (first.get() > 0 && after > before)
             }
-            _ => follower.first_offset().get() > 0 || next.get() >= self.settings.record_limit,
+            _ => first.get() > 0 || next.get() >= self.settings.record_limit,
         }
     }
 }
--- a/crates/state/fescuetide_classes/tests/schedule.rs
+++ b/crates/state/fescuetide_classes/tests/schedule.rs
@@ -76,3 +76,17 @@
     fold(&mut follower, 2, Vec::new());
     assert!(schedule.should_write(&follower, 0, ClockMillis::new(0)));
 }
+
+/// Guards against a snapshot that is only replaced after it has expired, so that new readers find none meanwhile.
+#[test]
+fn snapshot_is_replaced_before_it_expires() {
+    let mut follower = ClassFollower::default();
+    let now = ClockMillis::new(0);
+    let mut schedule = SnapshotSchedule::new(settings(), now);
+    fold(&mut follower, 0, vec![StreamEntry::Unreadable; 2]);
+    let sealed = StreamEntry::Snapshot(follower.table().snapshot().clone());
+    fold(&mut follower, 1, vec![sealed, StreamEntry::Unreadable]);
+    assert!(!schedule.should_write(&follower, 0, now));
+    fold(&mut follower, 2, vec![StreamEntry::Unreadable]);
+    assert!(schedule.should_write(&follower, 0, now));
+}
--- a/crates/tools/fescuetide_bench/tests/config.rs
+++ b/crates/tools/fescuetide_bench/tests/config.rs
@@ -10,10 +10,12 @@
 use fescuetide_bench::fleet::FleetProcesses;
 use fescuetide_bench::fleet::FleetSettings;
 use fescuetide_bench::fleet::is_ready;
+use fescuetide_bench::once::set_log_faults;
 use fescuetide_bench::process::SignalKind;
 use fescuetide_bench::process::wait_for;
 use fescuetide_classes::ClassSnapshot;
 use fescuetide_classes::ClassTargets;
+use fescuetide_standin::log::LogFaults;
 use fescuetide_wire::log::CLASS_STREAM;
 use fescuetide_wire::log::ClassRecord;
 
@@ -265,3 +267,111 @@
     let shown = run_tool(&fleet, &["class", "show"]).expect("tool runs");
     assert_eq!(shown.json["classes"].as_array().map(Vec::len), Some(1));
 }
+
+/// How many changes on the log set this lateness target.
+fn count_changes(fleet: &FleetProcesses, lateness: u64) -> usize {
+    let log = fleet.log_client();
+    let reply = log
+        .read(CLASS_STREAM, Default::default(), 1_000)
+        .expect("log answers");
+    let mut count = 0;
+    for record in reply.records {
+        let Ok(ClassRecord::Change(change)) = serde_json::from_str(&record.data) else {
+            continue;
+        };
+        let targets = change.targets.expect("targets");
+        count += usize::from(targets.lateness.within.as_millis() == lateness);
+    }
+    count
+}
+
+/// Guards against a change that is appended twice, or reported as failed, because the reply to its append was lost.
+#[test]
+fn lost_append_reply_is_looked_up_in_the_log() {
+    let fleet = start_fleet(1, &["log_interval_ms = 300"]);
+    let lost = LogFaults {
+        stream: CLASS_STREAM.to_owned(),
+        reply_lost: true,
+        ..LogFaults::default()
+    };
+    set_log_faults(&fleet, &lost).expect("faults are set");
+    let result = revise(&fleet, "lateness_ms=321", &["--wait"]);
+    assert_eq!(result.code, Some(0), "{result:?}");
+    assert_eq!(count_changes(&fleet, 321), 1);
+    // Slower than the tool waits for a reply.
+    let slow = LogFaults {
+        slow_ms: 10_000,
+        slow_appends_only: true,
+        ..LogFaults::default()
+    };
+    set_log_faults(&fleet, &slow).expect("faults are set");
+    let result = revise(&fleet, "lateness_ms=654", &[]);
+    assert_eq!(result.code, Some(0), "{result:?}");
+    assert_eq!(count_changes(&fleet, 654), 1);
+}
+
+/// Guards against a router that cannot start, or starts with old classes, after the first records of the log expired.
+#[test]
+fn router_starts_from_a_snapshot_after_records_expired() {
+    let lines = ["log_interval_ms = 100", "snapshot_jitter_ms = 500"];
+    let mut fleet = start_fleet(2, &lines);
+    let retention = LogFaults {
+        retention_records: 3,
+        ..LogFaults::default()
+    };
+    set_log_faults(&fleet, &retention).expect("faults are set");
+    for step in 1..=8 {
+        let result = revise(&fleet, &format!("lateness_ms={}", 100 + step), &["--wait"]);
+        assert_eq!(result.code, Some(0), "{result:?}");
+    }
+    wait_for("a snapshot that counts", WAIT_LIMIT, || {
+        let log = fleet.log_client();
+        let reply = log
+            .read(CLASS_STREAM, Default::default(), 100)
+            .expect("log answers");
+        assert!(reply.first > 0, "records have expired");
+        reply
+            .records
+            .iter()
+            .any(|record| match serde_json::from_str(&record.data) {
+                Ok(ClassRecord::Snapshot(snapshot)) => snapshot.next_offset.get() >= reply.first,
+                _ => false,
+            })
+    })
+    .expect("a router writes a snapshot");
+    fleet.routers[0].process = None;
+    restart_router(&mut fleet, 1);
+    wait_ready(&fleet, 1);
+    assert_eq!(lateness_of(&fleet, 1), Some(108));
+    let shown = run_tool(&fleet, &["class", "show", "chat"]).expect("tool runs");
+    assert_eq!(shown.json["classes"][0]["targets"]["lateness_ms"], 108);
+}
+
+/// Guards against a router that starts from a stale snapshot although later changes have expired.
+#[test]
+fn router_does_not_start_from_a_snapshot_with_expired_successors() {
+    let mut fleet = start_fleet(1, &["log_interval_ms = 100", "snapshot_jitter_ms = 60000"]);
+    let stale = router_table(&fleet.routers[0].vm).expect("router answers");
+    for step in 1..=4 {
+        let result = revise(&fleet, &format!("lateness_ms={}", 100 + step), &[]);
+        assert_eq!(result.code, Some(0), "{result:?}");
+    }
+    fleet.routers[0].process = None;
+    let retention = LogFaults {
+        retention_records: 2,
+        ..LogFaults::default()
+    };
+    set_log_faults(&fleet, &retention).expect("faults are set");
+    let record = ClassRecord::Snapshot(stale.expect("table"));
+    fleet
+        .log_client()
+        .append(CLASS_STREAM, &record)
+        .expect("append");
+    fleet.start_router(0).expect("router starts");
+    std::thread::sleep(WATCH_TIME);
+    assert!(!is_ready(fleet.routers[0].vm.data));
+    assert_eq!(
+        router_table(&fleet.routers[0].vm).expect("router answers"),
+        None
+    );
+}
