Inject faults into the stand-ins and add a fault-injecting proxy

The stand-ins could only work or be killed, so half-open connections, lost bytes, lagging lists and late cache events could not be produced.

A proxy role forwards TCP with delay per direction, reset, cut after a byte count, silence of existing connections and held-back data. Engines crash on a marker, pause, report load late, publish numbered cache events with gaps, export and import cached prefixes and take orders with fencing numbers. The VM list has a lag and a view per reader and outages, the weight store a shared rate, services slow runs and crashes before or after the run. A cancelled request that still waits in an engine is journalled as well.

A fleet can put the proxy in front of side processes, and can mark VMs as leaving, signal and restart each process.

--- a/crates/tools/fescuetide_bench/src/fleet.rs
+++ b/crates/tools/fescuetide_bench/src/fleet.rs
@@ -24,6 +24,7 @@
 use fescuetide_wire::log::ClassRecord;
 use fescuetide_wire::vms::VmWire;
 
+use crate::fleet_faults::ProxyNode;
 use crate::ports::free_address;
 use crate::process::ChildProcess;
 use crate::process::ProgramPaths;
@@ -61,6 +62,8 @@
     pub router_lines: Vec<String>,
     /// Lines added to the side processes' settings.
     pub side_lines: Vec<String>,
+    /// Places in the list of upstreams whose side processes routers reach through a fault-injecting proxy.
+    pub proxied: Vec<usize>,
 }
 
 impl Default for FleetSettings {
@@ -77,6 +80,7 @@
             service_options: Vec::new(),
             router_lines: Vec::new(),
             side_lines: Vec::new(),
+            proxied: Vec::new(),
         }
     }
 }
@@ -86,6 +90,10 @@
 pub struct UpstreamPair {
     /// Its entry in the VM list.
     pub vm: VmWire,
+    /// Where the side process listens. The VM list names the proxy's address instead when there is one.
+    pub side_address: SocketAddr,
+    /// The proxy between routers and the side process.
+    pub proxy: Option<ProxyNode>,
     /// The upstream's own address.
     pub upstream_address: SocketAddr,
     /// Where the upstream writes what it ran.
@@ -192,7 +200,11 @@
         Ok(())
     }
 
-    fn start_stand_in(&self, name: &str, arguments: &[String]) -> anyhow::Result<ChildProcess> {
+    pub(crate) fn start_stand_in(
+        &self,
+        name: &str,
+        arguments: &[String],
+    ) -> anyhow::Result<ChildProcess> {
         ChildProcess::start(name, &self.programs.standin, arguments, &self.folder)
     }
 
@@ -225,14 +237,22 @@
             _ => self.settings.service_pool.clone(),
         };
         let vm = self.new_vm(role, index, &pool)?;
+        let place = self.upstreams.len();
+        let mut side_address = vm.data;
+        let mut proxy = None;
+        if self.settings.proxied.contains(&place) {
+            side_address = free_address()?;
+            proxy = Some(self.start_proxy(&vm, side_address)?);
+        }
         self.upstreams.push(UpstreamPair {
+            side_address,
+            proxy,
             journal: self.folder.join(format!("{}.journal", vm.name)),
             vm,
             upstream_address: free_address()?,
             upstream: None,
             side: None,
         });
-        let place = self.upstreams.len() - 1;
         self.start_upstream(place)?;
         self.start_side(place)
     }
@@ -267,7 +287,7 @@
         write_vm_lines(&mut text, &pair.vm)?;
         writeln!(text, "pool = \"{}\"", pair.vm.pool)?;
         writeln!(text, "kind = \"{}\"", pair.vm.role)?;
-        writeln!(text, "data_listen = \"{}\"", pair.vm.data)?;
+        writeln!(text, "data_listen = \"{}\"", pair.side_address)?;
         writeln!(text, "upstream_url = \"http://{}\"", pair.upstream_address)?;
         writeln!(text, "vm_list_url = \"http://{}\"", self.vms_address)?;
         for line in &self.settings.side_lines {
@@ -400,7 +420,7 @@
     Ok(())
 }
 
-fn stand_in_arguments(role: &str, address: SocketAddr) -> Vec<String> {
+pub(crate) fn stand_in_arguments(role: &str, address: SocketAddr) -> Vec<String> {
     vec![role.to_owned(), "--listen".to_owned(), address.to_string()]
 }
 
--- /dev/null
+++ b/crates/tools/fescuetide_bench/src/fleet_faults.rs
@@ -0,0 +1,220 @@
+//! Faults of a running fleet: signals to its processes, the VM list, proxies and the stand-ins' own faults.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::Context;
+use fescuetide_standin::faults::EngineFaults;
+use fescuetide_standin::faults::ProxyFaults;
+use fescuetide_standin::faults::VmListFaults;
+use fescuetide_standin::proxy::ConnectionStatus;
+use fescuetide_wire::vms::VmWire;
+use serde::Serialize;
+
+use crate::fleet::FleetProcesses;
+use crate::fleet::stand_in_arguments;
+use crate::ports::free_address;
+use crate::process::ChildProcess;
+use crate::process::SignalKind;
+use crate::process::wait_for;
+
+/// Longest time for a process to end after a kill, and for a proxy to start.
+const PROCESS_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// The proxy of one upstream.
+#[derive(Debug)]
+pub struct ProxyNode {
+    /// Where its HTTP interface is served.
+    pub control: SocketAddr,
+    /// The process.
+    pub process: ChildProcess,
+}
+
+impl ProxyNode {
+    /// Replaces the proxy's faults.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the proxy does not answer.
+    pub fn set_faults(&self, faults: &ProxyFaults) -> anyhow::Result<()> {
+        put_faults(self.control, faults)
+    }
+
+    /// The connections that are open now.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the proxy does not answer.
+    pub fn connections(&self) -> anyhow::Result<Vec<ConnectionStatus>> {
+        let url = format!("http://{}/connections", self.control);
+        Ok(ureq::get(url).call()?.body_mut().read_json()?)
+    }
+}
+
+/// Replaces the faults of the stand-in whose HTTP interface is at `address`.
+///
+/// # Errors
+///
+/// Fails when the stand-in does not take them.
+pub fn put_faults<T: Serialize>(address: SocketAddr, faults: &T) -> anyhow::Result<()> {
+    ureq::put(format!("http://{address}/faults"))
+        .send_json(faults)
+        .with_context(|| format!("{address} does not take faults"))?;
+    Ok(())
+}
+
+impl FleetProcesses {
+    pub(crate) fn start_proxy(
+        &self,
+        vm: &VmWire,
+        side_address: SocketAddr,
+    ) -> anyhow::Result<ProxyNode> {
+        let control = free_address()?;
+        let mut arguments = stand_in_arguments("proxy", vm.data);
+        arguments.extend(["--target".to_owned(), side_address.to_string()]);
+        arguments.extend(["--control".to_owned(), control.to_string()]);
+        let process = self.start_stand_in(&format!("{}-proxy", vm.name), &arguments)?;
+        let node = ProxyNode { control, process };
+        wait_for("start of a proxy", PROCESS_TIMEOUT, || {
+            node.connections().is_ok()
+        })?;
+        Ok(node)
+    }
+
+    /// The proxy of the upstream at `place`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it has none.
+    pub fn proxy(&self, place: usize) -> anyhow::Result<&ProxyNode> {
+        let proxy = self.upstreams[place].proxy.as_ref();
+        proxy.with_context(|| format!("upstream {place} has no proxy"))
+    }
+
+    /// Marks the upstream at `place` as leaving, or no longer so, and publishes the VM list.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the VM list does not take it.
+    pub fn mark_leaving(&mut self, place: usize, leaving: bool) -> anyhow::Result<()> {
+        self.upstreams[place].vm.leaving = leaving;
+        self.publish_vms()
+    }
+
+    /// Replaces the faults of the VM list.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the VM list does not take them.
+    pub fn set_vm_list_faults(&self, faults: &VmListFaults) -> anyhow::Result<()> {
+        put_faults(self.vms_address, faults)
+    }
+
+    /// Replaces the faults of the engine at `place`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the engine does not take them.
+    pub fn set_engine_faults(&self, place: usize, faults: &EngineFaults) -> anyhow::Result<()> {
+        put_faults(self.upstreams[place].upstream_address, faults)
+    }
+
+    /// Sends a signal to the upstream at `place`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not run.
+    pub fn signal_upstream(&self, place: usize, kind: SignalKind) -> anyhow::Result<()> {
+        signal(self.upstreams[place].upstream.as_ref(), kind)
+    }
+
+    /// Sends a signal to the side process at `place`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not run.
+    pub fn signal_side(&self, place: usize, kind: SignalKind) -> anyhow::Result<()> {
+        signal(self.upstreams[place].side.as_ref(), kind)
+    }
+
+    /// Sends a signal to the router at `place`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not run.
+    pub fn signal_router(&self, place: usize, kind: SignalKind) -> anyhow::Result<()> {
+        signal(self.routers[place].process.as_ref(), kind)
+    }
+
+    /// Kills the upstream at `place` and waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not run.
+    pub fn kill_upstream(&mut self, place: usize) -> anyhow::Result<()> {
+        kill(&mut self.upstreams[place].upstream)
+    }
+
+    /// Kills the side process at `place` and waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not run.
+    pub fn kill_side(&mut self, place: usize) -> anyhow::Result<()> {
+        kill(&mut self.upstreams[place].side)
+    }
+
+    /// Kills the router at `place` and waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not run.
+    pub fn kill_router(&mut self, place: usize) -> anyhow::Result<()> {
+        kill(&mut self.routers[place].process)
+    }
+
+    /// Ends the upstream at `place`, if it runs, and starts it again.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not start.
+    pub fn restart_upstream(&mut self, place: usize) -> anyhow::Result<()> {
+        self.upstreams[place].upstream = None;
+        self.start_upstream(place)
+    }
+
+    /// Ends the side process at `place`, if it runs, and starts it again.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not start.
+    pub fn restart_side(&mut self, place: usize) -> anyhow::Result<()> {
+        self.upstreams[place].side = None;
+        self.start_side(place)
+    }
+
+    /// Ends the router at `place`, if it runs, and starts it again.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not start.
+    pub fn restart_router(&mut self, place: usize) -> anyhow::Result<()> {
+        self.routers[place].process = None;
+        self.start_router(place)
+    }
+}
+
+fn signal(process: Option<&ChildProcess>, kind: SignalKind) -> anyhow::Result<()> {
+    process.context("process does not run")?.signal(kind)
+}
+
+fn kill(slot: &mut Option<ChildProcess>) -> anyhow::Result<()> {
+    let mut process = slot.take().context("process does not run")?;
+    process.signal(SignalKind::Kill)?;
+    anyhow::ensure!(
+        process.wait_ended(PROCESS_TIMEOUT)?,
+        "{} has not ended",
+        process.name()
+    );
+    Ok(())
+}
--- a/crates/tools/fescuetide_bench/src/lib.rs
+++ b/crates/tools/fescuetide_bench/src/lib.rs
@@ -2,7 +2,10 @@
 
 pub mod client;
 pub mod demo;
+pub mod fault_client;
 pub mod fleet;
+pub mod fleet_faults;
+pub mod oracle;
 pub mod ports;
 pub mod probe;
 pub mod process;
--- a/crates/tools/fescuetide_standin/src/engine.rs
+++ b/crates/tools/fescuetide_standin/src/engine.rs
@@ -1,5 +1,7 @@
-//! Stand-in of a model engine: continuous batching, priorities, a limited prefix cache, cancellation and continuation.
+//! Stand-in of a model engine: continuous batching, priorities, a limited prefix cache, cancellation, continuation,
+//! cache events, export and import of cached prefixes, and orders.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -10,6 +12,7 @@
 use std::sync::mpsc::Sender;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use fescuetide_net::EventSource;
 use fescuetide_net::HttpRequest;
@@ -27,18 +30,32 @@
 use crate::answer::prompt_hash;
 use crate::answer::prompt_tokens;
 use crate::answer::push_words;
+use crate::cache_events::CacheChange;
+use crate::cache_events::CacheEventLog;
+use crate::faults::EngineFaults;
+use crate::faults::FaultCell;
+use crate::http::body_of;
 use crate::http::empty_response;
 use crate::http::header_value;
 use crate::http::json_response;
+use crate::http::query_value;
 use crate::http::read_json;
 use crate::journal::JournalEvent;
 use crate::journal::JournalFile;
 use crate::journal::JournalLine;
+use crate::orders::EngineOrder;
+use crate::orders::EngineReport;
+use crate::prefix::CacheDelta;
 use crate::prefix::PrefixCache;
+use crate::service::CRASH_EXIT_CODE;
+use crate::service::contains_marker;
 
 /// Path prefix of requests in progress.
 const REQUEST_PREFIX: &str = "/v1/requests/";
 
+/// Load samples kept, one a step.
+const LOAD_SAMPLES: usize = 10_000;
+
 /// Settings of an engine.
 #[derive(Clone, Debug)]
 pub struct EngineSettings {
@@ -52,6 +69,12 @@
     pub batch_limit: usize,
     /// Size of the prefix cache in blocks.
     pub cache_blocks: usize,
+    /// Time to carry out an order in ms.
+    pub order_ms: u64,
+    /// Time to export or import one cache block in µs.
+    pub kv_block_us: u64,
+    /// Whether orders with old fencing numbers are refused.
+    pub refuses_old_orders: bool,
 }
 
 impl Default for EngineSettings {
@@ -62,6 +85,9 @@
             prefill_tokens: 400,
             batch_limit: 16,
             cache_blocks: 4_000,
+            order_ms: 200,
+            kv_block_us: 50,
+            refuses_old_orders: true,
         }
     }
 }
@@ -75,6 +101,13 @@
     pub waiting: usize,
 }
 
+/// The body of `POST /kv/import` and the answer to `POST /kv/export`, whose body is a chat request.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KvPrefix {
+    /// The blocks in the order of the prompt.
+    pub blocks: Vec<u64>,
+}
+
 enum EngineNews {
     Token(String),
     Done(TokenUsage),
@@ -88,6 +121,7 @@
     prompt: u64,
     prefill_left: Option<usize>,
     cached: usize,
+    crashes: bool,
     next_index: u32,
     length: u32,
     news: Sender<EngineNews>,
@@ -98,6 +132,18 @@
     waiting: Vec<EngineSequence>,
     running: Vec<EngineSequence>,
     cache: PrefixCache,
+    events: CacheEventLog,
+    loads: VecDeque<(Instant, EngineLoad)>,
+    report: EngineReport,
+}
+
+impl EngineState {
+    fn load(&self) -> EngineLoad {
+        EngineLoad {
+            running: self.running.len(),
+            waiting: self.waiting.len(),
+        }
+    }
 }
 
 /// A model engine.
@@ -105,20 +151,25 @@
 pub struct EngineStandIn {
     settings: EngineSettings,
     journal: JournalFile,
+    faults: FaultCell<EngineFaults>,
     state: Mutex<EngineState>,
 }
 
 impl EngineStandIn {
     /// Creates the engine.
-    pub fn new(settings: EngineSettings, journal: JournalFile) -> Self {
+    pub fn new(settings: EngineSettings, journal: JournalFile, faults: EngineFaults) -> Self {
         let cache = PrefixCache::new(settings.cache_blocks);
         Self {
             settings,
             journal,
+            faults: FaultCell::new(faults),
             state: Mutex::new(EngineState {
                 waiting: Vec::new(),
                 running: Vec::new(),
                 cache,
+                events: CacheEventLog::default(),
+                loads: VecDeque::new(),
+                report: EngineReport::default(),
             }),
         }
     }
@@ -134,32 +185,69 @@
         thread::Builder::new()
             .name("engine-steps".to_owned())
             .spawn(move || stepper.run_steps())?;
-        crate::http::serve(address, move |request| engine.handle(request))
+        crate::http::serve(address, move |request| handle(&engine, &request))
     }
 
-    fn handle(&self, request: HttpRequest) -> HttpResponse {
-        let path = request.uri.path().to_owned();
-        match (request.method.as_str(), path.as_str()) {
-            ("GET", "/health") => empty_response(200),
-            ("GET", "/load") => json_response(200, &self.load()),
-            ("POST", "/v1/chat/completions") => self.generate(&request),
-            ("DELETE", _) => match path.strip_prefix(REQUEST_PREFIX) {
-                Some(attempt) => {
-                    self.cancel(attempt);
-                    empty_response(200)
-                }
-                None => empty_response(404),
-            },
-            _ => empty_response(404),
+    /// The load as reported, which lags.
+    fn reported_load(&self) -> EngineLoad {
+        let lag = Duration::from_millis(self.faults.get().load_lag_ms);
+        let state = self.lock();
+        if lag.is_zero() {
+            return state.load();
         }
+        let mut load = EngineLoad::default();
+        for (at, sample) in &state.loads {
+            if at.elapsed() < lag {
+                break;
+            }
+            load = *sample;
+        }
+        load
     }
 
-    fn load(&self) -> EngineLoad {
-        let state = self.lock();
-        EngineLoad {
-            running: state.running.len(),
-            waiting: state.waiting.len(),
+    fn export_prefix(&self, request: &HttpRequest) -> HttpResponse {
+        let chat: ChatRequest = match read_json(request) {
+            Ok(chat) => chat,
+            Err(response) => return *response,
+        };
+        let blocks = self
+            .lock()
+            .cache
+            .cached_blocks(&prompt_tokens(&chat.messages));
+        thread::sleep(self.transfer_time(blocks.len()));
+        json_response(200, &KvPrefix { blocks })
+    }
+
+    fn import_prefix(&self, request: &HttpRequest) -> HttpResponse {
+        let prefix: KvPrefix = match read_json(request) {
+            Ok(prefix) => prefix,
+            Err(response) => return *response,
+        };
+        thread::sleep(self.transfer_time(prefix.blocks.len()));
+        let mut state = self.lock();
+        let delta = state.cache.store_blocks(&prefix.blocks);
+        note_delta(&mut state.events, delta);
+        empty_response(200)
+    }
+
+    fn transfer_time(&self, blocks: usize) -> Duration {
+        Duration::from_micros(self.settings.kv_block_us * blocks as u64)
+    }
+
+    /// Accepts an order and carries it out after its time, also when the reply is lost.
+    fn take_order(self: &Arc<Self>, request: &HttpRequest) -> HttpResponse {
+        let order: EngineOrder = match read_json(request) {
+            Ok(order) => order,
+            Err(response) => return *response,
+        };
+        let refuses_old = self.settings.refuses_old_orders;
+        if !self.lock().report.accept(&order, refuses_old) {
+            return json_response(409, &self.lock().report);
         }
+        thread::sleep(Duration::from_millis(self.settings.order_ms));
+        let mut state = self.lock();
+        state.report.finish(order);
+        json_response(200, &state.report)
     }
 
     fn generate(&self, request: &HttpRequest) -> HttpResponse {
@@ -190,6 +278,7 @@
             prompt,
             prefill_left: None,
             cached: 0,
+            crashes: contains_marker(body_of(request), self.faults.get().crash_marker.as_deref()),
             next_index,
             length: chat.max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS),
             news,
@@ -199,13 +288,14 @@
 
     fn cancel(&self, attempt: &str) {
         let mut state = self.lock();
-        state.waiting.retain(|sequence| sequence.attempt != attempt);
-        let position = state
-            .running
-            .iter()
-            .position(|sequence| sequence.attempt == attempt);
-        if let Some(position) = position {
-            let sequence = state.running.remove(position);
+        let EngineState {
+            waiting, running, ..
+        } = &mut *state;
+        for list in [waiting, running] {
+            let Some(position) = list.iter().position(|other| other.attempt == attempt) else {
+                continue;
+            };
+            let sequence = list.remove(position);
             self.write_line(JournalEvent::Cancelled, &sequence);
         }
     }
@@ -219,12 +309,25 @@
 
     fn run_step(&self) {
         let mut state = self.lock();
+        let load = state.load();
+        state.loads.push_back((Instant::now(), load));
+        if state.loads.len() > LOAD_SAMPLES {
+            state.loads.pop_front();
+        }
+        if self.faults.get().paused {
+            return;
+        }
         self.fill_batch(&mut state);
-        let EngineState { running, cache, .. } = &mut *state;
+        let EngineState {
+            running,
+            cache,
+            events,
+            ..
+        } = &mut *state;
         let mut budget = self.settings.prefill_tokens;
         let mut index = 0;
         while index < running.len() {
-            if self.step_sequence(&mut running[index], cache, &mut budget) {
+            if self.step_sequence(&mut running[index], cache, events, &mut budget) {
                 running.remove(index);
             } else {
                 index += 1;
@@ -240,6 +343,9 @@
             sequence.cached = state.cache.cached_tokens(&sequence.tokens);
             sequence.prefill_left = Some(sequence.tokens.len() - sequence.cached);
             self.write_line(JournalEvent::Start, &sequence);
+            if sequence.crashes {
+                std::process::exit(CRASH_EXIT_CODE);
+            }
             state.running.push(sequence);
         }
     }
@@ -249,6 +355,7 @@
         &self,
         sequence: &mut EngineSequence,
         cache: &mut PrefixCache,
+        events: &mut CacheEventLog,
         budget: &mut usize,
     ) -> bool {
         if let Some(left) = sequence.prefill_left {
@@ -259,7 +366,7 @@
                 return false;
             }
             sequence.prefill_left = None;
-            cache.store(&sequence.tokens);
+            note_delta(events, cache.store(&sequence.tokens));
         }
         if sequence.next_index < sequence.length {
             let text = answer_token(sequence.prompt, sequence.next_index);
@@ -274,7 +381,7 @@
         if sequence.next_index < sequence.length {
             return false;
         }
-        cache.store(&sequence.tokens);
+        note_delta(events, cache.store(&sequence.tokens));
         self.write_line(JournalEvent::Done, sequence);
         let generated = u64::from(sequence.length);
         let prompt_tokens = (sequence.tokens.len() as u64).saturating_sub(generated);
@@ -304,6 +411,41 @@
     }
 }
 
+fn handle(engine: &Arc<EngineStandIn>, request: &HttpRequest) -> HttpResponse {
+    if let Some(response) = engine.faults.handle(request) {
+        return response;
+    }
+    let path = request.uri.path();
+    match (request.method.as_str(), path) {
+        ("GET", "/health") => empty_response(200),
+        ("GET", "/load") => json_response(200, &engine.reported_load()),
+        ("GET", "/state") => json_response(200, &engine.lock().report),
+        ("GET", "/events") => {
+            let from = query_value(request, "from").and_then(|text| text.parse().ok());
+            let faults = engine.faults.get();
+            let events = engine.lock().events.read(from.unwrap_or(0), &faults);
+            json_response(200, &events)
+        }
+        ("POST", "/orders") => engine.take_order(request),
+        ("POST", "/kv/export") => engine.export_prefix(request),
+        ("POST", "/kv/import") => engine.import_prefix(request),
+        ("POST", "/v1/chat/completions") => engine.generate(request),
+        ("DELETE", _) => match path.strip_prefix(REQUEST_PREFIX) {
+            Some(attempt) => {
+                engine.cancel(attempt);
+                empty_response(200)
+            }
+            None => empty_response(404),
+        },
+        _ => empty_response(404),
+    }
+}
+
+fn note_delta(events: &mut CacheEventLog, delta: CacheDelta) {
+    events.push(CacheChange::Stored(delta.stored));
+    events.push(CacheChange::Evicted(delta.evicted));
+}
+
 fn stream_response(receiver: Receiver<EngineNews>) -> HttpResponse {
     let source = EngineEvents {
         receiver,
--- a/crates/tools/fescuetide_standin/src/lib.rs
+++ b/crates/tools/fescuetide_standin/src/lib.rs
@@ -4,10 +4,15 @@
 //! can compare this with what callers were told.
 
 pub mod answer;
+pub mod cache_events;
 pub mod engine;
+pub mod faults;
 pub mod http;
 pub mod journal;
 pub mod log;
+pub mod orders;
 pub mod prefix;
+pub mod proxy;
 pub mod service;
 pub mod vms;
+pub mod weights;
--- a/crates/tools/fescuetide_standin/src/main.rs
+++ b/crates/tools/fescuetide_standin/src/main.rs
@@ -4,16 +4,22 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use anyhow::Context;
 use fescuetide_standin::engine::EngineSettings;
 use fescuetide_standin::engine::EngineStandIn;
 use fescuetide_standin::journal::JournalFile;
 use fescuetide_standin::log::LogStandIn;
+use fescuetide_standin::proxy::ProxySettings;
+use fescuetide_standin::proxy::ProxyStandIn;
 use fescuetide_standin::service::ServiceSettings;
 use fescuetide_standin::service::ServiceStandIn;
 use fescuetide_standin::vms::VmListStandIn;
+use fescuetide_standin::weights::WeightSettings;
+use fescuetide_standin::weights::WeightStandIn;
 use lexopt::Arg;
 use lexopt::Parser;
 use lexopt::ValueExt;
+use serde::de::DeserializeOwned;
 
 /// Exit code for a wrong command line.
 const USAGE_EXIT_CODE: u8 = 2;
@@ -28,6 +34,8 @@
   service    A plain service
   log        The platform's log service
   vms        The platform's VM list
+  weights    The platform's weight store
+  proxy      A TCP proxy that injects faults
 
 Options:
   --listen ADDRESS     Address and port to serve
@@ -37,7 +45,15 @@
   --prefill-tokens N   Engine: prompt tokens taken in by a step
   --batch-limit N      Engine: requests that run at once
   --cache-blocks N     Engine: size of the prefix cache in blocks
+  --order-ms N         Engine: time to carry out an order in ms
+  --kv-block-us N      Engine: time to export or import a cache block in us
+  --ignore-fencing     Engine: carry out orders with old fencing numbers too
   --run-ms N           Service: time of a run in ms
+  --rate-bytes N       Weights: rate over all downloads in bytes/s
+  --size-bytes N       Weights: size of each download in bytes
+  --target ADDRESS     Proxy: where connections go
+  --control ADDRESS    Proxy: where its HTTP interface is served
+  --faults JSON        Faults from the start, as in PUT /faults (not for log)
   -h, --help           Print this help
 ";
 
@@ -47,6 +63,10 @@
     journal: Option<PathBuf>,
     engine: EngineSettings,
     service: ServiceSettings,
+    weights: WeightSettings,
+    target: Option<SocketAddr>,
+    control: Option<SocketAddr>,
+    faults: Option<String>,
 }
 
 fn main() -> ExitCode {
@@ -78,6 +98,10 @@
         journal: None,
         engine: EngineSettings::default(),
         service: ServiceSettings::default(),
+        weights: WeightSettings::default(),
+        target: None,
+        control: None,
+        faults: None,
     };
     while let Some(argument) = parser.next()? {
         match argument {
@@ -95,6 +119,14 @@
             }
             Arg::Long("batch-limit") => command.engine.batch_limit = parser.value()?.parse()?,
             Arg::Long("cache-blocks") => command.engine.cache_blocks = parser.value()?.parse()?,
+            Arg::Long("order-ms") => command.engine.order_ms = parser.value()?.parse()?,
+            Arg::Long("kv-block-us") => command.engine.kv_block_us = parser.value()?.parse()?,
+            Arg::Long("ignore-fencing") => command.engine.refuses_old_orders = false,
+            Arg::Long("rate-bytes") => command.weights.rate_bytes = parser.value()?.parse()?,
+            Arg::Long("size-bytes") => command.weights.size_bytes = parser.value()?.parse()?,
+            Arg::Long("target") => command.target = Some(parser.value()?.parse()?),
+            Arg::Long("control") => command.control = Some(parser.value()?.parse()?),
+            Arg::Long("faults") => command.faults = Some(parser.value()?.string()?),
             Arg::Long("run-ms") => command.service.run_ms = parser.value()?.parse()?,
             Arg::Value(value) if command.role.is_empty() => command.role = value.string()?,
             other => return Err(other.unexpected()),
@@ -108,18 +140,35 @@
         anyhow::bail!("--listen is missing");
     };
     let journal = command.journal.as_deref();
+    let faults = command.faults.as_deref();
     match command.role.as_str() {
         "engine" => {
             let journal = JournalFile::open(&command.engine.name, journal)?;
-            EngineStandIn::new(command.engine, journal).serve(listen)
+            EngineStandIn::new(command.engine, journal, faults_of(faults)?).serve(listen)
         }
         "service" => {
             let journal = JournalFile::open(&command.service.name, journal)?;
-            ServiceStandIn::new(command.service, journal).serve(listen)
+            ServiceStandIn::new(command.service, journal, faults_of(faults)?).serve(listen)
         }
         "log" => LogStandIn::default().serve(listen),
-        "vms" => VmListStandIn::default().serve(listen),
+        "vms" => VmListStandIn::new(faults_of(faults)?).serve(listen),
+        "weights" => WeightStandIn::new(command.weights, faults_of(faults)?).serve(listen),
+        "proxy" => {
+            let settings = ProxySettings {
+                target: command.target.context("--target is missing")?,
+                control: command.control.context("--control is missing")?,
+            };
+            ProxyStandIn::new(settings, faults_of(faults)?).serve(listen)
+        }
         "" => anyhow::bail!("the role is missing"),
         other => anyhow::bail!("{other:?} is not a role"),
     }
 }
+
+/// The faults given on the command line, or none.
+fn faults_of<T: Default + DeserializeOwned>(text: Option<&str>) -> anyhow::Result<T> {
+    match text {
+        Some(text) => serde_json::from_str(text).context("--faults is malformed"),
+        None => Ok(T::default()),
+    }
+}
--- a/crates/tools/fescuetide_standin/src/prefix.rs
+++ b/crates/tools/fescuetide_standin/src/prefix.rs
@@ -6,6 +6,15 @@
 /// Tokens of one cache block.
 pub const BLOCK_TOKENS: usize = 16;
 
+/// What a store changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CacheDelta {
+    /// Blocks that were not there before.
+    pub stored: Vec<u64>,
+    /// Blocks that were evicted.
+    pub evicted: Vec<u64>,
+}
+
 /// A cache of prompt prefixes in blocks, least recently used first.
 #[derive(Debug)]
 pub struct PrefixCache {
@@ -35,15 +44,31 @@
     }
 
     /// Stores all whole blocks of `tokens` as the most recently used ones.
-    pub fn store(&mut self, tokens: &[u64]) {
-        // The first block of a chain is stored last, so that eviction takes a chain's tail before its head.
+    pub fn store(&mut self, tokens: &[u64]) -> CacheDelta {
         let chain: Vec<u64> = block_chain(tokens).collect();
-        for block in chain.into_iter().rev() {
-            self.blocks.shift_remove(&block);
-            self.blocks.insert(block);
+        self.store_blocks(&chain)
+    }
+
+    /// Stores a chain of blocks as the most recently used ones.
+    pub fn store_blocks(&mut self, chain: &[u64]) -> CacheDelta {
+        let mut stored = Vec::new();
+        // The first block of a chain is stored last, so that eviction takes a chain's tail before its head.
+        for block in chain.iter().rev() {
+            if !self.blocks.shift_remove(block) {
+                stored.push(*block);
+            }
+            self.blocks.insert(*block);
         }
         let excess = self.blocks.len().saturating_sub(self.capacity_blocks);
-        self.blocks.drain(..excess);
+        let evicted = self.blocks.drain(..excess).collect();
+        CacheDelta { stored, evicted }
+    }
+
+    /// The blocks of `tokens` that are cached, up to the first that is not.
+    pub fn cached_blocks(&self, tokens: &[u64]) -> Vec<u64> {
+        block_chain(tokens)
+            .take_while(|block| self.blocks.contains(block))
+            .collect()
     }
 
     /// The number of blocks stored.
--- a/crates/tools/fescuetide_standin/src/service.rs
+++ b/crates/tools/fescuetide_standin/src/service.rs
@@ -12,6 +12,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::faults::FaultCell;
+use crate::faults::ServiceFaults;
 use crate::http::body_of;
 use crate::http::header_value;
 use crate::http::json_response;
@@ -19,6 +21,9 @@
 use crate::journal::JournalFile;
 use crate::journal::JournalLine;
 
+/// Exit code of an injected crash.
+pub const CRASH_EXIT_CODE: i32 = 70;
+
 /// What a plain service answers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceAnswer {
@@ -55,15 +60,17 @@
 pub struct ServiceStandIn {
     settings: ServiceSettings,
     journal: JournalFile,
+    faults: FaultCell<ServiceFaults>,
     runs: AtomicU64,
 }
 
 impl ServiceStandIn {
     /// Creates the service.
-    pub fn new(settings: ServiceSettings, journal: JournalFile) -> Self {
+    pub fn new(settings: ServiceSettings, journal: JournalFile, faults: ServiceFaults) -> Self {
         Self {
             settings,
             journal,
+            faults: FaultCell::new(faults),
             runs: AtomicU64::new(0),
         }
     }
@@ -78,7 +85,15 @@
     }
 
     fn handle(&self, request: HttpRequest) -> HttpResponse {
-        let body = StableHash::of_bytes(body_of(&request));
+        if let Some(response) = self.faults.handle(&request) {
+            return response;
+        }
+        let faults = self.faults.get();
+        let bytes = body_of(&request);
+        if contains_marker(bytes, faults.crash_before.as_deref()) {
+            std::process::exit(CRASH_EXIT_CODE);
+        }
+        let body = StableHash::of_bytes(bytes);
         let line = JournalLine {
             at_ms: 0,
             name: String::new(),
@@ -90,11 +105,15 @@
             cached_tokens: 0,
         };
         self.journal.write(line.clone());
-        thread::sleep(Duration::from_millis(self.settings.run_ms));
+        let run_ms = faults.run_ms.unwrap_or(self.settings.run_ms);
+        thread::sleep(Duration::from_millis(run_ms));
         self.journal.write(JournalLine {
             event: JournalEvent::Done,
             ..line
         });
+        if contains_marker(bytes, faults.crash_after.as_deref()) {
+            std::process::exit(CRASH_EXIT_CODE);
+        }
         let answer = ServiceAnswer {
             service: self.settings.name.clone(),
             path: request.uri.path().to_owned(),
@@ -104,3 +123,8 @@
         json_response(200, &answer)
     }
 }
+
+/// Whether `bytes` contain the marker text.
+pub(crate) fn contains_marker(bytes: &[u8], marker: Option<&str>) -> bool {
+    marker.is_some_and(|marker| String::from_utf8_lossy(bytes).contains(marker))
+}
--- a/crates/tools/fescuetide_standin/src/vms.rs
+++ b/crates/tools/fescuetide_standin/src/vms.rs
@@ -2,25 +2,65 @@
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
 
 use fescuetide_net::HttpRequest;
 use fescuetide_net::HttpResponse;
 use fescuetide_wire::vms::VmListWire;
 use fescuetide_wire::vms::VmWire;
+use indexmap::IndexMap;
+use serde::Deserialize;
 
+use crate::faults::FaultCell;
+use crate::faults::VmListFaults;
 use crate::http::empty_response;
 use crate::http::json_response;
 use crate::http::query_value;
 use crate::http::read_json;
 
-/// The VM list: `GET /vms` reads it, `PUT /vms` replaces it with a JSON array of VMs.
+/// Path of the list.
+const LIST_PATH: &str = "/vms";
+
+/// Path prefix of single VMs.
+const VM_PREFIX: &str = "/vms/";
+
+/// Lists kept for readers that lag.
+const HISTORY_LIMIT: usize = 1_000;
+
+/// The body of `PUT /vms/NAME`.
+#[derive(Clone, Copy, Debug, Deserialize)]
+struct VmMark {
+    leaving: bool,
+}
+
+#[derive(Debug, Default)]
+struct ListState {
+    history: Vec<(Instant, Vec<VmWire>)>,
+    version: u64,
+    /// The last list that each reader was given. Its version rises when that reader's view changes.
+    served: IndexMap<String, VmListWire>,
+}
+
+/// The VM list: `GET /vms` reads it, `PUT /vms` replaces it with a JSON array of VMs, and `PUT /vms/NAME` with
+/// `{"leaving": true}` marks a VM as leaving.
 #[derive(Debug, Default)]
 pub struct VmListStandIn {
-    list: Mutex<VmListWire>,
+    state: Mutex<ListState>,
+    faults: FaultCell<VmListFaults>,
 }
 
 impl VmListStandIn {
+    /// Creates an empty list with faults.
+    pub fn new(faults: VmListFaults) -> Self {
+        Self {
+            state: Mutex::default(),
+            faults: FaultCell::new(faults),
+        }
+    }
+
     /// Serves the list at `address` until the process ends.
     ///
     /// # Errors
@@ -31,32 +71,105 @@
     }
 
     fn handle(&self, request: HttpRequest) -> HttpResponse {
-        if request.uri.path() != "/vms" {
-            return empty_response(404);
+        if let Some(response) = self.faults.handle(&request) {
+            return response;
         }
-        match request.method.as_str() {
-            "GET" => self.read(query_value(&request, "version")),
-            "PUT" => match read_json::<Vec<VmWire>>(&request) {
-                Ok(vms) => self.replace(vms),
+        let path = request.uri.path();
+        match (request.method.as_str(), path) {
+            ("GET", LIST_PATH) => self.read(&request),
+            ("PUT", LIST_PATH) => match read_json::<Vec<VmWire>>(&request) {
+                Ok(vms) => json_response(200, &self.lock().replace(vms)),
                 Err(response) => *response,
             },
-            _ => empty_response(405),
+            ("PUT", _) => match (path.strip_prefix(VM_PREFIX), read_json::<VmMark>(&request)) {
+                (Some(name), Ok(mark)) => self.mark(name, mark),
+                (None, _) => empty_response(404),
+                (_, Err(response)) => *response,
+            },
+            (_, LIST_PATH) => empty_response(405),
+            _ => empty_response(404),
         }
     }
 
-    fn read(&self, known: Option<String>) -> HttpResponse {
-        let list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
-        let known: Option<u64> = known.and_then(|text| text.parse().ok());
+    fn read(&self, request: &HttpRequest) -> HttpResponse {
+        let faults = self.faults.get();
+        if faults.outage {
+            return empty_response(503);
+        }
+        let reader = query_value(request, "reader").unwrap_or_default();
+        let known: Option<u64> = query_value(request, "version").and_then(|text| text.parse().ok());
+        let list = self.lock().view(&faults, &reader);
         if known == Some(list.version) && list.version > 0 {
             return empty_response(304);
         }
-        json_response(200, &*list)
+        json_response(200, &list)
+    }
+
+    fn mark(&self, name: &str, mark: VmMark) -> HttpResponse {
+        let mut state = self.lock();
+        let mut vms = state.newest();
+        let Some(vm) = vms.iter_mut().find(|vm| vm.name == name) else {
+            return empty_response(404);
+        };
+        vm.leaving = mark.leaving;
+        json_response(200, &state.replace(vms))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ListState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl ListState {
+    fn newest(&self) -> Vec<VmWire> {
+        self.history
+            .last()
+            .map(|(_, vms)| vms.clone())
+            .unwrap_or_default()
+    }
+
+    fn replace(&mut self, vms: Vec<VmWire>) -> u64 {
+        if self.history.len() >= HISTORY_LIMIT {
+            self.history.remove(0);
+        }
+        self.history.push((Instant::now(), vms));
+        self.version += 1;
+        self.version
     }
 
-    fn replace(&self, vms: Vec<VmWire>) -> HttpResponse {
-        let mut list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
-        list.version += 1;
-        list.vms = vms;
-        json_response(200, &list.version)
+    /// The list that `reader` sees now.
+    fn view(&mut self, faults: &VmListFaults, reader: &str) -> VmListWire {
+        let vms = match faults.reader_views.get(reader) {
+            Some(view) => view.clone(),
+            None => self.lagging_view(faults, reader),
+        };
+        let served = self.served.entry(reader.to_owned()).or_default();
+        if served.version == 0 || served.vms != vms {
+            served.version += 1;
+            served.vms = vms;
+        }
+        served.clone()
+    }
+
+    fn lagging_view(&self, faults: &VmListFaults, reader: &str) -> Vec<VmWire> {
+        let lag = faults.reader_lag_ms.get(reader).unwrap_or(&faults.lag_ms);
+        let lag = Duration::from_millis(*lag);
+        let mut view: &[VmWire] = &[];
+        for (index, (at, vms)) in self.history.iter().enumerate() {
+            if index > 0 && at.elapsed() < lag {
+                break;
+            }
+            view = vms;
+        }
+        let own = faults.reader_hidden.get(reader);
+        let mut visible = Vec::with_capacity(view.len());
+        for vm in view {
+            let hidden = own.is_some_and(|names| names.contains(&vm.name));
+            if hidden || faults.hidden.contains(&vm.name) {
+                continue;
+            }
+            visible.push(vm.clone());
+        }
+        visible
     }
 }
