--- a/crates/tools/fescuetide_bench/src/fleet_faults.rs
+++ b/crates/tools/fescuetide_bench/src/fleet_faults.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use fescuetide_classes::ClassTargets;
 use fescuetide_standin::faults::EngineFaults;
 use fescuetide_standin::faults::ProxyFaults;
 use fescuetide_standin::faults::VmListFaults;
@@ -12,6 +13,7 @@
 use serde::Serialize;
 
 use crate::fleet::FleetProcesses;
+use crate::fleet::FleetSettings;
 use crate::fleet::stand_in_arguments;
 use crate::ports::free_address;
 use crate::process::ChildProcess;
@@ -218,3 +220,21 @@
     );
     Ok(())
 }
+
+/// Settings of a small fleet for fault tests: engines only, one class `chat` that is repeatable, and steps of 20 ms.
+pub fn fault_settings(routers: usize, engines: usize) -> FleetSettings {
+    let Ok(class) = "chat".parse() else {
+        unreachable!("the class name is valid")
+    };
+    let targets = ClassTargets {
+        repeatable: true,
+        ..ClassTargets::default()
+    };
+    FleetSettings {
+        routers,
+        engines,
+        services: 0,
+        classes: vec![(class, targets)],
+        ..FleetSettings::default()
+    }
+}
--- a/crates/tools/fescuetide_bench/src/lib.rs
+++ b/crates/tools/fescuetide_bench/src/lib.rs
@@ -9,4 +9,6 @@
 pub mod ports;
 pub mod probe;
 pub mod process;
+pub mod scale;
+pub mod usage;
 pub mod workload;
