Honour deadlines on silent connections and keep resumption exact

Causes and changes: - A silent connection was waited for to its silence limit whatever the deadline. Waits, connects and resumptions now end at the deadline. - A cancellation was sent before the final response and took up to 4 s towards a silent side process. Idle connections that the peer has closed are not used any more. - A response whose hash is wrong was retried behind the wrong bytes. It ends the request. - An error response of a later attempt was appended to the text of the earlier one. - Heartbeats now count as progress for the limit on resumptions. - Cancel of an attempt that has not arrived seals it. - A draining side process exited although a router whose connection went silent had not resumed a response yet. It keeps such responses for 10 heartbeats. - Chunks are at most 256 KiB; one above the frame limit ended each connection. - The side process followed redirects of its upstream, which runs a second call. - Cancelling a call of a plain service sent it DELETE /v1/requests/ID.

The redirect, chunk-limit and later-status changes have no test yet.

--- a/crates/process/fescuetide_router/src/attempt.rs
+++ b/crates/process/fescuetide_router/src/attempt.rs
@@ -1,6 +1,8 @@
 //! One attempt at a request over the framed protocol, with resumption on a new connection.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
 
 use fescuetide_base::ClockMillis;
 use fescuetide_base::LoadCount;
@@ -45,6 +47,10 @@
     },
     /// The side process or its incarnation is gone: the attempt may have run.
     Lost(String),
+    /// The bytes received so far are not those of the response: nothing can go on behind them.
+    Corrupt(String),
+    /// The deadline has passed while the attempt was in progress.
+    DeadlinePassed,
 }
 
 /// Why an attempt was not started.
@@ -77,7 +83,7 @@
     ) -> Result<Self, NotSent> {
         let link = shared
             .links
-            .checkout(&vm.name, vm.data, ClockMillis::now())
+            .checkout_within(&vm.name, vm.data, ClockMillis::now(), dispatch.deadline)
             .map_err(NotSent)?;
         dispatch.target = link.incarnation;
         let tag = dispatch.tag;
@@ -112,16 +118,20 @@
         &self.vm
     }
 
-    /// Waits for the next event.
-    pub(crate) fn next(&mut self, shared: &RouterShared) -> AttemptEvent {
+    /// Waits for the next event, at most until `deadline`.
+    pub(crate) fn next(&mut self, shared: &RouterShared, deadline: ClockMillis) -> AttemptEvent {
         loop {
             if self.link.is_none()
-                && let Err(event) = self.resume(shared)
+                && let Err(event) = self.resume(shared, deadline)
             {
-                self.ended = true;
+                self.ended = !matches!(event, AttemptEvent::DeadlinePassed);
                 return event;
             }
-            let limit = Some(shared.settings.silence_limit());
+            let left = deadline.since(ClockMillis::now());
+            if left.as_millis() == 0 {
+                return AttemptEvent::DeadlinePassed;
+            }
+            let limit = Some(shared.settings.silence_limit().min(left));
             let received = match &mut self.link {
                 Some(link) => link.stream.receive(limit),
                 None => continue,
@@ -156,6 +166,7 @@
             }
             SideFrame::Alive { tag } => {
                 self.check_tag(tag)?;
+                self.resumes = 0;
                 Ok(Some(AttemptEvent::Alive))
             }
             SideFrame::Head {
@@ -186,12 +197,20 @@
             SideFrame::End { tag, seal, ending } => {
                 self.check_tag(tag)?;
                 let found = BodySeal::of(&self.body);
-                if found != seal {
+                if found.length < seal.length {
                     return Err(FrameError::Protocol(format!(
-                        "response has {} bytes, but its end says {} bytes or another hash",
+                        "response ended after {} of {} bytes",
                         found.length, seal.length
                     )));
                 }
+                if found != seal {
+                    self.ended = true;
+                    self.link = None;
+                    return Ok(Some(AttemptEvent::Corrupt(format!(
+                        "response of {} bytes does not match the length and hash of its end",
+                        found.length
+                    ))));
+                }
                 self.finish(shared);
                 Ok(Some(AttemptEvent::End(ending)))
             }
@@ -254,12 +273,19 @@
     }
 
     /// Asks for the rest of the response on a new connection. This also seals an attempt that never arrived.
-    fn resume(&mut self, shared: &RouterShared) -> Result<(), AttemptEvent> {
+    fn resume(&mut self, shared: &RouterShared, deadline: ClockMillis) -> Result<(), AttemptEvent> {
         let mut reason = "connection lost".to_owned();
         while self.resumes < RESUME_LIMIT {
+            let left = deadline.since(ClockMillis::now());
+            if left.as_millis() == 0 {
+                return Err(AttemptEvent::DeadlinePassed);
+            }
             self.resumes += 1;
             shared.metrics.count("resume");
-            let link = match shared.links.connect(&self.vm.name, self.vm.data) {
+            let link = match shared
+                .links
+                .connect_within(&self.vm.name, self.vm.data, left)
+            {
                 Ok(link) => link,
                 Err(error) => {
                     reason = error.to_string();
@@ -293,15 +319,26 @@
         Err(AttemptEvent::Lost(reason))
     }
 
-    /// Tells the side process that the response is no longer wanted.
-    pub(crate) fn cancel(&mut self, shared: &RouterShared) {
+    /// Tells the side process that the response is no longer wanted. Does not wait for it: a silent side process must
+    /// not hold up the final response to the caller.
+    pub(crate) fn cancel(&mut self, shared: &Arc<RouterShared>) {
         if self.ended {
             return;
         }
         self.ended = true;
         self.link = None;
-        if let Err(error) = send_cancel(shared, self.tag, &self.vm.name, self.vm.data) {
-            tracing::debug!(tag = %self.tag, %error, "cancellation was not sent");
+        let shared = Arc::clone(shared);
+        let (tag, vm) = (self.tag, self.vm.clone());
+        let spawned = thread::Builder::new()
+            .name("router-cancel".to_owned())
+            .spawn(move || {
+                if let Err(error) = send_cancel(&shared, tag, &vm.name, vm.data) {
+                    shared.metrics.count("cancel.failed");
+                    tracing::debug!(%tag, %error, "cancellation was not sent");
+                }
+            });
+        if let Err(error) = spawned {
+            tracing::debug!(tag = %self.tag, %error, "no thread for a cancellation");
         }
     }
 }
@@ -316,7 +353,8 @@
     vm: &fescuetide_base::VmName,
     address: SocketAddr,
 ) -> Result<(), FrameError> {
-    let mut link = shared.links.checkout(vm, address, ClockMillis::now())?;
+    // An idle connection may have gone silent, which would lose the cancellation.
+    let mut link = shared.links.connect(vm, address)?;
     link.stream.send(&RouterFrame::Cancel { tag })?;
     let reply: SideFrame = link.stream.receive(Some(shared.settings.silence_limit()))?;
     if matches!(reply, SideFrame::Cancelled { tag: found } if found == tag) {
--- a/crates/process/fescuetide_router/src/runner.rs
+++ b/crates/process/fescuetide_router/src/runner.rs
@@ -41,16 +41,24 @@
 /// When a caller should come back if no side process said so.
 const RETRY_AFTER_MS: u64 = 1_000;
 
+/// Why a request was given up when its time was over.
+const DEADLINE_REASON: &str = "deadline has passed";
+
 /// Runs a request to its end.
 pub(crate) struct CallRunner {
     shared: Arc<RouterShared>,
     spec: CallSpec,
     plan: CandidatePlan,
     lost_on: Vec<VmEntry>,
+    /// A candidate to ask once more before the next one of the plan.
+    ask_again: Option<(VmEntry, AdmissionRule)>,
+    asked_again: bool,
+    current_rule: AdmissionRule,
     current: Option<LiveAttempt>,
     admitted: bool,
     delivered: Vec<u8>,
-    head_sent: bool,
+    /// Status of the response's head, once it was passed on.
+    head_status: Option<u16>,
     attempts: u32,
     ended: bool,
     last_reason: String,
@@ -66,10 +74,13 @@
             spec,
             plan,
             lost_on: Vec::new(),
+            ask_again: None,
+            asked_again: false,
+            current_rule: AdmissionRule::OwnCap,
             current: None,
             admitted: false,
             delivered: Vec::new(),
-            head_sent: false,
+            head_status: None,
             attempts: 0,
             ended: false,
             last_reason: "no upstream is available".to_owned(),
@@ -93,17 +104,24 @@
                 }
                 continue;
             };
-            let event = attempt.next(&self.shared);
+            let event = attempt.next(&self.shared, self.spec.deadline);
             match event {
+                AttemptEvent::Head(status, _) if self.is_other_head(status) => {
+                    // An error response must not be appended to what the caller has received.
+                    attempt.cancel(&self.shared);
+                    let reason = format!("later attempt answered with status {status}");
+                    if let Some(event) = self.take_loss(&attempt, reason) {
+                        return event;
+                    }
+                }
                 AttemptEvent::Head(status, content_type) => {
                     self.note_admitted(attempt);
                     if matches!(self.spec.work, CallWork::Service { .. }) {
                         self.history.note_part(&self.spec);
                     }
-                    if self.head_sent {
+                    if self.head_status.replace(status).is_some() {
                         continue;
                     }
-                    self.head_sent = true;
                     return CallEvent::Head(status, content_type);
                 }
                 AttemptEvent::Chunk(bytes) => {
@@ -131,10 +149,19 @@
                         return event;
                     }
                 }
+                AttemptEvent::Corrupt(reason) => return self.end_corrupt(&attempt, reason),
+                AttemptEvent::DeadlinePassed => {
+                    self.current = Some(attempt);
+                    return self.end_at_deadline();
+                }
             }
         }
     }
 
+    fn is_other_head(&self, status: u16) -> bool {
+        self.head_status.is_some_and(|first| first != status)
+    }
+
     fn note_admitted(&mut self, attempt: LiveAttempt) {
         self.admitted = true;
         self.current = Some(attempt);
@@ -185,10 +212,10 @@
         self.last_reason = reason.clone();
         self.lost_on.push(vm);
         if !self.spec.targets.repeatable {
-            return Some(self.end(CallOutcome::Unknown, reason, None, TokenUsage::default()));
+            return Some(self.end_with_retry(CallOutcome::Unknown, reason));
         }
         if !self.may_retry() {
-            return Some(self.end(CallOutcome::Failed, reason, None, TokenUsage::default()));
+            return Some(self.end_with_retry(CallOutcome::Failed, reason));
         }
         self.wait_before_retry();
         self.plan = CandidatePlan::new(&self.shared, &self.spec, &self.lost_on);
@@ -197,7 +224,7 @@
 
     fn may_retry(&self) -> bool {
         let is_service = matches!(self.spec.work, CallWork::Service { .. });
-        if is_service && self.head_sent {
+        if is_service && self.head_status.is_some() {
             // Bytes of the response have reached the caller; another run's response need not match them.
             return false;
         }
@@ -218,13 +245,25 @@
         thread::sleep(SpanMillis::new(wait).into());
     }
 
+    fn next_candidate(&mut self) -> Option<(VmEntry, AdmissionRule)> {
+        match self.ask_again.take() {
+            Some(candidate) => Some(candidate),
+            None => self.plan.next_candidate(),
+        }
+    }
+
     /// Starts an attempt at the next candidate. Returns whether there was one.
     fn start_next(&mut self) -> bool {
-        while let Some((vm, rule)) = self.plan.next_candidate() {
+        while let Some((vm, rule)) = self.next_candidate() {
+            if ClockMillis::now() >= self.spec.deadline {
+                self.last_reason = DEADLINE_REASON.to_owned();
+                return false;
+            }
             let tag = AttemptTag {
                 request: self.spec.request,
                 attempt: AttemptId::generate(),
             };
+            self.current_rule = rule;
             let dispatch = self.make_dispatch(tag, rule);
             self.history.note_sent(tag.attempt, &vm.name);
             match LiveAttempt::start(&self.shared, &vm, dispatch) {
@@ -273,6 +312,12 @@
     ) {
         self.shared.metrics.count("attempt.refused");
         self.last_reason = reason.to_string();
+        if reason == RefusalReason::Sealed && !self.asked_again {
+            // The dispatch went into a connection that had gone silent; the seal came over a new one, so the VM is well.
+            self.asked_again = true;
+            self.ask_again = Some((attempt.vm().clone(), self.current_rule));
+            return;
+        }
         self.history.note_result(
             attempt.tag().attempt,
             AttemptResult::Refused(reason.to_string()),
@@ -300,7 +345,7 @@
     fn end_at_deadline(&mut self) -> CallEvent {
         let in_progress = self.current.is_some();
         self.cancel();
-        let reason = "deadline has passed".to_owned();
+        let reason = DEADLINE_REASON.to_owned();
         if !in_progress {
             self.last_reason = reason;
             return self.end_not_run();
@@ -310,7 +355,27 @@
         } else {
             CallOutcome::Unknown
         };
-        self.end(outcome, reason, None, TokenUsage::default())
+        self.end_with_retry(outcome, reason)
+    }
+
+    /// Ends a request whose caller has received bytes that are not its response's.
+    fn end_corrupt(&mut self, attempt: &LiveAttempt, reason: String) -> CallEvent {
+        let tag = attempt.tag();
+        self.shared.metrics.count("response.corrupt");
+        tracing::error!(%tag, vm = %attempt.vm().name, %reason, "response is corrupt");
+        self.history
+            .note_result(tag.attempt, AttemptResult::Lost(reason.clone()));
+        let outcome = if self.spec.targets.repeatable {
+            CallOutcome::Failed
+        } else {
+            CallOutcome::Unknown
+        };
+        self.end_with_retry(outcome, reason)
+    }
+
+    fn end_with_retry(&mut self, outcome: CallOutcome, reason: String) -> CallEvent {
+        let retry_after = self.plan.retry_after(SpanMillis::new(RETRY_AFTER_MS));
+        self.end(outcome, reason, Some(retry_after), TokenUsage::default())
     }
 
     fn end(
--- a/crates/process/fescuetide_side/src/answer.rs
+++ b/crates/process/fescuetide_side/src/answer.rs
@@ -10,6 +10,9 @@
 use fescuetide_wire::frame::AttemptEnding;
 use fescuetide_wire::frame::BodySeal;
 
+/// The most bytes of one chunk. A frame above its own limit would end the connection each time it is sent.
+const CHUNK_LIMIT_BYTES: usize = 256 * 1024;
+
 #[derive(Debug, Default)]
 struct AnswerState {
     head: Option<(u16, String)>,
@@ -17,6 +20,7 @@
     ending: Option<AttemptEnding>,
     cancelled: bool,
     readers: u32,
+    delivered: bool,
     idle_since: ClockMillis,
 }
 
@@ -108,8 +112,19 @@
         state.idle_since = now;
     }
 
-    pub(crate) fn reader_count(&self) -> u32 {
-        self.lock().readers
+    /// Notes that a reader was sent the end.
+    pub(crate) fn note_delivered(&self) {
+        self.lock().delivered = true;
+    }
+
+    /// Whether a reader may still come for the response: it is in progress, is being read, or lost its reader before
+    /// the end less than `grace` ago.
+    pub(crate) fn is_awaited(&self, grace: SpanMillis, now: ClockMillis) -> bool {
+        let state = self.lock();
+        if state.readers > 0 || state.ending.is_none() {
+            return true;
+        }
+        !state.delivered && !state.cancelled && now.since(state.idle_since) <= grace
     }
 
     /// Waits up to `timeout` for something behind `offset`.
@@ -127,7 +142,8 @@
             return AnswerStep::Head(*status, content_type.clone());
         }
         if state.body.len() > offset {
-            return AnswerStep::Chunk(state.body[offset..].to_vec());
+            let end = chunk_end(&state.body, offset);
+            return AnswerStep::Chunk(state.body[offset..end].to_vec());
         }
         match &state.ending {
             Some(ending) => AnswerStep::End(ending.clone(), BodySeal::of(&state.body)),
@@ -139,3 +155,18 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Where the chunk from `offset` on ends. Does not split a UTF-8 character, since generation may go on behind a chunk.
+fn chunk_end(body: &[u8], offset: usize) -> usize {
+    let limit = offset + CHUNK_LIMIT_BYTES;
+    if body.len() <= limit {
+        return body.len();
+    }
+    // A character has at most 3 continuation bytes; bytes that are not text are cut at the limit.
+    for end in (limit - 3..=limit).rev() {
+        if body[end] & 0b1100_0000 != 0b1000_0000 {
+            return end;
+        }
+    }
+    limit
+}
--- a/crates/process/fescuetide_side/src/attempts.rs
+++ b/crates/process/fescuetide_side/src/attempts.rs
@@ -162,16 +162,17 @@
         orphans
     }
 
-    /// Connections that read a response now.
-    pub(crate) fn reader_count(&self) -> u32 {
-        let mut count = 0;
+    /// Whether a response is in progress or being read, or a router that lost its connection may still resume it.
+    pub(crate) fn is_awaited(&self, grace: SpanMillis, now: ClockMillis) -> bool {
         for slot in self.lock().attempts.values() {
             let SlotState::Present(entry) = slot else {
                 continue;
             };
-            count += entry.answer.reader_count();
+            if entry.answer.is_awaited(grace, now) {
+                return true;
+            }
         }
-        count
+        false
     }
 
     /// Forgets a registration that was not admitted after all.
--- a/crates/process/fescuetide_side/src/lib.rs
+++ b/crates/process/fescuetide_side/src/lib.rs
@@ -19,6 +19,7 @@
 use anyhow::Context;
 use fescuetide_base::ClockMillis;
 use fescuetide_base::ProcessIncarnation;
+use fescuetide_base::SpanMillis;
 
 use crate::admission::AdmissionGate;
 use crate::attempts::AttemptTable;
@@ -28,6 +29,10 @@
 pub use crate::settings::SideSettings;
 pub use crate::settings::UpstreamKind;
 
+/// How long a draining process keeps a response whose reader was lost before its end. Routers notice a silent connection
+/// after 3 heartbeats and then need up to 3 connection attempts of 1 s.
+const DRAIN_GRACE_HEARTBEATS: u64 = 10;
+
 /// State shared by the threads of a side process.
 pub(crate) struct SideShared {
     pub(crate) settings: SideSettings,
@@ -81,9 +86,12 @@
         self.shared.gate.leave();
     }
 
-    /// Whether nothing is in progress.
+    /// Whether nothing is in progress and no router may still come for the rest of a response.
     pub fn is_idle(&self) -> bool {
-        self.shared.gate.load().get() == 0 && self.shared.attempts.reader_count() == 0
+        let heartbeat = self.shared.settings.heartbeat_ms;
+        let grace = SpanMillis::new(heartbeat * DRAIN_GRACE_HEARTBEATS);
+        let awaited = self.shared.attempts.is_awaited(grace, ClockMillis::now());
+        self.shared.gate.load().get() == 0 && !awaited
     }
 }
 
--- a/crates/process/fescuetide_side/src/server.rs
+++ b/crates/process/fescuetide_side/src/server.rs
@@ -67,8 +67,12 @@
                 stream.send(&SideFrame::Sealed { tag, state })?;
             }
             RouterFrame::Cancel { tag } => {
-                if let Some(entry) = shared.attempts.find(tag) {
-                    cancel_attempt(shared, &entry);
+                match shared.attempts.find(tag) {
+                    Some(entry) => cancel_attempt(shared, &entry),
+                    // The dispatch may still be on its way over another connection.
+                    None => {
+                        shared.attempts.seal(tag, None, ClockMillis::now());
+                    }
                 }
                 stream.send(&SideFrame::Cancelled { tag })?;
             }
@@ -215,7 +219,9 @@
             }
             AnswerStep::Idle => stream.send(&SideFrame::Alive { tag })?,
             AnswerStep::End(ending, seal) => {
-                return stream.send(&SideFrame::End { tag, seal, ending });
+                stream.send(&SideFrame::End { tag, seal, ending })?;
+                entry.answer.note_delivered();
+                return Ok(());
             }
         }
     }
--- a/crates/process/fescuetide_side/src/upstream.rs
+++ b/crates/process/fescuetide_side/src/upstream.rs
@@ -18,6 +18,7 @@
 use ureq::http::Response;
 
 use crate::SideSettings;
+use crate::UpstreamKind;
 use crate::answer::AnswerBuffer;
 
 /// Longest time to connect to the upstream, which is on the same VM.
@@ -37,6 +38,7 @@
 pub(crate) struct UpstreamClient {
     agent: Agent,
     base: String,
+    kind: UpstreamKind,
 }
 
 impl UpstreamClient {
@@ -47,10 +49,14 @@
             .timeout_per_read(Some(Duration::from_millis(settings.upstream_silence_ms)))
             .http_status_as_error(false)
             .max_idle_connections(0)
+            // A redirect is the upstream's response; following it would call something twice.
+            .max_redirects(0)
+            .max_redirects_will_error(false)
             .build();
         Self {
             agent: config.into(),
             base: settings.upstream_url.clone(),
+            kind: settings.kind,
         }
     }
 
@@ -82,8 +88,11 @@
         }
     }
 
-    /// Asks the engine to stop generating for an attempt.
+    /// Asks the engine to stop generating for an attempt. Plain services have no such interface.
     pub(crate) fn cancel(&self, tag: AttemptTag) {
+        if self.kind != UpstreamKind::Engine {
+            return;
+        }
         let url = format!("{}/v1/requests/{}", self.base, tag.attempt);
         let timeout: Duration = SpanMillis::new(CANCEL_TIMEOUT_MS).into();
         let request = self
--- /dev/null
+++ b/crates/tools/fescuetide_bench/tests/faults_process.rs
@@ -0,0 +1,134 @@
+//! Processes that are killed or paused while a response is under way.
+
+use std::time::Duration;
+
+use fescuetide_bench::fault_client::StreamCall;
+use fescuetide_bench::fault_client::StreamResult;
+use fescuetide_bench::fleet::FleetProcesses;
+use fescuetide_bench::fleet_faults::fault_settings;
+use fescuetide_bench::oracle::check_truth;
+use fescuetide_bench::oracle::content_of;
+use fescuetide_bench::oracle::last_runner;
+use fescuetide_bench::oracle::lines_of;
+use fescuetide_bench::process::SignalKind;
+use fescuetide_bench::process::wait_for;
+use fescuetide_standin::journal::JournalEvent;
+use fescuetide_wire::api::CallOutcome;
+
+fn start_fleet(routers: usize, engines: usize) -> FleetProcesses {
+    FleetProcesses::start(fault_settings(routers, engines)).expect("fleet starts")
+}
+
+fn assert_whole(fleet: &FleetProcesses, result: &StreamResult) {
+    assert_eq!(result.outcome, Some(CallOutcome::Completed), "{result:?}");
+    check_truth(fleet, result).expect("truth");
+}
+
+/// Sends a request and acts on the place that runs it when 10 tokens have arrived.
+fn run_and_act(fleet: &FleetProcesses, call: &StreamCall, act: impl Fn(usize)) -> StreamResult {
+    call.run_with(|tokens| {
+        if tokens == 10 {
+            act(last_runner(fleet, content_of(&call.messages())).expect("runner"));
+        }
+        true
+    })
+}
+
+/// Checks that a second engine went on behind the text that had been delivered.
+fn assert_continued(fleet: &FleetProcesses, result: &StreamResult) {
+    let lines = lines_of(fleet, content_of(&result.messages)).expect("journals");
+    let starts: Vec<_> = lines
+        .iter()
+        .filter(|placed| placed.line.event == JournalEvent::Start)
+        .collect();
+    assert_eq!(starts.len(), 2, "{lines:?}");
+    assert_ne!(starts[0].place, starts[1].place);
+    assert!(
+        starts[1].line.prompt_tokens >= starts[0].line.prompt_tokens + 10,
+        "{lines:?}"
+    );
+}
+
+/// Guards against a stream that breaks off, repeats text or starts over when its side process dies.
+#[test]
+fn killed_side_process_is_replaced_in_the_middle_of_a_stream() {
+    let fleet = start_fleet(1, 2);
+    let call = StreamCall::new(fleet.router_addresses()[0], "side killed", 60);
+    let result = run_and_act(&fleet, &call, |place| {
+        fleet.signal_side(place, SignalKind::Kill).expect("signal");
+    });
+    assert_whole(&fleet, &result);
+    assert_eq!(result.attempts, 2);
+    assert_continued(&fleet, &result);
+}
+
+/// Guards against a stream that breaks off, repeats text or starts over when its engine dies.
+#[test]
+fn killed_engine_is_replaced_in_the_middle_of_a_stream() {
+    let fleet = start_fleet(1, 2);
+    let call = StreamCall::new(fleet.router_addresses()[0], "engine killed", 60);
+    let result = run_and_act(&fleet, &call, |place| {
+        fleet
+            .signal_upstream(place, SignalKind::Kill)
+            .expect("signal");
+    });
+    assert_whole(&fleet, &result);
+    assert_eq!(result.attempts, 2);
+    assert_continued(&fleet, &result);
+    // The side process still runs beside the dead engine; requests that rank it first are served elsewhere.
+    for turn in 0..4 {
+        let call = StreamCall::new(fleet.router_addresses()[0], &format!("later {turn}"), 5);
+        assert_whole(&fleet, &call.run());
+    }
+}
+
+/// Guards against callers that are not served by the routers that are left.
+#[test]
+fn callers_of_a_killed_router_are_served_by_another() {
+    let fleet = start_fleet(2, 2);
+    let routers = fleet.router_addresses();
+    let lost = StreamCall::new(routers[0], "router killed", 60).run_with(|tokens| {
+        if tokens == 10 {
+            fleet.signal_router(0, SignalKind::Kill).expect("signal");
+        }
+        true
+    });
+    assert_eq!(lost.outcome, None);
+    check_truth(&fleet, &lost).expect("truth");
+    let again = StreamCall::new(routers[1], "router killed", 60).run();
+    assert_whole(&fleet, &again);
+}
+
+/// Guards against a paused side process that holds its streams, and against harm when it goes on later.
+#[test]
+fn paused_side_process_is_passed_over_and_comes_back() {
+    let fleet = start_fleet(1, 2);
+    let router = fleet.router_addresses()[0];
+    let call = StreamCall::new(router, "side paused", 60);
+    let result = run_and_act(&fleet, &call, |place| {
+        fleet.signal_side(place, SignalKind::Pause).expect("signal");
+    });
+    assert_whole(&fleet, &result);
+    assert_continued(&fleet, &result);
+    let lines = lines_of(&fleet, content_of(&result.messages)).expect("journals");
+    let paused = lines[0].place;
+    let during = StreamCall::new(router, "during the pause", 10).run();
+    assert_whole(&fleet, &during);
+    fleet
+        .signal_side(paused, SignalKind::Resume)
+        .expect("signal");
+    wait_for(
+        "work of the resumed side process",
+        Duration::from_secs(90),
+        || {
+            // Prompts differ, so that chats rank the engines in different orders.
+            static TURN: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+            let turn = TURN.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+            let call = StreamCall::new(router, &format!("after the pause {turn}"), 5);
+            let result = call.run();
+            assert_whole(&fleet, &result);
+            last_runner(&fleet, content_of(&result.messages)).expect("runner") == paused
+        },
+    )
+    .expect("resumed side process works");
+}
--- a/crates/transport/fescuetide_net/src/framed.rs
+++ b/crates/transport/fescuetide_net/src/framed.rs
@@ -94,6 +94,17 @@
         Ok(Self { stream })
     }
 
+    /// Whether a connection without an exchange in progress is still open. A peer that has closed it, or has sent
+    /// something unasked, makes it unusable.
+    pub fn is_idle_open(&self) -> bool {
+        if self.stream.set_nonblocking(true).is_err() {
+            return false;
+        }
+        let peeked = self.stream.peek(&mut [0]);
+        let restored = self.stream.set_nonblocking(false).is_ok();
+        restored && matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+
     /// Sends one frame.
     ///
     /// # Errors
--- a/crates/transport/fescuetide_net/src/pool.rs
+++ b/crates/transport/fescuetide_net/src/pool.rs
@@ -84,11 +84,26 @@
         vm: &VmName,
         address: SocketAddr,
         now: ClockMillis,
+    ) -> Result<SideLink, FrameError> {
+        self.checkout_within(vm, address, now, self.settings.connect_timeout)
+    }
+
+    /// Like [`checkout`](Self::checkout), but connects for at most `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no connection to `vm` can be made.
+    pub fn checkout_within(
+        &self,
+        vm: &VmName,
+        address: SocketAddr,
+        now: ClockMillis,
+        limit: SpanMillis,
     ) -> Result<SideLink, FrameError> {
         if let Some(link) = self.take_idle(vm, address, now) {
             return Ok(link);
         }
-        self.connect(vm, address)
+        self.connect_within(vm, address, limit)
     }
 
     /// Opens a new connection, also when an idle one is there.
@@ -97,7 +112,24 @@
     ///
     /// Fails when no connection can be made or another VM answers.
     pub fn connect(&self, vm: &VmName, address: SocketAddr) -> Result<SideLink, FrameError> {
-        let timeout = self.settings.connect_timeout;
+        self.connect_within(vm, address, self.settings.connect_timeout)
+    }
+
+    /// Like [`connect`](Self::connect), but for at most `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no connection can be made or another VM answers.
+    pub fn connect_within(
+        &self,
+        vm: &VmName,
+        address: SocketAddr,
+        limit: SpanMillis,
+    ) -> Result<SideLink, FrameError> {
+        let timeout = self.settings.connect_timeout.min(limit);
+        if timeout.as_millis() == 0 {
+            return Err(FrameError::Timeout);
+        }
         let mut stream = FramedStream::connect(address, timeout)?;
         stream.send(&RouterFrame::Hello {
             version: PROTOCOL_VERSION,
@@ -146,6 +178,10 @@
                 continue;
             }
             let mut link = candidate.link;
+            // A dispatch on a connection that its peer has closed would count as one that may have run.
+            if !link.stream.is_idle_open() {
+                continue;
+            }
             link.reused = true;
             return Some(link);
         }
