--- a/crates/process/fescuetide_router/src/runner.rs
+++ b/crates/process/fescuetide_router/src/runner.rs
@@ -274,7 +274,10 @@
                 attempt: AttemptId::generate(),
             };
             self.current_rule = rule;
-            let dispatch = make_dispatch(&self.spec, &self.delivered, tag, rule);
+            let dispatch = DispatchFrame {
+                only_if_held: self.plan.asks_holders(),
+                ..make_dispatch(&self.spec, &self.delivered, tag, rule)
+            };
             self.history.note_sent(tag.attempt, &vm.name);
             match LiveAttempt::start(&self.shared, &vm, dispatch) {
                 Ok(attempt) => {
@@ -492,6 +495,8 @@
         key: spec.work_key(),
         slack: late_at.since(now),
         deadline: spec.deadline.since(now),
+        chat: spec.chat_turn(),
+        only_if_held: false,
         admission,
         work: spec.work_body(delivered),
     }
--- a/crates/process/fescuetide_side/src/lib.rs
+++ b/crates/process/fescuetide_side/src/lib.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod answer;
 mod attempts;
+mod chats;
 mod control;
 mod metrics;
 mod server;
@@ -24,6 +25,7 @@
 use crate::admission::AdmissionGate;
 use crate::attempts::AttemptRetention;
 use crate::attempts::AttemptTable;
+use crate::chats::ChatTable;
 use crate::metrics::SideMetrics;
 use crate::upstream::UpstreamClient;
 
@@ -40,6 +42,7 @@
     pub(crate) incarnation: ProcessIncarnation,
     pub(crate) gate: AdmissionGate,
     pub(crate) attempts: AttemptTable,
+    pub(crate) chats: ChatTable,
     pub(crate) upstream: UpstreamClient,
     pub(crate) metrics: SideMetrics,
 }
@@ -64,6 +67,7 @@
             incarnation: new_incarnation(),
             gate: AdmissionGate::default(),
             attempts: AttemptTable::new(AttemptRetention::of(&settings)),
+            chats: ChatTable::default(),
             upstream: UpstreamClient::new(&settings),
             metrics: SideMetrics::new(&settings)?,
             settings,
--- a/crates/tools/fescuetide_bench/src/deployment.rs
+++ b/crates/tools/fescuetide_bench/src/deployment.rs
@@ -6,7 +6,10 @@
 
 use anyhow::Context;
 use fescuetide_base::ClassName;
+use fescuetide_base::SpanMillis;
+use fescuetide_base::TargetShare;
 use fescuetide_classes::ClassTargets;
+use fescuetide_classes::LatenessTarget;
 use indexmap::IndexMap;
 use serde::Deserialize;
 use toml::Table;
@@ -54,10 +57,35 @@
     }
 }
 
+/// A class file as `fescuetide class publish` takes it.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct ClassFile {
-    classes: IndexMap<ClassName, ClassTargets>,
+    class: IndexMap<ClassName, ClassFields>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ClassFields {
+    lateness_ms: SpanMillis,
+    late_share: TargetShare,
+    loss_share: TargetShare,
+    duplication_share: TargetShare,
+    repeatable: bool,
+}
+
+impl From<ClassFields> for ClassTargets {
+    fn from(fields: ClassFields) -> Self {
+        Self {
+            lateness: LatenessTarget {
+                within: fields.lateness_ms,
+                late_share: fields.late_share,
+            },
+            loss_share: fields.loss_share,
+            duplication_share: fields.duplication_share,
+            repeatable: fields.repeatable,
+        }
+    }
 }
 
 /// A deployment's settings.
@@ -112,7 +140,9 @@
             .with_context(|| format!("{} is malformed", path.display()))?;
         let mut chat_classes = Vec::new();
         let mut call_classes = Vec::new();
-        for (name, targets) in &file.classes {
+        let mut classes = Vec::new();
+        for (name, fields) in file.class {
+            let targets = ClassTargets::from(fields);
             let is_call = self.call_classes().contains(&name.as_str());
             let list = if is_call {
                 &mut call_classes
@@ -124,13 +154,14 @@
                 weight: 1,
                 repeatable: targets.repeatable,
             });
+            classes.push((name, targets));
         }
         Ok(DeploymentSettings {
             fleet: FleetSettings {
                 region: text_of(&router, "region")?,
                 zones: self.zones().map(str::to_owned).to_vec(),
                 service_pool: text_of(&service, "pool")?,
-                classes: file.classes.into_iter().collect(),
+                classes,
                 router_lines: other_lines(&router)?,
                 side_lines: other_lines(&engine)?,
                 ..FleetSettings::default()
