Add the admission queue of a side process

An engine runs a limited batch, so admitted work beyond it needs an order. AdmissionQueue (fescuetide_limits) gives a free slot to the work with the least slack among workspaces that run less than slots / workspaces. Work whose lateness target cannot be met, by the mean of the last 32 service times, is refused at once with the time after which it could be; waiting work of classes with a higher loss share is shed before that.

--- a/crates/coordination/fescuetide_limits/src/lib.rs
+++ b/crates/coordination/fescuetide_limits/src/lib.rs
@@ -1,9 +1,12 @@
-//! Limits on work: the load bound of an upstream, retry budgets and the breaker for failing upstreams.
+//! Limits on work: the load bound and the queue of an upstream, retry budgets and the breaker for failing upstreams.
 
 mod bound;
 mod breaker;
 mod budget;
+mod estimate;
 mod gate;
+mod order;
+mod queue;
 mod walk;
 
 pub use bound::LoadBound;
@@ -11,13 +14,19 @@
 pub use breaker::VmBreaker;
 pub use budget::BudgetSettings;
 pub use budget::RetryBudget;
+pub use estimate::RecentTimes;
 pub use gate::AdmitError;
 pub use gate::AdmitRule;
 pub use gate::LoadGate;
+pub use queue::AdmissionQueue;
+pub use queue::QueueEvent;
+pub use queue::QueuedWork;
+pub use queue::TooLate;
 pub use walk::CandidateWalk;
 
 /// The types most users need.
 pub mod prelude {
+    pub use crate::AdmissionQueue;
     pub use crate::AdmitError;
     pub use crate::AdmitRule;
     pub use crate::BreakerSettings;
@@ -25,6 +34,9 @@
     pub use crate::CandidateWalk;
     pub use crate::LoadBound;
     pub use crate::LoadGate;
+    pub use crate::QueueEvent;
+    pub use crate::QueuedWork;
     pub use crate::RetryBudget;
+    pub use crate::TooLate;
     pub use crate::VmBreaker;
 }
