--- a/crates/coordination/fescuetide_limits/src/walk.rs
+++ b/crates/coordination/fescuetide_limits/src/walk.rs
@@ -66,11 +66,13 @@
             return Some((place, AdmitRule::OwnCap));
         }
         let cap = self.fresh_cap()?;
-        for (place, note) in self.notes.iter().enumerate() {
+        for (place, note) in self.notes.iter_mut().enumerate() {
             let CandidateNote::OverBound(load) = *note else {
                 continue;
             };
             if load < cap {
+                // Unless it refuses again at a higher load, it is not asked again.
+                *note = CandidateNote::Barred(load);
                 self.limit = Some(cap - 1);
                 return Some((place, AdmitRule::AtMost(LoadCount::new(cap - 1))));
             }
--- a/crates/process/fescuetide_router/src/plan.rs
+++ b/crates/process/fescuetide_router/src/plan.rs
@@ -3,6 +3,7 @@
 use fescuetide_base::ClockMillis;
 use fescuetide_base::LoadCount;
 use fescuetide_base::SpanMillis;
+use fescuetide_base::VmName;
 use fescuetide_limits::CandidateWalk;
 use fescuetide_limits::LoadBound;
 use fescuetide_members::VmEntry;
@@ -17,6 +18,7 @@
 /// A candidate that refused.
 #[derive(Clone, Debug)]
 pub(crate) struct RefusalNote {
+    pub(crate) vm: VmEntry,
     pub(crate) reason: RefusalReason,
     pub(crate) load: LoadCount,
     pub(crate) retry_after: SpanMillis,
@@ -27,7 +29,6 @@
 pub(crate) struct CandidatePlan {
     vms: Vec<VmEntry>,
     walk: CandidateWalk,
-    asked: usize,
     retry_after: SpanMillis,
 }
 
@@ -41,7 +42,6 @@
         Self {
             walk: CandidateWalk::new(bound, vms.len()),
             vms,
-            asked: 0,
             retry_after: SpanMillis::default(),
         }
     }
@@ -49,29 +49,37 @@
     /// The next candidate and the rule to ask it by.
     pub(crate) fn next_candidate(&mut self) -> Option<(VmEntry, AdmissionRule)> {
         let (place, rule) = self.walk.next_candidate()?;
-        self.asked = place;
         Some((self.vms[place].clone(), rule.into()))
     }
 
-    /// Notes that the candidate asked last refused.
+    /// Notes that a candidate refused.
     pub(crate) fn note_refusal(&mut self, note: RefusalNote) {
+        let Some(place) = self.place_of(&note.vm.name) else {
+            return;
+        };
         self.retry_after = self.retry_after.max(note.retry_after);
         match note.reason {
-            RefusalReason::OverBound => self.walk.note_over_bound(self.asked, note.load),
+            RefusalReason::OverBound => self.walk.note_over_bound(place, note.load),
             RefusalReason::TooLate | RefusalReason::Suspect => {
-                self.walk.note_barred(self.asked, note.load);
+                self.walk.note_barred(place, note.load);
             }
             RefusalReason::Leaving
             | RefusalReason::Sealed
             | RefusalReason::OtherIncarnation
             | RefusalReason::KeySeen
-            | RefusalReason::UpstreamDown => self.walk.note_gone(self.asked),
+            | RefusalReason::UpstreamDown => self.walk.note_gone(place),
+        }
+    }
+
+    /// Notes that a candidate cannot be used.
+    pub(crate) fn note_gone(&mut self, vm: &VmName) {
+        if let Some(place) = self.place_of(vm) {
+            self.walk.note_gone(place);
         }
     }
 
-    /// Notes that the candidate asked last cannot be used.
-    pub(crate) fn note_gone(&mut self) {
-        self.walk.note_gone(self.asked);
+    fn place_of(&self, vm: &VmName) -> Option<usize> {
+        self.vms.iter().position(|entry| entry.name == *vm)
     }
 
     /// The longest time that a candidate asked to wait, at least `floor`.
--- a/crates/process/fescuetide_router/src/settings.rs
+++ b/crates/process/fescuetide_router/src/settings.rs
@@ -46,6 +46,8 @@
     pub exchange_interval_ms: u64,
     /// Multiple of the pool's mean load that an upstream may carry.
     pub load_multiple: f64,
+    /// Interval between batches of request records, in ms.
+    pub record_interval_ms: u64,
     /// How many engines a workspace's chats are spread over at first.
     pub shard_size: usize,
     /// Address of a StatsD server; no metrics are sent without it.
@@ -71,6 +73,7 @@
             log_interval_ms: 1_000,
             exchange_interval_ms: 500,
             load_multiple: 1.25,
+            record_interval_ms: 5_000,
             shard_size: 4,
             statsd: None,
         }
