Queue admitted attempts at the side process

Attempts beyond the setting `slots` (16 by default) went to the engine's own queue, which knows neither workspaces nor lateness targets. Attempts whose caller left or whose deadline passed end as NotRun without reaching the upstream; shed ones end as Shed, and the router offers them to the next candidate. The router passes on the shortest Retry-After of the candidates that refused as TooLate, and no longer counts an attempt that expired in the queue as a failure of its upstream.

--- a/crates/process/fescuetide_router/src/plan.rs
+++ b/crates/process/fescuetide_router/src/plan.rs
@@ -29,7 +29,8 @@
 pub(crate) struct CandidatePlan {
     vms: Vec<VmEntry>,
     walk: CandidateWalk,
-    retry_after: SpanMillis,
+    /// The shortest time that a candidate asked to wait.
+    retry_after: Option<SpanMillis>,
 }
 
 impl CandidatePlan {
@@ -42,7 +43,7 @@
         Self {
             walk: CandidateWalk::new(bound, vms.len()),
             vms,
-            retry_after: SpanMillis::default(),
+            retry_after: None,
         }
     }
 
@@ -57,7 +58,9 @@
         let Some(place) = self.place_of(&note.vm.name) else {
             return;
         };
-        self.retry_after = self.retry_after.max(note.retry_after);
+        if note.reason == RefusalReason::TooLate {
+            self.note_wait(note.retry_after);
+        }
         match note.reason {
             RefusalReason::OverBound => self.walk.note_over_bound(place, note.load),
             RefusalReason::TooLate | RefusalReason::Suspect => {
@@ -78,13 +81,24 @@
         }
     }
 
+    /// Notes that a candidate took the request in and gave it up for other work.
+    pub(crate) fn note_shed(&mut self, vm: &VmName, retry_after: SpanMillis) {
+        self.note_wait(retry_after);
+        self.note_gone(vm);
+    }
+
+    fn note_wait(&mut self, span: SpanMillis) {
+        let shortest = self.retry_after.unwrap_or(span);
+        self.retry_after = Some(shortest.min(span));
+    }
+
     fn place_of(&self, vm: &VmName) -> Option<usize> {
         self.vms.iter().position(|entry| entry.name == *vm)
     }
 
-    /// The longest time that a candidate asked to wait, at least `floor`.
-    pub(crate) fn retry_after(&self, floor: SpanMillis) -> SpanMillis {
-        floor.max(self.retry_after)
+    /// When a caller should come back: when the first candidate could meet the lateness target, else after `default`.
+    pub(crate) fn retry_after(&self, default: SpanMillis) -> SpanMillis {
+        self.retry_after.unwrap_or(default)
     }
 }
 
--- a/crates/process/fescuetide_router/src/runner.rs
+++ b/crates/process/fescuetide_router/src/runner.rs
@@ -164,9 +164,22 @@
                     .note_result(attempt.tag().attempt, AttemptResult::NotRun(reason.clone()));
                 self.last_reason = reason;
                 self.plan.note_gone(&attempt.vm().name);
-                self.shared
-                    .lock_breaker()
-                    .note_failure(&attempt.vm().name, ClockMillis::now());
+                let now = ClockMillis::now();
+                // An attempt whose deadline passed in the queue says nothing about its upstream.
+                if now < self.spec.deadline {
+                    self.shared
+                        .lock_breaker()
+                        .note_failure(&attempt.vm().name, now);
+                }
+                None
+            }
+            AttemptEnding::Shed(retry_after) => {
+                self.admitted = false;
+                let reason = RefusalReason::TooLate.to_string();
+                self.history
+                    .note_result(attempt.tag().attempt, AttemptResult::NotRun(reason.clone()));
+                self.last_reason = reason;
+                self.plan.note_shed(&attempt.vm().name, retry_after);
                 None
             }
             AttemptEnding::Failed(reason) => self.take_loss(attempt, reason),
@@ -258,8 +271,14 @@
             class: self.spec.class.clone(),
             repeatable: self.spec.targets.repeatable,
             key: self.spec.work_key(),
-            slack: late_at.since(now),
+            slack: if self.lost_on.is_empty() {
+                late_at.since(now)
+            } else {
+                // A request that has been tried is not refused for being late: it would count as lost.
+                self.spec.deadline.since(now)
+            },
             deadline: self.spec.deadline.since(now),
+            loss_share: self.spec.targets.loss_share,
             admission,
             work: self.spec.work_body(&self.delivered),
         }
--- a/crates/process/fescuetide_side/src/answer.rs
+++ b/crates/process/fescuetide_side/src/answer.rs
@@ -18,6 +18,7 @@
     cancelled: bool,
     readers: u32,
     idle_since: ClockMillis,
+    first_part_at: Option<ClockMillis>,
 }
 
 /// The next thing to send to a reader.
@@ -57,7 +58,10 @@
     }
 
     pub(crate) fn append(&self, bytes: &[u8]) {
-        self.lock().body.extend_from_slice(bytes);
+        let mut state = self.lock();
+        state.body.extend_from_slice(bytes);
+        state.first_part_at.get_or_insert_with(ClockMillis::now);
+        drop(state);
         self.changed.notify_all();
     }
 
@@ -85,6 +89,11 @@
         self.lock().cancelled
     }
 
+    /// When the first part of the body arrived.
+    pub(crate) fn first_part_at(&self) -> Option<ClockMillis> {
+        self.lock().first_part_at
+    }
+
     pub(crate) fn is_ended(&self) -> bool {
         self.lock().ending.is_some()
     }
--- /dev/null
+++ b/crates/process/fescuetide_side/src/execute.rs
@@ -0,0 +1,111 @@
+//! Admission and execution of attempts.
+
+use std::sync::Arc;
+use std::thread;
+
+use fescuetide_base::ClockMillis;
+use fescuetide_limits::QueuedWork;
+use fescuetide_wire::frame::AttemptEnding;
+use fescuetide_wire::frame::DispatchFrame;
+use fescuetide_wire::frame::RefusalReason;
+
+use crate::SideShared;
+use crate::admission::AdmitRefusal;
+use crate::attempts::AttemptEntry;
+use crate::run_queue::QueueVerdict;
+
+/// Admits an attempt to the queue, or says why not.
+pub(crate) fn admit(
+    shared: &SideShared,
+    dispatch: &DispatchFrame,
+) -> Result<AttemptEntry, AdmitRefusal> {
+    let refuse = |reason| AdmitRefusal::new(reason, shared.gate.load());
+    if dispatch.target != shared.incarnation {
+        return Err(refuse(RefusalReason::OtherIncarnation));
+    }
+    let now = ClockMillis::now();
+    let entry = shared
+        .attempts
+        .register(dispatch.tag, dispatch.key.clone(), now)
+        .map_err(refuse)?;
+    if let Err(refusal) = shared.gate.admit(dispatch.admission) {
+        shared.attempts.withdraw(&entry, now);
+        return Err(refusal);
+    }
+    let work = QueuedWork {
+        attempt: dispatch.tag.attempt,
+        workspace: dispatch.workspace.clone(),
+        late_at: now + dispatch.slack,
+        deadline: now + dispatch.deadline,
+        loss_share: dispatch.loss_share,
+    };
+    if let Err(late) = shared.queue.push(work, now) {
+        shared.gate.release();
+        shared.attempts.withdraw(&entry, now);
+        return Err(AdmitRefusal {
+            retry_after: late.retry_after,
+            ..refuse(RefusalReason::TooLate)
+        });
+    }
+    Ok(entry)
+}
+
+/// Starts the thread of an admitted attempt, which waits for its turn in the queue.
+pub(crate) fn start_attempt(
+    shared: &Arc<SideShared>,
+    entry: AttemptEntry,
+    dispatch: DispatchFrame,
+) {
+    let run_shared = Arc::clone(shared);
+    let run_entry = entry.clone();
+    let spawned = thread::Builder::new()
+        .name("side-attempt".to_owned())
+        .spawn(move || {
+            let ending = run_in_turn(&run_shared, &run_entry, &dispatch);
+            run_shared.metrics.count(metric_of(&ending));
+            run_shared.gate.release();
+            run_entry.answer.finish(ending, ClockMillis::now());
+        });
+    if let Err(error) = spawned {
+        shared.queue.abandon(entry.tag.attempt, ClockMillis::now());
+        shared.gate.release();
+        let ending = AttemptEnding::NotRun(format!("no thread for the attempt: {error}"));
+        entry.answer.finish(ending, ClockMillis::now());
+    }
+}
+
+fn run_in_turn(
+    shared: &SideShared,
+    entry: &AttemptEntry,
+    dispatch: &DispatchFrame,
+) -> AttemptEnding {
+    let attempt = entry.tag.attempt;
+    let deadline = ClockMillis::now() + dispatch.deadline;
+    match shared.queue.wait_turn(attempt, deadline) {
+        QueueVerdict::Run => {}
+        QueueVerdict::Shed(late) => return AttemptEnding::Shed(late.retry_after),
+        QueueVerdict::Expired => {
+            return AttemptEnding::NotRun("deadline passed in the queue".to_owned());
+        }
+        QueueVerdict::Left => return AttemptEnding::NotRun("caller left the queue".to_owned()),
+    }
+    let started = ClockMillis::now();
+    let ending = if entry.answer.is_cancelled() {
+        AttemptEnding::NotRun("caller left the queue".to_owned())
+    } else {
+        shared.upstream.run(dispatch, &entry.answer)
+    };
+    let first_part = entry.answer.first_part_at().map(|at| at.since(started));
+    shared.queue.finish(attempt, first_part, ClockMillis::now());
+    ending
+}
+
+fn metric_of(ending: &AttemptEnding) -> &'static str {
+    match ending {
+        AttemptEnding::Completed { .. } => "attempt.completed",
+        AttemptEnding::NotRun(_) => "attempt.not_run",
+        AttemptEnding::Shed(_) => "attempt.shed",
+        AttemptEnding::Failed(_) => "attempt.failed",
+        AttemptEnding::Cancelled => "attempt.cancelled",
+    }
+}
--- a/crates/process/fescuetide_side/src/lib.rs
+++ b/crates/process/fescuetide_side/src/lib.rs
@@ -7,7 +7,9 @@
 mod answer;
 mod attempts;
 mod control;
+mod execute;
 mod metrics;
+mod run_queue;
 mod server;
 mod settings;
 mod upstream;
@@ -24,6 +26,7 @@
 use crate::admission::AdmissionGate;
 use crate::attempts::AttemptTable;
 use crate::metrics::SideMetrics;
+use crate::run_queue::RunQueue;
 use crate::upstream::UpstreamClient;
 
 pub use crate::settings::SideSettings;
@@ -34,6 +37,7 @@
     pub(crate) settings: SideSettings,
     pub(crate) incarnation: ProcessIncarnation,
     pub(crate) gate: AdmissionGate,
+    pub(crate) queue: RunQueue,
     pub(crate) attempts: AttemptTable,
     pub(crate) upstream: UpstreamClient,
     pub(crate) metrics: SideMetrics,
@@ -60,6 +64,7 @@
             gate: AdmissionGate::new(LoadBound {
                 multiple: settings.load_multiple,
             }),
+            queue: RunQueue::new(settings.slots),
             attempts: AttemptTable::default(),
             upstream: UpstreamClient::new(&settings),
             metrics: SideMetrics::new(&settings)?,
--- a/crates/process/fescuetide_side/src/server.rs
+++ b/crates/process/fescuetide_side/src/server.rs
@@ -9,18 +9,17 @@
 use fescuetide_base::SpanMillis;
 use fescuetide_net::FrameError;
 use fescuetide_net::FramedStream;
-use fescuetide_wire::frame::AttemptEnding;
 use fescuetide_wire::frame::AttemptTag;
 use fescuetide_wire::frame::DispatchFrame;
 use fescuetide_wire::frame::PROTOCOL_VERSION;
-use fescuetide_wire::frame::RefusalReason;
 use fescuetide_wire::frame::RouterFrame;
 use fescuetide_wire::frame::SideFrame;
 
 use crate::SideShared;
-use crate::admission::AdmitRefusal;
 use crate::answer::AnswerStep;
 use crate::attempts::AttemptEntry;
+use crate::execute::admit;
+use crate::execute::start_attempt;
 
 /// How long an idle connection is kept. Routers close theirs earlier.
 const IDLE_LIMIT_MS: u64 = 60_000;
@@ -121,50 +120,6 @@
     }
 }
 
-fn admit(shared: &SideShared, dispatch: &DispatchFrame) -> Result<AttemptEntry, AdmitRefusal> {
-    let refuse = |reason| AdmitRefusal::new(reason, shared.gate.load());
-    if dispatch.target != shared.incarnation {
-        return Err(refuse(RefusalReason::OtherIncarnation));
-    }
-    let now = ClockMillis::now();
-    let entry = shared
-        .attempts
-        .register(dispatch.tag, dispatch.key.clone(), now)
-        .map_err(refuse)?;
-    if let Err(refusal) = shared.gate.admit(dispatch.admission) {
-        shared.attempts.withdraw(&entry, now);
-        return Err(refusal);
-    }
-    Ok(entry)
-}
-
-fn start_attempt(shared: &Arc<SideShared>, entry: AttemptEntry, dispatch: DispatchFrame) {
-    let run_shared = Arc::clone(shared);
-    let run_entry = entry.clone();
-    let spawned = thread::Builder::new()
-        .name("side-attempt".to_owned())
-        .spawn(move || {
-            let ending = run_shared.upstream.run(&dispatch, &run_entry.answer);
-            run_shared.metrics.count(metric_of(&ending));
-            run_shared.gate.release();
-            run_entry.answer.finish(ending, ClockMillis::now());
-        });
-    if let Err(error) = spawned {
-        shared.gate.release();
-        let ending = AttemptEnding::NotRun(format!("no thread for the attempt: {error}"));
-        entry.answer.finish(ending, ClockMillis::now());
-    }
-}
-
-fn metric_of(ending: &AttemptEnding) -> &'static str {
-    match ending {
-        AttemptEnding::Completed { .. } => "attempt.completed",
-        AttemptEnding::NotRun(_) => "attempt.not_run",
-        AttemptEnding::Failed(_) => "attempt.failed",
-        AttemptEnding::Cancelled => "attempt.cancelled",
-    }
-}
-
 fn serve_resume(
     shared: &SideShared,
     stream: &mut FramedStream,
@@ -222,7 +177,7 @@
     if entry.key.is_some() {
         return;
     }
-    if entry.answer.cancel() {
+    if entry.answer.cancel() && !shared.queue.leave(entry.tag.attempt) {
         shared.upstream.cancel(entry.tag);
     }
 }
--- a/crates/process/fescuetide_side/src/settings.rs
+++ b/crates/process/fescuetide_side/src/settings.rs
@@ -43,6 +43,8 @@
     pub vm_list_url: String,
     /// Multiple of the pool's mean load that the upstream may carry.
     pub load_multiple: f64,
+    /// Requests that the upstream runs at once. What exceeds them waits in the queue.
+    pub slots: usize,
     /// Interval between heartbeats of a response without news, in ms.
     pub heartbeat_ms: u64,
     /// Interval between load reports, in ms.
@@ -75,6 +77,7 @@
             upstream_url: "http://127.0.0.1:7300".to_owned(),
             vm_list_url: "http://127.0.0.1:7001".to_owned(),
             load_multiple: 1.25,
+            slots: 16,
             heartbeat_ms: 1_000,
             report_interval_ms: 500,
             vm_list_interval_ms: 1_000,
--- a/crates/protocol/fescuetide_wire/src/frame.rs
+++ b/crates/protocol/fescuetide_wire/src/frame.rs
@@ -14,6 +14,7 @@
 use fescuetide_base::RequestId;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::StableHash;
+use fescuetide_base::TargetShare;
 use fescuetide_base::VmName;
 use fescuetide_base::WorkspaceName;
 use fescuetide_limits::AdmitRule;
@@ -104,6 +105,8 @@
     pub slack: SpanMillis,
     /// Time left until the caller gives up.
     pub deadline: SpanMillis,
+    /// The class's target for loss: work of a higher share is shed first.
+    pub loss_share: TargetShare,
     /// The highest load at which the attempt may be admitted.
     pub admission: AdmissionRule,
     /// The work itself.
@@ -267,6 +270,8 @@
     },
     /// It was admitted but never given to the upstream.
     NotRun(String),
+    /// It was taken out of the queue for other work and never given to the upstream; when to come back.
+    Shed(SpanMillis),
     /// It ran, and the response is not complete.
     Failed(String),
     /// It was cancelled.
