Refuse requests that crash upstreams

A request that crashes its upstream was retried elsewhere until its retry budget ended, and again with every resend.

- The side process probes its upstream after a failed call.
An upstream that refuses connections has crashed; the attempt ends as Crashed instead of Failed.
- Each router keeps a SuspectTable by a 16-byte fingerprint of workspace and body.
A request that was part of a crash is a suspect; a side process admits one suspect at a time, and the router waits while all are taken.
- After 2 crashes the request is refused for 10 minutes.
The refused fingerprints ride on the `exchange` messages.
Routers do not prolong a refusal that they already know.

The exchange loop moves to its own file.

The 2 crashes are counted by each router. While a caller resends a killer to several routers, each may see one crash before one of them has seen two, and an innocent suspect can share a batch with a killer that its router does not suspect yet.

--- a/crates/coordination/fescuetide_limits/src/gate.rs
+++ b/crates/coordination/fescuetide_limits/src/gate.rs
@@ -24,6 +24,8 @@
 pub enum AdmitError {
     /// The load bound would be exceeded at this load.
     OverBound(LoadCount),
+    /// The attempt is a suspect, and another one is here at this load.
+    Suspect(LoadCount),
     /// The upstream takes no new work.
     Leaving,
 }
@@ -38,6 +40,7 @@
     bound: LoadBound,
     load: u32,
     means: Vec<(ClockMillis, f64)>,
+    has_suspect: bool,
     leaving: bool,
 }
 
@@ -71,11 +74,31 @@
         Ok(())
     }
 
+    /// Admits a suspect like [`admit`](Self::admit), but only one at a time.
+    ///
+    /// # Errors
+    ///
+    /// Fails when another suspect is here, and like `admit`.
+    pub fn admit_suspect(&mut self, rule: AdmitRule) -> Result<(), AdmitError> {
+        if self.has_suspect && !self.leaving {
+            return Err(AdmitError::Suspect(self.load()));
+        }
+        self.admit(rule)?;
+        self.has_suspect = true;
+        Ok(())
+    }
+
     /// Ends the count of one admitted attempt.
     pub fn release(&mut self) {
         self.load = self.load.saturating_sub(1);
     }
 
+    /// Ends the count of the admitted suspect.
+    pub fn release_suspect(&mut self) {
+        self.has_suspect = false;
+        self.release();
+    }
+
     /// Outstanding attempts.
     pub fn load(&self) -> LoadCount {
         LoadCount::new(self.load)
--- a/crates/coordination/fescuetide_limits/src/lib.rs
+++ b/crates/coordination/fescuetide_limits/src/lib.rs
@@ -1,4 +1,5 @@
-//! Limits on work: the load bound and the queue of an upstream, retry budgets and the breaker for failing upstreams.
+//! Limits on work: the load bound and the queue of an upstream, retry budgets, the breaker for failing
+//! upstreams, and the table of requests that crash upstreams.
 
 mod bound;
 mod breaker;
@@ -7,6 +8,7 @@
 mod gate;
 mod order;
 mod queue;
+mod suspects;
 mod walk;
 
 pub use bound::LoadBound;
@@ -22,6 +24,9 @@
 pub use queue::QueueEvent;
 pub use queue::QueuedWork;
 pub use queue::TooLate;
+pub use suspects::CrashFingerprint;
+pub use suspects::SuspectSettings;
+pub use suspects::SuspectTable;
 pub use walk::CandidateWalk;
 
 /// The types most users need.
@@ -32,11 +37,14 @@
     pub use crate::BreakerSettings;
     pub use crate::BudgetSettings;
     pub use crate::CandidateWalk;
+    pub use crate::CrashFingerprint;
     pub use crate::LoadBound;
     pub use crate::LoadGate;
     pub use crate::QueueEvent;
     pub use crate::QueuedWork;
     pub use crate::RetryBudget;
+    pub use crate::SuspectSettings;
+    pub use crate::SuspectTable;
     pub use crate::TooLate;
     pub use crate::VmBreaker;
 }
--- /dev/null
+++ b/crates/coordination/fescuetide_limits/src/suspects.rs
@@ -0,0 +1,188 @@
+//! Requests that are suspected of crashing upstreams.
+
+use std::fmt;
+
+use fescuetide_base::ClockMillis;
+use fescuetide_base::SpanMillis;
+use fescuetide_base::StableHash;
+use fescuetide_base::WorkspaceName;
+use indexmap::IndexMap;
+
+/// Identifies a request by its workspace and body in 16 bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CrashFingerprint([u8; 16]);
+
+impl CrashFingerprint {
+    /// Computes the fingerprint of a request.
+    pub fn of(workspace: &WorkspaceName, body: &[u8]) -> Self {
+        let mut bytes = [0; 16];
+        for (half, part) in bytes.chunks_exact_mut(8).enumerate() {
+            let hash = StableHash::new()
+                .field(&[half as u8])
+                .field(workspace.as_str().as_bytes())
+                .field(body)
+                .finish();
+            part.copy_from_slice(&hash.to_le_bytes());
+        }
+        Self(bytes)
+    }
+
+    /// Restores a fingerprint from its bytes.
+    pub const fn from_bytes(bytes: [u8; 16]) -> Self {
+        Self(bytes)
+    }
+
+    /// The bytes.
+    pub const fn to_bytes(self) -> [u8; 16] {
+        self.0
+    }
+}
+
+impl fmt::Display for CrashFingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", u128::from_be_bytes(self.0))
+    }
+}
+
+/// Settings of a suspect table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SuspectSettings {
+    /// Crashes after which a request is refused.
+    pub crash_limit: u32,
+    /// How long a request is refused, and how long a suspect is remembered after its last crash.
+    pub hold: SpanMillis,
+    /// Most suspects kept. Those that are not refused are dropped first, oldest first.
+    pub entry_limit: usize,
+    /// Most refused fingerprints passed on in one message, 20 bytes each.
+    pub share_limit: usize,
+}
+
+impl Default for SuspectSettings {
+    fn default() -> Self {
+        Self {
+            crash_limit: 2,
+            hold: SpanMillis::new(600_000),
+            entry_limit: 4_096,
+            share_limit: 64,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct SuspectEntry {
+    crashes: u32,
+    is_refused: bool,
+    until: ClockMillis,
+}
+
+/// Counts the crashes that requests were part of.
+///
+/// Every request in flight at an upstream that crashes becomes a suspect. A suspect runs only where no other suspect
+/// runs (see [`LoadGate`](crate::LoadGate)), so that the next crash names one of them. After 2 crashes a request is
+/// refused for 10 minutes by all routers.
+///
+/// ```
+/// use fescuetide_base::ClockMillis;
+/// use fescuetide_limits::prelude::*;
+///
+/// let mut table = SuspectTable::default();
+/// let print = CrashFingerprint::of(&"atelier".parse().unwrap(), b"{}");
+/// table.note_crash(print, ClockMillis::new(0));
+/// assert!(table.is_suspect(print, ClockMillis::new(0)));
+/// assert_eq!(table.refusal(print, ClockMillis::new(0)), None);
+/// table.note_crash(print, ClockMillis::new(0));
+/// assert!(table.refusal(print, ClockMillis::new(0)).is_some());
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct SuspectTable {
+    settings: SuspectSettings,
+    entries: IndexMap<CrashFingerprint, SuspectEntry>,
+}
+
+impl SuspectTable {
+    /// Creates an empty table.
+    pub fn new(settings: SuspectSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Notes that an upstream crashed while it ran the request.
+    pub fn note_crash(&mut self, print: CrashFingerprint, now: ClockMillis) {
+        self.make_room(now);
+        let entry = self.entries.entry(print).or_insert(SuspectEntry {
+            crashes: 0,
+            is_refused: false,
+            until: now,
+        });
+        if now >= entry.until {
+            entry.crashes = 0;
+            entry.is_refused = false;
+        }
+        entry.crashes += 1;
+        entry.is_refused |= entry.crashes >= self.settings.crash_limit;
+        entry.until = now + self.settings.hold;
+    }
+
+    /// Notes that the request was completed, which clears it unless it is refused.
+    pub fn note_completed(&mut self, print: CrashFingerprint) {
+        if self
+            .entries
+            .get(&print)
+            .is_some_and(|entry| !entry.is_refused)
+        {
+            self.entries.shift_remove(&print);
+        }
+    }
+
+    /// Takes in a fingerprint that another router refuses for `left`.
+    pub fn learn(&mut self, print: CrashFingerprint, left: SpanMillis, now: ClockMillis) {
+        // The end that was learned first stays, so that routers cannot prolong a refusal by telling it to each other.
+        if self.refusal(print, now).is_some() {
+            return;
+        }
+        self.make_room(now);
+        let entry = SuspectEntry {
+            crashes: self.settings.crash_limit,
+            is_refused: true,
+            until: now + SpanMillis::new(left.as_millis().min(self.settings.hold.as_millis())),
+        };
+        self.entries.insert(print, entry);
+    }
+
+    /// Whether the request was part of a crash.
+    pub fn is_suspect(&self, print: CrashFingerprint, now: ClockMillis) -> bool {
+        self.entries
+            .get(&print)
+            .is_some_and(|entry| now < entry.until)
+    }
+
+    /// How long the request is still refused, `None` when it is not.
+    pub fn refusal(&self, print: CrashFingerprint, now: ClockMillis) -> Option<SpanMillis> {
+        let entry = self.entries.get(&print)?;
+        (entry.is_refused && now < entry.until).then(|| entry.until.since(now))
+    }
+
+    /// The refused fingerprints to pass on, latest first, and how long each is still refused.
+    pub fn list_refused(&self, now: ClockMillis) -> Vec<(CrashFingerprint, SpanMillis)> {
+        let prints = self.entries.keys().rev();
+        prints
+            .filter_map(|print| Some((*print, self.refusal(*print, now)?)))
+            .take(self.settings.share_limit)
+            .collect()
+    }
+
+    /// Drops what has expired and, at the limit, the oldest suspect.
+    fn make_room(&mut self, now: ClockMillis) {
+        if self.entries.len() < self.settings.entry_limit {
+            return;
+        }
+        self.entries.retain(|_, entry| now < entry.until);
+        if self.entries.len() < self.settings.entry_limit {
+            return;
+        }
+        let place = self.entries.values().position(|entry| !entry.is_refused);
+        self.entries.shift_remove_index(place.unwrap_or(0));
+    }
+}
--- a/crates/coordination/fescuetide_limits/tests/bound.rs
+++ b/crates/coordination/fescuetide_limits/tests/bound.rs
@@ -87,7 +87,7 @@
         let vm = running.order[place];
         match self.gates[vm].admit(rule) {
             Err(AdmitError::OverBound(load)) => running.walk.note_over_bound(place, load),
-            Err(AdmitError::Leaving) => running.walk.note_gone(place),
+            Err(AdmitError::Suspect(_) | AdmitError::Leaving) => running.walk.note_gone(place),
             Ok(()) => {
                 let running = self.walks.swap_remove(index);
                 self.check_cap(vm, rule, &running)?;
--- /dev/null
+++ b/crates/coordination/fescuetide_limits/tests/suspects.rs
@@ -0,0 +1,216 @@
+//! Requests that crash upstreams: two routers' suspect tables and the gates of some upstreams.
+
+use fescuetide_base::ClockMillis;
+use fescuetide_base::LoadCount;
+use fescuetide_base::SpanMillis;
+use fescuetide_limits::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+use proptest_state_machine::prop_state_machine;
+
+const UPSTREAMS: usize = 3;
+const ROUTERS: usize = 2;
+
+/// The request that crashes every upstream at the end of its run.
+const KILLER: u8 = 0;
+
+#[derive(Clone, Debug)]
+enum CrashStep {
+    Send {
+        request: u8,
+        router: usize,
+        upstream: usize,
+    },
+    Finish {
+        upstream: usize,
+        place: usize,
+    },
+    Exchange,
+    Wait(u64),
+}
+
+struct StepSource;
+
+impl ReferenceStateMachine for StepSource {
+    type State = ();
+    type Transition = CrashStep;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<CrashStep> {
+        let request = prop_oneof![1 => Just(KILLER), 3 => 1_u8..12];
+        prop_oneof![
+            6 => (request, 0..ROUTERS, 0..UPSTREAMS).prop_map(|(request, router, upstream)| {
+                // Its caller resends to one router: until the second crash, no other router knows of it.
+                let router = if request == KILLER { 0 } else { router };
+                CrashStep::Send { request, router, upstream }
+            }),
+            4 => (0..UPSTREAMS, any::<usize>())
+                .prop_map(|(upstream, place)| CrashStep::Finish { upstream, place }),
+            1 => Just(CrashStep::Exchange),
+            1 => (0_u64..400_000).prop_map(CrashStep::Wait),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &CrashStep) {}
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct RunningRequest {
+    request: u8,
+    router: usize,
+    suspect: bool,
+}
+
+struct CrashFleet {
+    now: ClockMillis,
+    tables: [SuspectTable; ROUTERS],
+    gates: [LoadGate; UPSTREAMS],
+    running: [Vec<RunningRequest>; UPSTREAMS],
+    /// Times of the killer's crashes.
+    crashes: Vec<u64>,
+    /// When the last refusal that any router decided on ends.
+    refused_until: u64,
+}
+
+fn print_of(request: u8) -> CrashFingerprint {
+    CrashFingerprint::of(&"atelier".parse().expect("name"), &[request])
+}
+
+impl CrashFleet {
+    fn send(&mut self, request: u8, router: usize, upstream: usize) {
+        let print = print_of(request);
+        let refused = self.tables[router].refusal(print, self.now).is_some();
+        assert!(
+            !refused || request == KILLER,
+            "innocent {request} is refused"
+        );
+        let now = self.now.as_millis();
+        let recent = self
+            .crashes
+            .iter()
+            .filter(|at| now < **at + 600_000)
+            .count();
+        assert!(
+            request != KILLER || refused || recent < 2,
+            "not refused after crashes at {:?}",
+            self.crashes
+        );
+        assert!(!refused || now < self.refused_until, "refused for too long");
+        // A caller has one request of its own in flight.
+        let is_running = self
+            .running
+            .iter()
+            .flatten()
+            .any(|run| run.request == request);
+        if refused || is_running {
+            return;
+        }
+        let suspect = self.tables[router].is_suspect(print, self.now);
+        let rule = AdmitRule::AtMost(LoadCount::new(20));
+        let gate = &mut self.gates[upstream];
+        let admitted = if suspect {
+            gate.admit_suspect(rule)
+        } else {
+            gate.admit(rule)
+        };
+        let others = self.running[upstream].iter().any(|run| run.suspect);
+        assert_eq!(admitted.is_ok(), !(suspect && others), "{admitted:?}");
+        if admitted.is_ok() {
+            self.running[upstream].push(RunningRequest {
+                request,
+                router,
+                suspect,
+            });
+        }
+    }
+
+    fn finish(&mut self, upstream: usize, place: usize) {
+        if self.running[upstream].is_empty() {
+            return;
+        }
+        let place = place % self.running[upstream].len();
+        let run = self.running[upstream][place];
+        if run.request == KILLER {
+            for run in std::mem::take(&mut self.running[upstream]) {
+                self.release(upstream, run);
+                self.tables[run.router].note_crash(print_of(run.request), self.now);
+            }
+            self.crashes.push(self.now.as_millis());
+            self.refused_until = self.now.as_millis() + 600_000;
+            return;
+        }
+        self.running[upstream].swap_remove(place);
+        self.release(upstream, run);
+        self.tables[run.router].note_completed(print_of(run.request));
+    }
+
+    fn release(&mut self, upstream: usize, run: RunningRequest) {
+        let gate = &mut self.gates[upstream];
+        if run.suspect {
+            gate.release_suspect()
+        } else {
+            gate.release()
+        }
+    }
+
+    fn exchange(&mut self) {
+        for from in 0..ROUTERS {
+            for (print, left) in self.tables[from].list_refused(self.now) {
+                for table in &mut self.tables {
+                    table.learn(print, left, self.now);
+                    assert!(table.refusal(print, self.now).is_some());
+                }
+            }
+        }
+    }
+}
+
+impl StateMachineTest for CrashFleet {
+    type SystemUnderTest = Self;
+    type Reference = StepSource;
+
+    fn init_test((): &()) -> Self {
+        Self {
+            now: ClockMillis::new(1_000_000),
+            tables: Default::default(),
+            gates: Default::default(),
+            running: Default::default(),
+            crashes: Default::default(),
+            refused_until: 0,
+        }
+    }
+
+    fn apply(mut fleet: Self, (): &(), step: CrashStep) -> Self {
+        match step {
+            CrashStep::Send {
+                request,
+                router,
+                upstream,
+            } => fleet.send(request, router, upstream),
+            CrashStep::Finish { upstream, place } => fleet.finish(upstream, place),
+            CrashStep::Exchange => fleet.exchange(),
+            CrashStep::Wait(span) => fleet.now = fleet.now + SpanMillis::new(span),
+        }
+        fleet
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(53),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a request that goes on crashing upstreams, against refusing innocents of the same batch, against
+    /// two suspects on one upstream, and against a refusal that routers prolong by exchanging it.
+    #[test]
+    fn killer_is_refused_and_innocents_are_not(sequential 1..200 => CrashFleet);
+}
--- a/crates/process/fescuetide_router/src/call.rs
+++ b/crates/process/fescuetide_router/src/call.rs
@@ -10,6 +10,7 @@
 use fescuetide_base::SpanMillis;
 use fescuetide_base::WorkspaceName;
 use fescuetide_classes::ClassTargets;
+use fescuetide_limits::CrashFingerprint;
 use fescuetide_wire::api::CallOutcome;
 use fescuetide_wire::api::TokenUsage;
 use fescuetide_wire::frame::WorkBody;
@@ -67,6 +68,21 @@
         })
     }
 
+    /// Identifies the request among those that crash upstreams.
+    pub(crate) fn fingerprint(&self) -> CrashFingerprint {
+        match &self.work {
+            CallWork::Chat { body, .. } => CrashFingerprint::of(&self.workspace, body),
+            CallWork::Service {
+                method, path, body, ..
+            } => {
+                // Calls without a body differ by method and path.
+                let mut content = format!("{method} {path}\n").into_bytes();
+                content.extend_from_slice(body);
+                CrashFingerprint::of(&self.workspace, &content)
+            }
+        }
+    }
+
     pub(crate) fn work_body(&self, delivered: &[u8]) -> WorkBody {
         match &self.work {
             CallWork::Chat { body, .. } => WorkBody::Chat {
--- a/crates/process/fescuetide_router/src/control.rs
+++ b/crates/process/fescuetide_router/src/control.rs
@@ -13,16 +13,11 @@
 use fescuetide_base::LogOffset;
 use fescuetide_base::PoolName;
 use fescuetide_base::RequestId;
-use fescuetide_base::SpanMillis;
-use fescuetide_base::VmName;
 use fescuetide_classes::ChangeVerdict;
 use fescuetide_classes::ClassChange;
 use fescuetide_classes::ClassSnapshot;
 use fescuetide_classes::ClassTable;
-use fescuetide_members::VmEntry;
 use fescuetide_members::VmTable;
-use fescuetide_net::connect_control;
-use fescuetide_net::rpc_deadline;
 use fescuetide_net::serve_control;
 use fescuetide_records::RequestRecord;
 use fescuetide_summary::LoadCollector;
@@ -35,19 +30,18 @@
 use fescuetide_wire::rpc::ExchangeWire;
 use fescuetide_wire::rpc::ReportWire;
 use fescuetide_wire::rpc::RouterControl;
-use fescuetide_wire::rpc::RouterControlClient;
 use fescuetide_wire::rpc::RouterStatus;
 use fescuetide_wire::rpc::SumWire;
 use indexmap::IndexMap;
 use std::cell::RefCell;
 use std::rc::Rc;
-use tarpc::client;
 use tarpc::context::Context;
 use tokio::runtime::Runtime;
 use tokio::task::LocalSet;
 use tokio::time::MissedTickBehavior;
 
 use crate::RouterShared;
+use crate::exchange::exchange_loop;
 use crate::platform;
 use crate::platform::PlatformNews;
 use crate::platform::apply_list;
@@ -57,19 +51,16 @@
 /// How often news from the platform thread is taken in.
 const NEWS_INTERVAL_MS: u64 = 50;
 
-/// Longest time of an exchange with another collector.
-const EXCHANGE_TIMEOUT_MS: u64 = 1_000;
-
 /// Control state; only the control thread touches it.
-struct ControlState {
-    shared: Arc<RouterShared>,
-    classes: ClassTable,
-    vms: VmTable,
-    collector: LoadCollector,
+pub(crate) struct ControlState {
+    pub(crate) shared: Arc<RouterShared>,
+    pub(crate) classes: ClassTable,
+    pub(crate) vms: VmTable,
+    pub(crate) collector: LoadCollector,
     records: RecordKeeper,
 }
 
-type SharedState = Rc<RefCell<ControlState>>;
+pub(crate) type SharedState = Rc<RefCell<ControlState>>;
 
 /// Starts the control thread and the platform thread.
 pub(crate) fn start(
@@ -215,81 +206,7 @@
     }
 }
 
-/// Sends this collector's sums to all other routers of its region at the interval.
-async fn exchange_loop(state: SharedState) {
-    let shared = Arc::clone(&state.borrow().shared);
-    let interval = Duration::from_millis(shared.settings.exchange_interval_ms);
-    let mut ticks = tokio::time::interval(interval);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut links: IndexMap<VmName, PeerLink> = IndexMap::new();
-    loop {
-        ticks.tick().await;
-        let (peers, message) = {
-            let mut state = state.borrow_mut();
-            state.collector.expire(ClockMillis::now());
-            (list_peers(&state), own_message(&state))
-        };
-        links.retain(|_, link| peers.contains(&link.entry));
-        if message.sums.is_empty() {
-            continue;
-        }
-        for peer in peers {
-            let link = match links.get(&peer.name) {
-                Some(link) => link,
-                None => {
-                    let Ok(transport) = connect_control(peer.control, shared.meter.clone()).await
-                    else {
-                        continue;
-                    };
-                    let client =
-                        RouterControlClient::new(client::Config::default(), transport).spawn();
-                    let link = PeerLink {
-                        entry: peer.clone(),
-                        client,
-                    };
-                    links.entry(peer.name.clone()).or_insert(link)
-                }
-            };
-            let context = rpc_deadline(SpanMillis::new(EXCHANGE_TIMEOUT_MS));
-            if link
-                .client
-                .exchange(context, message.clone())
-                .await
-                .is_err()
-            {
-                shared.metrics.count("exchange.failed");
-                links.swap_remove(&peer.name);
-            }
-        }
-    }
-}
-
-struct PeerLink {
-    entry: VmEntry,
-    client: RouterControlClient,
-}
-
-fn list_peers(state: &ControlState) -> Vec<VmEntry> {
-    let settings = &state.shared.settings;
-    let mut peers = Vec::new();
-    for entry in state.vms.live_routers() {
-        if entry.name == settings.vm || entry.region != settings.region {
-            continue;
-        }
-        peers.push(entry.clone());
-    }
-    peers
-}
-
-fn own_message(state: &ControlState) -> ExchangeWire {
-    ExchangeWire {
-        collector: state.shared.settings.vm.clone(),
-        sums: list_sums(&state.collector.own_sums()),
-        class_offset: state.classes.next_offset().get(),
-    }
-}
-
-fn list_sums(sums: &IndexMap<PoolName, PoolSum>) -> Vec<(PoolName, SumWire)> {
+pub(crate) fn list_sums(sums: &IndexMap<PoolName, PoolSum>) -> Vec<(PoolName, SumWire)> {
     let mut list = Vec::with_capacity(sums.len());
     for (pool, sum) in sums {
         list.push((pool.clone(), SumWire::from(*sum)));
@@ -321,9 +238,14 @@
         for (pool, sum) in sums.sums {
             received.insert(pool, PoolSum::from(sum));
         }
-        state
-            .collector
-            .note_peer(sums.collector, received, ClockMillis::now());
+        let now = ClockMillis::now();
+        state.collector.note_peer(sums.collector, received, now);
+        let mut suspects = state.shared.lock_suspects();
+        for refused in sums.refused {
+            let (print, left) = refused.into();
+            suspects.learn(print, left, now);
+        }
+        drop(suspects);
         state.classes.next_offset().get()
     }
 
--- a/crates/process/fescuetide_router/src/lib.rs
+++ b/crates/process/fescuetide_router/src/lib.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod call;
 mod control;
+mod exchange;
 mod history;
 mod http;
 mod metrics;
@@ -33,6 +34,7 @@
 use fescuetide_base::ClockMillis;
 use fescuetide_base::ProcessIncarnation;
 use fescuetide_limits::BreakerSettings;
+use fescuetide_limits::SuspectTable;
 use fescuetide_limits::VmBreaker;
 use fescuetide_net::ControlMeter;
 use fescuetide_net::LinkPool;
@@ -52,6 +54,7 @@
     pub(crate) links: LinkPool,
     pub(crate) breaker: Mutex<VmBreaker>,
     pub(crate) retries: RetryLedger,
+    pub(crate) suspects: Mutex<SuspectTable>,
     pub(crate) records: RecordSender,
     pub(crate) metrics: RouterMetrics,
     pub(crate) meter: ControlMeter,
@@ -69,6 +72,10 @@
         self.breaker.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn lock_suspects(&self) -> MutexGuard<'_, SuspectTable> {
+        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
     }
@@ -101,6 +108,7 @@
             links,
             breaker: Mutex::new(VmBreaker::new(BreakerSettings::default())),
             retries: RetryLedger::default(),
+            suspects: Mutex::default(),
             records,
             metrics: RouterMetrics::new(&settings)?,
             meter: ControlMeter::default(),
--- a/crates/process/fescuetide_router/src/plan.rs
+++ b/crates/process/fescuetide_router/src/plan.rs
@@ -31,6 +31,7 @@
     walk: CandidateWalk,
     /// The shortest time that a candidate asked to wait.
     retry_after: Option<SpanMillis>,
+    held_by_suspect: bool,
 }
 
 impl CandidatePlan {
@@ -44,6 +45,7 @@
             walk: CandidateWalk::new(bound, vms.len()),
             vms,
             retry_after: None,
+            held_by_suspect: false,
         }
     }
 
@@ -61,6 +63,7 @@
         if note.reason == RefusalReason::TooLate {
             self.note_wait(note.retry_after);
         }
+        self.held_by_suspect |= note.reason == RefusalReason::Suspect;
         match note.reason {
             RefusalReason::OverBound => self.walk.note_over_bound(place, note.load),
             RefusalReason::TooLate | RefusalReason::Suspect => {
@@ -87,6 +90,16 @@
         self.note_gone(vm);
     }
 
+    /// Notes that the request itself is refused for `left`.
+    pub(crate) fn note_crasher(&mut self, left: SpanMillis) {
+        self.retry_after = Some(left);
+    }
+
+    /// Whether a candidate refused because another suspect runs there.
+    pub(crate) fn is_held_by_suspect(&self) -> bool {
+        self.held_by_suspect
+    }
+
     fn note_wait(&mut self, span: SpanMillis) {
         let shortest = self.retry_after.unwrap_or(span);
         self.retry_after = Some(shortest.min(span));
--- a/crates/process/fescuetide_router/src/runner.rs
+++ b/crates/process/fescuetide_router/src/runner.rs
@@ -8,6 +8,7 @@
 use fescuetide_base::LoadCount;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::StableHash;
+use fescuetide_limits::CrashFingerprint;
 use fescuetide_limits::RetryBudget;
 use fescuetide_members::VmEntry;
 use fescuetide_records::AttemptResult;
@@ -45,6 +46,7 @@
 pub(crate) struct CallRunner {
     shared: Arc<RouterShared>,
     spec: CallSpec,
+    print: CrashFingerprint,
     plan: CandidatePlan,
     lost_on: Vec<VmEntry>,
     current: Option<LiveAttempt>,
@@ -62,6 +64,7 @@
         shared.retries.with_budget(&spec, RetryBudget::note_request);
         let plan = CandidatePlan::new(&shared, &spec, &[]);
         Self {
+            print: spec.fingerprint(),
             shared,
             spec,
             plan,
@@ -88,7 +91,10 @@
                 return self.end_at_deadline();
             }
             let Some(mut attempt) = self.current.take() else {
-                if !self.start_next() {
+                if self.refuse_crasher() {
+                    return self.end_not_run();
+                }
+                if !self.start_next() && !self.wait_for_suspects() {
                     return self.end_not_run();
                 }
                 continue;
@@ -148,6 +154,7 @@
                 completion_tokens,
             } => {
                 self.shared.lock_breaker().note_success(&attempt.vm().name);
+                self.shared.lock_suspects().note_completed(self.print);
                 self.history
                     .note_result(attempt.tag().attempt, AttemptResult::Completed);
                 let usage = TokenUsage {
@@ -183,6 +190,12 @@
                 None
             }
             AttemptEnding::Failed(reason) => self.take_loss(attempt, reason),
+            AttemptEnding::Crashed(reason) => {
+                self.shared.metrics.count("attempt.crashed");
+                let now = ClockMillis::now();
+                self.shared.lock_suspects().note_crash(self.print, now);
+                self.take_loss(attempt, reason)
+            }
             AttemptEnding::Cancelled => self.take_loss(attempt, "attempt was cancelled".to_owned()),
         }
     }
@@ -201,7 +214,8 @@
         if !self.spec.targets.repeatable {
             return Some(self.end(CallOutcome::Unknown, reason, None, TokenUsage::default()));
         }
-        if !self.may_retry() {
+        if self.refuse_crasher() || !self.may_retry() {
+            let reason = self.last_reason.clone();
             return Some(self.end(CallOutcome::Failed, reason, None, TokenUsage::default()));
         }
         self.wait_before_retry();
@@ -209,6 +223,30 @@
         None
     }
 
+    /// Whether the request is refused because it crashes upstreams.
+    fn refuse_crasher(&mut self) -> bool {
+        let refusal = self
+            .shared
+            .lock_suspects()
+            .refusal(self.print, ClockMillis::now());
+        let Some(left) = refusal else {
+            return false;
+        };
+        self.plan.note_crasher(left);
+        self.last_reason = "request crashed upstreams and is refused for a time".to_owned();
+        true
+    }
+
+    /// Waits for a while when an upstream refused only because another suspect runs there. Returns whether it did.
+    fn wait_for_suspects(&mut self) -> bool {
+        if !self.plan.is_held_by_suspect() {
+            return false;
+        }
+        self.wait_before_retry();
+        self.plan = CandidatePlan::new(&self.shared, &self.spec, &self.lost_on);
+        true
+    }
+
     fn may_retry(&self) -> bool {
         let is_service = matches!(self.spec.work, CallWork::Service { .. });
         if is_service && self.head_sent {
@@ -279,6 +317,7 @@
             },
             deadline: self.spec.deadline.since(now),
             loss_share: self.spec.targets.loss_share,
+            suspect: self.shared.lock_suspects().is_suspect(self.print, now),
             admission,
             work: self.spec.work_body(&self.delivered),
         }
--- a/crates/process/fescuetide_side/src/admission.rs
+++ b/crates/process/fescuetide_side/src/admission.rs
@@ -49,17 +49,28 @@
     }
 
     /// Admits one attempt or says why not. An admitted attempt is counted until [`release`](Self::release).
-    pub(crate) fn admit(&self, rule: AdmissionRule) -> Result<(), AdmitRefusal> {
+    pub(crate) fn admit(&self, rule: AdmissionRule, suspect: bool) -> Result<(), AdmitRefusal> {
         let mut gate = self.lock();
-        gate.admit(rule.into()).map_err(|error| match error {
+        let admitted = if suspect {
+            gate.admit_suspect(rule.into())
+        } else {
+            gate.admit(rule.into())
+        };
+        admitted.map_err(|error| match error {
             AdmitError::OverBound(load) => AdmitRefusal::new(RefusalReason::OverBound, load),
+            AdmitError::Suspect(load) => AdmitRefusal::new(RefusalReason::Suspect, load),
             AdmitError::Leaving => AdmitRefusal::new(RefusalReason::Leaving, gate.load()),
         })
     }
 
     /// Ends the count of one admitted attempt.
-    pub(crate) fn release(&self) {
-        self.lock().release();
+    pub(crate) fn release(&self, suspect: bool) {
+        let mut gate = self.lock();
+        if suspect {
+            gate.release_suspect();
+        } else {
+            gate.release();
+        }
     }
 
     /// Outstanding attempts.
--- a/crates/process/fescuetide_side/src/answer.rs
+++ b/crates/process/fescuetide_side/src/answer.rs
@@ -69,7 +69,9 @@
     pub(crate) fn finish(&self, ending: AttemptEnding, now: ClockMillis) {
         let mut state = self.lock();
         let ending = match ending {
-            AttemptEnding::Failed(_) if state.cancelled => AttemptEnding::Cancelled,
+            AttemptEnding::Failed(_) | AttemptEnding::Crashed(_) if state.cancelled => {
+                AttemptEnding::Cancelled
+            }
             other => other,
         };
         state.ending = Some(ending);
--- a/crates/process/fescuetide_side/src/execute.rs
+++ b/crates/process/fescuetide_side/src/execute.rs
@@ -28,7 +28,7 @@
         .attempts
         .register(dispatch.tag, dispatch.key.clone(), now)
         .map_err(refuse)?;
-    if let Err(refusal) = shared.gate.admit(dispatch.admission) {
+    if let Err(refusal) = shared.gate.admit(dispatch.admission, dispatch.suspect) {
         shared.attempts.withdraw(&entry, now);
         return Err(refusal);
     }
@@ -40,7 +40,7 @@
         loss_share: dispatch.loss_share,
     };
     if let Err(late) = shared.queue.push(work, now) {
-        shared.gate.release();
+        shared.gate.release(dispatch.suspect);
         shared.attempts.withdraw(&entry, now);
         return Err(AdmitRefusal {
             retry_after: late.retry_after,
@@ -58,17 +58,18 @@
 ) {
     let run_shared = Arc::clone(shared);
     let run_entry = entry.clone();
+    let suspect = dispatch.suspect;
     let spawned = thread::Builder::new()
         .name("side-attempt".to_owned())
         .spawn(move || {
             let ending = run_in_turn(&run_shared, &run_entry, &dispatch);
             run_shared.metrics.count(metric_of(&ending));
-            run_shared.gate.release();
+            run_shared.gate.release(suspect);
             run_entry.answer.finish(ending, ClockMillis::now());
         });
     if let Err(error) = spawned {
         shared.queue.abandon(entry.tag.attempt, ClockMillis::now());
-        shared.gate.release();
+        shared.gate.release(suspect);
         let ending = AttemptEnding::NotRun(format!("no thread for the attempt: {error}"));
         entry.answer.finish(ending, ClockMillis::now());
     }
@@ -106,6 +107,7 @@
         AttemptEnding::NotRun(_) => "attempt.not_run",
         AttemptEnding::Shed(_) => "attempt.shed",
         AttemptEnding::Failed(_) => "attempt.failed",
+        AttemptEnding::Crashed(_) => "attempt.crashed",
         AttemptEnding::Cancelled => "attempt.cancelled",
     }
 }
--- a/crates/process/fescuetide_side/src/upstream.rs
+++ b/crates/process/fescuetide_side/src/upstream.rs
@@ -2,7 +2,10 @@
 
 use std::io::BufRead;
 use std::io::BufReader;
+use std::io::ErrorKind;
 use std::io::Read;
+use std::net::TcpStream;
+use std::thread;
 use std::time::Duration;
 
 use fescuetide_base::SpanMillis;
@@ -29,6 +32,12 @@
 /// Part size when a service's response is read.
 const READ_PART_BYTES: usize = 16 * 1024;
 
+/// How often a failed upstream is probed for a crash.
+const PROBE_COUNT: u32 = 3;
+
+/// Pause between probes, in ms. An upstream that is restarted within two of them is not seen to have crashed.
+const PROBE_PAUSE_MS: u64 = 20;
+
 /// Header that names the attempt towards the upstream.
 const ATTEMPT_HEADER: &str = "x-request-id";
 
@@ -56,6 +65,13 @@
 
     /// Runs an attempt to its end and writes its response.
     pub(crate) fn run(&self, dispatch: &DispatchFrame, answer: &AnswerBuffer) -> AttemptEnding {
+        match self.run_once(dispatch, answer) {
+            AttemptEnding::Failed(reason) if is_gone(&self.base) => AttemptEnding::Crashed(reason),
+            ending => ending,
+        }
+    }
+
+    fn run_once(&self, dispatch: &DispatchFrame, answer: &AnswerBuffer) -> AttemptEnding {
         match &dispatch.work {
             WorkBody::Chat { body, delivered } => self.run_chat(dispatch, body, delivered, answer),
             WorkBody::Call {
@@ -241,3 +257,18 @@
         other => AttemptEnding::Failed(format!("upstream call failed: {other}")),
     }
 }
+
+/// Whether the upstream refuses connections, which tells a crash from an error answer, a silence and a response that
+/// broke off. The listener of a process that ends may be closed a little later than its connections.
+fn is_gone(base: &str) -> bool {
+    let Some(address) = base.strip_prefix("http://") else {
+        return false;
+    };
+    for _ in 0..PROBE_COUNT {
+        match TcpStream::connect(address) {
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => return true,
+            Ok(_) | Err(_) => thread::sleep(Duration::from_millis(PROBE_PAUSE_MS)),
+        }
+    }
+    false
+}
--- a/crates/protocol/fescuetide_wire/src/frame.rs
+++ b/crates/protocol/fescuetide_wire/src/frame.rs
@@ -107,6 +107,8 @@
     pub deadline: SpanMillis,
     /// The class's target for loss: work of a higher share is shed first.
     pub loss_share: TargetShare,
+    /// Whether an upstream crashed while it ran an earlier attempt. A suspect runs only where no other suspect runs.
+    pub suspect: bool,
     /// The highest load at which the attempt may be admitted.
     pub admission: AdmissionRule,
     /// The work itself.
@@ -274,6 +276,8 @@
     Shed(SpanMillis),
     /// It ran, and the response is not complete.
     Failed(String),
+    /// It ran, and the upstream crashed.
+    Crashed(String),
     /// It was cancelled.
     Cancelled,
 }
--- a/crates/protocol/fescuetide_wire/src/rpc.rs
+++ b/crates/protocol/fescuetide_wire/src/rpc.rs
@@ -3,8 +3,10 @@
 use fescuetide_base::LoadCount;
 use fescuetide_base::PoolName;
 use fescuetide_base::RequestId;
+use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
 use fescuetide_classes::ClassSnapshot;
+use fescuetide_limits::CrashFingerprint;
 use fescuetide_summary::PoolSum;
 use fescuetide_summary::UpstreamReport;
 use serde::Deserialize;
@@ -75,6 +77,33 @@
     }
 }
 
+/// A request that is refused because it crashes upstreams.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct RefusedWire {
+    /// The fingerprint of workspace and body.
+    pub print: [u8; 16],
+    /// How long it is still refused, in ms.
+    pub left_ms: u32,
+}
+
+impl From<(CrashFingerprint, SpanMillis)> for RefusedWire {
+    fn from((print, left): (CrashFingerprint, SpanMillis)) -> Self {
+        Self {
+            print: print.to_bytes(),
+            left_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl From<RefusedWire> for (CrashFingerprint, SpanMillis) {
+    fn from(wire: RefusedWire) -> Self {
+        (
+            CrashFingerprint::from_bytes(wire.print),
+            SpanMillis::new(wire.left_ms.into()),
+        )
+    }
+}
+
 /// The sums of one collector's own reports.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ExchangeWire {
@@ -82,6 +111,8 @@
     pub collector: VmName,
     /// Sums per pool.
     pub sums: Vec<(PoolName, SumWire)>,
+    /// Requests that the sender refuses because they crash upstreams.
+    pub refused: Vec<RefusedWire>,
     /// The next class-log offset that the collector will fold: all changes below are in force there.
     pub class_offset: u64,
 }
