--- a/crates/process/fescuetide_router/src/attempt.rs
+++ b/crates/process/fescuetide_router/src/attempt.rs
@@ -19,6 +19,7 @@
 use fescuetide_wire::frame::SideFrame;
 
 use crate::RouterShared;
+use crate::policy::AttemptCount;
 
 /// How often a response is resumed before the attempt counts as lost.
 const RESUME_LIMIT: u32 = 3;
@@ -62,6 +63,8 @@
     accepted: bool,
     head_seen: bool,
     ended: bool,
+    /// Counts the attempt for the policy that measures load by attempts in progress.
+    _count: Option<AttemptCount>,
 }
 
 impl LiveAttempt {
@@ -73,15 +76,37 @@
     pub(crate) fn start(
         shared: &RouterShared,
         vm: &VmEntry,
-        mut dispatch: DispatchFrame,
+        dispatch: DispatchFrame,
     ) -> Result<Self, NotSent> {
         let link = shared
             .links
             .checkout(&vm.name, vm.data, ClockMillis::now())
             .map_err(NotSent)?;
+        let attempt = Self::start_on(vm, link, dispatch);
+        Ok(Self {
+            _count: Some(shared.policy.count_attempt(&vm.name)),
+            ..attempt
+        })
+    }
+
+    /// Sends the dispatch over `link` to the incarnation that answered there.
+    pub(crate) fn start_on(vm: &VmEntry, link: SideLink, mut dispatch: DispatchFrame) -> Self {
         dispatch.target = link.incarnation;
         let tag = dispatch.tag;
-        let mut attempt = Self {
+        Self::new(tag, vm, link).send_first(&RouterFrame::Dispatch(Box::new(dispatch)))
+    }
+
+    /// Asks over `link` for the response of an attempt that was admitted before.
+    pub(crate) fn join(vm: &VmEntry, link: SideLink, tag: AttemptTag) -> Self {
+        let attempt = Self {
+            accepted: true,
+            ..Self::new(tag, vm, link)
+        };
+        attempt.send_first(&RouterFrame::Resume { tag, offset: 0 })
+    }
+
+    fn new(tag: AttemptTag, vm: &VmEntry, link: SideLink) -> Self {
+        Self {
             tag,
             vm: vm.clone(),
             incarnation: link.incarnation,
@@ -91,17 +116,21 @@
             accepted: false,
             head_seen: false,
             ended: false,
-        };
-        let sent = match &mut attempt.link {
-            Some(link) => link.stream.send(&RouterFrame::Dispatch(Box::new(dispatch))),
+            _count: None,
+        }
+    }
+
+    fn send_first(mut self, frame: &RouterFrame) -> Self {
+        let sent = match &mut self.link {
+            Some(link) => link.stream.send(frame),
             None => Ok(()),
         };
         if let Err(error) = sent {
             // Part of the frame may have arrived; the next event asks on a new connection.
-            tracing::debug!(%tag, %error, "dispatch was not sent in full");
-            attempt.link = None;
+            tracing::debug!(tag = %self.tag, %error, "first frame was not sent in full");
+            self.link = None;
         }
-        Ok(attempt)
+        self
     }
 
     pub(crate) fn tag(&self) -> AttemptTag {
--- a/crates/process/fescuetide_router/src/exchange.rs
+++ b/crates/process/fescuetide_router/src/exchange.rs
@@ -59,14 +59,12 @@
                 }
             };
             let context = rpc_deadline(SpanMillis::new(EXCHANGE_TIMEOUT_MS));
-            if link
-                .client
-                .exchange(context, message.clone())
-                .await
-                .is_err()
-            {
-                shared.metrics.count("exchange.failed");
-                links.swap_remove(&peer.name);
+            match link.client.exchange(context, message.clone()).await {
+                Ok(offset) => state.borrow_mut().classes.note_peer_offset(offset),
+                Err(_) => {
+                    shared.metrics.count("exchange.failed");
+                    links.swap_remove(&peer.name);
+                }
             }
         }
     }
@@ -77,7 +75,8 @@
     client: RouterControlClient,
 }
 
-fn list_peers(state: &ControlState) -> Vec<VmEntry> {
+/// The other live routers of the region.
+pub(crate) fn list_peers(state: &ControlState) -> Vec<VmEntry> {
     let settings = &state.shared.settings;
     let mut peers = Vec::new();
     for entry in state.vms.live_routers() {
--- a/crates/process/fescuetide_router/src/plan.rs
+++ b/crates/process/fescuetide_router/src/plan.rs
@@ -4,6 +4,7 @@
 use fescuetide_base::LoadCount;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
+use fescuetide_limits::AdmitRule;
 use fescuetide_limits::CandidateWalk;
 use fescuetide_limits::LoadBound;
 use fescuetide_members::VmEntry;
@@ -29,6 +30,7 @@
 pub(crate) struct CandidatePlan {
     vms: Vec<VmEntry>,
     walk: CandidateWalk,
+    first_rule: AdmissionRule,
     /// The shortest time that a candidate asked to wait.
     retry_after: Option<SpanMillis>,
     held_by_suspect: bool,
@@ -43,6 +45,7 @@
         };
         Self {
             walk: CandidateWalk::new(bound, vms.len()),
+            first_rule: shared.settings.policy.first_rule(),
             vms,
             retry_after: None,
             held_by_suspect: false,
@@ -52,7 +55,11 @@
     /// The next candidate and the rule to ask it by.
     pub(crate) fn next_candidate(&mut self) -> Option<(VmEntry, AdmissionRule)> {
         let (place, rule) = self.walk.next_candidate()?;
-        Some((self.vms[place].clone(), rule.into()))
+        let rule = match rule {
+            AdmitRule::OwnCap => self.first_rule,
+            AdmitRule::AtMost(_) => rule.into(),
+        };
+        Some((self.vms[place].clone(), rule))
     }
 
     /// Notes that a candidate refused.
@@ -73,6 +80,7 @@
             | RefusalReason::Sealed
             | RefusalReason::OtherIncarnation
             | RefusalReason::KeySeen
+            | RefusalReason::KeyExpired
             | RefusalReason::UpstreamDown => self.walk.note_gone(place),
         }
     }
@@ -131,7 +139,8 @@
     let breaker = shared.lock_breaker();
     let mut vms = Vec::new();
     let mut held = Vec::new();
-    for vm in route.rank(&key, shard) {
+    let policy = shared.settings.policy;
+    for vm in shared.policy.order(policy, route, &key, shard) {
         let lost = lost_on.iter().any(|entry| entry.name == vm.name);
         if lost || !breaker.allows(&vm.name, now) {
             held.push(vm.clone());
--- a/crates/process/fescuetide_router/src/request.rs
+++ b/crates/process/fescuetide_router/src/request.rs
@@ -99,7 +99,7 @@
         .as_ref()
         .and_then(|class| find_targets(shared, class, &mut list));
     if let Some(targets) = &targets {
-        check_key(targets, key, &mut list);
+        check_key(shared, targets, key, &mut list);
     }
     let (Some(workspace), Some(class), Some(targets), Some(work), true) =
         (workspace, class, targets, work, list.is_empty())
@@ -138,7 +138,13 @@
     found.map(|(_, targets)| targets)
 }
 
-fn check_key(targets: &ClassTargets, key: Option<IdempotencyKey>, list: &mut FindingList) {
+fn check_key(
+    shared: &RouterShared,
+    targets: &ClassTargets,
+    key: Option<IdempotencyKey>,
+    list: &mut FindingList,
+) {
+    let newest = ClockMillis::now() + shared.settings.claim_window().skew;
     let place = format!("header {KEY_HEADER}");
     if targets.repeatable {
         return;
@@ -148,6 +154,9 @@
         Some(key) if key.as_uuid().get_version_num() != TIME_ORDERED_VERSION => {
             list.add(place, "must be a UUIDv7, which carries its creation time");
         }
+        Some(key) if key.created_at() > newest => {
+            list.add(place, "has a creation time in the future");
+        }
         Some(_) => {}
     }
 }
--- a/crates/process/fescuetide_router/src/settings.rs
+++ b/crates/process/fescuetide_router/src/settings.rs
@@ -3,15 +3,19 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
+use fescuetide_base::FindingList;
 use fescuetide_base::PoolName;
 use fescuetide_base::RegionName;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
 use fescuetide_base::ZoneName;
+use fescuetide_claims::ClaimWindow;
 use serde::Deserialize;
 
+use crate::RoutingPolicy;
+
 /// Settings of a router.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct RouterSettings {
     /// The VM's name.
@@ -40,16 +44,30 @@
     pub default_deadline_ms: u64,
     /// Interval between reads of the VM list, in ms.
     pub vm_list_interval_ms: u64,
-    /// Interval between reads of the class log, in ms.
+    /// Interval between reads of the class log, in ms. Peers' offsets cause further reads.
     pub log_interval_ms: u64,
+    /// Records after the newest snapshot on the class log that make a new one due.
+    pub snapshot_records: u64,
+    /// Age of the newest snapshot that makes a new one due, in ms. It must be well below the log's retention.
+    pub snapshot_interval_ms: u64,
+    /// Longest random wait before a snapshot is written, in ms.
+    pub snapshot_jitter_ms: u64,
     /// Interval between exchanges with other collectors, in ms.
     pub exchange_interval_ms: u64,
     /// Multiple of the pool's mean load that an upstream may carry.
     pub load_multiple: f64,
     /// Interval between batches of request records, in ms.
     pub record_interval_ms: u64,
+    /// How long an idempotency key is known, in ms from its creation. Must be below the log's retention.
+    pub claim_window_ms: u64,
+    /// The largest difference between two clocks of callers and routers, in ms.
+    pub claim_skew_ms: u64,
+    /// Shortest time between two appends to a partition of the claim log, in ms.
+    pub claim_gap_ms: u64,
     /// How many engines a workspace's chats are spread over at first.
     pub shard_size: usize,
+    /// The routing policy. All values but the default are for measurement only.
+    pub policy: RoutingPolicy,
     /// Address of a StatsD server; no metrics are sent without it.
     pub statsd: Option<SocketAddr>,
 }
@@ -70,17 +88,91 @@
             heartbeat_ms: 1_000,
             default_deadline_ms: 60_000,
             vm_list_interval_ms: 1_000,
-            log_interval_ms: 1_000,
+            log_interval_ms: 3_000,
+            snapshot_records: 256,
+            snapshot_interval_ms: 600_000,
+            snapshot_jitter_ms: 3_000,
             exchange_interval_ms: 500,
             load_multiple: 1.25,
             record_interval_ms: 5_000,
+            claim_window_ms: 3_600_000,
+            claim_skew_ms: 5_000,
+            claim_gap_ms: 80,
             shard_size: 4,
+            policy: RoutingPolicy::Fescuetide,
             statsd: None,
         }
     }
 }
 
+/// Longest interval of any kind, in ms.
+const INTERVAL_LIMIT_MS: u64 = 60_000;
+
+/// Longest interval between reads of the class log, in ms, so that a change is in force within 5 s.
+const LOG_INTERVAL_LIMIT_MS: u64 = 4_000;
+
+/// One day in ms.
+const DAY_MS: u64 = 86_400_000;
+
 impl RouterSettings {
+    /// Checks all values. The findings' places are keys.
+    pub fn check(&self) -> FindingList {
+        let mut list = FindingList::default();
+        list.check_url("log_url", &self.log_url);
+        list.check_url("vm_list_url", &self.vm_list_url);
+        list.check_range("stream_limit", self.stream_limit, 1..=65_536);
+        list.check_range("body_limit_bytes", self.body_limit_bytes, 1_024..=1 << 30);
+        list.check_range("heartbeat_ms", self.heartbeat_ms, 50..=INTERVAL_LIMIT_MS);
+        list.check_range("default_deadline_ms", self.default_deadline_ms, 1..=DAY_MS);
+        list.check_range(
+            "vm_list_interval_ms",
+            self.vm_list_interval_ms,
+            50..=INTERVAL_LIMIT_MS,
+        );
+        list.check_range(
+            "log_interval_ms",
+            self.log_interval_ms,
+            50..=LOG_INTERVAL_LIMIT_MS,
+        );
+        list.check_range("snapshot_records", self.snapshot_records, 1..=1_000_000);
+        list.check_range(
+            "snapshot_interval_ms",
+            self.snapshot_interval_ms,
+            1_000..=DAY_MS,
+        );
+        list.check_range(
+            "snapshot_jitter_ms",
+            self.snapshot_jitter_ms,
+            0..=INTERVAL_LIMIT_MS,
+        );
+        list.check_range(
+            "exchange_interval_ms",
+            self.exchange_interval_ms,
+            50..=INTERVAL_LIMIT_MS,
+        );
+        list.check_range(
+            "record_interval_ms",
+            self.record_interval_ms,
+            50..=INTERVAL_LIMIT_MS,
+        );
+        list.check_range("shard_size", self.shard_size, 1..=65_536);
+        if self.listen == self.control_listen {
+            list.add("control_listen", "is the same address as listen");
+        }
+        list.check_range("claim_window_ms", self.claim_window_ms, 1_000..=DAY_MS);
+        list.check_range("claim_skew_ms", self.claim_skew_ms, 0..=INTERVAL_LIMIT_MS);
+        list.check_range("claim_gap_ms", self.claim_gap_ms, 1..=INTERVAL_LIMIT_MS);
+        list
+    }
+
+    /// For how long keys are known.
+    pub(crate) fn claim_window(&self) -> ClaimWindow {
+        ClaimWindow {
+            age: SpanMillis::new(self.claim_window_ms),
+            skew: SpanMillis::new(self.claim_skew_ms),
+        }
+    }
+
     /// The longest silence on a connection in use.
     pub(crate) fn silence_limit(&self) -> SpanMillis {
         SpanMillis::new(self.heartbeat_ms * 3)
--- a/crates/process/fescuetide_side/src/lib.rs
+++ b/crates/process/fescuetide_side/src/lib.rs
@@ -24,6 +24,7 @@
 use fescuetide_limits::LoadBound;
 
 use crate::admission::AdmissionGate;
+use crate::attempts::AttemptRetention;
 use crate::attempts::AttemptTable;
 use crate::metrics::SideMetrics;
 use crate::run_queue::RunQueue;
@@ -65,7 +66,7 @@
                 multiple: settings.load_multiple,
             }),
             queue: RunQueue::new(settings.slots),
-            attempts: AttemptTable::default(),
+            attempts: AttemptTable::new(AttemptRetention::of(&settings)),
             upstream: UpstreamClient::new(&settings),
             metrics: SideMetrics::new(&settings)?,
             settings,
--- a/crates/protocol/fescuetide_wire/src/rpc.rs
+++ b/crates/protocol/fescuetide_wire/src/rpc.rs
@@ -12,6 +12,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::claim::ClaimReply;
+use crate::claim::ClaimWire;
 use crate::records::BurnWire;
 use crate::records::RequestWire;
 
@@ -147,6 +149,8 @@
     async fn report(report: ReportWire) -> SumWire;
     /// Takes another collector's sums; the reply has the receiver's class-log offset.
     async fn exchange(sums: ExchangeWire) -> u64;
+    /// Asks the registrar to append a claim; the caller waits for `within`.
+    async fn claim(claim: ClaimWire, within: SpanMillis) -> ClaimReply;
     /// The class table, when it is newer than the given offset.
     async fn snapshot(above: u64) -> Option<ClassSnapshot>;
     /// The router's status.
