--- a/crates/process/fescuetide_side/src/answer.rs
+++ b/crates/process/fescuetide_side/src/answer.rs
@@ -22,6 +22,7 @@
     readers: u32,
     delivered: bool,
     idle_since: ClockMillis,
+    first_part_at: Option<ClockMillis>,
 }
 
 /// The next thing to send to a reader.
@@ -61,7 +62,10 @@
     }
 
     pub(crate) fn append(&self, bytes: &[u8]) {
-        self.lock().body.extend_from_slice(bytes);
+        let mut state = self.lock();
+        state.body.extend_from_slice(bytes);
+        state.first_part_at.get_or_insert_with(ClockMillis::now);
+        drop(state);
         self.changed.notify_all();
     }
 
@@ -69,7 +73,9 @@
     pub(crate) fn finish(&self, ending: AttemptEnding, now: ClockMillis) {
         let mut state = self.lock();
         let ending = match ending {
-            AttemptEnding::Failed(_) if state.cancelled => AttemptEnding::Cancelled,
+            AttemptEnding::Failed(_) | AttemptEnding::Crashed(_) if state.cancelled => {
+                AttemptEnding::Cancelled
+            }
             other => other,
         };
         state.ending = Some(ending);
@@ -89,6 +95,11 @@
         self.lock().cancelled
     }
 
+    /// When the first part of the body arrived.
+    pub(crate) fn first_part_at(&self) -> Option<ClockMillis> {
+        self.lock().first_part_at
+    }
+
     /// Bytes of the body so far.
     pub(crate) fn body_length(&self) -> usize {
         self.lock().body.len()
--- a/crates/process/fescuetide_side/src/lib.rs
+++ b/crates/process/fescuetide_side/src/lib.rs
@@ -8,7 +8,9 @@
 mod attempts;
 mod chats;
 mod control;
+mod execute;
 mod metrics;
+mod run_queue;
 mod server;
 mod settings;
 mod upstream;
@@ -21,12 +23,14 @@
 use fescuetide_base::ClockMillis;
 use fescuetide_base::ProcessIncarnation;
 use fescuetide_base::SpanMillis;
+use fescuetide_limits::LoadBound;
 
 use crate::admission::AdmissionGate;
 use crate::attempts::AttemptRetention;
 use crate::attempts::AttemptTable;
 use crate::chats::ChatTable;
 use crate::metrics::SideMetrics;
+use crate::run_queue::RunQueue;
 use crate::upstream::UpstreamClient;
 
 pub use crate::settings::SideSettings;
@@ -41,6 +45,7 @@
     pub(crate) settings: SideSettings,
     pub(crate) incarnation: ProcessIncarnation,
     pub(crate) gate: AdmissionGate,
+    pub(crate) queue: RunQueue,
     pub(crate) attempts: AttemptTable,
     pub(crate) chats: ChatTable,
     pub(crate) upstream: UpstreamClient,
@@ -65,7 +70,10 @@
             .with_context(|| format!("cannot listen on {}", settings.control_listen))?;
         let shared = Arc::new(SideShared {
             incarnation: new_incarnation(),
-            gate: AdmissionGate::default(),
+            gate: AdmissionGate::new(LoadBound {
+                multiple: settings.load_multiple,
+            }),
+            queue: RunQueue::new(settings.slots),
             attempts: AttemptTable::new(AttemptRetention::of(&settings)),
             chats: ChatTable::default(),
             upstream: UpstreamClient::new(&settings),
--- a/crates/process/fescuetide_side/src/settings.rs
+++ b/crates/process/fescuetide_side/src/settings.rs
@@ -44,6 +44,8 @@
     pub vm_list_url: String,
     /// Multiple of the pool's mean load that the upstream may carry.
     pub load_multiple: f64,
+    /// Requests that the upstream runs at once. What exceeds them waits in the queue.
+    pub slots: usize,
     /// Interval between heartbeats of a response without news, in ms.
     pub heartbeat_ms: u64,
     /// Interval between load reports, in ms.
@@ -81,6 +83,7 @@
             upstream_url: "http://127.0.0.1:7300".to_owned(),
             vm_list_url: "http://127.0.0.1:7001".to_owned(),
             load_multiple: 1.25,
+            slots: 16,
             heartbeat_ms: 1_000,
             report_interval_ms: 500,
             vm_list_interval_ms: 1_000,
@@ -111,6 +114,7 @@
         list.check_url("upstream_url", &self.upstream_url);
         list.check_url("vm_list_url", &self.vm_list_url);
         list.check_range("load_multiple", self.load_multiple, 1.0..=100.0);
+        list.check_range("slots", self.slots, 1..=65_536);
         list.check_range("heartbeat_ms", self.heartbeat_ms, 50..=INTERVAL_LIMIT_MS);
         list.check_range(
             "report_interval_ms",
--- a/crates/protocol/fescuetide_wire/src/frame.rs
+++ b/crates/protocol/fescuetide_wire/src/frame.rs
@@ -14,8 +14,10 @@
 use fescuetide_base::RequestId;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::StableHash;
+use fescuetide_base::TargetShare;
 use fescuetide_base::VmName;
 use fescuetide_base::WorkspaceName;
+use fescuetide_limits::AdmitRule;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -109,6 +111,10 @@
     pub chat: Option<ChatTurn>,
     /// Whether the attempt may only be admitted by an engine that ran the chat's turn before.
     pub only_if_held: bool,
+    /// The class's target for loss: work of a higher share is shed first.
+    pub loss_share: TargetShare,
+    /// Whether an upstream crashed while it ran an earlier attempt. A suspect runs only where no other suspect runs.
+    pub suspect: bool,
     /// The highest load at which the attempt may be admitted.
     pub admission: AdmissionRule,
     /// The work itself.
@@ -133,6 +139,24 @@
     AtMost(LoadCount),
 }
 
+impl From<AdmitRule> for AdmissionRule {
+    fn from(rule: AdmitRule) -> Self {
+        match rule {
+            AdmitRule::OwnCap => Self::OwnCap,
+            AdmitRule::AtMost(limit) => Self::AtMost(limit),
+        }
+    }
+}
+
+impl From<AdmissionRule> for AdmitRule {
+    fn from(rule: AdmissionRule) -> Self {
+        match rule {
+            AdmissionRule::OwnCap => Self::OwnCap,
+            AdmissionRule::AtMost(limit) => Self::AtMost(limit),
+        }
+    }
+}
+
 /// The work of an attempt.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum WorkBody {
@@ -263,8 +287,12 @@
     },
     /// It was admitted but never given to the upstream.
     NotRun(String),
+    /// It was taken out of the queue for other work and never given to the upstream; when to come back.
+    Shed(SpanMillis),
     /// It ran, and the response is not complete.
     Failed(String),
+    /// It ran, and the upstream crashed.
+    Crashed(String),
     /// It was cancelled.
     Cancelled,
 }
