--- a/crates/process/fescuetide_router/src/attempt.rs
+++ b/crates/process/fescuetide_router/src/attempt.rs
@@ -1,6 +1,8 @@
 //! One attempt at a request over the framed protocol, with resumption on a new connection.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
 
 use fescuetide_base::ClockMillis;
 use fescuetide_base::LoadCount;
@@ -46,6 +48,10 @@
     },
     /// The side process or its incarnation is gone: the attempt may have run.
     Lost(String),
+    /// The bytes received so far are not those of the response: nothing can go on behind them.
+    Corrupt(String),
+    /// The deadline has passed while the attempt was in progress.
+    DeadlinePassed,
 }
 
 /// Why an attempt was not started.
@@ -63,7 +69,8 @@
     accepted: bool,
     head_seen: bool,
     ended: bool,
-    _count: AttemptCount,
+    /// Counts the attempt for the policy that measures load by attempts in progress.
+    _count: Option<AttemptCount>,
 }
 
 impl LiveAttempt {
@@ -75,15 +82,37 @@
     pub(crate) fn start(
         shared: &RouterShared,
         vm: &VmEntry,
-        mut dispatch: DispatchFrame,
+        dispatch: DispatchFrame,
     ) -> Result<Self, NotSent> {
         let link = shared
             .links
-            .checkout(&vm.name, vm.data, ClockMillis::now())
+            .checkout_within(&vm.name, vm.data, ClockMillis::now(), dispatch.deadline)
             .map_err(NotSent)?;
+        let attempt = Self::start_on(vm, link, dispatch);
+        Ok(Self {
+            _count: Some(shared.policy.count_attempt(&vm.name)),
+            ..attempt
+        })
+    }
+
+    /// Sends the dispatch over `link` to the incarnation that answered there.
+    pub(crate) fn start_on(vm: &VmEntry, link: SideLink, mut dispatch: DispatchFrame) -> Self {
         dispatch.target = link.incarnation;
         let tag = dispatch.tag;
-        let mut attempt = Self {
+        Self::new(tag, vm, link).send_first(&RouterFrame::Dispatch(Box::new(dispatch)))
+    }
+
+    /// Asks over `link` for the response of an attempt that was admitted before.
+    pub(crate) fn join(vm: &VmEntry, link: SideLink, tag: AttemptTag) -> Self {
+        let attempt = Self {
+            accepted: true,
+            ..Self::new(tag, vm, link)
+        };
+        attempt.send_first(&RouterFrame::Resume { tag, offset: 0 })
+    }
+
+    fn new(tag: AttemptTag, vm: &VmEntry, link: SideLink) -> Self {
+        Self {
             tag,
             vm: vm.clone(),
             incarnation: link.incarnation,
@@ -93,18 +122,21 @@
             accepted: false,
             head_seen: false,
             ended: false,
-            _count: shared.policy.count_attempt(&vm.name),
-        };
-        let sent = match &mut attempt.link {
-            Some(link) => link.stream.send(&RouterFrame::Dispatch(Box::new(dispatch))),
+            _count: None,
+        }
+    }
+
+    fn send_first(mut self, frame: &RouterFrame) -> Self {
+        let sent = match &mut self.link {
+            Some(link) => link.stream.send(frame),
             None => Ok(()),
         };
         if let Err(error) = sent {
             // Part of the frame may have arrived; the next event asks on a new connection.
-            tracing::debug!(%tag, %error, "dispatch was not sent in full");
-            attempt.link = None;
+            tracing::debug!(tag = %self.tag, %error, "first frame was not sent in full");
+            self.link = None;
         }
-        Ok(attempt)
+        self
     }
 
     pub(crate) fn tag(&self) -> AttemptTag {
@@ -115,16 +147,20 @@
         &self.vm
     }
 
-    /// Waits for the next event.
-    pub(crate) fn next(&mut self, shared: &RouterShared) -> AttemptEvent {
+    /// Waits for the next event, at most until `deadline`.
+    pub(crate) fn next(&mut self, shared: &RouterShared, deadline: ClockMillis) -> AttemptEvent {
         loop {
             if self.link.is_none()
-                && let Err(event) = self.resume(shared)
+                && let Err(event) = self.resume(shared, deadline)
             {
-                self.ended = true;
+                self.ended = !matches!(event, AttemptEvent::DeadlinePassed);
                 return event;
             }
-            let limit = Some(shared.settings.silence_limit());
+            let left = deadline.since(ClockMillis::now());
+            if left.as_millis() == 0 {
+                return AttemptEvent::DeadlinePassed;
+            }
+            let limit = Some(shared.settings.silence_limit().min(left));
             let received = match &mut self.link {
                 Some(link) => link.stream.receive(limit),
                 None => continue,
@@ -159,6 +195,7 @@
             }
             SideFrame::Alive { tag } => {
                 self.check_tag(tag)?;
+                self.resumes = 0;
                 Ok(Some(AttemptEvent::Alive))
             }
             SideFrame::Head {
@@ -189,12 +226,20 @@
             SideFrame::End { tag, seal, ending } => {
                 self.check_tag(tag)?;
                 let found = BodySeal::of(&self.body);
-                if found != seal {
+                if found.length < seal.length {
                     return Err(FrameError::Protocol(format!(
-                        "response has {} bytes, but its end says {} bytes or another hash",
+                        "response ended after {} of {} bytes",
                         found.length, seal.length
                     )));
                 }
+                if found != seal {
+                    self.ended = true;
+                    self.link = None;
+                    return Ok(Some(AttemptEvent::Corrupt(format!(
+                        "response of {} bytes does not match the length and hash of its end",
+                        found.length
+                    ))));
+                }
                 self.finish(shared);
                 Ok(Some(AttemptEvent::End(ending)))
             }
@@ -257,12 +302,19 @@
     }
 
     /// Asks for the rest of the response on a new connection. This also seals an attempt that never arrived.
-    fn resume(&mut self, shared: &RouterShared) -> Result<(), AttemptEvent> {
+    fn resume(&mut self, shared: &RouterShared, deadline: ClockMillis) -> Result<(), AttemptEvent> {
         let mut reason = "connection lost".to_owned();
         while self.resumes < RESUME_LIMIT {
+            let left = deadline.since(ClockMillis::now());
+            if left.as_millis() == 0 {
+                return Err(AttemptEvent::DeadlinePassed);
+            }
             self.resumes += 1;
             shared.metrics.count("resume");
-            let link = match shared.links.connect(&self.vm.name, self.vm.data) {
+            let link = match shared
+                .links
+                .connect_within(&self.vm.name, self.vm.data, left)
+            {
                 Ok(link) => link,
                 Err(error) => {
                     reason = error.to_string();
@@ -296,15 +348,26 @@
         Err(AttemptEvent::Lost(reason))
     }
 
-    /// Tells the side process that the response is no longer wanted.
-    pub(crate) fn cancel(&mut self, shared: &RouterShared) {
+    /// Tells the side process that the response is no longer wanted. Does not wait for it: a silent side process must
+    /// not hold up the final response to the caller.
+    pub(crate) fn cancel(&mut self, shared: &Arc<RouterShared>) {
         if self.ended {
             return;
         }
         self.ended = true;
         self.link = None;
-        if let Err(error) = send_cancel(shared, self.tag, &self.vm.name, self.vm.data) {
-            tracing::debug!(tag = %self.tag, %error, "cancellation was not sent");
+        let shared = Arc::clone(shared);
+        let (tag, vm) = (self.tag, self.vm.clone());
+        let spawned = thread::Builder::new()
+            .name("router-cancel".to_owned())
+            .spawn(move || {
+                if let Err(error) = send_cancel(&shared, tag, &vm.name, vm.data) {
+                    shared.metrics.count("cancel.failed");
+                    tracing::debug!(%tag, %error, "cancellation was not sent");
+                }
+            });
+        if let Err(error) = spawned {
+            tracing::debug!(tag = %self.tag, %error, "no thread for a cancellation");
         }
     }
 }
@@ -319,7 +382,8 @@
     vm: &fescuetide_base::VmName,
     address: SocketAddr,
 ) -> Result<(), FrameError> {
-    let mut link = shared.links.checkout(vm, address, ClockMillis::now())?;
+    // An idle connection may have gone silent, which would lose the cancellation.
+    let mut link = shared.links.connect(vm, address)?;
     link.stream.send(&RouterFrame::Cancel { tag })?;
     let reply: SideFrame = link.stream.receive(Some(shared.settings.silence_limit()))?;
     if matches!(reply, SideFrame::Cancelled { tag: found } if found == tag) {
--- a/crates/process/fescuetide_router/src/call.rs
+++ b/crates/process/fescuetide_router/src/call.rs
@@ -11,6 +11,7 @@
 use fescuetide_base::StableHash;
 use fescuetide_base::WorkspaceName;
 use fescuetide_classes::ClassTargets;
+use fescuetide_limits::CrashFingerprint;
 use fescuetide_wire::api::CallOutcome;
 use fescuetide_wire::api::TokenUsage;
 use fescuetide_wire::frame::ChatTurn;
@@ -90,6 +91,36 @@
         })
     }
 
+    /// Identifies the request among those that crash upstreams.
+    pub(crate) fn fingerprint(&self) -> CrashFingerprint {
+        match &self.work {
+            CallWork::Chat { body, .. } => CrashFingerprint::of(&self.workspace, body),
+            CallWork::Service {
+                method, path, body, ..
+            } => {
+                // Calls without a body differ by method and path.
+                let mut content = format!("{method} {path}\n").into_bytes();
+                content.extend_from_slice(body);
+                CrashFingerprint::of(&self.workspace, &content)
+            }
+        }
+    }
+
+    /// Hash of the work, which tells a resend from another request under the same key.
+    pub(crate) fn content_hash(&self) -> u64 {
+        let hash = StableHash::new().field(self.pool.as_str().as_bytes());
+        match &self.work {
+            CallWork::Chat { body, .. } => hash.field(body).finish(),
+            CallWork::Service {
+                method, path, body, ..
+            } => hash
+                .field(method.as_bytes())
+                .field(path.as_bytes())
+                .field(body)
+                .finish(),
+        }
+    }
+
     pub(crate) fn work_body(&self, delivered: &[u8]) -> WorkBody {
         match &self.work {
             CallWork::Chat { body, .. } => WorkBody::Chat {
--- a/crates/process/fescuetide_router/src/lib.rs
+++ b/crates/process/fescuetide_router/src/lib.rs
@@ -5,17 +5,23 @@
 
 mod attempt;
 mod call;
+mod claim_client;
 mod class_log;
 mod classes;
 mod control;
+mod exchange;
 mod history;
 mod http;
+mod keyed;
 mod metrics;
+mod partition;
 mod peers;
 mod plan;
 mod platform;
 mod policy;
+mod probes;
 mod records;
+mod registrar;
 mod request;
 mod respond;
 mod retry;
@@ -27,6 +33,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
@@ -36,34 +43,47 @@
 use arc_swap::ArcSwap;
 use fescuetide_base::ClockMillis;
 use fescuetide_base::ProcessIncarnation;
+use fescuetide_base::SpanMillis;
 use fescuetide_limits::BreakerSettings;
+use fescuetide_limits::SuspectTable;
 use fescuetide_limits::VmBreaker;
 use fescuetide_net::ControlMeter;
+use fescuetide_net::HttpDrain;
 use fescuetide_net::LinkPool;
 use fescuetide_net::LinkSettings;
 
+use crate::claim_client::ClaimClient;
 use crate::metrics::RouterMetrics;
 use crate::policy::PolicyState;
 use crate::records::RecordSender;
+use crate::registrar::Registrar;
 use crate::retry::RetryLedger;
 use crate::view::RouterView;
 
 pub use crate::policy::RoutingPolicy;
 pub use crate::settings::RouterSettings;
 
+/// How long a draining router waits for callers to read responses that are complete.
+const SLOW_CALLER_LIMIT: SpanMillis = SpanMillis::new(60_000);
+
 /// State shared by the threads of a router.
 pub(crate) struct RouterShared {
     pub(crate) settings: RouterSettings,
+    pub(crate) incarnation: ProcessIncarnation,
     pub(crate) view: ArcSwap<RouterView>,
     pub(crate) links: LinkPool,
     pub(crate) breaker: Mutex<VmBreaker>,
     pub(crate) retries: RetryLedger,
+    pub(crate) suspects: Mutex<SuspectTable>,
     pub(crate) policy: Arc<PolicyState>,
     pub(crate) records: RecordSender,
+    pub(crate) registrar: Registrar,
+    pub(crate) claims: ClaimClient,
     pub(crate) metrics: RouterMetrics,
     pub(crate) meter: ControlMeter,
     pub(crate) draining: AtomicBool,
     pub(crate) active: AtomicU32,
+    pub(crate) http_drain: HttpDrain,
 }
 
 impl RouterShared {
@@ -76,6 +96,10 @@
         self.breaker.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn lock_suspects(&self) -> MutexGuard<'_, SuspectTable> {
+        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
     }
@@ -89,6 +113,7 @@
 /// A running router.
 pub struct RouterProcess {
     shared: Arc<RouterShared>,
+    closing_since: OnceLock<ClockMillis>,
 }
 
 impl RouterProcess {
@@ -103,27 +128,37 @@
         let incarnation = ProcessIncarnation::new(ClockMillis::now().as_millis());
         let links = LinkPool::new(settings.vm.clone(), incarnation, LinkSettings::default());
         let (records, record_receiver) = RecordSender::channel();
+        let (claims, claim_receiver) = ClaimClient::channel();
+        let meter = ControlMeter::default();
         let shared = Arc::new(RouterShared {
+            incarnation,
             view: ArcSwap::from_pointee(RouterView::default()),
             links,
             breaker: Mutex::new(VmBreaker::new(BreakerSettings::default())),
             retries: RetryLedger::default(),
+            suspects: Mutex::default(),
             policy: Arc::default(),
             records,
+            registrar: Registrar::new(&settings, meter.clone()),
+            claims,
             metrics: RouterMetrics::new(&settings)?,
-            meter: ControlMeter::default(),
+            meter,
             draining: AtomicBool::new(false),
             active: AtomicU32::new(0),
+            http_drain: HttpDrain::default(),
             settings,
         });
-        control::start(&shared, control, record_receiver)?;
+        control::start(&shared, control, record_receiver, claim_receiver)?;
         http::start(Arc::clone(&shared))?;
         tracing::info!(
             vm = %shared.settings.vm,
             listen = %shared.settings.listen,
             "router started"
         );
-        Ok(Self { shared })
+        Ok(Self {
+            shared,
+            closing_since: OnceLock::new(),
+        })
     }
 
     /// Stops taking requests. Requests in progress run to their end.
@@ -131,8 +166,18 @@
         self.shared.start_drain();
     }
 
-    /// Whether no request is in progress.
+    /// Whether a draining router has no request in progress and has written all responses. Closes connections once no
+    /// request is in progress.
     pub fn is_idle(&self) -> bool {
-        self.shared.active.load(Ordering::Acquire) == 0
+        if self.shared.active.load(Ordering::Acquire) > 0 {
+            return false;
+        }
+        let now = ClockMillis::now();
+        let since = self.closing_since.get_or_init(|| {
+            self.shared.http_drain.close_connections();
+            now
+        });
+        let open = self.shared.http_drain.connection_count();
+        open == 0 || now.since(*since) > SLOW_CALLER_LIMIT
     }
 }
--- /dev/null
+++ b/crates/process/fescuetide_router/src/partition.rs
@@ -0,0 +1,239 @@
+//! The worker of one partition of the claim log.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam::channel::Receiver;
+use crossbeam::channel::RecvTimeoutError;
+use fescuetide_base::ClockMillis;
+use fescuetide_base::LogOffset;
+use fescuetide_base::SpanMillis;
+use fescuetide_claims::ClaimEntry;
+use fescuetide_claims::ClaimLedger;
+use fescuetide_claims::ClaimPartition;
+use fescuetide_claims::KeyStanding;
+use fescuetide_net::LogClient;
+use fescuetide_net::PlatformError;
+use fescuetide_wire::claim::ClaimRecord;
+use fescuetide_wire::claim::ClaimReply;
+use fescuetide_wire::claim::ClaimWire;
+use fescuetide_wire::log::ReadReply;
+use fescuetide_wire::log::RecordWire;
+
+use crate::registrar::ClaimJob;
+use crate::registrar::LogHealth;
+use crate::registrar::answer_without_log;
+use crate::registrar::lock_ledger;
+use crate::registrar::unavailable;
+
+/// Most claims of one record. With `READ_LIMIT_RECORDS` it keeps a read below 10 MB, the limit of the HTTP client.
+const BATCH_LIMIT: usize = 64;
+
+/// Most records of one read.
+const READ_LIMIT_RECORDS: u32 = 200;
+
+/// How often a batch is appended before its claims are given up.
+const APPEND_TRY_LIMIT: u32 = 3;
+
+/// How often the log is tried while it fails or is slow.
+const PROBE_INTERVAL_MS: u64 = 250;
+
+/// A call that takes longer is measured again without waiting for the next claim.
+const SLOW_CALL_MS: u64 = 100;
+
+/// Appends the claims of one partition and keeps its ledger.
+pub(crate) struct PartitionWorker {
+    partition: ClaimPartition,
+    stream: String,
+    log: LogClient,
+    health: Arc<LogHealth>,
+    ledger: Arc<Mutex<ClaimLedger>>,
+    gap: SpanMillis,
+    next_append: ClockMillis,
+}
+
+impl PartitionWorker {
+    pub(crate) fn new(
+        partition: ClaimPartition,
+        log: LogClient,
+        health: Arc<LogHealth>,
+        ledger: Arc<Mutex<ClaimLedger>>,
+        gap: SpanMillis,
+    ) -> Self {
+        Self {
+            partition,
+            stream: partition.to_string(),
+            log,
+            health,
+            ledger,
+            gap,
+            next_append: ClockMillis::default(),
+        }
+    }
+
+    /// Serves claims until the registrar is gone.
+    pub(crate) fn run(mut self, jobs: &Receiver<ClaimJob>) {
+        loop {
+            let first = match jobs.recv_timeout(Duration::from_millis(PROBE_INTERVAL_MS)) {
+                Ok(job) => job,
+                Err(RecvTimeoutError::Timeout) => {
+                    self.probe();
+                    continue;
+                }
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            // Claims that arrive during the gap join the batch.
+            thread::sleep(self.next_append.since(ClockMillis::now()).into());
+            let mut batch = vec![first];
+            batch.extend(jobs.try_iter().take(BATCH_LIMIT - 1));
+            self.serve(batch);
+        }
+    }
+
+    /// Finds out whether a log that failed or was slow has recovered.
+    fn probe(&mut self) {
+        let expected = self.health.expected(ClockMillis::now());
+        if expected.is_some_and(|span| span.as_millis() <= SLOW_CALL_MS) {
+            return;
+        }
+        self.catch_up();
+    }
+
+    fn serve(&mut self, batch: Vec<ClaimJob>) {
+        if !self.catch_up() {
+            return self.give_up(batch);
+        }
+        let mut waiting = self.settle(batch);
+        for _ in 0..APPEND_TRY_LIMIT {
+            if waiting.is_empty() {
+                return;
+            }
+            self.append(&waiting);
+            // Also after an error: the append may have taken effect although its reply was lost.
+            if !self.catch_up() {
+                return self.give_up(waiting);
+            }
+            waiting = self.settle(waiting);
+            if !waiting.is_empty() {
+                thread::sleep(self.gap.into());
+            }
+        }
+        self.give_up(waiting);
+    }
+
+    /// Answers all claims that the ledger decides. Returns those that are still to be appended.
+    fn settle(&self, jobs: Vec<ClaimJob>) -> Vec<ClaimJob> {
+        let now = ClockMillis::now();
+        let ledger = lock_ledger(&self.ledger);
+        let mut waiting = Vec::with_capacity(jobs.len());
+        for job in jobs {
+            match judge(&ledger, &job.claim, now) {
+                Some(reply) => (job.reply)(reply),
+                None if now >= job.due => (job.reply)(unavailable()),
+                None => waiting.push(job),
+            }
+        }
+        waiting
+    }
+
+    fn give_up(&self, jobs: Vec<ClaimJob>) {
+        let now = ClockMillis::now();
+        let ledger = lock_ledger(&self.ledger);
+        for job in jobs {
+            (job.reply)(answer_without_log(&ledger, &job.claim, now));
+        }
+    }
+
+    fn append(&mut self, jobs: &[ClaimJob]) {
+        let now = ClockMillis::now();
+        self.next_append = now + self.gap;
+        let mut claims = Vec::with_capacity(jobs.len());
+        for job in jobs {
+            claims.push(ClaimWire::from(job.claim.clone()));
+        }
+        let record = ClaimRecord { at: now, claims };
+        let result = self
+            .health
+            .observe(|| self.log.append(&self.stream, &record));
+        if let Err(error) = result {
+            tracing::debug!(partition = %self.partition, %error, "append of claims failed");
+        }
+    }
+
+    /// Reads up to the end of the log. Returns whether that worked.
+    fn catch_up(&mut self) -> bool {
+        loop {
+            let from = lock_ledger(&self.ledger).next_offset();
+            let result = self
+                .health
+                .observe(|| self.log.read(&self.stream, from, READ_LIMIT_RECORDS));
+            match result {
+                Ok(reply) if self.fold(from, &reply) => break,
+                Ok(_) => {}
+                Err(error) => {
+                    self.note_failure(&error);
+                    return false;
+                }
+            }
+        }
+        lock_ledger(&self.ledger).expire(ClockMillis::now());
+        true
+    }
+
+    fn note_failure(&self, error: &PlatformError) {
+        tracing::debug!(partition = %self.partition, %error, "claims cannot be read");
+    }
+
+    /// Folds what was read. Returns whether the end of the log was reached.
+    fn fold(&self, from: LogOffset, reply: &ReadReply) -> bool {
+        let mut ledger = lock_ledger(&self.ledger);
+        let first = LogOffset::new(reply.first);
+        if first > from || reply.next < from.get() {
+            // Records expired unread, or the log lost its end. What they said is unknown.
+            let lost_until = match reply.records.first().map(parse_record) {
+                Some(Some(record)) => record.at,
+                Some(None) | None => ClockMillis::now(),
+            };
+            ledger.restart(first, lost_until);
+            tracing::info!(partition = %self.partition, %first, "ledger starts behind lost records");
+            if reply.next < from.get() {
+                return false;
+            }
+        }
+        for wire in &reply.records {
+            let claims = parse_record(wire).map_or_else(Vec::new, |record| record.claims);
+            let claims: Vec<ClaimEntry> = claims.into_iter().map(ClaimEntry::from).collect();
+            if let Err(error) = ledger.fold(LogOffset::new(wire.offset), &claims) {
+                tracing::debug!(partition = %self.partition, %error, "record is not folded");
+            }
+        }
+        ledger.next_offset().get() >= reply.next
+    }
+}
+
+fn parse_record(wire: &RecordWire) -> Option<ClaimRecord> {
+    match serde_json::from_str(&wire.data) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            tracing::warn!(offset = wire.offset, %error, "claim record cannot be read and has no effect");
+            None
+        }
+    }
+}
+
+/// What the ledger, read up to the end of the log, says about a claim; `None` when it is to be appended.
+fn judge(ledger: &ClaimLedger, claim: &ClaimEntry, now: ClockMillis) -> Option<ClaimReply> {
+    match ledger.look_up(&claim.key, now) {
+        KeyStanding::Unknown => Some(ClaimReply::Unknown),
+        KeyStanding::Held(found) if found.id == claim.id => Some(ClaimReply::Claimed),
+        KeyStanding::Held(found) if claim.supersedes == Some(found.id) => None,
+        KeyStanding::Held(found) => Some(ClaimReply::Held {
+            claim: Box::new(ClaimWire::from(found.clone())),
+            caught_up: true,
+        }),
+        KeyStanding::Free if claim.supersedes.is_some() => Some(ClaimReply::Free),
+        KeyStanding::Free => None,
+    }
+}
--- a/crates/process/fescuetide_router/src/runner.rs
+++ b/crates/process/fescuetide_router/src/runner.rs
@@ -8,6 +8,7 @@
 use fescuetide_base::LoadCount;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::StableHash;
+use fescuetide_limits::CrashFingerprint;
 use fescuetide_limits::RetryBudget;
 use fescuetide_members::VmEntry;
 use fescuetide_records::AttemptResult;
@@ -15,6 +16,7 @@
 use fescuetide_wire::api::CallOutcome;
 use fescuetide_wire::api::TokenUsage;
 use fescuetide_wire::frame::AdmissionRule;
+use fescuetide_wire::frame::AdmitCondition;
 use fescuetide_wire::frame::AttemptEnding;
 use fescuetide_wire::frame::AttemptTag;
 use fescuetide_wire::frame::DispatchFrame;
@@ -29,6 +31,8 @@
 use crate::call::CallSpec;
 use crate::call::CallWork;
 use crate::history::CallHistory;
+use crate::keyed::KeyedCall;
+use crate::keyed::KeyedStep;
 use crate::plan::CandidatePlan;
 use crate::plan::RefusalNote;
 
@@ -41,35 +45,52 @@
 /// When a caller should come back if no side process said so.
 const RETRY_AFTER_MS: u64 = 1_000;
 
+/// Why a request was given up when its time was over.
+const DEADLINE_REASON: &str = "deadline has passed";
+
 /// Runs a request to its end.
 pub(crate) struct CallRunner {
     shared: Arc<RouterShared>,
     spec: CallSpec,
+    print: CrashFingerprint,
     plan: CandidatePlan,
     lost_on: Vec<VmEntry>,
+    /// A candidate to ask once more before the next one of the plan.
+    ask_again: Option<(VmEntry, AdmissionRule)>,
+    asked_again: bool,
+    current_rule: AdmissionRule,
     current: Option<LiveAttempt>,
     admitted: bool,
     delivered: Vec<u8>,
-    head_sent: bool,
+    /// Status of the response's head, once it was passed on.
+    head_status: Option<u16>,
     attempts: u32,
     ended: bool,
     last_reason: String,
     history: CallHistory,
+    /// The claims of a request that is not repeatable.
+    keyed: Option<KeyedCall>,
 }
 
 impl CallRunner {
     pub(crate) fn new(shared: Arc<RouterShared>, spec: CallSpec) -> Self {
         shared.retries.with_budget(&spec, RetryBudget::note_request);
         let plan = CandidatePlan::new(&shared, &spec, &[]);
+        let keyed = KeyedCall::new(&spec);
         Self {
+            print: spec.fingerprint(),
+            keyed,
             shared,
             spec,
             plan,
             lost_on: Vec::new(),
+            ask_again: None,
+            asked_again: false,
+            current_rule: AdmissionRule::OwnCap,
             current: None,
             admitted: false,
             delivered: Vec::new(),
-            head_sent: false,
+            head_status: None,
             attempts: 0,
             ended: false,
             last_reason: "no upstream is available".to_owned(),
@@ -88,22 +109,36 @@
                 return self.end_at_deadline();
             }
             let Some(mut attempt) = self.current.take() else {
-                if !self.start_next() {
+                if self.refuse_crasher() {
+                    return self.end_not_run();
+                }
+                if self.keyed.is_some() {
+                    if let Some(event) = self.start_keyed() {
+                        return event;
+                    }
+                } else if !self.start_next() && !self.wait_for_suspects() {
                     return self.end_not_run();
                 }
                 continue;
             };
-            let event = attempt.next(&self.shared);
+            let event = attempt.next(&self.shared, self.spec.deadline);
             match event {
+                AttemptEvent::Head(status, _) if self.is_other_head(status) => {
+                    // An error response must not be appended to what the caller has received.
+                    attempt.cancel(&self.shared);
+                    let reason = format!("later attempt answered with status {status}");
+                    if let Some(event) = self.take_loss(&attempt, reason) {
+                        return event;
+                    }
+                }
                 AttemptEvent::Head(status, content_type) => {
                     self.note_admitted(attempt);
                     if matches!(self.spec.work, CallWork::Service { .. }) {
                         self.history.note_part(&self.spec);
                     }
-                    if self.head_sent {
+                    if self.head_status.replace(status).is_some() {
                         continue;
                     }
-                    self.head_sent = true;
                     return CallEvent::Head(status, content_type);
                 }
                 AttemptEvent::Chunk(bytes) => {
@@ -131,10 +166,19 @@
                         return event;
                     }
                 }
+                AttemptEvent::Corrupt(reason) => return self.end_corrupt(&attempt, reason),
+                AttemptEvent::DeadlinePassed => {
+                    self.current = Some(attempt);
+                    return self.end_at_deadline();
+                }
             }
         }
     }
 
+    fn is_other_head(&self, status: u16) -> bool {
+        self.head_status.is_some_and(|first| first != status)
+    }
+
     fn note_admitted(&mut self, attempt: LiveAttempt) {
         self.admitted = true;
         self.current = Some(attempt);
@@ -148,6 +192,7 @@
                 completion_tokens,
             } => {
                 self.shared.lock_breaker().note_success(&attempt.vm().name);
+                self.shared.lock_suspects().note_completed(self.print);
                 self.history
                     .note_result(attempt.tag().attempt, AttemptResult::Completed);
                 let usage = TokenUsage {
@@ -163,12 +208,32 @@
                 self.history
                     .note_result(attempt.tag().attempt, AttemptResult::NotRun(reason.clone()));
                 self.last_reason = reason;
-                self.shared
-                    .lock_breaker()
-                    .note_failure(&attempt.vm().name, ClockMillis::now());
+                self.plan.note_gone(&attempt.vm().name);
+                let now = ClockMillis::now();
+                // An attempt whose deadline passed in the queue says nothing about its upstream.
+                if now < self.spec.deadline {
+                    self.shared
+                        .lock_breaker()
+                        .note_failure(&attempt.vm().name, now);
+                }
+                None
+            }
+            AttemptEnding::Shed(retry_after) => {
+                self.admitted = false;
+                let reason = RefusalReason::TooLate.to_string();
+                self.history
+                    .note_result(attempt.tag().attempt, AttemptResult::NotRun(reason.clone()));
+                self.last_reason = reason;
+                self.plan.note_shed(&attempt.vm().name, retry_after);
                 None
             }
             AttemptEnding::Failed(reason) => self.take_loss(attempt, reason),
+            AttemptEnding::Crashed(reason) => {
+                self.shared.metrics.count("attempt.crashed");
+                let now = ClockMillis::now();
+                self.shared.lock_suspects().note_crash(self.print, now);
+                self.take_loss(attempt, reason)
+            }
             AttemptEnding::Cancelled => self.take_loss(attempt, "attempt was cancelled".to_owned()),
         }
     }
@@ -185,19 +250,49 @@
         self.last_reason = reason.clone();
         self.lost_on.push(vm);
         if !self.spec.targets.repeatable {
-            return Some(self.end(CallOutcome::Unknown, reason, None, TokenUsage::default()));
+            return Some(self.end_with_retry(CallOutcome::Unknown, reason));
         }
-        if !self.may_retry() {
-            return Some(self.end(CallOutcome::Failed, reason, None, TokenUsage::default()));
+        if self.refuse_crasher() || !self.may_retry() {
+            let reason = self.last_reason.clone();
+            return Some(self.end_with_retry(CallOutcome::Failed, reason));
         }
         self.wait_before_retry();
         self.plan = CandidatePlan::new(&self.shared, &self.spec, &self.lost_on);
         None
     }
 
+    fn is_suspect(&self) -> bool {
+        let now = ClockMillis::now();
+        self.shared.lock_suspects().is_suspect(self.print, now)
+    }
+
+    /// Whether the request is refused because it crashes upstreams.
+    fn refuse_crasher(&mut self) -> bool {
+        let refusal = self
+            .shared
+            .lock_suspects()
+            .refusal(self.print, ClockMillis::now());
+        let Some(left) = refusal else {
+            return false;
+        };
+        self.plan.note_crasher(left);
+        self.last_reason = "request crashed upstreams and is refused for a time".to_owned();
+        true
+    }
+
+    /// Waits for a while when an upstream refused only because another suspect runs there. Returns whether it did.
+    fn wait_for_suspects(&mut self) -> bool {
+        if !self.plan.is_held_by_suspect() {
+            return false;
+        }
+        self.wait_before_retry();
+        self.plan = CandidatePlan::new(&self.shared, &self.spec, &self.lost_on);
+        true
+    }
+
     fn may_retry(&self) -> bool {
         let is_service = matches!(self.spec.work, CallWork::Service { .. });
-        if is_service && self.head_sent {
+        if is_service && self.head_status.is_some() {
             // Bytes of the response have reached the caller; another run's response need not match them.
             return false;
         }
@@ -218,15 +313,35 @@
         thread::sleep(SpanMillis::new(wait).into());
     }
 
+    fn next_candidate(&mut self) -> Option<(VmEntry, AdmissionRule)> {
+        match self.ask_again.take() {
+            Some(candidate) => Some(candidate),
+            None => self.plan.next_candidate(),
+        }
+    }
+
     /// Starts an attempt at the next candidate. Returns whether there was one.
     fn start_next(&mut self) -> bool {
-        while let Some((vm, rule)) = self.plan.next_candidate() {
+        while let Some((vm, rule)) = self.next_candidate() {
             thread::sleep(self.plan.wait().into());
+            if ClockMillis::now() >= self.spec.deadline {
+                self.last_reason = DEADLINE_REASON.to_owned();
+                return false;
+            }
             let tag = AttemptTag {
                 request: self.spec.request,
                 attempt: AttemptId::generate(),
             };
-            let dispatch = self.make_dispatch(tag, rule);
+            self.current_rule = rule;
+            let mut dispatch = DispatchFrame {
+                condition: self.plan.condition(),
+                ..make_dispatch(&self.spec, &self.delivered, tag, rule)
+            };
+            dispatch.suspect = self.is_suspect();
+            if !self.lost_on.is_empty() {
+                // A request that has been tried is not refused for being late: it would count as lost.
+                dispatch.slack = dispatch.deadline;
+            }
             self.history.note_sent(tag.attempt, &vm.name);
             match LiveAttempt::start(&self.shared, &vm, dispatch) {
                 Ok(attempt) => {
@@ -248,23 +363,31 @@
         false
     }
 
-    fn make_dispatch(&self, tag: AttemptTag, admission: AdmissionRule) -> DispatchFrame {
-        let now = ClockMillis::now();
-        let late_at = self.spec.received + self.spec.targets.lateness.within;
-        DispatchFrame {
-            tag,
-            target: Default::default(),
-            workspace: self.spec.workspace.clone(),
-            class: self.spec.class.clone(),
-            repeatable: self.spec.targets.repeatable,
-            key: self.spec.work_key(),
-            slack: late_at.since(now),
-            deadline: self.spec.deadline.since(now),
-            chat: self.spec.chat_turn(),
-            condition: self.plan.condition(),
-            admission,
-            work: self.spec.work_body(&self.delivered),
-        }
+    /// Claims the key and starts or joins an attempt. Returns the end when there is none.
+    fn start_keyed(&mut self) -> Option<CallEvent> {
+        let suspect = self.is_suspect();
+        let keyed = self.keyed.as_mut()?;
+        let (shared, spec) = (&self.shared, &self.spec);
+        let step = keyed.start(shared, spec, &mut self.plan, |tag, rule| DispatchFrame {
+            suspect,
+            ..make_dispatch(spec, &[], tag, rule)
+        });
+        let attempt = match step {
+            KeyedStep::Dispatched(attempt) => {
+                self.attempts += 1;
+                attempt
+            }
+            KeyedStep::Joined(attempt) => attempt,
+            KeyedStep::Ended {
+                outcome,
+                reason,
+                retry_after,
+            } => return Some(self.end(outcome, reason, retry_after, TokenUsage::default())),
+        };
+        self.history
+            .note_sent(attempt.tag().attempt, &attempt.vm().name);
+        self.current = Some(attempt);
+        None
     }
 
     fn note_refusal(
@@ -276,10 +399,19 @@
     ) {
         self.shared.metrics.count("attempt.refused");
         self.last_reason = reason.to_string();
+        if reason == RefusalReason::Sealed && !self.asked_again {
+            // The dispatch went into a connection that had gone silent; the seal came over a new one, so the VM is well.
+            self.asked_again = true;
+            self.ask_again = Some((attempt.vm().clone(), self.current_rule));
+            return;
+        }
         self.history.note_result(
             attempt.tag().attempt,
             AttemptResult::Refused(reason.to_string()),
         );
+        if let Some(keyed) = &mut self.keyed {
+            keyed.note_refusal(reason);
+        }
         self.plan.note_refusal(RefusalNote {
             vm: attempt.vm().clone(),
             reason,
@@ -292,10 +424,10 @@
         let retry_after = self.plan.retry_after(SpanMillis::new(RETRY_AFTER_MS));
         let reason = self.last_reason.clone();
         // After a loss the request may have run, so it cannot end as not run.
-        let outcome = if self.lost_on.is_empty() {
-            CallOutcome::NotRun
-        } else {
-            CallOutcome::Failed
+        let outcome = match &self.keyed {
+            Some(keyed) => keyed.outcome_without_run(),
+            None if self.lost_on.is_empty() => CallOutcome::NotRun,
+            None => CallOutcome::Failed,
         };
         self.end(outcome, reason, Some(retry_after), TokenUsage::default())
     }
@@ -303,7 +435,7 @@
     fn end_at_deadline(&mut self) -> CallEvent {
         let in_progress = self.current.is_some();
         self.cancel();
-        let reason = "deadline has passed".to_owned();
+        let reason = DEADLINE_REASON.to_owned();
         if !in_progress {
             self.last_reason = reason;
             return self.end_not_run();
@@ -313,7 +445,27 @@
         } else {
             CallOutcome::Unknown
         };
-        self.end(outcome, reason, None, TokenUsage::default())
+        self.end_with_retry(outcome, reason)
+    }
+
+    /// Ends a request whose caller has received bytes that are not its response's.
+    fn end_corrupt(&mut self, attempt: &LiveAttempt, reason: String) -> CallEvent {
+        let tag = attempt.tag();
+        self.shared.metrics.count("response.corrupt");
+        tracing::error!(%tag, vm = %attempt.vm().name, %reason, "response is corrupt");
+        self.history
+            .note_result(tag.attempt, AttemptResult::Lost(reason.clone()));
+        let outcome = if self.spec.targets.repeatable {
+            CallOutcome::Failed
+        } else {
+            CallOutcome::Unknown
+        };
+        self.end_with_retry(outcome, reason)
+    }
+
+    fn end_with_retry(&mut self, outcome: CallOutcome, reason: String) -> CallEvent {
+        let retry_after = self.plan.retry_after(SpanMillis::new(RETRY_AFTER_MS));
+        self.end(outcome, reason, Some(retry_after), TokenUsage::default())
     }
 
     fn end(
@@ -367,7 +519,10 @@
         if let Some(mut attempt) = self.current.take() {
             self.history
                 .note_result(attempt.tag().attempt, AttemptResult::Cancelled);
-            attempt.cancel(&self.shared);
+            // A request that is not repeatable runs to its end, since its caller may ask for the response again.
+            if self.keyed.is_none() {
+                attempt.cancel(&self.shared);
+            }
         }
     }
 }
@@ -388,3 +543,29 @@
         CallOutcome::Unknown => RecordOutcome::Unknown,
     }
 }
+
+fn make_dispatch(
+    spec: &CallSpec,
+    delivered: &[u8],
+    tag: AttemptTag,
+    admission: AdmissionRule,
+) -> DispatchFrame {
+    let now = ClockMillis::now();
+    let late_at = spec.received + spec.targets.lateness.within;
+    DispatchFrame {
+        tag,
+        target: Default::default(),
+        workspace: spec.workspace.clone(),
+        class: spec.class.clone(),
+        repeatable: spec.targets.repeatable,
+        key: spec.work_key(),
+        slack: late_at.since(now),
+        deadline: spec.deadline.since(now),
+        chat: spec.chat_turn(),
+        condition: AdmitCondition::Always,
+        loss_share: spec.targets.loss_share,
+        suspect: false,
+        admission,
+        work: spec.work_body(delivered),
+    }
+}
--- a/crates/process/fescuetide_side/src/lib.rs
+++ b/crates/process/fescuetide_side/src/lib.rs
@@ -8,7 +8,9 @@
 mod attempts;
 mod chats;
 mod control;
+mod execute;
 mod metrics;
+mod run_queue;
 mod server;
 mod settings;
 mod upstream;
@@ -20,21 +22,30 @@
 use anyhow::Context;
 use fescuetide_base::ClockMillis;
 use fescuetide_base::ProcessIncarnation;
+use fescuetide_base::SpanMillis;
+use fescuetide_limits::LoadBound;
 
 use crate::admission::AdmissionGate;
+use crate::attempts::AttemptRetention;
 use crate::attempts::AttemptTable;
 use crate::chats::ChatTable;
 use crate::metrics::SideMetrics;
+use crate::run_queue::RunQueue;
 use crate::upstream::UpstreamClient;
 
 pub use crate::settings::SideSettings;
 pub use crate::settings::UpstreamKind;
 
+/// How long a draining process keeps a response whose reader was lost before its end. Routers notice a silent connection
+/// after 3 heartbeats and then need up to 3 connection attempts of 1 s.
+const DRAIN_GRACE_HEARTBEATS: u64 = 10;
+
 /// State shared by the threads of a side process.
 pub(crate) struct SideShared {
     pub(crate) settings: SideSettings,
     pub(crate) incarnation: ProcessIncarnation,
     pub(crate) gate: AdmissionGate,
+    pub(crate) queue: RunQueue,
     pub(crate) attempts: AttemptTable,
     pub(crate) chats: ChatTable,
     pub(crate) upstream: UpstreamClient,
@@ -59,8 +70,11 @@
             .with_context(|| format!("cannot listen on {}", settings.control_listen))?;
         let shared = Arc::new(SideShared {
             incarnation: new_incarnation(),
-            gate: AdmissionGate::default(),
-            attempts: AttemptTable::default(),
+            gate: AdmissionGate::new(LoadBound {
+                multiple: settings.load_multiple,
+            }),
+            queue: RunQueue::new(settings.slots),
+            attempts: AttemptTable::new(AttemptRetention::of(&settings)),
             chats: ChatTable::default(),
             upstream: UpstreamClient::new(&settings),
             metrics: SideMetrics::new(&settings)?,
@@ -85,9 +99,12 @@
         self.shared.gate.leave();
     }
 
-    /// Whether nothing is in progress.
+    /// Whether nothing is in progress and no router may still come for the rest of a response.
     pub fn is_idle(&self) -> bool {
-        self.shared.gate.load().get() == 0 && self.shared.attempts.reader_count() == 0
+        let heartbeat = self.shared.settings.heartbeat_ms;
+        let grace = SpanMillis::new(heartbeat * DRAIN_GRACE_HEARTBEATS);
+        let awaited = self.shared.attempts.is_awaited(grace, ClockMillis::now());
+        self.shared.gate.load().get() == 0 && !awaited
     }
 }
 
--- a/crates/process/fescuetide_side/src/upstream.rs
+++ b/crates/process/fescuetide_side/src/upstream.rs
@@ -2,7 +2,10 @@
 
 use std::io::BufRead;
 use std::io::BufReader;
+use std::io::ErrorKind;
 use std::io::Read;
+use std::net::TcpStream;
+use std::thread;
 use std::time::Duration;
 
 use fescuetide_base::SpanMillis;
@@ -18,6 +21,7 @@
 use ureq::http::Response;
 
 use crate::SideSettings;
+use crate::UpstreamKind;
 use crate::answer::AnswerBuffer;
 
 /// Longest time to connect to the upstream, which is on the same VM.
@@ -29,6 +33,12 @@
 /// Part size when a service's response is read.
 const READ_PART_BYTES: usize = 16 * 1024;
 
+/// How often a failed upstream is probed for a crash.
+const PROBE_COUNT: u32 = 3;
+
+/// Pause between probes, in ms. An upstream that is restarted within two of them is not seen to have crashed.
+const PROBE_PAUSE_MS: u64 = 20;
+
 /// Header that names the attempt towards the upstream.
 const ATTEMPT_HEADER: &str = "x-request-id";
 
@@ -37,6 +47,7 @@
 pub(crate) struct UpstreamClient {
     agent: Agent,
     base: String,
+    kind: UpstreamKind,
 }
 
 impl UpstreamClient {
@@ -47,15 +58,26 @@
             .timeout_per_read(Some(Duration::from_millis(settings.upstream_silence_ms)))
             .http_status_as_error(false)
             .max_idle_connections(0)
+            // A redirect is the upstream's response; following it would call something twice.
+            .max_redirects(0)
+            .max_redirects_will_error(false)
             .build();
         Self {
             agent: config.into(),
             base: settings.upstream_url.clone(),
+            kind: settings.kind,
         }
     }
 
     /// Runs an attempt to its end and writes its response.
     pub(crate) fn run(&self, dispatch: &DispatchFrame, answer: &AnswerBuffer) -> AttemptEnding {
+        match self.run_once(dispatch, answer) {
+            AttemptEnding::Failed(reason) if is_gone(&self.base) => AttemptEnding::Crashed(reason),
+            ending => ending,
+        }
+    }
+
+    fn run_once(&self, dispatch: &DispatchFrame, answer: &AnswerBuffer) -> AttemptEnding {
         match &dispatch.work {
             WorkBody::Chat { body, delivered } => self.run_chat(dispatch, body, delivered, answer),
             WorkBody::Call {
@@ -82,8 +104,11 @@
         }
     }
 
-    /// Asks the engine to stop generating for an attempt.
+    /// Asks the engine to stop generating for an attempt. Plain services have no such interface.
     pub(crate) fn cancel(&self, tag: AttemptTag) {
+        if self.kind != UpstreamKind::Engine {
+            return;
+        }
         let url = format!("{}/v1/requests/{}", self.base, tag.attempt);
         let timeout: Duration = SpanMillis::new(CANCEL_TIMEOUT_MS).into();
         let request = self
@@ -241,3 +266,18 @@
         other => AttemptEnding::Failed(format!("upstream call failed: {other}")),
     }
 }
+
+/// Whether the upstream refuses connections, which tells a crash from an error answer, a silence and a response that
+/// broke off. The listener of a process that ends may be closed a little later than its connections.
+fn is_gone(base: &str) -> bool {
+    let Some(address) = base.strip_prefix("http://") else {
+        return false;
+    };
+    for _ in 0..PROBE_COUNT {
+        match TcpStream::connect(address) {
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => return true,
+            Ok(_) | Err(_) => thread::sleep(Duration::from_millis(PROBE_PAUSE_MS)),
+        }
+    }
+    false
+}
--- a/crates/protocol/fescuetide_wire/src/frame.rs
+++ b/crates/protocol/fescuetide_wire/src/frame.rs
@@ -14,8 +14,10 @@
 use fescuetide_base::RequestId;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::StableHash;
+use fescuetide_base::TargetShare;
 use fescuetide_base::VmName;
 use fescuetide_base::WorkspaceName;
+use fescuetide_limits::AdmitRule;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -76,6 +78,8 @@
         tag: AttemptTag,
         /// The key, for requests that are not repeatable.
         key: Option<WorkKey>,
+        /// How long to wait for a dispatch with the key before it is barred.
+        wait: SpanMillis,
     },
     /// Cancels an attempt whose caller has left.
     Cancel {
@@ -107,6 +111,10 @@
     pub chat: Option<ChatTurn>,
     /// What else the side process checks before it admits the attempt.
     pub condition: AdmitCondition,
+    /// The class's target for loss: work of a higher share is shed first.
+    pub loss_share: TargetShare,
+    /// Whether an upstream crashed while it ran an earlier attempt. A suspect runs only where no other suspect runs.
+    pub suspect: bool,
     /// The highest load at which the attempt may be admitted.
     pub admission: AdmissionRule,
     /// The work itself.
@@ -143,6 +151,24 @@
     AtMost(LoadCount),
 }
 
+impl From<AdmitRule> for AdmissionRule {
+    fn from(rule: AdmitRule) -> Self {
+        match rule {
+            AdmitRule::OwnCap => Self::OwnCap,
+            AdmitRule::AtMost(limit) => Self::AtMost(limit),
+        }
+    }
+}
+
+impl From<AdmissionRule> for AdmitRule {
+    fn from(rule: AdmissionRule) -> Self {
+        match rule {
+            AdmissionRule::OwnCap => Self::OwnCap,
+            AdmissionRule::AtMost(limit) => Self::AtMost(limit),
+        }
+    }
+}
+
 /// The work of an attempt.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum WorkBody {
@@ -273,8 +299,12 @@
     },
     /// It was admitted but never given to the upstream.
     NotRun(String),
+    /// It was taken out of the queue for other work and never given to the upstream; when to come back.
+    Shed(SpanMillis),
     /// It ran, and the response is not complete.
     Failed(String),
+    /// It ran, and the upstream crashed.
+    Crashed(String),
     /// It was cancelled.
     Cancelled,
 }
@@ -302,6 +332,8 @@
     Suspect,
     /// The upstream does not answer.
     UpstreamDown,
+    /// The key is too old for this side process to tell whether it ran.
+    KeyExpired,
 }
 
 impl fmt::Display for RefusalReason {
@@ -317,6 +349,7 @@
             Self::KeySeen => "idempotency key was seen before",
             Self::Suspect => "request is suspected of crashing upstreams",
             Self::UpstreamDown => "upstream does not answer",
+            Self::KeyExpired => "idempotency key is too old",
         })
     }
 }
@@ -328,6 +361,6 @@
     Sealed,
     /// It is here under this tag; its response can be resumed.
     Present(AttemptTag),
-    /// It was here, but its response is no longer kept.
+    /// It was here, but its response is no longer kept, or the key is too old to tell.
     Expired,
 }
