Move a chat's cached prefix when its engine has no room

Cause: of the turns that could have come from caches, most of the rest was computed again because the engine that held the chat was at its cap.

Change: a router that learns of a holder without room names it in the dispatch to the next candidate. The side process there fetches the KV cache from the holder's side process and imports it, when the estimate says that this is cheaper than computing the prompt; a failed move only costs its time.

--- a/crates/base/fescuetide_base/src/clock.rs
+++ b/crates/base/fescuetide_base/src/clock.rs
@@ -96,6 +96,14 @@
     }
 }
 
+impl Add<SpanMillis> for SpanMillis {
+    type Output = Self;
+
+    fn add(self, span: SpanMillis) -> Self {
+        Self(self.0.saturating_add(span.0))
+    }
+}
+
 impl From<SpanMillis> for Duration {
     fn from(span: SpanMillis) -> Self {
         Duration::from_millis(span.0)
--- a/crates/coordination/fescuetide_routing/src/lib.rs
+++ b/crates/coordination/fescuetide_routing/src/lib.rs
@@ -6,12 +6,14 @@
 
 mod rank;
 mod table;
+mod transfer;
 
 pub use rank::RankKey;
 pub use rank::ShardSize;
 pub use rank::rank_upstreams;
 pub use rank::score_upstream;
 pub use table::RouteTable;
+pub use transfer::TransferEstimate;
 
 /// The types most users need.
 pub mod prelude {
--- a/crates/process/fescuetide_router/src/attempt.rs
+++ b/crates/process/fescuetide_router/src/attempt.rs
@@ -262,7 +262,7 @@
                 self.finish(shared);
                 Ok(Some(self.event_of_seal(state)))
             }
-            SideFrame::Welcome { .. } | SideFrame::Cancelled { .. } => {
+            SideFrame::Welcome { .. } | SideFrame::Prefix { .. } | SideFrame::Cancelled { .. } => {
                 Err(FrameError::Protocol("unexpected frame".to_owned()))
             }
         }
--- a/crates/process/fescuetide_router/src/plan.rs
+++ b/crates/process/fescuetide_router/src/plan.rs
@@ -12,6 +12,7 @@
 use fescuetide_routing::ShardSize;
 use fescuetide_wire::frame::AdmissionRule;
 use fescuetide_wire::frame::AdmitCondition;
+use fescuetide_wire::frame::PrefixSource;
 use fescuetide_wire::frame::RefusalReason;
 
 use crate::RouterShared;
@@ -34,6 +35,8 @@
     walk: CandidateWalk,
     first_rule: AdmissionRule,
     probes: ChatProbes,
+    /// The candidate that ran the chat's turn before and had no room for this one.
+    holder: Option<VmEntry>,
     /// The shortest time that a candidate asked to wait.
     retry_after: Option<SpanMillis>,
     held_by_suspect: bool,
@@ -56,6 +59,7 @@
             walk: CandidateWalk::new(bound, vms.len()),
             first_rule: shared.settings.policy.first_rule(),
             probes,
+            holder: None,
             vms,
             retry_after: None,
             held_by_suspect: false,
@@ -88,6 +92,9 @@
     /// Notes that a candidate refused.
     pub(crate) fn note_refusal(&mut self, note: RefusalNote) {
         // It is asked again without the condition.
+        if self.condition() == AdmitCondition::Held && is_full(note.reason) {
+            self.holder = Some(note.vm.clone());
+        }
         self.probes.note_refusal(note.reason);
         // A candidate whose condition was not met is asked again without it.
         if matches!(
@@ -119,6 +126,18 @@
         }
     }
 
+    /// Where `vm` can fetch the chat's prefix from.
+    pub(crate) fn prefix_source(&self, vm: &VmEntry) -> Option<PrefixSource> {
+        let holder = self.holder.as_ref()?;
+        if holder.name == vm.name {
+            return None;
+        }
+        Some(PrefixSource {
+            vm: holder.name.clone(),
+            data: holder.data,
+        })
+    }
+
     /// Notes that a candidate cannot be used.
     pub(crate) fn note_gone(&mut self, vm: &VmName) {
         if let Some(place) = self.place_of(vm) {
@@ -157,6 +176,17 @@
     }
 }
 
+/// Whether a candidate that holds a chat refused only because it has no room. The condition is checked first.
+fn is_full(reason: RefusalReason) -> bool {
+    matches!(
+        reason,
+        RefusalReason::OverBound
+            | RefusalReason::TooLate
+            | RefusalReason::Suspect
+            | RefusalReason::Leaving
+    )
+}
+
 /// Ranks the upstreams for `spec`; those held back by the breaker and those in `lost_on` come last.
 fn rank_candidates(shared: &RouterShared, spec: &CallSpec, lost_on: &[VmEntry]) -> Vec<VmEntry> {
     let view = shared.view.load();
--- a/crates/process/fescuetide_router/src/runner.rs
+++ b/crates/process/fescuetide_router/src/runner.rs
@@ -335,6 +335,7 @@
             self.current_rule = rule;
             let mut dispatch = DispatchFrame {
                 condition: self.plan.condition(),
+                prefix_source: self.plan.prefix_source(&vm),
                 ..make_dispatch(&self.spec, &self.delivered, tag, rule)
             };
             dispatch.suspect = self.is_suspect();
@@ -563,6 +564,7 @@
         deadline: spec.deadline.since(now),
         chat: spec.chat_turn(),
         condition: AdmitCondition::Always,
+        prefix_source: None,
         loss_share: spec.targets.loss_share,
         suspect: false,
         admission,
--- a/crates/process/fescuetide_side/src/execute.rs
+++ b/crates/process/fescuetide_side/src/execute.rs
@@ -14,6 +14,7 @@
 use crate::SideShared;
 use crate::admission::AdmitRefusal;
 use crate::attempts::AttemptEntry;
+use crate::prefix::fetch_prefix;
 use crate::run_queue::QueueVerdict;
 
 /// Admits an attempt to the queue, or says why not.
@@ -116,6 +117,7 @@
     let ending = if entry.answer.is_cancelled() {
         AttemptEnding::NotRun("caller left the queue".to_owned())
     } else {
+        fetch_prefix(shared, dispatch);
         shared.upstream.run(dispatch, &entry.answer)
     };
     let first_part = entry.answer.first_part_at().map(|at| at.since(started));
--- a/crates/process/fescuetide_side/src/lib.rs
+++ b/crates/process/fescuetide_side/src/lib.rs
@@ -10,6 +10,7 @@
 mod control;
 mod execute;
 mod metrics;
+mod prefix;
 mod run_queue;
 mod server;
 mod settings;
@@ -24,6 +25,8 @@
 use fescuetide_base::ProcessIncarnation;
 use fescuetide_base::SpanMillis;
 use fescuetide_limits::LoadBound;
+use fescuetide_net::LinkPool;
+use fescuetide_net::LinkSettings;
 
 use crate::admission::AdmissionGate;
 use crate::attempts::AttemptRetention;
@@ -49,6 +52,8 @@
     pub(crate) attempts: AttemptTable,
     pub(crate) chats: ChatTable,
     pub(crate) upstream: UpstreamClient,
+    /// Connections to other side processes, for moves of prefixes.
+    pub(crate) links: LinkPool,
     pub(crate) metrics: SideMetrics,
 }
 
@@ -68,8 +73,11 @@
             .with_context(|| format!("cannot listen on {}", settings.data_listen))?;
         let control = TcpListener::bind(settings.control_listen)
             .with_context(|| format!("cannot listen on {}", settings.control_listen))?;
+        let incarnation = new_incarnation();
+        let links = LinkPool::new(settings.vm.clone(), incarnation, LinkSettings::default());
         let shared = Arc::new(SideShared {
-            incarnation: new_incarnation(),
+            incarnation,
+            links,
             gate: AdmissionGate::new(LoadBound {
                 multiple: settings.load_multiple,
             }),
--- a/crates/process/fescuetide_side/src/server.rs
+++ b/crates/process/fescuetide_side/src/server.rs
@@ -68,6 +68,10 @@
                 let state = shared.attempts.seal(tag, key, ClockMillis::now());
                 stream.send(&SideFrame::Sealed { tag, state })?;
             }
+            RouterFrame::ExportPrefix { tag, body, limit } => {
+                let blob = shared.upstream.export_prefix(&body, limit);
+                stream.send(&SideFrame::Prefix { tag, blob })?;
+            }
             RouterFrame::Cancel { tag } => {
                 match shared.attempts.find(tag) {
                     Some(entry) => cancel_attempt(shared, &entry),
--- a/crates/process/fescuetide_side/src/settings.rs
+++ b/crates/process/fescuetide_side/src/settings.rs
@@ -8,6 +8,7 @@
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
 use fescuetide_base::ZoneName;
+use fescuetide_routing::TransferEstimate;
 use serde::Deserialize;
 
 /// What kind of upstream the process stands beside.
@@ -46,6 +47,10 @@
     pub load_multiple: f64,
     /// Requests that the upstream runs at once. What exceeds them waits in the queue.
     pub slots: usize,
+    /// Prompt tokens that the engine computes in a second, for the choice between computing and moving a prefix.
+    pub prefill_tokens_per_s: u64,
+    /// Prompt tokens whose KV cache is moved between engines in a second.
+    pub transfer_tokens_per_s: u64,
     /// Interval between heartbeats of a response without news, in ms.
     pub heartbeat_ms: u64,
     /// Interval between load reports, in ms.
@@ -84,6 +89,8 @@
             vm_list_url: "http://127.0.0.1:7001".to_owned(),
             load_multiple: 1.25,
             slots: 16,
+            prefill_tokens_per_s: 20_000,
+            transfer_tokens_per_s: 100_000,
             heartbeat_ms: 1_000,
             report_interval_ms: 500,
             vm_list_interval_ms: 1_000,
@@ -104,6 +111,9 @@
 /// Largest limit of kept responses, in bytes.
 const BYTES_LIMIT: usize = 1 << 30;
 
+/// Highest rate in tokens a second.
+const RATE_LIMIT: u64 = 1_000_000_000;
+
 /// One day in ms.
 const DAY_MS: u64 = 86_400_000;
 
@@ -115,6 +125,16 @@
         list.check_url("vm_list_url", &self.vm_list_url);
         list.check_range("load_multiple", self.load_multiple, 1.0..=100.0);
         list.check_range("slots", self.slots, 1..=65_536);
+        list.check_range(
+            "prefill_tokens_per_s",
+            self.prefill_tokens_per_s,
+            1..=RATE_LIMIT,
+        );
+        list.check_range(
+            "transfer_tokens_per_s",
+            self.transfer_tokens_per_s,
+            1..=RATE_LIMIT,
+        );
         list.check_range("heartbeat_ms", self.heartbeat_ms, 50..=INTERVAL_LIMIT_MS);
         list.check_range(
             "report_interval_ms",
@@ -146,6 +166,14 @@
         list
     }
 
+    pub(crate) fn transfer_estimate(&self) -> TransferEstimate {
+        TransferEstimate {
+            prefill_tokens_per_s: self.prefill_tokens_per_s,
+            transfer_tokens_per_s: self.transfer_tokens_per_s,
+            ..TransferEstimate::default()
+        }
+    }
+
     pub(crate) fn heartbeat(&self) -> SpanMillis {
         SpanMillis::new(self.heartbeat_ms)
     }
--- a/crates/process/fescuetide_side/src/upstream.rs
+++ b/crates/process/fescuetide_side/src/upstream.rs
@@ -13,6 +13,7 @@
 use fescuetide_wire::frame::AttemptEnding;
 use fescuetide_wire::frame::AttemptTag;
 use fescuetide_wire::frame::DispatchFrame;
+use fescuetide_wire::frame::FRAME_LIMIT_BYTES;
 use fescuetide_wire::frame::WorkBody;
 use serde_json::Value;
 use ureq::Agent;
@@ -104,6 +105,38 @@
         }
     }
 
+    /// The engine's export of the longest cached prefix of a request, empty when there is none or it takes too long.
+    pub(crate) fn export_prefix(&self, body: &[u8], limit: SpanMillis) -> Vec<u8> {
+        let result = self
+            .agent
+            .post(format!("{}/kv/export", self.base))
+            .config()
+            .timeout_global(Some(limit.into()))
+            .build()
+            .send(body);
+        match result {
+            Ok(mut response) if response.status() == 200 => response
+                .body_mut()
+                .with_config()
+                .limit(FRAME_LIMIT_BYTES as u64 / 2)
+                .read_to_vec()
+                .unwrap_or_default(),
+            Ok(_) | Err(_) => Vec::new(),
+        }
+    }
+
+    /// Hands another engine's export to this one. Returns whether it took it.
+    pub(crate) fn import_prefix(&self, blob: &[u8], limit: SpanMillis) -> bool {
+        let result = self
+            .agent
+            .post(format!("{}/kv/import", self.base))
+            .config()
+            .timeout_global(Some(limit.into()))
+            .build()
+            .send(blob);
+        result.is_ok_and(|response| response.status() == 200)
+    }
+
     /// Asks the engine to stop generating for an attempt. Plain services have no such interface.
     pub(crate) fn cancel(&self, tag: AttemptTag) {
         if self.kind != UpstreamKind::Engine {
--- a/crates/protocol/fescuetide_wire/src/frame.rs
+++ b/crates/protocol/fescuetide_wire/src/frame.rs
@@ -5,6 +5,7 @@
 //! attempt. Times are relative, because clocks differ between VMs.
 
 use std::fmt;
+use std::net::SocketAddr;
 
 use fescuetide_base::AttemptId;
 use fescuetide_base::ClassName;
@@ -81,6 +82,15 @@
         /// How long to wait for a dispatch with the key before it is barred.
         wait: SpanMillis,
     },
+    /// Asks for the cached prefix of a prompt, from one side process to another.
+    ExportPrefix {
+        /// The attempt that it is for.
+        tag: AttemptTag,
+        /// The JSON request body.
+        body: Vec<u8>,
+        /// Longest time that the export may take.
+        limit: SpanMillis,
+    },
     /// Cancels an attempt whose caller has left.
     Cancel {
         /// The attempt.
@@ -111,6 +121,8 @@
     pub chat: Option<ChatTurn>,
     /// What else the side process checks before it admits the attempt.
     pub condition: AdmitCondition,
+    /// Another engine that holds the chat's prefix, if one is known.
+    pub prefix_source: Option<PrefixSource>,
     /// The class's target for loss: work of a higher share is shed first.
     pub loss_share: TargetShare,
     /// Whether an upstream crashed while it ran an earlier attempt. A suspect runs only where no other suspect runs.
@@ -121,6 +133,15 @@
     pub work: WorkBody,
 }
 
+/// A side process whose engine holds a prefix.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PrefixSource {
+    /// Its VM.
+    pub vm: VmName,
+    /// Its address for requests.
+    pub data: SocketAddr,
+}
+
 /// A condition of admission besides the load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AdmitCondition {
@@ -259,6 +280,13 @@
         /// What is known.
         state: SealState,
     },
+    /// Answers [`RouterFrame::ExportPrefix`].
+    Prefix {
+        /// The attempt asked for.
+        tag: AttemptTag,
+        /// The engine's export, empty when it has none.
+        blob: Vec<u8>,
+    },
     /// Answers [`RouterFrame::Cancel`].
     Cancelled {
         /// The attempt.
