Sum up loads over a tree of fan-in 8

Every router sent its sums to every other, which costs 212 KB/s per router at design size in the model. Each router now sends the sums of its subtree to the one above, and the reply carries those of the whole tree. The tree comes from the VM list alone; a router that does not answer is left out for 5 s, so its children move up in the same or the next period. Sums of other collectors count for two exchanges and a half, which bounds double counting.

--- a/crates/coordination/fescuetide_summary/src/collector.rs
+++ b/crates/coordination/fescuetide_summary/src/collector.rs
@@ -12,14 +12,18 @@
 /// Settings of a collector.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CollectorSettings {
-    /// How long a report or a peer's sum counts.
+    /// How long a report counts.
     pub retention: SpanMillis,
+    /// How long the sums of another collector count: two exchanges and a half, since one may be late, and what moves to
+    /// another collector is counted twice for this long.
+    pub sum_retention: SpanMillis,
 }
 
 impl Default for CollectorSettings {
     fn default() -> Self {
         Self {
             retention: SpanMillis::new(3_000),
+            sum_retention: SpanMillis::new(1_250),
         }
     }
 }
@@ -47,12 +51,16 @@
     at: ClockMillis,
 }
 
-/// Collects reports of one availability zone and sums of other collectors.
+/// Collects reports of side processes and the sums of the collectors below it in the tree.
+///
+/// A side process or collector that changes to another one is counted by both until the retention has passed.
 #[derive(Clone, Debug, Default)]
 pub struct LoadCollector {
     settings: CollectorSettings,
     reports: IndexMap<VmName, TimedReport>,
     peers: IndexMap<VmName, TimedSums>,
+    /// The sums over the whole tree, from the collector above.
+    total: Option<TimedSums>,
 }
 
 impl LoadCollector {
@@ -70,21 +78,28 @@
             .insert(report.vm.clone(), TimedReport { report, at: now });
     }
 
-    /// Takes the sums of another collector's own reports.
+    /// Takes the sums of a collector below.
     pub fn note_peer(&mut self, peer: VmName, sums: IndexMap<PoolName, PoolSum>, now: ClockMillis) {
         self.peers.insert(peer, TimedSums { sums, at: now });
     }
 
+    /// Takes the sums over the whole tree from the collector above.
+    pub fn note_total(&mut self, sums: IndexMap<PoolName, PoolSum>, now: ClockMillis) {
+        self.total = Some(TimedSums { sums, at: now });
+    }
+
     /// Drops what is older than the retention.
     pub fn expire(&mut self, now: ClockMillis) {
         let retention = self.settings.retention;
         self.reports
             .retain(|_, timed| now.since(timed.at) <= retention);
+        let retention = self.settings.sum_retention;
         self.peers
             .retain(|_, timed| now.since(timed.at) <= retention);
+        self.total.take_if(|timed| now.since(timed.at) > retention);
     }
 
-    /// The sums of this collector's own reports, to send to its peers.
+    /// The sums of this collector's own reports.
     pub fn own_sums(&self) -> IndexMap<PoolName, PoolSum> {
         let mut sums: IndexMap<PoolName, PoolSum> = IndexMap::new();
         for timed in self.reports.values() {
@@ -95,8 +110,8 @@
         sums
     }
 
-    /// The sums over own reports and all peers.
-    pub fn total_sums(&self) -> IndexMap<PoolName, PoolSum> {
+    /// The sums over own reports and the collectors below, to send to the collector above.
+    pub fn subtree_sums(&self) -> IndexMap<PoolName, PoolSum> {
         let mut sums = self.own_sums();
         for timed in self.peers.values() {
             for (pool, sum) in &timed.sums {
@@ -105,4 +120,12 @@
         }
         sums
     }
+
+    /// The sums over the whole tree: those of the collector above while they are fresh, or else those of the subtree.
+    pub fn total_sums(&self) -> IndexMap<PoolName, PoolSum> {
+        match &self.total {
+            Some(timed) => timed.sums.clone(),
+            None => self.subtree_sums(),
+        }
+    }
 }
--- a/crates/process/fescuetide_router/src/control.rs
+++ b/crates/process/fescuetide_router/src/control.rs
@@ -23,6 +23,7 @@
 use fescuetide_wire::claim::ClaimWire;
 use fescuetide_wire::records::BurnWire;
 use fescuetide_wire::records::RequestWire;
+use fescuetide_wire::rpc::ExchangeReply;
 use fescuetide_wire::rpc::ExchangeWire;
 use fescuetide_wire::rpc::ReportWire;
 use fescuetide_wire::rpc::RouterControl;
@@ -44,6 +45,7 @@
 use crate::class_log;
 use crate::class_log::ClassNews;
 use crate::classes::ClassControl;
+use crate::exchange;
 use crate::exchange::exchange_loop;
 use crate::peers;
 use crate::platform;
@@ -95,11 +97,13 @@
     thread::Builder::new()
         .name("router-control".to_owned())
         .spawn(move || {
+            let settings = exchange::collector_settings(&shared);
+            let collector = LoadCollector::new(settings);
             let state = ControlState {
                 classes: ClassControl::new(&shared, order_sender),
                 shared,
                 vms: VmTable::default(),
-                collector: LoadCollector::default(),
+                collector,
                 records,
             };
             let news = NewsReceivers {
@@ -207,22 +211,8 @@
             .unwrap_or_default()
     }
 
-    async fn exchange(self, _: Context, sums: ExchangeWire) -> u64 {
-        let mut state = self.state.borrow_mut();
-        let mut received = IndexMap::new();
-        for (pool, sum) in sums.sums {
-            received.insert(pool, PoolSum::from(sum));
-        }
-        let now = ClockMillis::now();
-        state.collector.note_peer(sums.collector, received, now);
-        let mut suspects = state.shared.lock_suspects();
-        for refused in sums.refused {
-            let (print, left) = refused.into();
-            suspects.learn(print, left, now);
-        }
-        drop(suspects);
-        state.classes.note_peer_offset(sums.class_offset);
-        state.classes.next_offset().get()
+    async fn exchange(self, _: Context, sums: ExchangeWire) -> ExchangeReply {
+        exchange::take_exchange(&mut self.state.borrow_mut(), sums)
     }
 
     async fn claim(self, _: Context, claim: ClaimWire, within: SpanMillis) -> ClaimReply {
--- a/crates/process/fescuetide_router/src/exchange.rs
+++ b/crates/process/fescuetide_router/src/exchange.rs
@@ -4,77 +4,154 @@
 use std::time::Duration;
 
 use fescuetide_base::ClockMillis;
+use fescuetide_base::PoolName;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
 use fescuetide_members::VmEntry;
 use fescuetide_net::connect_control;
 use fescuetide_net::rpc_deadline;
+use fescuetide_summary::CollectorSettings;
+use fescuetide_summary::PoolSum;
+use fescuetide_summary::SummaryTree;
+use fescuetide_wire::rpc::ExchangeReply;
 use fescuetide_wire::rpc::ExchangeWire;
 use fescuetide_wire::rpc::RefusedWire;
 use fescuetide_wire::rpc::RouterControlClient;
+use fescuetide_wire::rpc::SumWire;
 use indexmap::IndexMap;
 use tarpc::client;
 use tokio::time::MissedTickBehavior;
 
+use crate::RouterShared;
 use crate::control::ControlState;
 use crate::control::SharedState;
 use crate::control::list_sums;
 
-/// Longest time of an exchange with another collector.
-const EXCHANGE_TIMEOUT_MS: u64 = 1_000;
+/// How long a router that did not answer is left out of the tree.
+const DOWN_HOLD: SpanMillis = SpanMillis::new(5_000);
 
-/// Sends this collector's sums to all other routers of its region at the interval.
+/// Sums of other collectors count for two exchanges and a half.
+pub(crate) fn collector_settings(shared: &RouterShared) -> CollectorSettings {
+    CollectorSettings {
+        sum_retention: SpanMillis::new(shared.settings.exchange_interval_ms * 5 / 2),
+        ..CollectorSettings::default()
+    }
+}
+
+/// Sends the sums of this collector and those below it to the collector above, at the interval.
 pub(crate) async fn exchange_loop(state: SharedState) {
     let shared = Arc::clone(&state.borrow().shared);
-    let interval = Duration::from_millis(shared.settings.exchange_interval_ms);
-    let mut ticks = tokio::time::interval(interval);
+    let interval = shared.settings.exchange_interval_ms;
+    let mut ticks = tokio::time::interval(Duration::from_millis(interval));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut links: IndexMap<VmName, PeerLink> = IndexMap::new();
+    let mut link: Option<ParentLink> = None;
+    let mut down: IndexMap<VmName, ClockMillis> = IndexMap::new();
     loop {
         ticks.tick().await;
-        let (peers, message) = {
-            let mut state = state.borrow_mut();
-            state.collector.expire(ClockMillis::now());
-            (list_peers(&state), own_message(&state))
-        };
-        links.retain(|_, link| peers.contains(&link.entry));
-        if message.sums.is_empty() && message.refused.is_empty() {
-            continue;
-        }
-        for peer in peers {
-            let link = match links.get(&peer.name) {
-                Some(link) => link,
-                None => {
-                    let Ok(transport) = connect_control(peer.control, shared.meter.clone()).await
-                    else {
-                        continue;
-                    };
-                    let client =
-                        RouterControlClient::new(client::Config::default(), transport).spawn();
-                    let link = PeerLink {
-                        entry: peer.clone(),
-                        client,
-                    };
-                    links.entry(peer.name.clone()).or_insert(link)
-                }
+        let now = ClockMillis::now();
+        state.borrow_mut().collector.expire(now);
+        down.retain(|_, since| now.since(*since) < DOWN_HOLD);
+        // A parent that refuses connections is replaced at once, a silent one after an interval.
+        loop {
+            let parent = find_parent(&state.borrow(), &down);
+            let Some(parent) = parent else {
+                break;
             };
-            let context = rpc_deadline(SpanMillis::new(EXCHANGE_TIMEOUT_MS));
-            match link.client.exchange(context, message.clone()).await {
-                Ok(offset) => state.borrow_mut().classes.note_peer_offset(offset),
-                Err(_) => {
+            let message = own_message(&state.borrow());
+            let name = parent.name.clone();
+            let timeout = SpanMillis::new(interval);
+            match send_sums(&shared, &mut link, parent, message, timeout).await {
+                Some(reply) => {
+                    take_reply(&mut state.borrow_mut(), reply);
+                    break;
+                }
+                None => {
                     shared.metrics.count("exchange.failed");
-                    links.swap_remove(&peer.name);
+                    down.insert(name, ClockMillis::now());
                 }
             }
         }
     }
 }
 
-struct PeerLink {
+struct ParentLink {
     entry: VmEntry,
     client: RouterControlClient,
 }
 
+/// The collector above this one, `None` when this one is the root.
+fn find_parent(state: &ControlState, down: &IndexMap<VmName, ClockMillis>) -> Option<VmEntry> {
+    let me = &state.shared.settings.vm;
+    let peers = list_peers(state);
+    let names = peers.iter().map(|entry| entry.name.clone());
+    let tree = SummaryTree::new(names.chain([me.clone()]));
+    let parent = tree.parent(me, |name| down.contains_key(name))?;
+    peers.iter().find(|entry| entry.name == *parent).cloned()
+}
+
+/// Sends sums to the collector above, on a kept connection while it works.
+async fn send_sums(
+    shared: &RouterShared,
+    link: &mut Option<ParentLink>,
+    parent: VmEntry,
+    message: ExchangeWire,
+    timeout: SpanMillis,
+) -> Option<ExchangeReply> {
+    let kept = link.take().filter(|link| link.entry == parent);
+    let current = match kept {
+        Some(kept) => kept,
+        None => {
+            let transport = connect_control(parent.control, shared.meter.clone()).await;
+            ParentLink {
+                entry: parent,
+                client: RouterControlClient::new(client::Config::default(), transport.ok()?)
+                    .spawn(),
+            }
+        }
+    };
+    let reply = current
+        .client
+        .exchange(rpc_deadline(timeout), message)
+        .await;
+    let reply = reply.ok()?;
+    *link = Some(current);
+    Some(reply)
+}
+
+fn take_reply(state: &mut ControlState, reply: ExchangeReply) {
+    let now = ClockMillis::now();
+    state.collector.note_total(map_sums(reply.total), now);
+    learn_refused(state, reply.refused, now);
+    state.classes.note_peer_offset(reply.class_offset);
+}
+
+/// Takes in the sums of a collector below.
+pub(crate) fn take_exchange(state: &mut ControlState, sums: ExchangeWire) -> ExchangeReply {
+    let now = ClockMillis::now();
+    let received = map_sums(sums.sums);
+    state.collector.note_peer(sums.collector, received, now);
+    learn_refused(state, sums.refused, now);
+    state.classes.note_peer_offset(sums.class_offset);
+    ExchangeReply {
+        total: list_sums(&state.collector.total_sums()),
+        refused: list_refused(state),
+        class_offset: state.classes.next_offset().get(),
+    }
+}
+
+fn learn_refused(state: &ControlState, refused: Vec<RefusedWire>, now: ClockMillis) {
+    let mut suspects = state.shared.lock_suspects();
+    for refused in refused {
+        let (print, left) = refused.into();
+        suspects.learn(print, left, now);
+    }
+}
+
+fn map_sums(list: Vec<(PoolName, SumWire)>) -> IndexMap<PoolName, PoolSum> {
+    let sums = list.into_iter();
+    sums.map(|(pool, sum)| (pool, PoolSum::from(sum))).collect()
+}
+
 /// The other live routers of the region.
 pub(crate) fn list_peers(state: &ControlState) -> Vec<VmEntry> {
     let settings = &state.shared.settings;
@@ -91,7 +168,7 @@
 fn own_message(state: &ControlState) -> ExchangeWire {
     ExchangeWire {
         collector: state.shared.settings.vm.clone(),
-        sums: list_sums(&state.collector.own_sums()),
+        sums: list_sums(&state.collector.subtree_sums()),
         refused: list_refused(state),
         class_offset: state.classes.next_offset().get(),
     }
--- a/crates/protocol/fescuetide_wire/src/rpc.rs
+++ b/crates/protocol/fescuetide_wire/src/rpc.rs
@@ -106,7 +106,18 @@
     }
 }
 
-/// The sums of one collector's own reports.
+/// The reply to an exchange, from the collector above.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct ExchangeReply {
+    /// Sums per pool over the whole tree, as far as the collector knows them.
+    pub total: Vec<(PoolName, SumWire)>,
+    /// Requests that it refuses because they crash upstreams.
+    pub refused: Vec<RefusedWire>,
+    /// Its class-log offset.
+    pub class_offset: u64,
+}
+
+/// The sums of a collector and of those below it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ExchangeWire {
     /// The collector's VM.
@@ -147,8 +158,8 @@
 pub trait RouterControl {
     /// Takes a side process's report; the reply has the sum over its pool.
     async fn report(report: ReportWire) -> SumWire;
-    /// Takes another collector's sums; the reply has the receiver's class-log offset.
-    async fn exchange(sums: ExchangeWire) -> u64;
+    /// Takes the sums of a collector below; the reply has those of the whole tree.
+    async fn exchange(sums: ExchangeWire) -> ExchangeReply;
     /// Asks the registrar to append a claim; the caller waits for `within`.
     async fn claim(claim: ClaimWire, within: SpanMillis) -> ClaimReply;
     /// The class table, when it is newer than the given offset.
