--- a/crates/process/fescuetide_router/src/call.rs
+++ b/crates/process/fescuetide_router/src/call.rs
@@ -14,6 +14,7 @@
 use fescuetide_limits::CrashFingerprint;
 use fescuetide_wire::api::CallOutcome;
 use fescuetide_wire::api::TokenUsage;
+use fescuetide_wire::frame::ChatTurn;
 use fescuetide_wire::frame::WorkBody;
 use fescuetide_wire::frame::WorkKey;
 
@@ -28,6 +29,8 @@
         stream: bool,
         /// The model.
         model: ModelName,
+        /// Messages of the prompt.
+        messages: u32,
     },
     /// A call of a plain service.
     Service {
@@ -61,6 +64,25 @@
         }
     }
 
+    /// The chat that the request belongs to.
+    pub(crate) fn chat_turn(&self) -> Option<ChatTurn> {
+        let CallWork::Chat {
+            model, messages, ..
+        } = &self.work
+        else {
+            return None;
+        };
+        let chat = StableHash::new()
+            .field(self.workspace.as_str().as_bytes())
+            .field(model.as_str().as_bytes())
+            .field(self.chat.as_ref()?.as_str().as_bytes())
+            .finish();
+        Some(ChatTurn {
+            chat,
+            messages: *messages,
+        })
+    }
+
     pub(crate) fn work_key(&self) -> Option<WorkKey> {
         let key = self.key?;
         Some(WorkKey {
--- a/crates/process/fescuetide_router/src/lib.rs
+++ b/crates/process/fescuetide_router/src/lib.rs
@@ -19,6 +19,7 @@
 mod plan;
 mod platform;
 mod policy;
+mod probes;
 mod records;
 mod registrar;
 mod request;
@@ -32,6 +33,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
@@ -41,10 +43,12 @@
 use arc_swap::ArcSwap;
 use fescuetide_base::ClockMillis;
 use fescuetide_base::ProcessIncarnation;
+use fescuetide_base::SpanMillis;
 use fescuetide_limits::BreakerSettings;
 use fescuetide_limits::SuspectTable;
 use fescuetide_limits::VmBreaker;
 use fescuetide_net::ControlMeter;
+use fescuetide_net::HttpDrain;
 use fescuetide_net::LinkPool;
 use fescuetide_net::LinkSettings;
 use fescuetide_routing::DemandSettings;
@@ -61,6 +65,9 @@
 pub use crate::policy::RoutingPolicy;
 pub use crate::settings::RouterSettings;
 
+/// How long a draining router waits for callers to read responses that are complete.
+const SLOW_CALLER_LIMIT: SpanMillis = SpanMillis::new(60_000);
+
 /// State shared by the threads of a router.
 pub(crate) struct RouterShared {
     pub(crate) settings: RouterSettings,
@@ -79,6 +86,7 @@
     pub(crate) meter: ControlMeter,
     pub(crate) draining: AtomicBool,
     pub(crate) active: AtomicU32,
+    pub(crate) http_drain: HttpDrain,
 }
 
 impl RouterShared {
@@ -112,6 +120,7 @@
 /// A running router.
 pub struct RouterProcess {
     shared: Arc<RouterShared>,
+    closing_since: OnceLock<ClockMillis>,
 }
 
 impl RouterProcess {
@@ -147,6 +156,7 @@
             meter,
             draining: AtomicBool::new(false),
             active: AtomicU32::new(0),
+            http_drain: HttpDrain::default(),
             settings,
         });
         control::start(&shared, control, record_receiver, claim_receiver)?;
@@ -156,7 +166,10 @@
             listen = %shared.settings.listen,
             "router started"
         );
-        Ok(Self { shared })
+        Ok(Self {
+            shared,
+            closing_since: OnceLock::new(),
+        })
     }
 
     /// Stops taking requests. Requests in progress run to their end.
@@ -164,8 +177,18 @@
         self.shared.start_drain();
     }
 
-    /// Whether no request is in progress.
+    /// Whether a draining router has no request in progress and has written all responses. Closes connections once no
+    /// request is in progress.
     pub fn is_idle(&self) -> bool {
-        self.shared.active.load(Ordering::Acquire) == 0
+        if self.shared.active.load(Ordering::Acquire) > 0 {
+            return false;
+        }
+        let now = ClockMillis::now();
+        let since = self.closing_since.get_or_init(|| {
+            self.shared.http_drain.close_connections();
+            now
+        });
+        let open = self.shared.http_drain.connection_count();
+        open == 0 || now.since(*since) > SLOW_CALLER_LIMIT
     }
 }
--- a/crates/process/fescuetide_router/src/plan.rs
+++ b/crates/process/fescuetide_router/src/plan.rs
@@ -10,10 +10,12 @@
 use fescuetide_members::VmEntry;
 use fescuetide_routing::RankKey;
 use fescuetide_wire::frame::AdmissionRule;
+use fescuetide_wire::frame::AdmitCondition;
 use fescuetide_wire::frame::RefusalReason;
 
 use crate::RouterShared;
 use crate::call::CallSpec;
+use crate::probes::ChatProbes;
 
 /// A candidate that refused.
 #[derive(Clone, Debug)]
@@ -30,6 +32,7 @@
     vms: Vec<VmEntry>,
     walk: CandidateWalk,
     first_rule: AdmissionRule,
+    probes: ChatProbes,
     /// The shortest time that a candidate asked to wait.
     retry_after: Option<SpanMillis>,
     held_by_suspect: bool,
@@ -39,12 +42,19 @@
     /// Ranks the upstreams for `spec`; those held back by the breaker and those in `lost_on` come last.
     pub(crate) fn new(shared: &RouterShared, spec: &CallSpec, lost_on: &[VmEntry]) -> Self {
         let vms = rank_candidates(shared, spec, lost_on);
+        let may_ask = lost_on.is_empty() && spec.key.is_none();
+        let probes = if may_ask && shared.settings.policy.asks_holders() {
+            ChatProbes::new(shared, spec, vms.len())
+        } else {
+            ChatProbes::none()
+        };
         let bound = LoadBound {
             multiple: shared.settings.load_multiple,
         };
         Self {
             walk: CandidateWalk::new(bound, vms.len()),
             first_rule: shared.settings.policy.first_rule(),
+            probes,
             vms,
             retry_after: None,
             held_by_suspect: false,
@@ -53,6 +63,9 @@
 
     /// The next candidate and the rule to ask it by.
     pub(crate) fn next_candidate(&mut self) -> Option<(VmEntry, AdmissionRule)> {
+        if let Some(place) = self.probes.next_place() {
+            return Some((self.vms[place].clone(), AdmissionRule::OwnCap));
+        }
         let (place, rule) = self.walk.next_candidate()?;
         let rule = match rule {
             AdmitRule::OwnCap => self.first_rule,
@@ -61,8 +74,27 @@
         Some((self.vms[place].clone(), rule))
     }
 
+    /// The condition on which the candidate just given is asked.
+    pub(crate) fn condition(&self) -> AdmitCondition {
+        self.probes.condition()
+    }
+
+    /// How long to wait before the candidate just given is asked.
+    pub(crate) fn wait(&self) -> SpanMillis {
+        self.probes.wait()
+    }
+
     /// Notes that a candidate refused.
     pub(crate) fn note_refusal(&mut self, note: RefusalNote) {
+        // It is asked again without the condition.
+        self.probes.note_refusal(note.reason);
+        // A candidate whose condition was not met is asked again without it.
+        if matches!(
+            note.reason,
+            RefusalReason::NotHeld | RefusalReason::AboveMean
+        ) {
+            return;
+        }
         let Some(place) = self.place_of(&note.vm.name) else {
             return;
         };
@@ -80,6 +112,8 @@
             | RefusalReason::OtherIncarnation
             | RefusalReason::KeySeen
             | RefusalReason::KeyExpired
+            | RefusalReason::NotHeld
+            | RefusalReason::AboveMean
             | RefusalReason::UpstreamDown => self.walk.note_gone(place),
         }
     }
--- a/crates/process/fescuetide_side/src/execute.rs
+++ b/crates/process/fescuetide_side/src/execute.rs
@@ -5,7 +5,9 @@
 
 use fescuetide_base::ClockMillis;
 use fescuetide_limits::QueuedWork;
+use fescuetide_wire::frame::AdmitCondition;
 use fescuetide_wire::frame::AttemptEnding;
+use fescuetide_wire::frame::ChatTurn;
 use fescuetide_wire::frame::DispatchFrame;
 use fescuetide_wire::frame::RefusalReason;
 
@@ -24,6 +26,7 @@
         return Err(refuse(RefusalReason::OtherIncarnation));
     }
     let now = ClockMillis::now();
+    check_condition(shared, dispatch, now).map_err(refuse)?;
     let entry = shared
         .attempts
         .register(dispatch.tag, dispatch.key.clone(), now)
@@ -50,6 +53,24 @@
     Ok(entry)
 }
 
+fn check_condition(
+    shared: &SideShared,
+    dispatch: &DispatchFrame,
+    now: ClockMillis,
+) -> Result<(), RefusalReason> {
+    match dispatch.condition {
+        AdmitCondition::Held => match dispatch.chat {
+            Some(turn) if shared.chats.holds(turn, now) => Ok(()),
+            _ => Err(RefusalReason::NotHeld),
+        },
+        AdmitCondition::BelowMean if f64::from(shared.gate.load().get()) < shared.gate.mean() => {
+            Ok(())
+        }
+        AdmitCondition::BelowMean => Err(RefusalReason::AboveMean),
+        AdmitCondition::Always => Ok(()),
+    }
+}
+
 /// Starts the thread of an admitted attempt, which waits for its turn in the queue.
 pub(crate) fn start_attempt(
     shared: &Arc<SideShared>,
@@ -64,6 +85,7 @@
         .spawn(move || {
             let ending = run_in_turn(&run_shared, &run_entry, &dispatch);
             run_shared.metrics.count(metric_of(&ending));
+            note_chat(&run_shared, dispatch.chat, &ending);
             run_shared.gate.release(suspect);
             run_entry.answer.finish(ending, ClockMillis::now());
         });
@@ -101,6 +123,20 @@
     ending
 }
 
+/// Keeps the record of chats that the engine holds.
+fn note_chat(shared: &SideShared, turn: Option<ChatTurn>, ending: &AttemptEnding) {
+    match ending {
+        AttemptEnding::Completed { .. } => {
+            if let Some(turn) = turn {
+                shared.chats.note(turn, ClockMillis::now());
+            }
+        }
+        // The engine may have restarted and lost its cache.
+        AttemptEnding::Failed(_) | AttemptEnding::Crashed(_) => shared.chats.clear(),
+        AttemptEnding::NotRun(_) | AttemptEnding::Shed(_) | AttemptEnding::Cancelled => {}
+    }
+}
+
 fn metric_of(ending: &AttemptEnding) -> &'static str {
     match ending {
         AttemptEnding::Completed { .. } => "attempt.completed",
--- a/crates/protocol/fescuetide_wire/src/frame.rs
+++ b/crates/protocol/fescuetide_wire/src/frame.rs
@@ -107,6 +107,10 @@
     pub slack: SpanMillis,
     /// Time left until the caller gives up.
     pub deadline: SpanMillis,
+    /// The chat that the request belongs to, if any.
+    pub chat: Option<ChatTurn>,
+    /// What else the side process checks before it admits the attempt.
+    pub condition: AdmitCondition,
     /// The class's target for loss: work of a higher share is shed first.
     pub loss_share: TargetShare,
     /// Whether an upstream crashed while it ran an earlier attempt. A suspect runs only where no other suspect runs.
@@ -117,6 +121,27 @@
     pub work: WorkBody,
 }
 
+/// A condition of admission besides the load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AdmitCondition {
+    /// The engine ran the chat's turn before.
+    Held,
+    /// The load before admission is below the mean. This keeps the room between mean and cap free for chats that the
+    /// engine holds.
+    BelowMean,
+    /// None.
+    Always,
+}
+
+/// A chat and how far it has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChatTurn {
+    /// Hash of workspace, model and chat.
+    pub chat: u64,
+    /// Messages of the prompt.
+    pub messages: u32,
+}
+
 /// When an attempt may be admitted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AdmissionRule {
@@ -289,6 +314,10 @@
 pub enum RefusalReason {
     /// The load bound would be exceeded.
     OverBound,
+    /// The engine did not run the chat's turn before.
+    NotHeld,
+    /// The load is not below the mean.
+    AboveMean,
     /// The queue is too long for the class's lateness target.
     TooLate,
     /// The VM is leaving.
@@ -311,6 +340,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::OverBound => "over the load bound",
+            Self::NotHeld => "engine did not run the chat's turn before",
+            Self::AboveMean => "load is not below the mean",
             Self::TooLate => "queue too long for the lateness target",
             Self::Leaving => "VM is leaving",
             Self::Sealed => "attempt is sealed",
