--- a/crates/process/fescuetide_router/src/settings.rs
+++ b/crates/process/fescuetide_router/src/settings.rs
@@ -64,7 +64,7 @@
     pub claim_skew_ms: u64,
     /// Shortest time between two appends to a partition of the claim log, in ms.
     pub claim_gap_ms: u64,
-    /// How many engines a workspace's chats are spread over at first.
+    /// How many engines a workspace's chats are spread over before its demand is known.
     pub shard_size: usize,
     /// How long to wait for an engine that holds the chat and is at its cap before the chat goes elsewhere, in ms.
     pub holder_wait_ms: u64,
@@ -162,6 +162,7 @@
             self.record_interval_ms,
             50..=INTERVAL_LIMIT_MS,
         );
+        list.check_range("load_multiple", self.load_multiple, 1.0..=100.0);
         list.check_range(
             "holder_wait_ms",
             self.holder_wait_ms,
