Let a VM work again when it is no longer listed as leaving

Cause: one VM list that showed a VM as leaving by mistake made its side process refuse work until it was restarted (test vm_that_is_no_longer_listed_as_leaving_works_again: no work for 60 s).

Change: the side process follows the list, while a drain by signal or by a router stays final.

Test programs now use a loopback address of their own. The log service of one fleet out of 11 in two test programs did not start in 30 s; another program having taken its port is the likely cause, which was not confirmed.

--- a/crates/process/fescuetide_side/src/admission.rs
+++ b/crates/process/fescuetide_side/src/admission.rs
@@ -3,6 +3,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use fescuetide_base::ClockMillis;
 use fescuetide_base::LoadCount;
@@ -39,18 +41,24 @@
 #[derive(Debug)]
 pub(crate) struct AdmissionGate {
     gate: Mutex<LoadGate>,
+    /// Whether the VM list shows the VM as leaving. Unlike a drain, this can be taken back.
+    listed_leaving: AtomicBool,
 }
 
 impl AdmissionGate {
     pub(crate) fn new(bound: LoadBound) -> Self {
         Self {
             gate: Mutex::new(LoadGate::new(bound)),
+            listed_leaving: AtomicBool::new(false),
         }
     }
 
     /// Admits one attempt or says why not. An admitted attempt is counted until [`release`](Self::release).
     pub(crate) fn admit(&self, rule: AdmissionRule, suspect: bool) -> Result<(), AdmitRefusal> {
         let mut gate = self.lock();
+        if self.listed_leaving.load(Ordering::Acquire) {
+            return Err(AdmitRefusal::new(RefusalReason::Leaving, gate.load()));
+        }
         let admitted = if suspect {
             gate.admit_suspect(rule.into())
         } else {
@@ -95,7 +103,12 @@
 
     /// Whether new work is refused.
     pub(crate) fn is_leaving(&self) -> bool {
-        self.lock().is_leaving()
+        self.listed_leaving.load(Ordering::Acquire) || self.lock().is_leaving()
+    }
+
+    /// Notes whether the VM list shows the VM as leaving. Returns whether this is new.
+    pub(crate) fn set_listed_leaving(&self, leaving: bool) -> bool {
+        self.listed_leaving.swap(leaving, Ordering::AcqRel) != leaving
     }
 
     fn lock(&self) -> MutexGuard<'_, LoadGate> {
--- a/crates/process/fescuetide_side/src/control.rs
+++ b/crates/process/fescuetide_side/src/control.rs
@@ -120,7 +120,7 @@
         ticks.tick().await;
         while let Ok(update) = receiver.try_recv() {
             table = update;
-            leave_if_listed(shared, &table);
+            note_listing(shared, &table);
         }
         let now = ClockMillis::now();
         for orphan in shared.attempts.sweep(now) {
@@ -134,12 +134,13 @@
     }
 }
 
-fn leave_if_listed(shared: &SideShared, table: &VmTable) {
+fn note_listing(shared: &SideShared, table: &VmTable) {
     let Some(entry) = table.get(&shared.settings.vm) else {
         return;
     };
-    if entry.phase == VmPhase::Leaving && shared.gate.leave() {
-        tracing::info!(vm = %entry.name, "VM is listed as leaving; new work is refused");
+    let leaving = entry.phase == VmPhase::Leaving;
+    if shared.gate.set_listed_leaving(leaving) {
+        tracing::info!(vm = %entry.name, leaving, "VM list says whether the VM leaves");
     }
 }
 
--- a/crates/tools/fescuetide_bench/src/fault_client.rs
+++ b/crates/tools/fescuetide_bench/src/fault_client.rs
@@ -68,7 +68,7 @@
         Self {
             router,
             class: "chat".to_owned(),
-            chat: format!("chat-{}", prompt.replace(' ', "-")),
+            chat: format!("chat-{}", prompt.replace([' ', ','], "-")),
             prompt: prompt.to_owned(),
             max_tokens,
             deadline: None,
--- a/crates/tools/fescuetide_bench/src/ports.rs
+++ b/crates/tools/fescuetide_bench/src/ports.rs
@@ -15,7 +15,14 @@
 
 static NEXT: AtomicU16 = AtomicU16::new(0);
 
-/// Finds a free port on 127.0.0.1 that this process has not handed out before.
+/// The loopback address of this process. Test programs that run at the same time took each other's ports between the
+/// look for a free one and its use, when all used 127.0.0.1.
+fn own_host() -> Ipv4Addr {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 1 + high % 254, middle, low)
+}
+
+/// Finds a free port on this process's loopback address that it has not handed out before.
 ///
 /// # Errors
 ///
@@ -25,7 +32,7 @@
     for _ in 0..PORT_COUNT {
         let step = NEXT.fetch_add(1, Ordering::Relaxed);
         let port = PORT_FIRST + (start + step % PORT_COUNT) % PORT_COUNT;
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        let address = SocketAddr::from((own_host(), port));
         if TcpListener::bind(address).is_ok() {
             return Ok(address);
         }
--- /dev/null
+++ b/crates/tools/fescuetide_bench/tests/faults_pairs.rs
@@ -0,0 +1,177 @@
+//! Two failures at once.
+
+use std::thread;
+use std::time::Duration;
+
+use fescuetide_bench::fault_client::StreamCall;
+use fescuetide_bench::fault_client::StreamResult;
+use fescuetide_bench::fleet::FleetProcesses;
+use fescuetide_bench::fleet::FleetSettings;
+use fescuetide_bench::fleet_faults::fault_settings;
+use fescuetide_bench::oracle::check_truth;
+use fescuetide_bench::oracle::content_of;
+use fescuetide_bench::oracle::last_runner;
+use fescuetide_bench::process::SignalKind;
+use fescuetide_bench::process::wait_for;
+use fescuetide_standin::faults::ProxyFaults;
+use fescuetide_standin::faults::VmListFaults;
+use fescuetide_wire::api::CallOutcome;
+
+const LONG_TIME: Duration = Duration::from_secs(60);
+
+fn start_fleet() -> FleetProcesses {
+    FleetProcesses::start(FleetSettings {
+        proxied: vec![0, 1],
+        ..fault_settings(2, 2)
+    })
+    .expect("fleet starts")
+}
+
+fn assert_whole(fleet: &FleetProcesses, result: &StreamResult) {
+    assert_eq!(result.outcome, Some(CallOutcome::Completed), "{result:?}");
+    check_truth(fleet, result).expect("truth");
+}
+
+/// Sends a request to the first router and acts on the place that runs it when 10 tokens have arrived.
+fn run_and_act(fleet: &FleetProcesses, name: &str, act: impl Fn(usize)) -> (StreamResult, usize) {
+    let call = StreamCall::new(fleet.router_addresses()[0], name, 60);
+    let content = content_of(&call.messages());
+    let mut place = usize::MAX;
+    let result = call.run_with(|tokens| {
+        if tokens == 10 {
+            place = last_runner(fleet, content).expect("runner");
+            act(place);
+        }
+        true
+    });
+    (result, place)
+}
+
+fn silence(fleet: &FleetProcesses, place: usize) {
+    let faults = ProxyFaults {
+        silence_existing: true,
+        ..ProxyFaults::default()
+    };
+    let proxy = fleet.proxy(place).expect("proxy");
+    proxy.set_faults(&faults).expect("faults");
+}
+
+/// Guards against a silent stream that is lost when its side process dies before the silence is noticed.
+#[test]
+fn half_open_connection_and_killed_side_process() {
+    let fleet = start_fleet();
+    let (result, _) = run_and_act(&fleet, "half open, side killed", |place| {
+        silence(&fleet, place);
+        fleet.signal_side(place, SignalKind::Kill).expect("signal");
+    });
+    assert_whole(&fleet, &result);
+    assert_eq!(result.attempts, 2);
+}
+
+/// Guards against a silent stream that is lost when its engine dies before the silence is noticed.
+#[test]
+fn half_open_connection_and_killed_engine() {
+    let fleet = start_fleet();
+    let (result, _) = run_and_act(&fleet, "half open, engine killed", |place| {
+        silence(&fleet, place);
+        fleet
+            .signal_upstream(place, SignalKind::Kill)
+            .expect("signal");
+    });
+    assert_whole(&fleet, &result);
+    assert_eq!(result.attempts, 2);
+}
+
+/// Guards against a side process that stops without the router that has not resumed its stream yet.
+#[test]
+fn half_open_connection_and_terminated_side_process() {
+    let mut fleet = start_fleet();
+    let (result, place) = run_and_act(&fleet, "half open, side stops", |place| {
+        silence(&fleet, place);
+        fleet
+            .signal_side(place, SignalKind::Terminate)
+            .expect("signal");
+    });
+    assert_whole(&fleet, &result);
+    assert_eq!(result.attempts, 1, "the stream had to move");
+    let process = fleet.upstreams[place].side.as_mut().expect("process");
+    assert!(
+        process.wait_ended(LONG_TIME).expect("wait"),
+        "side process still runs"
+    );
+}
+
+/// Guards against a leaving VM that does not let a router resume a stream.
+#[test]
+fn half_open_connection_and_leaving_vm() {
+    let mut fleet = start_fleet();
+    let call = StreamCall::new(fleet.router_addresses()[0], "half open, leaving", 100);
+    let content = content_of(&call.messages());
+    let stream = thread::spawn(move || call.run());
+    wait_for("start of the stream", LONG_TIME, || {
+        last_runner(&fleet, content).is_ok()
+    })
+    .expect("stream");
+    let place = last_runner(&fleet, content).expect("runner");
+    fleet.mark_leaving(place, true).expect("VM list");
+    silence(&fleet, place);
+    let result = stream.join().expect("caller");
+    assert_whole(&fleet, &result);
+    assert_eq!(result.attempts, 1, "the stream had to move");
+}
+
+/// Guards against requests lost to a dead engine that a late list still names.
+#[test]
+fn stale_vm_list_and_killed_engine() {
+    let fleet = start_fleet();
+    let faults = VmListFaults {
+        lag_ms: 3_600_000,
+        ..VmListFaults::default()
+    };
+    fleet.set_vm_list_faults(&faults).expect("faults");
+    let (result, place) = run_and_act(&fleet, "stale list, engine killed", |place| {
+        fleet
+            .signal_upstream(place, SignalKind::Kill)
+            .expect("signal");
+    });
+    assert_whole(&fleet, &result);
+    for turn in 0..8 {
+        let router = fleet.router_addresses()[turn % 2];
+        let result = StreamCall::new(router, &format!("later {turn}"), 3).run();
+        assert_whole(&fleet, &result);
+        let runner = last_runner(&fleet, content_of(&result.messages)).expect("runner");
+        assert_ne!(runner, place);
+    }
+}
+
+/// Guards against a router that stops in the middle of a retry.
+#[test]
+fn terminated_router_and_killed_side_process() {
+    let mut fleet = start_fleet();
+    let (result, _) = run_and_act(&fleet, "router stops, side killed", |place| {
+        fleet
+            .signal_router(0, SignalKind::Terminate)
+            .expect("signal");
+        fleet.signal_side(place, SignalKind::Kill).expect("signal");
+    });
+    assert_whole(&fleet, &result);
+    let process = fleet.routers[0].process.as_mut().expect("process");
+    assert!(
+        process.wait_ended(LONG_TIME).expect("wait"),
+        "router still runs"
+    );
+}
+
+/// Guards against streams that do not survive the pause of one side process while the other's connections go silent.
+#[test]
+fn paused_side_process_and_half_open_connections() {
+    let fleet = start_fleet();
+    let (result, place) = run_and_act(&fleet, "paused and half open", |place| {
+        fleet.signal_side(place, SignalKind::Pause).expect("signal");
+        silence(&fleet, 1 - place);
+    });
+    assert_whole(&fleet, &result);
+    fleet
+        .signal_side(place, SignalKind::Resume)
+        .expect("signal");
+}
