Have routers confirm responses so that a stopping side process keeps the others

Cause: a side process counted a response as delivered when its end was written. Written into a connection that had gone silent, it was lost: the process exited on SIGTERM before the router noticed the silence, and the request ran a second time elsewhere (test half_open_connection_and_terminated_side_process: 2 attempts).

Change: the router confirms a verified response with the frame Received. A draining side process keeps unconfirmed responses for 10 heartbeats.

--- a/crates/process/fescuetide_router/src/attempt.rs
+++ b/crates/process/fescuetide_router/src/attempt.rs
@@ -240,6 +240,7 @@
                         found.length
                     ))));
                 }
+                self.confirm();
                 self.finish(shared);
                 Ok(Some(AttemptEvent::End(ending)))
             }
@@ -291,6 +292,20 @@
         )))
     }
 
+    /// Confirms that the whole response has arrived.
+    fn confirm(&mut self) {
+        let tag = self.tag;
+        let sent = match &mut self.link {
+            Some(link) => link.stream.send(&RouterFrame::Received { tag }),
+            None => Ok(()),
+        };
+        if let Err(error) = sent {
+            // The response is complete all the same; the connection is not used again.
+            tracing::debug!(%tag, %error, "receipt was not confirmed");
+            self.link = None;
+        }
+    }
+
     /// Gives the connection back after the last frame of the attempt.
     fn finish(&mut self, shared: &RouterShared) {
         self.ended = true;
--- a/crates/process/fescuetide_side/src/answer.rs
+++ b/crates/process/fescuetide_side/src/answer.rs
@@ -128,13 +128,13 @@
         state.idle_since = now;
     }
 
-    /// Notes that a reader was sent the end.
+    /// Notes that a reader has received the whole response.
     pub(crate) fn note_delivered(&self) {
         self.lock().delivered = true;
     }
 
-    /// Whether a reader may still come for the response: it is in progress, is being read, or lost its reader before
-    /// the end less than `grace` ago.
+    /// Whether a reader may still come for the response: it is in progress, is being read, or was last
+    /// read less than `grace` ago without a confirmation.
     pub(crate) fn is_awaited(&self, grace: SpanMillis, now: ClockMillis) -> bool {
         let state = self.lock();
         if state.readers > 0 || state.ending.is_none() {
--- a/crates/process/fescuetide_side/src/lib.rs
+++ b/crates/process/fescuetide_side/src/lib.rs
@@ -36,7 +36,7 @@
 pub use crate::settings::SideSettings;
 pub use crate::settings::UpstreamKind;
 
-/// How long a draining process keeps a response whose reader was lost before its end. Routers notice a silent connection
+/// How long a draining process keeps a response that no router has confirmed. Routers notice a silent connection
 /// after 3 heartbeats and then need up to 3 connection attempts of 1 s.
 const DRAIN_GRACE_HEARTBEATS: u64 = 10;
 
--- a/crates/process/fescuetide_side/src/server.rs
+++ b/crates/process/fescuetide_side/src/server.rs
@@ -78,6 +78,11 @@
                 }
                 stream.send(&SideFrame::Cancelled { tag })?;
             }
+            RouterFrame::Received { tag } => {
+                if let Some(entry) = shared.attempts.find(tag) {
+                    entry.answer.note_delivered();
+                }
+            }
         }
     }
 }
@@ -187,9 +192,7 @@
             }
             AnswerStep::Idle => stream.send(&SideFrame::Alive { tag })?,
             AnswerStep::End(ending, seal) => {
-                stream.send(&SideFrame::End { tag, seal, ending })?;
-                entry.answer.note_delivered();
-                return Ok(());
+                return stream.send(&SideFrame::End { tag, seal, ending });
             }
         }
     }
--- a/crates/protocol/fescuetide_wire/src/frame.rs
+++ b/crates/protocol/fescuetide_wire/src/frame.rs
@@ -86,6 +86,12 @@
         /// The attempt.
         tag: AttemptTag,
     },
+    /// Confirms that the whole response of an attempt arrived. Has no answer. A side process that stops needs it to tell
+    /// a response that arrived from one that was written into a connection that had gone silent.
+    Received {
+        /// The attempt.
+        tag: AttemptTag,
+    },
 }
 
 /// An attempt to run.
