--- a/crates/process/fescuetide_router/src/lib.rs
+++ b/crates/process/fescuetide_router/src/lib.rs
@@ -19,6 +19,7 @@
 mod plan;
 mod platform;
 mod policy;
+mod probes;
 mod records;
 mod registrar;
 mod request;
--- a/crates/process/fescuetide_router/src/plan.rs
+++ b/crates/process/fescuetide_router/src/plan.rs
@@ -11,17 +11,12 @@
 use fescuetide_routing::RankKey;
 use fescuetide_routing::ShardSize;
 use fescuetide_wire::frame::AdmissionRule;
+use fescuetide_wire::frame::AdmitCondition;
 use fescuetide_wire::frame::RefusalReason;
 
 use crate::RouterShared;
 use crate::call::CallSpec;
-
-/// How many candidates are asked whether they ran the chat's turn before. A chat that was displaced by the load bound
-/// is found again there without any state at the router.
-const HOLDER_PROBES: usize = 6;
-
-/// Messages of a chat's first turn at most: the system's and the user's.
-const FIRST_TURN_MESSAGES: u32 = 2;
+use crate::probes::ChatProbes;
 
 /// A candidate that refused.
 #[derive(Clone, Debug)]
@@ -38,11 +33,7 @@
     vms: Vec<VmEntry>,
     walk: CandidateWalk,
     first_rule: AdmissionRule,
-    /// Candidates that are first asked whether they hold the chat.
-    holder_count: usize,
-    /// Candidates that have been asked so.
-    holders_asked: usize,
-    asks_holder: bool,
+    probes: ChatProbes,
     /// The shortest time that a candidate asked to wait.
     retry_after: Option<SpanMillis>,
     held_by_suspect: bool,
@@ -53,11 +44,10 @@
     pub(crate) fn new(shared: &RouterShared, spec: &CallSpec, lost_on: &[VmEntry]) -> Self {
         let vms = rank_candidates(shared, spec, lost_on);
         let may_ask = lost_on.is_empty() && spec.key.is_none();
-        let holder_count = if may_ask && shared.settings.policy.asks_holders() && is_returning(spec)
-        {
-            HOLDER_PROBES.min(vms.len())
+        let probes = if may_ask && shared.settings.policy.asks_holders() {
+            ChatProbes::new(shared, spec, vms.len())
         } else {
-            0
+            ChatProbes::none()
         };
         let bound = LoadBound {
             multiple: shared.settings.load_multiple,
@@ -65,9 +55,7 @@
         Self {
             walk: CandidateWalk::new(bound, vms.len()),
             first_rule: shared.settings.policy.first_rule(),
-            holder_count,
-            holders_asked: 0,
-            asks_holder: false,
+            probes,
             vms,
             retry_after: None,
             held_by_suspect: false,
@@ -76,13 +64,9 @@
 
     /// The next candidate and the rule to ask it by.
     pub(crate) fn next_candidate(&mut self) -> Option<(VmEntry, AdmissionRule)> {
-        if self.holders_asked < self.holder_count {
-            self.asks_holder = true;
-            self.holders_asked += 1;
-            let vm = self.vms[self.holders_asked - 1].clone();
-            return Some((vm, AdmissionRule::OwnCap));
+        if let Some(place) = self.probes.next_place() {
+            return Some((self.vms[place].clone(), AdmissionRule::OwnCap));
         }
-        self.asks_holder = false;
         let (place, rule) = self.walk.next_candidate()?;
         let rule = match rule {
             AdmitRule::OwnCap => self.first_rule,
@@ -91,15 +75,25 @@
         Some((self.vms[place].clone(), rule))
     }
 
-    /// Whether the candidate just given is asked to run the request only if it holds the chat.
-    pub(crate) fn asks_holders(&self) -> bool {
-        self.asks_holder
+    /// The condition on which the candidate just given is asked.
+    pub(crate) fn condition(&self) -> AdmitCondition {
+        self.probes.condition()
+    }
+
+    /// How long to wait before the candidate just given is asked.
+    pub(crate) fn wait(&self) -> SpanMillis {
+        self.probes.wait()
     }
 
     /// Notes that a candidate refused.
     pub(crate) fn note_refusal(&mut self, note: RefusalNote) {
         // It is asked again without the condition.
-        if self.asks_holder && note.reason == RefusalReason::NotHeld {
+        self.probes.note_refusal(note.reason);
+        // A candidate whose condition was not met is asked again without it.
+        if matches!(
+            note.reason,
+            RefusalReason::NotHeld | RefusalReason::AboveMean
+        ) {
             return;
         }
         let Some(place) = self.place_of(&note.vm.name) else {
@@ -120,6 +114,7 @@
             | RefusalReason::KeySeen
             | RefusalReason::KeyExpired
             | RefusalReason::NotHeld
+            | RefusalReason::AboveMean
             | RefusalReason::UpstreamDown => self.walk.note_gone(place),
         }
     }
@@ -162,11 +157,6 @@
     }
 }
 
-fn is_returning(spec: &CallSpec) -> bool {
-    spec.chat_turn()
-        .is_some_and(|turn| turn.messages > FIRST_TURN_MESSAGES)
-}
-
 /// Ranks the upstreams for `spec`; those held back by the breaker and those in `lost_on` come last.
 fn rank_candidates(shared: &RouterShared, spec: &CallSpec, lost_on: &[VmEntry]) -> Vec<VmEntry> {
     let view = shared.view.load();
--- a/crates/process/fescuetide_router/src/runner.rs
+++ b/crates/process/fescuetide_router/src/runner.rs
@@ -16,6 +16,7 @@
 use fescuetide_wire::api::CallOutcome;
 use fescuetide_wire::api::TokenUsage;
 use fescuetide_wire::frame::AdmissionRule;
+use fescuetide_wire::frame::AdmitCondition;
 use fescuetide_wire::frame::AttemptEnding;
 use fescuetide_wire::frame::AttemptTag;
 use fescuetide_wire::frame::DispatchFrame;
@@ -322,6 +323,7 @@
     /// Starts an attempt at the next candidate. Returns whether there was one.
     fn start_next(&mut self) -> bool {
         while let Some((vm, rule)) = self.next_candidate() {
+            thread::sleep(self.plan.wait().into());
             if ClockMillis::now() >= self.spec.deadline {
                 self.last_reason = DEADLINE_REASON.to_owned();
                 return false;
@@ -332,7 +334,7 @@
             };
             self.current_rule = rule;
             let mut dispatch = DispatchFrame {
-                only_if_held: self.plan.asks_holders(),
+                condition: self.plan.condition(),
                 ..make_dispatch(&self.spec, &self.delivered, tag, rule)
             };
             dispatch.suspect = self.is_suspect();
@@ -560,7 +562,7 @@
         slack: late_at.since(now),
         deadline: spec.deadline.since(now),
         chat: spec.chat_turn(),
-        only_if_held: false,
+        condition: AdmitCondition::Always,
         loss_share: spec.targets.loss_share,
         suspect: false,
         admission,
