Give the log stand-in uneven delays

Cause: with equal delays two registrars never read around each other's appends, and the mutation that lets the last claim win left tests/once.rs green. Change: the fault uneven delays each reply by another share of slow_ms. Conclusion: with the mutation, two_registrars_at_once_run_a_key_once is red; without it all 13 tests pass in 45 s.

--- a/crates/tools/fescuetide_bench/tests/once.rs
+++ b/crates/tools/fescuetide_bench/tests/once.rs
@@ -186,7 +186,8 @@
     let caller = fleet.caller("export");
     fleet.set_faults(LogFaults {
         stream: "claims-".to_owned(),
-        slow_ms: 10,
+        slow_ms: 60,
+        uneven: true,
         ..LogFaults::default()
     });
     send_pairs(&fleet, &caller, 40);
--- a/crates/tools/fescuetide_standin/src/log.rs
+++ b/crates/tools/fescuetide_standin/src/log.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use fescuetide_base::ClockMillis;
+use fescuetide_base::StableHash;
 use fescuetide_net::EventSource;
 use fescuetide_net::HttpRequest;
 use fescuetide_net::HttpResponse;
@@ -49,6 +50,8 @@
     pub down: bool,
     /// Replies are sent this many ms after the call took effect, or as soon as the faults change.
     pub slow_ms: u64,
+    /// Each reply is delayed by another share of `slow_ms`.
+    pub uneven: bool,
     /// Only appends are slow.
     pub slow_appends_only: bool,
     /// Appends take effect, but their replies break off.
@@ -85,6 +88,8 @@
     faults: LogFaults,
     /// Rises with each change.
     version: u64,
+    /// Calls that were delayed.
+    delayed: u64,
     window_start: ClockMillis,
     window_appends: u64,
 }
@@ -199,8 +204,13 @@
         if faults.slow_ms == 0 {
             return;
         }
-        let state = self.lock_faults();
-        let span = Duration::from_millis(faults.slow_ms);
+        let mut state = self.lock_faults();
+        state.delayed += 1;
+        let mut millis = faults.slow_ms;
+        if faults.uneven {
+            millis = StableHash::of_bytes(&state.delayed.to_le_bytes()) % faults.slow_ms;
+        }
+        let span = Duration::from_millis(millis);
         let waited = self
             .faults_changed
             .wait_timeout_while(state, span, |state| state.version == version);
