Test dropped answers, silent registrars and combined faults

Cause: a request that was refused as seen and then reached its deadline could end as not-run; a claim waited for half of a long lateness target on a paused registrar; and an upstream that refused after admission was asked again. Change: such a request ends as unknown, the wait for a registrar is at most 10 s, and VMs where the key is known are skipped. Claims no longer count as control traffic, like request records, since they are part of serving requests. New tests: responses dropped by size, old keys at the side process, a paused and a killed registrar, and a storm of resends with faults.

--- a/crates/process/fescuetide_router/src/claim_client.rs
+++ b/crates/process/fescuetide_router/src/claim_client.rs
@@ -2,7 +2,6 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
@@ -30,9 +29,15 @@
 use crate::registrar::ClaimJob;
 use crate::registrar::unavailable;
 
+/// Longest wait for a registrar: somewhat more than three calls of the log with their timeouts of 3 s.
+const REGISTRAR_TIMEOUT_MS: u64 = 10_000;
+
 /// How long a registrar that did not answer is passed over.
 const AVOID_MS: u64 = 3_000;
 
+/// Longest time that the control thread may be busy with other work.
+const CONTROL_DELAY_MS: u64 = 1_000;
+
 /// A claim for another router, sent by its control thread.
 #[derive(Debug)]
 pub(crate) struct RemoteClaim {
@@ -79,7 +84,8 @@
             if self.is_avoided(&vm.name, now) {
                 continue;
             }
-            let within = SpanMillis::new(due.since(now).as_millis().div_ceil(2));
+            let half = due.since(now).as_millis().div_ceil(2);
+            let within = SpanMillis::new(half.min(REGISTRAR_TIMEOUT_MS));
             if let Some(reply) = self.ask(&vm, claim, within) {
                 return reply;
             }
@@ -98,8 +104,9 @@
             reply,
         };
         self.remote.send(remote).ok()?;
-        // The control thread answers at the latest when the call times out.
-        receiver.recv().ok()?
+        // The control thread answers at the latest when `within` is over.
+        let limit = SpanMillis::new(within.as_millis() + CONTROL_DELAY_MS);
+        receiver.recv_timeout(limit.into()).ok()?
     }
 
     fn is_avoided(&self, vm: &VmName, now: ClockMillis) -> bool {
@@ -150,14 +157,12 @@
 type LinkTable = Rc<RefCell<IndexMap<VmName, (VmEntry, RouterControlClient)>>>;
 
 /// Sends claims to other routers. Runs on the control thread.
-pub(crate) async fn send_claims(
-    shared: Arc<RouterShared>,
-    mut receiver: UnboundedReceiver<RemoteClaim>,
-) {
+pub(crate) async fn send_claims(mut receiver: UnboundedReceiver<RemoteClaim>) {
     let links = LinkTable::default();
     while let Some(remote) = receiver.recv().await {
         let links = Rc::clone(&links);
-        let meter = shared.meter.clone();
+        // Claims are part of serving requests and do not count as control traffic.
+        let meter = ControlMeter::default();
         tokio::task::spawn_local(async move {
             let sent = send_claim(&links, meter, &remote);
             let answer = tokio::time::timeout(remote.within.into(), sent).await;
--- a/crates/process/fescuetide_router/src/control.rs
+++ b/crates/process/fescuetide_router/src/control.rs
@@ -108,7 +108,7 @@
                 collector: LoadCollector::default(),
                 records,
             };
-            let sender = send_claims(Arc::clone(&state.shared), claim_receiver);
+            let sender = send_claims(claim_receiver);
             let local = LocalSet::new();
             local.spawn_local(sender);
             run_control(
--- a/crates/process/fescuetide_router/src/keyed.rs
+++ b/crates/process/fescuetide_router/src/keyed.rs
@@ -78,8 +78,8 @@
     pending: Option<(VmEntry, AdmissionRule)>,
     /// VMs where the key is sealed.
     sealed_on: Vec<VmName>,
-    /// Whether the side process of `current` has to be asked about the key.
-    must_ask: bool,
+    /// Why the attempt under `current` was refused, `None` when it ended without having run.
+    refusal: Option<RefusalReason>,
     /// Whether a claim of another request may have been replaced by one that is not known here.
     is_uncertain: bool,
     rounds: u32,
@@ -94,7 +94,7 @@
             replaced: None,
             pending: None,
             sealed_on: Vec::new(),
-            must_ask: false,
+            refusal: None,
             is_uncertain: false,
             rounds: 0,
         })
@@ -102,12 +102,12 @@
 
     /// Notes why the attempt in progress was refused.
     pub(crate) fn note_refusal(&mut self, reason: RefusalReason) {
-        self.must_ask = matches!(reason, RefusalReason::KeySeen | RefusalReason::KeyExpired);
+        self.refusal = Some(reason);
     }
 
     /// How the request ends when it is given up while no attempt is in progress.
     pub(crate) fn outcome_without_run(&self) -> CallOutcome {
-        if self.is_uncertain {
+        if self.is_uncertain || self.refusal.is_some_and(may_have_run) {
             CallOutcome::Unknown
         } else {
             CallOutcome::NotRun
@@ -124,12 +124,15 @@
         make_dispatch: impl Fn(AttemptTag, AdmissionRule) -> DispatchFrame,
     ) -> KeyedStep {
         if let Some(claim) = self.current.take() {
-            if std::mem::take(&mut self.must_ask) {
-                if let Some(step) = self.follow(shared, spec, claim) {
-                    return step;
+            match self.refusal.take() {
+                Some(reason) if may_have_run(reason) => {
+                    if let Some(step) = self.follow(shared, spec, claim) {
+                        return step;
+                    }
                 }
-            } else {
-                self.replaced = Some(claim);
+                // The key is known there, so it would be refused again.
+                Some(RefusalReason::Sealed) | None => self.replace(claim, true),
+                Some(_) => self.replace(claim, false),
             }
         }
         let due = (spec.received + spec.targets.lateness.within).min(spec.deadline);
@@ -254,14 +257,21 @@
                 Some(KeyedStep::Joined(*attempt))
             }
             KeyFate::NeverSeen => {
-                self.sealed_on.push(claim.target.vm.clone());
-                self.replaced = Some(claim);
+                self.replace(claim, true);
                 None
             }
             KeyFate::Unknown(reason) => Some(ended(CallOutcome::Unknown, reason, None)),
         }
     }
 
+    /// Notes that nothing runs under `claim`, and whether its VM refuses the key from now on.
+    fn replace(&mut self, claim: ClaimEntry, is_sealed: bool) {
+        if is_sealed {
+            self.sealed_on.push(claim.target.vm.clone());
+        }
+        self.replaced = Some(claim);
+    }
+
     fn ask_side(&self, shared: &RouterShared, spec: &CallSpec, claim: &ClaimEntry) -> KeyFate {
         let name = &claim.target.vm;
         let Some(vm) = shared.view.load().vms.get(name).cloned() else {
@@ -317,6 +327,11 @@
     }
 }
 
+/// Whether the key may have run at the side process that refused it.
+fn may_have_run(reason: RefusalReason) -> bool {
+    matches!(reason, RefusalReason::KeySeen | RefusalReason::KeyExpired)
+}
+
 /// How long the router that made `claim` may need to dispatch. Without this wait, two requests that arrive together seal
 /// each other's targets.
 fn dispatch_wait(spec: &CallSpec, claim: &ClaimEntry) -> SpanMillis {
--- a/crates/process/fescuetide_router/src/lib.rs
+++ b/crates/process/fescuetide_router/src/lib.rs
@@ -106,7 +106,6 @@
         let links = LinkPool::new(settings.vm.clone(), incarnation, LinkSettings::default());
         let (records, record_receiver) = RecordSender::channel();
         let (claims, claim_receiver) = ClaimClient::channel();
-        let meter = ControlMeter::default();
         let shared = Arc::new(RouterShared {
             incarnation,
             view: ArcSwap::from_pointee(RouterView::default()),
@@ -114,10 +113,10 @@
             breaker: Mutex::new(VmBreaker::new(BreakerSettings::default())),
             retries: RetryLedger::default(),
             records,
-            registrar: Registrar::new(&settings, meter.clone()),
+            registrar: Registrar::new(&settings),
             claims,
             metrics: RouterMetrics::new(&settings)?,
-            meter,
+            meter: ControlMeter::default(),
             draining: AtomicBool::new(false),
             active: AtomicU32::new(0),
             settings,
--- a/crates/process/fescuetide_router/src/registrar.rs
+++ b/crates/process/fescuetide_router/src/registrar.rs
@@ -111,8 +111,10 @@
 }
 
 impl Registrar {
-    pub(crate) fn new(settings: &RouterSettings, meter: ControlMeter) -> Self {
+    pub(crate) fn new(settings: &RouterSettings) -> Self {
         let timeout = SpanMillis::new(CALL_TIMEOUT_MS);
+        // Claims are part of serving requests and do not count as control traffic.
+        let meter = ControlMeter::default();
         Self {
             window: settings.claim_window(),
             log: LogClient::new(settings.log_url.clone(), timeout, meter),
--- a/crates/tools/fescuetide_bench/src/once.rs
+++ b/crates/tools/fescuetide_bench/src/once.rs
@@ -150,6 +150,17 @@
         told
     }
 
+    /// How often each outcome was told; `none` counts requests without response.
+    pub fn count_outcomes(&self) -> IndexMap<String, u32> {
+        let told = self.told.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut counts = IndexMap::new();
+        for call in &*told {
+            let name = call.outcome.map_or("none".to_owned(), |it| it.to_string());
+            *counts.entry(name).or_default() += 1;
+        }
+        counts
+    }
+
     /// Compares all that was told with the journals of the fleet's services. Returns what does not agree.
     ///
     /// # Errors
--- a/crates/tools/fescuetide_bench/tests/once.rs
+++ b/crates/tools/fescuetide_bench/tests/once.rs
@@ -4,6 +4,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -61,6 +63,10 @@
 }
 
 fn start(routers: usize, services: usize, run_ms: u64) -> OnceFleet {
+    start_with(routers, services, run_ms, &[])
+}
+
+fn start_with(routers: usize, services: usize, run_ms: u64, side_lines: &[&str]) -> OnceFleet {
     static TURN: Mutex<()> = Mutex::new(());
     let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
     let class = |name: &str, targets| (name.parse().expect("class name"), targets);
@@ -74,6 +80,7 @@
             class("report", targets(true, 5_000)),
         ],
         service_options: vec!["--run-ms".to_owned(), run_ms.to_string()],
+        side_lines: side_lines.iter().map(|line| (*line).to_owned()).collect(),
         router_lines: vec![
             "default_deadline_ms = 110000".to_owned(),
             "claim_skew_ms = 50".to_owned(),
@@ -374,6 +381,57 @@
     fleet.verify(&caller);
 }
 
+/// Guards against a key that runs again after its response was dropped because of its size or age.
+#[test]
+fn dropped_answer_makes_the_outcome_unknown() {
+    for limit in ["key_answer_limit_bytes = 10", "key_total_limit_bytes = 10"] {
+        let fleet = start_with(2, 2, 5, &[limit, "answer_retention_ms = 200"]);
+        let caller = fleet.caller("export");
+        let call = OnceCall::new();
+        assert_eq!(caller.send(fleet.router(0), &call).outcome, COMPLETED);
+        wait_for("drop of the response", SOON, || {
+            // Each resend keeps the response for another 200 ms.
+            thread::sleep(Duration::from_millis(1_500));
+            caller.send(fleet.router(1), &call).outcome == UNKNOWN
+        })
+        .expect("response is dropped");
+        assert_eq!(caller.send(fleet.router(0), &call).outcome, UNKNOWN);
+        assert_eq!(count_runs(&fleet.fleet, call.key).expect("journals"), 1);
+        fleet.verify(&caller);
+    }
+}
+
+/// Guards against a side process that runs a key which is so old that its slot or seal may be forgotten.
+#[test]
+fn side_process_refuses_old_keys() {
+    let fleet = start_with(1, 2, 5, &["key_retention_ms = 60000"]);
+    let caller = fleet.caller("export");
+    let now = ClockMillis::now().as_millis();
+    let old = OnceCall::with_key(key_of(ClockMillis::new(now - 120_000)));
+    assert_eq!(caller.send(fleet.router(0), &old).outcome, UNKNOWN);
+    assert_eq!(
+        caller.send(fleet.router(0), &OnceCall::new()).outcome,
+        COMPLETED
+    );
+    assert_eq!(count_runs(&fleet.fleet, old.key).expect("journals"), 0);
+    fleet.verify(&caller);
+}
+
+/// Guards against requests that fail because the router that writes their claims is paused or gone.
+#[test]
+fn another_router_writes_claims_when_the_registrar_is_silent() {
+    let fleet = start(3, 2, 5);
+    let caller = fleet.caller("export");
+    for kind in [SignalKind::Pause, SignalKind::Kill] {
+        fleet.signal_router(2, kind);
+        for number in 0..8 {
+            let told = caller.send(fleet.router(number % 2), &OnceCall::new());
+            assert_eq!(told.outcome, COMPLETED, "{}", told.body);
+        }
+    }
+    fleet.verify(&caller);
+}
+
 /// Guards against a router that dispatches under a claim which was replaced while the router was paused.
 #[test]
 fn router_paused_between_claim_and_dispatch_causes_no_second_run() {
@@ -474,3 +532,79 @@
     assert_eq!(count_runs(&fleet.fleet, first.key).expect("journals"), 1);
     fleet.verify(&caller);
 }
+
+/// Guards against what no single fault shows: resends while the log fails, a router pauses and a side process dies.
+/// `FESCUETIDE_STORM_ROUNDS=N` makes the run longer.
+#[test]
+fn storm_of_resends_and_faults_runs_no_key_twice() {
+    const ROUND_COUNT: u64 = 2;
+    let rounds = std::env::var("FESCUETIDE_STORM_ROUNDS");
+    let rounds = rounds.map_or(ROUND_COUNT, |text| text.parse().expect("a number"));
+    let mut fleet = start(3, 3, 20);
+    let caller = fleet.caller("export");
+    let routers = fleet.fleet.router_addresses();
+    let over = AtomicBool::new(false);
+    thread::scope(|scope| {
+        for number in 0..6 {
+            let (caller, routers, over) = (&caller, &routers, &over);
+            scope.spawn(move || {
+                while !over.load(Ordering::Acquire) {
+                    let call = OnceCall {
+                        patience: Duration::from_secs(20),
+                        ..OnceCall::new()
+                    };
+                    for place in 0..3 {
+                        let chat = format!("c-{}", number + place);
+                        caller.send(routers[(number + place) % 3], &call.in_chat(&chat));
+                    }
+                }
+            });
+        }
+        for round in 0..rounds {
+            run_faults(&mut fleet, round);
+        }
+        over.store(true, Ordering::Release);
+    });
+    let counts = caller.count_outcomes();
+    println!("{counts:?}");
+    assert!(counts.contains_key("completed"), "{counts:?}");
+    fleet.verify(&caller);
+}
+
+/// Applies one fault after the other, some of them together.
+fn run_faults(fleet: &mut OnceFleet, round: u64) {
+    let pause = || thread::sleep(Duration::from_millis(400));
+    let claims = || LogFaults {
+        stream: "claims-".to_owned(),
+        ..LogFaults::default()
+    };
+    pause();
+    fleet.set_faults(LogFaults {
+        reply_lost: true,
+        ..claims()
+    });
+    pause();
+    fleet.set_faults(LogFaults {
+        slow_ms: 120,
+        uneven: true,
+        ..claims()
+    });
+    fleet.signal_router((round % 3) as usize, SignalKind::Pause);
+    pause();
+    fleet.set_faults(LogFaults {
+        down: true,
+        ..claims()
+    });
+    fleet.signal_router((round % 3) as usize, SignalKind::Resume);
+    pause();
+    fleet.set_faults(LogFaults {
+        appends_per_second: 20,
+        ..claims()
+    });
+    let place = (round % 3) as usize;
+    fleet.fleet.upstreams[place].side = None;
+    pause();
+    fleet.fleet.start_side(place).expect("side process starts");
+    fleet.set_faults(LogFaults::default());
+    pause();
+}
