--- a/crates/tools/fescuetide_bench/src/once.rs
+++ b/crates/tools/fescuetide_bench/src/once.rs
@@ -135,7 +135,7 @@
             body: String::new(),
             retry_after: None,
             attempts: 0,
-            span: start.elapsed(),
+            span: Duration::default(),
         };
         if let Ok(mut response) = result {
             let header = |name: &str| response.headers().get(name)?.to_str().ok()?.parse().ok();
@@ -145,6 +145,7 @@
             told.attempts = header(ATTEMPTS_HEADER).unwrap_or_default() as u32;
             told.body = response.body_mut().read_to_string().unwrap_or_default();
         }
+        told.span = start.elapsed();
         let mut list = self.told.lock().unwrap_or_else(PoisonError::into_inner);
         list.push(told.clone());
         told
