--- a/crates/process/fescuetide_cli/src/class_stream.rs
+++ b/crates/process/fescuetide_cli/src/class_stream.rs
@@ -58,7 +58,7 @@
     pub(crate) fn read(context: &'a ToolContext) -> anyhow::Result<Self> {
         let mut stream = Self {
             context,
-            follower: ClassFollower::default(),
+            follower: ClassFollower::from_oldest(),
             history: Vec::new(),
         };
         stream.catch_up()?;
--- a/crates/state/fescuetide_classes/src/follower.rs
+++ b/crates/state/fescuetide_classes/src/follower.rs
@@ -64,9 +64,19 @@
     first: LogOffset,
     next: LogOffset,
     sealed: Option<LogOffset>,
+    from_oldest: bool,
 }
 
 impl ClassFollower {
+    /// A reader that starts from the oldest snapshot that counts instead of the newest, and so folds as many changes
+    /// as it can.
+    pub fn from_oldest() -> Self {
+        Self {
+            from_oldest: true,
+            ..Self::default()
+        }
+    }
+
     /// The table.
     pub fn table(&self) -> &ClassTable {
         &self.table
@@ -129,7 +139,7 @@
         }
         self.first = page.first;
         self.next = page.next;
-        if offset < page.first && !self.restore_newest(page) {
+        if offset < page.first && !self.restore_snapshot(page) {
             return self.scan_on(page);
         }
         self.scan = None;
@@ -167,9 +177,9 @@
         }
     }
 
-    /// Takes over the newest snapshot of the page that counts. Returns whether there was one.
-    fn restore_newest(&mut self, page: &StreamPage) -> bool {
-        let mut newest: Option<&ClassSnapshot> = None;
+    /// Takes over the newest snapshot of the page that counts, or the oldest one. Returns whether there was one.
+    fn restore_snapshot(&mut self, page: &StreamPage) -> bool {
+        let mut chosen: Option<&ClassSnapshot> = None;
         for (offset, entry) in &page.entries {
             let StreamEntry::Snapshot(snapshot) = entry else {
                 continue;
@@ -178,11 +188,12 @@
                 continue;
             }
             self.note_sealed(*offset, snapshot);
-            if newest.is_none_or(|newest| newest.next_offset < snapshot.next_offset) {
-                newest = Some(snapshot);
+            let is_newer = chosen.is_some_and(|chosen| chosen.next_offset < snapshot.next_offset);
+            if chosen.is_none() || is_newer != self.from_oldest {
+                chosen = Some(snapshot);
             }
         }
-        match newest {
+        match chosen {
             Some(snapshot) => self.table.restore(snapshot.clone()),
             None => false,
         }
--- a/crates/state/fescuetide_classes/tests/stream_fuzz.rs
+++ b/crates/state/fescuetide_classes/tests/stream_fuzz.rs
@@ -324,7 +324,10 @@
                 );
             }
             Step::Restart { reader } => {
-                stream.readers[reader] = ClassFollower::default();
+                stream.readers[reader] = match reader {
+                    0 => ClassFollower::from_oldest(),
+                    _ => ClassFollower::default(),
+                };
                 stream.highest[reader] = 0;
             }
             Step::Capture { reader } => {
