--- a/crates/process/fescuetide_router/src/settings.rs
+++ b/crates/process/fescuetide_router/src/settings.rs
@@ -12,6 +12,8 @@
 use fescuetide_claims::ClaimWindow;
 use serde::Deserialize;
 
+use crate::RoutingPolicy;
+
 /// Settings of a router.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -62,6 +64,8 @@
     pub claim_gap_ms: u64,
     /// How many engines a workspace's chats are spread over at first.
     pub shard_size: usize,
+    /// The routing policy. All values but the default are for measurement only.
+    pub policy: RoutingPolicy,
     /// Address of a StatsD server; no metrics are sent without it.
     pub statsd: Option<SocketAddr>,
 }
@@ -92,6 +96,7 @@
             claim_skew_ms: 5_000,
             claim_gap_ms: 80,
             shard_size: 4,
+            policy: RoutingPolicy::Fescuetide,
             statsd: None,
         }
     }
--- a/crates/tools/fescuetide_bench/src/fleet.rs
+++ b/crates/tools/fescuetide_bench/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Write;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::atomic::AtomicU32;
@@ -24,6 +25,7 @@
 use fescuetide_wire::log::ClassRecord;
 use fescuetide_wire::vms::VmWire;
 
+use crate::fleet_faults::ProxyNode;
 use crate::ports::free_address;
 use crate::probe::StatusProbe;
 use crate::process::ChildProcess;
@@ -65,6 +67,8 @@
     pub router_lines: Vec<String>,
     /// Lines added to the side processes' settings.
     pub side_lines: Vec<String>,
+    /// Places in the list of upstreams whose side processes routers reach through a fault-injecting proxy.
+    pub proxied: Vec<usize>,
 }
 
 impl Default for FleetSettings {
@@ -82,6 +86,7 @@
             shared_upstream: false,
             router_lines: Vec::new(),
             side_lines: Vec::new(),
+            proxied: Vec::new(),
         }
     }
 }
@@ -91,6 +96,10 @@
 pub struct UpstreamPair {
     /// Its entry in the VM list.
     pub vm: VmWire,
+    /// Where the side process listens. The VM list names the proxy's address instead when there is one.
+    pub side_address: SocketAddr,
+    /// The proxy between routers and the side process.
+    pub proxy: Option<ProxyNode>,
     /// The upstream's own address.
     pub upstream_address: SocketAddr,
     /// Where the upstream writes what it ran.
@@ -99,6 +108,8 @@
     pub upstream: Option<ChildProcess>,
     /// The side process.
     pub side: Option<ChildProcess>,
+    /// Whether the VM is off the VM list.
+    pub removed: bool,
 }
 
 /// A router of the fleet.
@@ -207,7 +218,11 @@
         Ok(())
     }
 
-    fn start_stand_in(&self, name: &str, arguments: &[String]) -> anyhow::Result<ChildProcess> {
+    pub(crate) fn start_stand_in(
+        &self,
+        name: &str,
+        arguments: &[String],
+    ) -> anyhow::Result<ChildProcess> {
         ChildProcess::start(name, &self.programs.standin, arguments, &self.folder)
     }
 
@@ -240,14 +255,23 @@
             _ => self.settings.service_pool.clone(),
         };
         let vm = self.new_vm(role, index, &pool)?;
+        let place = self.upstreams.len();
+        let mut side_address = vm.data;
+        let mut proxy = None;
+        if self.settings.proxied.contains(&place) {
+            side_address = free_address()?;
+            proxy = Some(self.start_proxy(&vm, side_address)?);
+        }
         self.upstreams.push(UpstreamPair {
+            side_address,
+            proxy,
             journal: self.folder.join(format!("{}.journal", vm.name)),
             vm,
             upstream_address: free_address()?,
             upstream: None,
             side: None,
+            removed: false,
         });
-        let place = self.upstreams.len() - 1;
         match self.find_shared(role, place) {
             Some(address) => self.upstreams[place].upstream_address = address,
             None => self.start_upstream(place)?,
@@ -296,7 +320,7 @@
         write_vm_lines(&mut text, &pair.vm)?;
         writeln!(text, "pool = \"{}\"", pair.vm.pool)?;
         writeln!(text, "kind = \"{}\"", pair.vm.role)?;
-        writeln!(text, "data_listen = \"{}\"", pair.vm.data)?;
+        writeln!(text, "data_listen = \"{}\"", pair.side_address)?;
         writeln!(text, "upstream_url = \"http://{}\"", pair.upstream_address)?;
         writeln!(text, "vm_list_url = \"http://{}\"", self.vms_address)?;
         for line in &self.settings.side_lines {
@@ -346,6 +370,19 @@
         ChildProcess::start(name, &self.programs.daemon, &arguments, &self.folder)
     }
 
+    /// Waits until the upstream at `place` and its side process take connections.
+    ///
+    /// # Errors
+    ///
+    /// Fails when that takes too long.
+    pub fn wait_upstream(&self, place: usize) -> anyhow::Result<()> {
+        let pair = &self.upstreams[place];
+        wait_for("start of an upstream", START_TIMEOUT, || {
+            TcpStream::connect(pair.upstream_address).is_ok()
+                && TcpStream::connect(pair.vm.data).is_ok()
+        })
+    }
+
     /// Publishes the VM list as it stands.
     ///
     /// # Errors
@@ -357,6 +394,9 @@
             list.push(&router.vm);
         }
         for pair in &self.upstreams {
+            if pair.removed {
+                continue;
+            }
             list.push(&pair.vm);
         }
         ureq::put(format!("http://{}/vms", self.vms_address)).send_json(&list)?;
@@ -429,7 +469,7 @@
     Ok(())
 }
 
-fn stand_in_arguments(role: &str, address: SocketAddr) -> Vec<String> {
+pub(crate) fn stand_in_arguments(role: &str, address: SocketAddr) -> Vec<String> {
     vec![role.to_owned(), "--listen".to_owned(), address.to_string()]
 }
 
--- a/crates/tools/fescuetide_bench/src/main.rs
+++ b/crates/tools/fescuetide_bench/src/main.rs
@@ -1,11 +1,17 @@
 //! The demo and the experiments.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
+use fescuetide_bench::compare::run_churn;
+use fescuetide_bench::compare::run_faults;
+use fescuetide_bench::compare::run_surge;
 use fescuetide_bench::demo;
-use fescuetide_bench::demo::DemoSettings;
+use fescuetide_bench::experiment::ExperimentOptions;
+use fescuetide_bench::faults::FaultName;
 use fescuetide_bench::scale;
 use fescuetide_bench::scale::ScaleSettings;
+use fescuetide_bench::signals::watch_signals;
 use lexopt::Arg;
 use lexopt::Parser;
 use lexopt::ValueExt;
@@ -19,38 +25,59 @@
 Usage: fescuetide_bench NAME [OPTIONS]
 
 Names:
-  demo            A fleet with returning chats for some seconds
-  scale           Control cost per router at three fleet sizes
+  demo              Returning chats and service calls, for fescuetide, random
+                    and round robin
+  churn             One engine leaves and one joins every 10 s
+  surge             3 of 10 workspaces at 8 times their usual rate
+  faults            Named faults, each alone and then in pairs
+  scale             Control cost per router at three fleet sizes
 
 Options:
-  --seed N        Seed of the traffic (default 1)
-  --sizes LIST    Scale: numbers of routers (default 8,24,72)
-  --json          Print the result as JSON on the last line
-  --seconds N     How long traffic is sent (default 10)
-  -h, --help      Print this help
+  --seed N          Seed of the load (default 1)
+  --deployment NAME foliengut (default) or corrib
+  --seconds N       How long requests arrive (not for faults and scale)
+  --quick           A shorter form
+  --set LINE        A line for the routers' settings, for trials
+  --sizes LIST      Scale: numbers of routers (default 8,24,72)
+  --only NAMES      Faults to run, such as pause,kill
+  --json            Print one JSON object as the last line
+  --plot FOLDER     Write SVG plots of churn or surge
+  -h, --help        Print this help
+
+The exit code is 1 when a guarantee was broken or a run failed, and 2 for a
+wrong command line.
 ";
 
 enum BenchCommand {
     Help,
-    Demo(DemoSettings),
-    Scale(ScaleSettings),
+    Run(BenchRun),
+}
+
+#[derive(Default)]
+struct BenchRun {
+    name: String,
+    options: ExperimentOptions,
+    only: Vec<FaultName>,
+    sizes: Option<Vec<usize>>,
+    json: bool,
+    plots: Option<PathBuf>,
 }
 
 fn main() -> ExitCode {
-    let result = match parse_command() {
+    let run = match parse_command() {
         Ok(BenchCommand::Help) => {
             print!("{HELP_TEXT}");
-            Ok(())
+            return ExitCode::SUCCESS;
         }
-        Ok(BenchCommand::Demo(settings)) => demo::run(&settings),
-        Ok(BenchCommand::Scale(settings)) => scale::run(&settings).and_then(check_violations),
+        Ok(BenchCommand::Run(run)) => run,
         Err(error) => {
             eprintln!("fescuetide_bench: {error}; see fescuetide_bench --help");
             return ExitCode::from(USAGE_EXIT_CODE);
         }
     };
-    match result {
-        Ok(()) => ExitCode::SUCCESS,
+    match run_command(&run) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::FAILURE,
         Err(error) => {
             eprintln!("fescuetide_bench: {error:#}");
             ExitCode::FAILURE
@@ -58,9 +85,32 @@
     }
 }
 
-fn check_violations(count: u64) -> anyhow::Result<()> {
-    anyhow::ensure!(count == 0, "{count} violations");
-    Ok(())
+/// Runs the command and returns the number of breaches of guarantees.
+fn run_command(run: &BenchRun) -> anyhow::Result<usize> {
+    watch_signals()?;
+    let plots = run.plots.as_deref();
+    let result = match run.name.as_str() {
+        "churn" => run_churn(&run.options, plots)?,
+        "surge" => run_surge(&run.options, plots)?,
+        "faults" => run_faults(&run.options, &run.only)?,
+        "scale" => return run_scale(run),
+        _ => return demo::run(&run.options),
+    };
+    if run.json {
+        println!("{}", result.json);
+    }
+    Ok(result.breaches)
+}
+
+fn run_scale(run: &BenchRun) -> anyhow::Result<usize> {
+    let fallback = ScaleSettings::default();
+    let violations = scale::run(&ScaleSettings {
+        seed: run.options.seed,
+        sizes: run.sizes.clone().unwrap_or(fallback.sizes),
+        json: run.json,
+        ..fallback
+    })?;
+    Ok(violations as usize)
 }
 
 /// Reads a list such as `8,24,72`.
@@ -77,27 +127,30 @@
 
 fn parse_command() -> Result<BenchCommand, lexopt::Error> {
     let mut parser = Parser::from_env();
-    let mut settings = DemoSettings::default();
-    let mut scale = ScaleSettings::default();
-    let mut name = None;
+    let mut run = BenchRun::default();
     while let Some(argument) = parser.next()? {
         match argument {
             Arg::Short('h') | Arg::Long("help") => return Ok(BenchCommand::Help),
-            Arg::Long("seed") => settings.seed = parser.value()?.parse()?,
-            Arg::Long("json") => scale.json = true,
-            Arg::Long("sizes") => scale.sizes = parse_sizes(&parser.value()?.string()?)?,
-            Arg::Long("seconds") => settings.seconds = parser.value()?.parse()?,
-            Arg::Value(value) if name.is_none() => name = Some(value.string()?),
+            Arg::Long("seed") => run.options.seed = parser.value()?.parse()?,
+            Arg::Long("seconds") => run.options.seconds = Some(parser.value()?.parse()?),
+            Arg::Long("deployment") => run.options.deployment = parser.value()?.parse()?,
+            Arg::Long("set") => run.options.lines.push(parser.value()?.string()?),
+            Arg::Long("quick") => run.options.quick = true,
+            Arg::Long("sizes") => run.sizes = Some(parse_sizes(&parser.value()?.string()?)?),
+            Arg::Long("json") => run.json = true,
+            Arg::Long("plot") => run.plots = Some(parser.value()?.into()),
+            Arg::Long("only") => {
+                for name in parser.value()?.string()?.split(',') {
+                    run.only.push(name.parse()?);
+                }
+            }
+            Arg::Value(value) if run.name.is_empty() => run.name = value.string()?,
             other => return Err(other.unexpected()),
         }
     }
-    match name.as_deref() {
-        Some("demo") => Ok(BenchCommand::Demo(settings)),
-        Some("scale") => {
-            scale.seed = settings.seed;
-            Ok(BenchCommand::Scale(scale))
-        }
-        Some(other) => Err(format!("{other:?} is not an experiment").into()),
-        None => Err("the name is missing".into()),
+    match run.name.as_str() {
+        "demo" | "churn" | "surge" | "faults" | "scale" => Ok(BenchCommand::Run(run)),
+        "" => Err("the name is missing".into()),
+        other => Err(format!("{other:?} is not an experiment").into()),
     }
 }
