--- a/crates/process/fescuetide_cli/src/wait.rs
+++ b/crates/process/fescuetide_cli/src/wait.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use fescuetide_base::LogOffset;
+use fescuetide_wire::log::CLASS_STREAM;
 
 use crate::arguments::CommandArguments;
 use crate::context::ToolContext;
@@ -41,46 +42,74 @@
     };
     let limit = Duration::from_millis(limit.unwrap_or(WAIT_LIMIT_MS));
     loop {
-        let behind = list_behind(context, offset)?;
+        let round = look_round(context, offset);
         let millis = start.elapsed().as_millis() as u64;
-        if let Ok(count) = &behind {
-            report
-                .text
-                .push_str(&format!("in force on {count} routers after {millis} ms\n"));
-            report.json["routers"] = (*count).into();
-            report.json["in_force_after_ms"] = millis.into();
-            return Ok(());
+        match round {
+            RoundState::InForce(count) => {
+                report
+                    .text
+                    .push_str(&format!("in force on {count} routers after {millis} ms\n"));
+                report.json["routers"] = count.into();
+                report.json["in_force_after_ms"] = millis.into();
+                return Ok(());
+            }
+            RoundState::LogLost(message) => {
+                report.failure = Some(message);
+                return Ok(());
+            }
+            RoundState::Behind(names) if start.elapsed() >= limit => {
+                let names = names.join(", ");
+                report.failure = Some(format!("not in force after {millis} ms: {names}"));
+                return Ok(());
+            }
+            RoundState::Behind(_) => thread::sleep(ROUND_WAIT),
         }
-        if start.elapsed() >= limit {
-            let names = behind.err().unwrap_or_default().join(", ");
-            report.failure = Some(format!("not in force after {millis} ms on: {names}"));
-            return Ok(());
-        }
-        thread::sleep(ROUND_WAIT);
     }
 }
 
-/// The number of live routers when all have folded `offset`, else those that have not, with their state.
-fn list_behind(
-    context: &ToolContext,
-    offset: LogOffset,
-) -> Result<Result<usize, Vec<String>>, ToolError> {
-    let routers = live_routers(&context.read_vms()?);
+/// What one round over all live routers found.
+#[derive(Debug)]
+enum RoundState {
+    /// All of this many routers have folded the record.
+    InForce(usize),
+    /// Why the record is not known to be in force yet.
+    Behind(Vec<String>),
+    /// The log ends below an offset that a router has folded, so offsets do not show what is in force.
+    LogLost(String),
+}
+
+fn look_round(context: &ToolContext, offset: LogOffset) -> RoundState {
+    let routers = match context.read_vms() {
+        Ok(list) => live_routers(&list),
+        Err(error) => return RoundState::Behind(vec![format!("{error:#}")]),
+    };
     let mut behind = Vec::new();
+    let mut highest = LogOffset::default();
     if routers.is_empty() {
         behind.push("no live router is listed".to_owned());
     }
     let results = ask_all(context, &routers, router_status);
     for (router, result) in routers.iter().zip(results) {
         match result {
-            Ok(status) if status.class_offset > offset.get() => {}
-            Ok(status) => behind.push(format!("{} at offset {}", router.name, status.class_offset)),
-            Err(error) => behind.push(format!("{} ({error})", router.name)),
+            Ok(status) if status.class_offset > offset.get() => {
+                highest = highest.max(LogOffset::new(status.class_offset));
+            }
+            Ok(status) => behind.push(format!(
+                "{} is at offset {}",
+                router.name, status.class_offset
+            )),
+            Err(error) => behind.push(format!("{} does not answer ({error})", router.name)),
         }
     }
-    if behind.is_empty() {
-        Ok(Ok(routers.len()))
-    } else {
-        Ok(Err(behind))
+    if !behind.is_empty() {
+        return RoundState::Behind(behind);
+    }
+    match context.log.read(CLASS_STREAM, highest, 1) {
+        Err(error) => RoundState::Behind(vec![format!("log service: {error}")]),
+        Ok(reply) if reply.next < highest.get() => RoundState::LogLost(format!(
+            "the log ends at offset {}, but a router has folded it up to {highest}: the log has lost records, and the change is not in force",
+            reply.next
+        )),
+        Ok(_) => RoundState::InForce(routers.len()),
     }
 }
--- a/crates/tools/fescuetide_bench/tests/config.rs
+++ b/crates/tools/fescuetide_bench/tests/config.rs
@@ -138,7 +138,7 @@
 }
 
 /// Guards against running routers that drop their classes when the log comes back without its records, and against a
-/// new router that trusts such a log rather than its peers.
+/// new router or an operator's tool that trusts such a log rather than the routers.
 #[test]
 fn classes_stay_in_force_when_the_log_starts_empty() {
     let mut fleet = start_fleet(2, &["log_interval_ms = 300"]);
@@ -156,6 +156,15 @@
     restart_router(&mut fleet, 1);
     wait_ready(&fleet, 1);
     assert_eq!(lateness_of(&fleet, 1), Some(777));
+    // The routers' offsets are higher than that of the new change, but they do not have it.
+    std::fs::write(fleet.folder.join("classes.toml"), "[class.late]\n").expect("file is written");
+    let arguments = ["class", "publish", "classes.toml", "--wait"];
+    let result = run_tool(&fleet, &arguments).expect("tool runs");
+    assert_eq!(result.code, Some(1), "{result:?}");
+    assert!(
+        result.json["error"].to_string().contains("lost records"),
+        "{result:?}"
+    );
 }
 
 /// Guards against a router that cannot start while the log is out, although a peer has the table.
