--- a/crates/process/fescuetide_router/src/control.rs
+++ b/crates/process/fescuetide_router/src/control.rs
@@ -12,12 +12,8 @@
 use fescuetide_base::PoolName;
 use fescuetide_base::RequestId;
 use fescuetide_base::SpanMillis;
-use fescuetide_base::VmName;
 use fescuetide_classes::ClassSnapshot;
-use fescuetide_members::VmEntry;
 use fescuetide_members::VmTable;
-use fescuetide_net::connect_control;
-use fescuetide_net::rpc_deadline;
 use fescuetide_net::serve_control;
 use fescuetide_records::RequestRecord;
 use fescuetide_summary::LoadCollector;
@@ -30,13 +26,11 @@
 use fescuetide_wire::rpc::ExchangeWire;
 use fescuetide_wire::rpc::ReportWire;
 use fescuetide_wire::rpc::RouterControl;
-use fescuetide_wire::rpc::RouterControlClient;
 use fescuetide_wire::rpc::RouterStatus;
 use fescuetide_wire::rpc::SumWire;
 use indexmap::IndexMap;
 use std::cell::RefCell;
 use std::rc::Rc;
-use tarpc::client;
 use tarpc::context::Context;
 use tokio::runtime::Runtime;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -50,6 +44,7 @@
 use crate::class_log;
 use crate::class_log::ClassNews;
 use crate::classes::ClassControl;
+use crate::exchange::exchange_loop;
 use crate::peers;
 use crate::platform;
 use crate::platform::PlatformNews;
@@ -62,15 +57,12 @@
 /// How often news from the platform thread is taken in.
 const NEWS_INTERVAL_MS: u64 = 50;
 
-/// Longest time of an exchange with another collector.
-const EXCHANGE_TIMEOUT_MS: u64 = 1_000;
-
 /// Control state; only the control thread touches it.
 pub(crate) struct ControlState {
     pub(crate) shared: Arc<RouterShared>,
     pub(crate) classes: ClassControl,
-    vms: VmTable,
-    collector: LoadCollector,
+    pub(crate) vms: VmTable,
+    pub(crate) collector: LoadCollector,
     records: RecordKeeper,
 }
 
@@ -189,80 +181,7 @@
     }
 }
 
-/// Sends this collector's sums to all other routers of its region at the interval.
-async fn exchange_loop(state: SharedState) {
-    let shared = Arc::clone(&state.borrow().shared);
-    let interval = Duration::from_millis(shared.settings.exchange_interval_ms);
-    let mut ticks = tokio::time::interval(interval);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut links: IndexMap<VmName, PeerLink> = IndexMap::new();
-    loop {
-        ticks.tick().await;
-        let (peers, message) = {
-            let mut state = state.borrow_mut();
-            state.collector.expire(ClockMillis::now());
-            (list_peers(&state), own_message(&state))
-        };
-        links.retain(|_, link| peers.contains(&link.entry));
-        if message.sums.is_empty() {
-            continue;
-        }
-        for peer in peers {
-            let link = match links.get(&peer.name) {
-                Some(link) => link,
-                None => {
-                    let Ok(transport) = connect_control(peer.control, shared.meter.clone()).await
-                    else {
-                        continue;
-                    };
-                    let client =
-                        RouterControlClient::new(client::Config::default(), transport).spawn();
-                    let link = PeerLink {
-                        entry: peer.clone(),
-                        client,
-                    };
-                    links.entry(peer.name.clone()).or_insert(link)
-                }
-            };
-            let context = rpc_deadline(SpanMillis::new(EXCHANGE_TIMEOUT_MS));
-            match link.client.exchange(context, message.clone()).await {
-                Ok(offset) => state.borrow_mut().classes.note_peer_offset(offset),
-                Err(_) => {
-                    shared.metrics.count("exchange.failed");
-                    links.swap_remove(&peer.name);
-                }
-            }
-        }
-    }
-}
-
-struct PeerLink {
-    entry: VmEntry,
-    client: RouterControlClient,
-}
-
-/// The other live routers of the region.
-pub(crate) fn list_peers(state: &ControlState) -> Vec<VmEntry> {
-    let settings = &state.shared.settings;
-    let mut peers = Vec::new();
-    for entry in state.vms.live_routers() {
-        if entry.name == settings.vm || entry.region != settings.region {
-            continue;
-        }
-        peers.push(entry.clone());
-    }
-    peers
-}
-
-fn own_message(state: &ControlState) -> ExchangeWire {
-    ExchangeWire {
-        collector: state.shared.settings.vm.clone(),
-        sums: list_sums(&state.collector.own_sums()),
-        class_offset: state.classes.next_offset().get(),
-    }
-}
-
-fn list_sums(sums: &IndexMap<PoolName, PoolSum>) -> Vec<(PoolName, SumWire)> {
+pub(crate) fn list_sums(sums: &IndexMap<PoolName, PoolSum>) -> Vec<(PoolName, SumWire)> {
     let mut list = Vec::with_capacity(sums.len());
     for (pool, sum) in sums {
         list.push((pool.clone(), SumWire::from(*sum)));
@@ -294,9 +213,14 @@
         for (pool, sum) in sums.sums {
             received.insert(pool, PoolSum::from(sum));
         }
-        state
-            .collector
-            .note_peer(sums.collector, received, ClockMillis::now());
+        let now = ClockMillis::now();
+        state.collector.note_peer(sums.collector, received, now);
+        let mut suspects = state.shared.lock_suspects();
+        for refused in sums.refused {
+            let (print, left) = refused.into();
+            suspects.learn(print, left, now);
+        }
+        drop(suspects);
         state.classes.note_peer_offset(sums.class_offset);
         state.classes.next_offset().get()
     }
--- a/crates/process/fescuetide_router/src/lib.rs
+++ b/crates/process/fescuetide_router/src/lib.rs
@@ -9,6 +9,7 @@
 mod class_log;
 mod classes;
 mod control;
+mod exchange;
 mod history;
 mod http;
 mod keyed;
@@ -43,6 +44,7 @@
 use fescuetide_base::ProcessIncarnation;
 use fescuetide_base::SpanMillis;
 use fescuetide_limits::BreakerSettings;
+use fescuetide_limits::SuspectTable;
 use fescuetide_limits::VmBreaker;
 use fescuetide_net::ControlMeter;
 use fescuetide_net::HttpDrain;
@@ -71,6 +73,7 @@
     pub(crate) links: LinkPool,
     pub(crate) breaker: Mutex<VmBreaker>,
     pub(crate) retries: RetryLedger,
+    pub(crate) suspects: Mutex<SuspectTable>,
     pub(crate) policy: Arc<PolicyState>,
     pub(crate) records: RecordSender,
     pub(crate) registrar: Registrar,
@@ -92,6 +95,10 @@
         self.breaker.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn lock_suspects(&self) -> MutexGuard<'_, SuspectTable> {
+        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
     }
@@ -128,6 +135,7 @@
             links,
             breaker: Mutex::new(VmBreaker::new(BreakerSettings::default())),
             retries: RetryLedger::default(),
+            suspects: Mutex::default(),
             policy: Arc::default(),
             records,
             registrar: Registrar::new(&settings, meter.clone()),
--- a/crates/process/fescuetide_router/src/runner.rs
+++ b/crates/process/fescuetide_router/src/runner.rs
@@ -8,6 +8,7 @@
 use fescuetide_base::LoadCount;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::StableHash;
+use fescuetide_limits::CrashFingerprint;
 use fescuetide_limits::RetryBudget;
 use fescuetide_members::VmEntry;
 use fescuetide_records::AttemptResult;
@@ -50,6 +51,7 @@
 pub(crate) struct CallRunner {
     shared: Arc<RouterShared>,
     spec: CallSpec,
+    print: CrashFingerprint,
     plan: CandidatePlan,
     lost_on: Vec<VmEntry>,
     /// A candidate to ask once more before the next one of the plan.
@@ -75,6 +77,7 @@
         let plan = CandidatePlan::new(&shared, &spec, &[]);
         let keyed = KeyedCall::new(&spec);
         Self {
+            print: spec.fingerprint(),
             keyed,
             shared,
             spec,
@@ -105,11 +108,14 @@
                 return self.end_at_deadline();
             }
             let Some(mut attempt) = self.current.take() else {
+                if self.refuse_crasher() {
+                    return self.end_not_run();
+                }
                 if self.keyed.is_some() {
                     if let Some(event) = self.start_keyed() {
                         return event;
                     }
-                } else if !self.start_next() {
+                } else if !self.start_next() && !self.wait_for_suspects() {
                     return self.end_not_run();
                 }
                 continue;
@@ -185,6 +191,7 @@
                 completion_tokens,
             } => {
                 self.shared.lock_breaker().note_success(&attempt.vm().name);
+                self.shared.lock_suspects().note_completed(self.print);
                 self.history
                     .note_result(attempt.tag().attempt, AttemptResult::Completed);
                 let usage = TokenUsage {
@@ -200,12 +207,32 @@
                 self.history
                     .note_result(attempt.tag().attempt, AttemptResult::NotRun(reason.clone()));
                 self.last_reason = reason;
-                self.shared
-                    .lock_breaker()
-                    .note_failure(&attempt.vm().name, ClockMillis::now());
+                self.plan.note_gone(&attempt.vm().name);
+                let now = ClockMillis::now();
+                // An attempt whose deadline passed in the queue says nothing about its upstream.
+                if now < self.spec.deadline {
+                    self.shared
+                        .lock_breaker()
+                        .note_failure(&attempt.vm().name, now);
+                }
+                None
+            }
+            AttemptEnding::Shed(retry_after) => {
+                self.admitted = false;
+                let reason = RefusalReason::TooLate.to_string();
+                self.history
+                    .note_result(attempt.tag().attempt, AttemptResult::NotRun(reason.clone()));
+                self.last_reason = reason;
+                self.plan.note_shed(&attempt.vm().name, retry_after);
                 None
             }
             AttemptEnding::Failed(reason) => self.take_loss(attempt, reason),
+            AttemptEnding::Crashed(reason) => {
+                self.shared.metrics.count("attempt.crashed");
+                let now = ClockMillis::now();
+                self.shared.lock_suspects().note_crash(self.print, now);
+                self.take_loss(attempt, reason)
+            }
             AttemptEnding::Cancelled => self.take_loss(attempt, "attempt was cancelled".to_owned()),
         }
     }
@@ -224,7 +251,8 @@
         if !self.spec.targets.repeatable {
             return Some(self.end_with_retry(CallOutcome::Unknown, reason));
         }
-        if !self.may_retry() {
+        if self.refuse_crasher() || !self.may_retry() {
+            let reason = self.last_reason.clone();
             return Some(self.end_with_retry(CallOutcome::Failed, reason));
         }
         self.wait_before_retry();
@@ -232,6 +260,35 @@
         None
     }
 
+    fn is_suspect(&self) -> bool {
+        let now = ClockMillis::now();
+        self.shared.lock_suspects().is_suspect(self.print, now)
+    }
+
+    /// Whether the request is refused because it crashes upstreams.
+    fn refuse_crasher(&mut self) -> bool {
+        let refusal = self
+            .shared
+            .lock_suspects()
+            .refusal(self.print, ClockMillis::now());
+        let Some(left) = refusal else {
+            return false;
+        };
+        self.plan.note_crasher(left);
+        self.last_reason = "request crashed upstreams and is refused for a time".to_owned();
+        true
+    }
+
+    /// Waits for a while when an upstream refused only because another suspect runs there. Returns whether it did.
+    fn wait_for_suspects(&mut self) -> bool {
+        if !self.plan.is_held_by_suspect() {
+            return false;
+        }
+        self.wait_before_retry();
+        self.plan = CandidatePlan::new(&self.shared, &self.spec, &self.lost_on);
+        true
+    }
+
     fn may_retry(&self) -> bool {
         let is_service = matches!(self.spec.work, CallWork::Service { .. });
         if is_service && self.head_status.is_some() {
@@ -274,10 +331,15 @@
                 attempt: AttemptId::generate(),
             };
             self.current_rule = rule;
-            let dispatch = DispatchFrame {
+            let mut dispatch = DispatchFrame {
                 only_if_held: self.plan.asks_holders(),
                 ..make_dispatch(&self.spec, &self.delivered, tag, rule)
             };
+            dispatch.suspect = self.is_suspect();
+            if !self.lost_on.is_empty() {
+                // A request that has been tried is not refused for being late: it would count as lost.
+                dispatch.slack = dispatch.deadline;
+            }
             self.history.note_sent(tag.attempt, &vm.name);
             match LiveAttempt::start(&self.shared, &vm, dispatch) {
                 Ok(attempt) => {
@@ -301,10 +363,12 @@
 
     /// Claims the key and starts or joins an attempt. Returns the end when there is none.
     fn start_keyed(&mut self) -> Option<CallEvent> {
+        let suspect = self.is_suspect();
         let keyed = self.keyed.as_mut()?;
         let (shared, spec) = (&self.shared, &self.spec);
-        let step = keyed.start(shared, spec, &mut self.plan, |tag, rule| {
-            make_dispatch(spec, &[], tag, rule)
+        let step = keyed.start(shared, spec, &mut self.plan, |tag, rule| DispatchFrame {
+            suspect,
+            ..make_dispatch(spec, &[], tag, rule)
         });
         let attempt = match step {
             KeyedStep::Dispatched(attempt) => {
@@ -497,6 +561,8 @@
         deadline: spec.deadline.since(now),
         chat: spec.chat_turn(),
         only_if_held: false,
+        loss_share: spec.targets.loss_share,
+        suspect: false,
         admission,
         work: spec.work_body(delivered),
     }
--- a/crates/process/fescuetide_router/src/settings.rs
+++ b/crates/process/fescuetide_router/src/settings.rs
@@ -54,6 +54,8 @@
     pub snapshot_jitter_ms: u64,
     /// Interval between exchanges with other collectors, in ms.
     pub exchange_interval_ms: u64,
+    /// Multiple of the pool's mean load that an upstream may carry.
+    pub load_multiple: f64,
     /// Interval between batches of request records, in ms.
     pub record_interval_ms: u64,
     /// How long an idempotency key is known, in ms from its creation. Must be below the log's retention.
@@ -91,6 +93,7 @@
             snapshot_interval_ms: 600_000,
             snapshot_jitter_ms: 3_000,
             exchange_interval_ms: 500,
+            load_multiple: 1.25,
             record_interval_ms: 5_000,
             claim_window_ms: 3_600_000,
             claim_skew_ms: 5_000,
@@ -131,6 +134,7 @@
             self.log_interval_ms,
             50..=LOG_INTERVAL_LIMIT_MS,
         );
+        list.check_range("load_multiple", self.load_multiple, 1.0..=100.0);
         list.check_range("snapshot_records", self.snapshot_records, 1..=1_000_000);
         list.check_range(
             "snapshot_interval_ms",
--- a/crates/process/fescuetide_side/src/server.rs
+++ b/crates/process/fescuetide_side/src/server.rs
@@ -8,15 +8,11 @@
 
 use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
-use fescuetide_limits::LoadBound;
 use fescuetide_net::FrameError;
 use fescuetide_net::FramedStream;
-use fescuetide_wire::frame::AttemptEnding;
 use fescuetide_wire::frame::AttemptTag;
-use fescuetide_wire::frame::ChatTurn;
 use fescuetide_wire::frame::DispatchFrame;
 use fescuetide_wire::frame::PROTOCOL_VERSION;
-use fescuetide_wire::frame::RefusalReason;
 use fescuetide_wire::frame::RouterFrame;
 use fescuetide_wire::frame::SideFrame;
 use fescuetide_wire::frame::WorkKey;
@@ -24,13 +20,12 @@
 use crate::SideShared;
 use crate::answer::AnswerStep;
 use crate::attempts::AttemptEntry;
+use crate::execute::admit;
+use crate::execute::start_attempt;
 
 /// How long an idle connection is kept. Routers close theirs earlier.
 const IDLE_LIMIT_MS: u64 = 60_000;
 
-/// When a refused router should come back: about the time of two load reports.
-const RETRY_AFTER_MS: u64 = 1_000;
-
 /// How often a seal that waits looks for its key.
 const KEY_STEP_MS: u64 = 5;
 
@@ -123,84 +118,18 @@
             answer_entry.answer.detach(ClockMillis::now());
             result
         }
-        Err(reason) => {
+        Err(refusal) => {
             shared.metrics.count("refused");
             stream.send(&SideFrame::Refused {
                 tag,
-                reason,
-                load: shared.gate.load(),
-                retry_after: SpanMillis::new(RETRY_AFTER_MS),
+                reason: refusal.reason,
+                load: refusal.load,
+                retry_after: refusal.retry_after,
             })
         }
     }
 }
 
-fn admit(shared: &SideShared, dispatch: &DispatchFrame) -> Result<AttemptEntry, RefusalReason> {
-    if dispatch.target != shared.incarnation {
-        return Err(RefusalReason::OtherIncarnation);
-    }
-    let now = ClockMillis::now();
-    let is_held = dispatch
-        .chat
-        .is_some_and(|turn| shared.chats.holds(turn, now));
-    if dispatch.only_if_held && !is_held {
-        return Err(RefusalReason::NotHeld);
-    }
-    let entry = shared
-        .attempts
-        .register(dispatch.tag, dispatch.key.clone(), now)?;
-    let bound = LoadBound {
-        multiple: shared.settings.load_multiple,
-    };
-    if let Err(reason) = shared.gate.admit(dispatch.admission, bound) {
-        shared.attempts.withdraw(&entry, now);
-        return Err(reason);
-    }
-    Ok(entry)
-}
-
-fn start_attempt(shared: &Arc<SideShared>, entry: AttemptEntry, dispatch: DispatchFrame) {
-    let run_shared = Arc::clone(shared);
-    let run_entry = entry.clone();
-    let spawned = thread::Builder::new()
-        .name("side-attempt".to_owned())
-        .spawn(move || {
-            let ending = run_shared.upstream.run(&dispatch, &run_entry.answer);
-            run_shared.metrics.count(metric_of(&ending));
-            note_chat(&run_shared, dispatch.chat, &ending);
-            run_shared.gate.release();
-            run_entry.answer.finish(ending, ClockMillis::now());
-        });
-    if let Err(error) = spawned {
-        shared.gate.release();
-        let ending = AttemptEnding::NotRun(format!("no thread for the attempt: {error}"));
-        entry.answer.finish(ending, ClockMillis::now());
-    }
-}
-
-/// Keeps the record of chats that the engine holds.
-fn note_chat(shared: &SideShared, turn: Option<ChatTurn>, ending: &AttemptEnding) {
-    match ending {
-        AttemptEnding::Completed { .. } => {
-            if let Some(turn) = turn {
-                shared.chats.note(turn, ClockMillis::now());
-            }
-        }
-        // The engine may have restarted.
-        AttemptEnding::Failed(_) | AttemptEnding::NotRun(_) => shared.chats.clear(),
-        AttemptEnding::Cancelled => {}
-    }
-}
-
-fn metric_of(ending: &AttemptEnding) -> &'static str {
-    match ending {
-        AttemptEnding::Completed { .. } => "attempt.completed",
-        AttemptEnding::NotRun(_) => "attempt.not_run",
-        AttemptEnding::Failed(_) => "attempt.failed",
-        AttemptEnding::Cancelled => "attempt.cancelled",
-    }
-}
-
 /// Waits until `key` is here, at most for `wait`.
 fn wait_for_key(shared: &SideShared, key: Option<&WorkKey>, wait: SpanMillis) {
     let Some(key) = key else {
@@ -271,7 +200,7 @@
     if entry.key.is_some() {
         return;
     }
-    if entry.answer.cancel() {
+    if entry.answer.cancel() && !shared.queue.leave(entry.tag.attempt) {
         shared.upstream.cancel(entry.tag);
     }
 }
