--- a/crates/process/fescuetide_side/src/execute.rs
+++ b/crates/process/fescuetide_side/src/execute.rs
@@ -5,6 +5,7 @@
 
 use fescuetide_base::ClockMillis;
 use fescuetide_limits::QueuedWork;
+use fescuetide_wire::frame::AdmitCondition;
 use fescuetide_wire::frame::AttemptEnding;
 use fescuetide_wire::frame::ChatTurn;
 use fescuetide_wire::frame::DispatchFrame;
@@ -25,12 +26,7 @@
         return Err(refuse(RefusalReason::OtherIncarnation));
     }
     let now = ClockMillis::now();
-    let is_held = dispatch
-        .chat
-        .is_some_and(|turn| shared.chats.holds(turn, now));
-    if dispatch.only_if_held && !is_held {
-        return Err(refuse(RefusalReason::NotHeld));
-    }
+    check_condition(shared, dispatch, now).map_err(refuse)?;
     let entry = shared
         .attempts
         .register(dispatch.tag, dispatch.key.clone(), now)
@@ -57,6 +53,24 @@
     Ok(entry)
 }
 
+fn check_condition(
+    shared: &SideShared,
+    dispatch: &DispatchFrame,
+    now: ClockMillis,
+) -> Result<(), RefusalReason> {
+    match dispatch.condition {
+        AdmitCondition::Held => match dispatch.chat {
+            Some(turn) if shared.chats.holds(turn, now) => Ok(()),
+            _ => Err(RefusalReason::NotHeld),
+        },
+        AdmitCondition::BelowMean if f64::from(shared.gate.load().get()) < shared.gate.mean() => {
+            Ok(())
+        }
+        AdmitCondition::BelowMean => Err(RefusalReason::AboveMean),
+        AdmitCondition::Always => Ok(()),
+    }
+}
+
 /// Starts the thread of an admitted attempt, which waits for its turn in the queue.
 pub(crate) fn start_attempt(
     shared: &Arc<SideShared>,
--- a/crates/protocol/fescuetide_wire/src/frame.rs
+++ b/crates/protocol/fescuetide_wire/src/frame.rs
@@ -109,8 +109,8 @@
     pub deadline: SpanMillis,
     /// The chat that the request belongs to, if any.
     pub chat: Option<ChatTurn>,
-    /// Whether the attempt may only be admitted by an engine that ran the chat's turn before.
-    pub only_if_held: bool,
+    /// What else the side process checks before it admits the attempt.
+    pub condition: AdmitCondition,
     /// The class's target for loss: work of a higher share is shed first.
     pub loss_share: TargetShare,
     /// Whether an upstream crashed while it ran an earlier attempt. A suspect runs only where no other suspect runs.
@@ -121,6 +121,18 @@
     pub work: WorkBody,
 }
 
+/// A condition of admission besides the load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AdmitCondition {
+    /// The engine ran the chat's turn before.
+    Held,
+    /// The load before admission is below the mean. This keeps the room between mean and cap free for chats that the
+    /// engine holds.
+    BelowMean,
+    /// None.
+    Always,
+}
+
 /// A chat and how far it has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChatTurn {
@@ -304,6 +316,8 @@
     OverBound,
     /// The engine did not run the chat's turn before.
     NotHeld,
+    /// The load is not below the mean.
+    AboveMean,
     /// The queue is too long for the class's lateness target.
     TooLate,
     /// The VM is leaving.
@@ -327,6 +341,7 @@
         f.write_str(match self {
             Self::OverBound => "over the load bound",
             Self::NotHeld => "engine did not run the chat's turn before",
+            Self::AboveMean => "load is not below the mean",
             Self::TooLate => "queue too long for the lateness target",
             Self::Leaving => "VM is leaving",
             Self::Sealed => "attempt is sealed",
