Add silent connections, crash markers and lost log replies to the faults

The stand-ins' faults are actions of a run now. Samples above the cap are told apart: an engine whose load rose above it, and one that is above it because the mean fell.

--- a/crates/tools/fescuetide_bench/src/action.rs
+++ b/crates/tools/fescuetide_bench/src/action.rs
@@ -1,5 +1,6 @@
 //! Changes and faults of a run, as data.
 
+use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
 
@@ -13,12 +14,16 @@
 use fescuetide_wire::log::CLASS_STREAM;
 
 use crate::fleet::FleetProcesses;
+use crate::fleet_faults::put_faults;
 use crate::process::ChildProcess;
 use crate::process::SignalKind;
 
 /// Longest time that a process gets to end after SIGTERM.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Time to find out whether a process has ended.
+const PROBE_TIME: Duration = Duration::from_millis(1);
+
 /// Which process of the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FaultTarget {
@@ -28,6 +33,8 @@
     Side(usize),
     /// An upstream.
     Upstream(usize),
+    /// The proxy before the side process of an upstream.
+    Proxy(usize),
     /// The log service.
     Log,
     /// The VM list.
@@ -53,6 +60,10 @@
     Start(FaultTarget),
     /// SIGTERM; the process has to end by itself.
     Drain(FaultTarget),
+    /// The faults of a stand-in are replaced by these, in JSON.
+    SetFaults(FaultTarget, String),
+    /// Upstreams that have ended by themselves are started again.
+    Revive,
     /// Operators publish this many conflicting changes of a class at the same time.
     RaceChanges(String, u32),
 }
@@ -114,7 +125,7 @@
         FaultAction::Resume(target) => vm = signal(fleet, *target, SignalKind::Resume)?,
         FaultAction::Kill(target) => {
             vm = name_of(fleet, *target);
-            *slot_of(fleet, *target) = None;
+            *slot_of(fleet, *target)? = None;
         }
         FaultAction::Start(target) => {
             vm = name_of(fleet, *target);
@@ -122,12 +133,18 @@
         }
         FaultAction::Drain(target) => {
             vm = signal(fleet, *target, SignalKind::Terminate)?;
-            if let Some(process) = slot_of(fleet, *target) {
+            if let Some(process) = slot_of(fleet, *target)? {
                 let ended = process.wait_ended(DRAIN_TIMEOUT)?;
                 anyhow::ensure!(ended, "{vm} did not end within {DRAIN_TIMEOUT:?}");
             }
-            *slot_of(fleet, *target) = None;
+            *slot_of(fleet, *target)? = None;
+        }
+        FaultAction::SetFaults(target, json) => {
+            vm = name_of(fleet, *target);
+            let faults: serde_json::Value = serde_json::from_str(json)?;
+            put_faults(fault_address(fleet, *target)?, &faults)?;
         }
+        FaultAction::Revive => vm = revive(fleet)?,
         FaultAction::RaceChanges(class, count) => {
             race_changes(fleet, class, *count)?;
             let read = fleet
@@ -156,31 +173,65 @@
     Ok(fleet.upstreams[place].vm.name.clone())
 }
 
+/// Starts upstreams again that have ended. Returns their names.
+fn revive(fleet: &mut FleetProcesses) -> anyhow::Result<String> {
+    let mut names = Vec::new();
+    for place in 0..fleet.upstreams.len() {
+        let pair = &mut fleet.upstreams[place];
+        let Some(process) = &mut pair.upstream else {
+            continue;
+        };
+        if process.wait_ended(PROBE_TIME)? {
+            names.push(pair.vm.name.clone());
+            fleet.restart_upstream(place)?;
+        }
+    }
+    Ok(names.join(" "))
+}
+
+fn fault_address(fleet: &FleetProcesses, target: FaultTarget) -> anyhow::Result<SocketAddr> {
+    match target {
+        FaultTarget::Upstream(place) => Ok(fleet.upstreams[place].upstream_address),
+        FaultTarget::Proxy(place) => Ok(fleet.proxy(place)?.control),
+        FaultTarget::Log => Ok(fleet.log_address),
+        FaultTarget::VmList => Ok(fleet.vms_address),
+        FaultTarget::Router(_) | FaultTarget::Side(_) => {
+            anyhow::bail!("{target:?} is not a stand-in")
+        }
+    }
+}
+
 fn signal(
     fleet: &mut FleetProcesses,
     target: FaultTarget,
     kind: SignalKind,
 ) -> anyhow::Result<String> {
-    if let Some(process) = slot_of(fleet, target) {
+    if let Some(process) = slot_of(fleet, target)? {
         process.signal(kind)?;
     }
     Ok(name_of(fleet, target))
 }
 
-fn slot_of(fleet: &mut FleetProcesses, target: FaultTarget) -> &mut Option<ChildProcess> {
-    match target {
+fn slot_of(
+    fleet: &mut FleetProcesses,
+    target: FaultTarget,
+) -> anyhow::Result<&mut Option<ChildProcess>> {
+    Ok(match target {
         FaultTarget::Router(place) => &mut fleet.routers[place].process,
         FaultTarget::Side(place) => &mut fleet.upstreams[place].side,
         FaultTarget::Upstream(place) => &mut fleet.upstreams[place].upstream,
         FaultTarget::Log => &mut fleet.log,
         FaultTarget::VmList => &mut fleet.vms,
-    }
+        FaultTarget::Proxy(place) => {
+            anyhow::bail!("the proxy of upstream {place} takes no signals")
+        }
+    })
 }
 
 fn name_of(fleet: &FleetProcesses, target: FaultTarget) -> String {
     match target {
         FaultTarget::Router(place) => fleet.routers[place].vm.name.clone(),
-        FaultTarget::Side(place) | FaultTarget::Upstream(place) => {
+        FaultTarget::Side(place) | FaultTarget::Upstream(place) | FaultTarget::Proxy(place) => {
             fleet.upstreams[place].vm.name.clone()
         }
         FaultTarget::Log => "log".to_owned(),
@@ -193,7 +244,7 @@
         FaultTarget::Router(place) => fleet.start_router(place),
         FaultTarget::Side(place) => fleet.start_side(place),
         FaultTarget::Upstream(place) => fleet.start_upstream(place),
-        FaultTarget::Log | FaultTarget::VmList => {
+        FaultTarget::Log | FaultTarget::VmList | FaultTarget::Proxy(_) => {
             anyhow::bail!("the platform's state would be lost; pause it instead")
         }
     }
--- a/crates/tools/fescuetide_bench/src/faults.rs
+++ b/crates/tools/fescuetide_bench/src/faults.rs
@@ -13,6 +13,8 @@
 use crate::runner::RunSpec;
 use crate::trace::LoadSpec;
 use crate::trace::ResendLoad;
+use crate::trace::TraceCall;
+use crate::trace::TraceWork;
 use crate::trace::build_trace;
 
 /// Runs at the same time; each has a fleet of 17 processes.
@@ -21,6 +23,12 @@
 /// Chat turns per second; the fleets are small, since faults and not load are looked at.
 const CHATS_PER_S: f64 = 8.0;
 
+/// Engines of a fleet.
+const ENGINES: usize = 4;
+
+/// When the request is sent that crashes engines, in ms. By then the engine that crashed first is back.
+const CRASH_WINDOW_MS: std::ops::Range<u64> = 3_600..6_000;
+
 /// Service calls per second.
 const CALLS_PER_S: f64 = 12.0;
 
@@ -33,8 +41,10 @@
     Outage,
     /// Keys of calls that are not repeatable are sent again at other routers.
     Once,
-    /// An engine and a service crash and start again.
+    /// An engine and a service crash, and one request crashes every engine that runs it.
     Crash,
+    /// Open connections to an engine's and a service's side process go silent for good; new ones work.
+    Silent,
     /// A router and a side process are asked to shut down and start again.
     Drain,
     /// Operators publish conflicting changes.
@@ -45,11 +55,12 @@
 
 impl FaultName {
     /// All faults.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Pause,
         Self::Outage,
         Self::Once,
         Self::Crash,
+        Self::Silent,
         Self::Drain,
         Self::Config,
         Self::Kill,
@@ -62,6 +73,7 @@
             Self::Outage => "outage",
             Self::Once => "once",
             Self::Crash => "crash",
+            Self::Silent => "silent",
             Self::Drain => "drain",
             Self::Config => "config",
             Self::Kill => "kill",
@@ -69,7 +81,7 @@
     }
 
     /// What happens to a fleet of 3 routers, 4 engines and 2 services.
-    fn actions(self, class: &str) -> Vec<TimedAction> {
+    fn actions(self, class: &str, calls: &[TraceCall]) -> Vec<TimedAction> {
         use FaultTarget::*;
         match self {
             Self::Pause => vec![
@@ -82,15 +94,42 @@
             ],
             Self::Outage => vec![
                 at(1_200, FaultAction::Pause(Log)),
-                at(5_200, FaultAction::Resume(Log)),
+                at(4_200, FaultAction::Resume(Log)),
+                at(
+                    4_600,
+                    FaultAction::SetFaults(Log, r#"{"reply_lost":true}"#.to_owned()),
+                ),
+                at(5_600, FaultAction::SetFaults(Log, "{}".to_owned())),
             ],
             Self::Once => Vec::new(),
-            Self::Crash => vec![
-                at(1_400, FaultAction::Kill(Upstream(0))),
-                at(2_400, FaultAction::Kill(Upstream(4))),
-                at(3_000, FaultAction::Start(Upstream(0))),
-                at(3_400, FaultAction::Start(Upstream(4))),
-            ],
+            Self::Crash => {
+                let mut actions = vec![
+                    at(1_400, FaultAction::Kill(Upstream(0))),
+                    at(2_400, FaultAction::Kill(Upstream(4))),
+                    at(3_000, FaultAction::Start(Upstream(0))),
+                    at(3_400, FaultAction::Start(Upstream(4))),
+                    at(6_500, FaultAction::Revive),
+                ];
+                if let Some((sent_ms, word)) = crash_word(calls) {
+                    let faults = format!("{{\"crash_marker\":\"{word}\"}}");
+                    for place in 0..ENGINES {
+                        let before_ms = sent_ms.saturating_sub(100);
+                        actions.push(at(
+                            before_ms,
+                            FaultAction::SetFaults(Upstream(place), faults.clone()),
+                        ));
+                    }
+                }
+                actions
+            }
+            Self::Silent => {
+                let silence = || r#"{"silence_existing":true}"#.to_owned();
+                vec![
+                    at(1_500, FaultAction::SetFaults(Proxy(0), silence())),
+                    at(2_500, FaultAction::SetFaults(Proxy(4), silence())),
+                    at(4_000, FaultAction::SetFaults(Proxy(0), silence())),
+                ]
+            }
             Self::Drain => vec![
                 at(1_600, FaultAction::Drain(Router(0))),
                 at(2_600, FaultAction::Start(Router(0))),
@@ -128,6 +167,24 @@
     }
 }
 
+/// A word that only one request contains, and when that request is sent: the first word of the last message of a chat's
+/// last turn, behind the faults at the start and long enough before the end.
+fn crash_word(calls: &[TraceCall]) -> Option<(u64, String)> {
+    for call in calls {
+        let TraceWork::Chat { script, turn, .. } = &call.work else {
+            continue;
+        };
+        let is_last = script.messages.len() == turn * 2 + 3;
+        if !is_last || !CRASH_WINDOW_MS.contains(&call.at_ms) {
+            continue;
+        }
+        let message = script.prompt(*turn).last()?;
+        let word = message.content.split_whitespace().next()?;
+        return Some((call.at_ms, word.to_owned()));
+    }
+    None
+}
+
 /// Pairs that the short form runs; the full form runs all.
 const QUICK_PAIRS: [(FaultName, FaultName); 4] = [
     (FaultName::Pause, FaultName::Outage),
@@ -164,8 +221,11 @@
 ) -> RunSpec {
     let span_ms = if options.quick { 8_000 } else { 12_000 };
     let mut fleet = deployment.fleet.clone();
-    fleet.engines = 4;
+    fleet.engines = ENGINES;
     fleet.services = 2;
+    if set.contains(&FaultName::Silent) {
+        fleet.proxied = vec![0, 4];
+    }
     fleet.engine_options = EngineScale::default().options();
     let resends = set.contains(&FaultName::Once).then_some(ResendLoad {
         count: 2,
@@ -183,18 +243,19 @@
         resends,
         ..LoadSpec::default()
     };
+    let calls = Arc::new(build_trace(&load));
     let class = &deployment.chat_classes[0].name;
     let mut actions = Vec::new();
     let mut names = Vec::new();
     for name in set {
-        actions.extend(name.actions(class));
+        actions.extend(name.actions(class, &calls));
         names.push(name.as_str());
     }
     actions.sort_by_key(|timed| timed.at_ms);
     RunSpec {
         label: names.join("+"),
         fleet,
-        calls: Arc::new(build_trace(&load)),
+        calls,
         actions,
         span_ms,
         watch_offsets: true,
--- a/crates/tools/fescuetide_bench/src/measure.rs
+++ b/crates/tools/fescuetide_bench/src/measure.rs
@@ -14,6 +14,7 @@
 use crate::reuse::ReuseReport;
 use crate::reuse::compute_reuse;
 use crate::runner::RunRecord;
+use crate::sampler::LoadSample;
 use crate::trace::TraceCall;
 
 /// Samples of the first seconds are left out: at loads near 0 any single request is many times the mean.
@@ -57,6 +58,8 @@
     pub p99: f64,
     /// Samples with an engine above the cap `max(1, ceil(1.25 × mean))`.
     pub over_cap: u64,
+    /// Those of them in which the load of such an engine rose, so that it admitted work above the cap.
+    pub rising: u64,
     /// Mean load over all samples.
     pub mean_load: f64,
 }
@@ -141,6 +144,7 @@
             fields.insert("skew_max".to_owned(), json!(rounded(self.skew.max)));
             fields.insert("skew_p99".to_owned(), json!(rounded(self.skew.p99)));
             fields.insert("over_cap".to_owned(), json!(self.skew.over_cap));
+            fields.insert("over_cap_rising".to_owned(), json!(self.skew.rising));
             fields.insert("samples".to_owned(), json!(self.skew.samples));
         }
         if let Some(bytes) = self.control_bytes_per_s {
@@ -174,7 +178,9 @@
     let to = run.started_ms + run.span_ms;
     let mut figures = SkewFigures::default();
     let mut ratios = Vec::new();
+    let mut before: Option<&LoadSample> = None;
     for sample in &run.samples {
+        let earlier = before.replace(sample);
         let mean = sample.mean();
         if !(from..to).contains(&sample.at_ms) || mean == 0.0 {
             continue;
@@ -185,6 +191,7 @@
             figures.cap_at_max = f64::from(sample.cap()) / mean;
         }
         figures.over_cap += u64::from(sample.peak() > sample.cap());
+        figures.rising += u64::from(earlier.is_some_and(|earlier| sample.rises_over_cap(earlier)));
         figures.mean_load += mean;
         ratios.push(ratio);
     }
--- a/crates/tools/fescuetide_bench/src/report.rs
+++ b/crates/tools/fescuetide_bench/src/report.rs
@@ -67,6 +67,9 @@
     print_row("samples over cap", runs, |run| {
         format!("{} of {}", run.skew.over_cap, run.skew.samples)
     });
+    print_row("  with rising load", runs, |run| {
+        run.skew.rising.to_string()
+    });
     print_row("mean load", runs, |run| {
         format!("{:.1}", run.skew.mean_load)
     });
--- a/crates/tools/fescuetide_bench/src/sampler.rs
+++ b/crates/tools/fescuetide_bench/src/sampler.rs
@@ -32,20 +32,30 @@
 pub struct LoadSample {
     /// When, in ms since the Unix epoch.
     pub at_ms: u64,
-    /// The loads.
-    pub loads: Vec<u32>,
+    /// The loads by the address of the side process.
+    pub loads: IndexMap<SocketAddr, u32>,
 }
 
 impl LoadSample {
     /// The mean load.
     pub fn mean(&self) -> f64 {
-        let sum: u32 = self.loads.iter().sum();
+        let sum: u32 = self.loads.values().sum();
         f64::from(sum) / (self.loads.len().max(1)) as f64
     }
 
     /// The highest load.
     pub fn peak(&self) -> u32 {
-        self.loads.iter().copied().max().unwrap_or_default()
+        self.loads.values().copied().max().unwrap_or_default()
+    }
+
+    /// Whether an engine is above the cap and above its load in the sample before. Engines that are above the cap only
+    /// because the mean fell do not count.
+    pub fn rises_over_cap(&self, before: &Self) -> bool {
+        let cap = self.cap();
+        self.loads.iter().any(|(address, load)| {
+            let earlier = before.loads.get(address);
+            *load > cap && earlier.is_some_and(|earlier| load > earlier)
+        })
     }
 
     /// The cap that follows from the mean.
@@ -117,17 +127,17 @@
             }
         }
         let at_ms = ClockMillis::now().as_millis();
-        let answers = join_all(links.values().map(|link| {
+        let answers = join_all(links.iter().map(async |(address, link)| {
             let context = rpc_deadline(SpanMillis::new(ANSWER_TIMEOUT_MS));
-            link.status(context)
+            (*address, link.status(context).await)
         }))
         .await;
-        let mut loads = Vec::new();
-        for answer in answers {
+        let mut loads = IndexMap::new();
+        for (address, answer) in answers {
             if let Ok(status) = answer
                 && !status.draining
             {
-                loads.push(status.load);
+                loads.insert(address, status.load);
             }
         }
         samples.push(LoadSample { at_ms, loads });
