Count runs instead of attempts in fault tests and split the runner

The tests now count the starts in the engines' journals, which is what they guard.

A router that asks once more after a seal now also notes the refusal in the history, and leaves requests that are not repeatable to their own claims. The question about a key is limited by the deadline.

--- a/crates/process/fescuetide_router/src/keyed.rs
+++ b/crates/process/fescuetide_router/src/keyed.rs
@@ -284,7 +284,8 @@
         vm: &VmEntry,
         claim: &ClaimEntry,
     ) -> Result<KeyFate, FrameError> {
-        let mut link = shared.links.connect(&vm.name, vm.data)?;
+        let left = spec.deadline.since(ClockMillis::now());
+        let mut link = shared.links.connect_within(&vm.name, vm.data, left)?;
         if link.incarnation != claim.target.incarnation {
             let reason = format!("side process on VM {} has restarted", vm.name);
             return Ok(KeyFate::Unknown(reason));
@@ -295,7 +296,11 @@
             key: Some(self.key.clone()),
             wait: dispatch_wait(spec, claim),
         })?;
-        let limit = Some(shared.settings.silence_limit());
+        let left = spec.deadline.since(ClockMillis::now());
+        if left.as_millis() == 0 {
+            return Err(FrameError::Timeout);
+        }
+        let limit = Some(shared.settings.silence_limit().min(left));
         let SideFrame::Sealed { tag: found, state } = link.stream.receive(limit)? else {
             return Err(FrameError::Protocol(
                 "expected the answer to a seal".to_owned(),
--- a/crates/process/fescuetide_router/src/runner.rs
+++ b/crates/process/fescuetide_router/src/runner.rs
@@ -1,5 +1,7 @@
 //! The way of a request through one or more attempts.
 
+mod ending;
+
 use std::sync::Arc;
 use std::thread;
 
@@ -12,7 +14,6 @@
 use fescuetide_limits::RetryBudget;
 use fescuetide_members::VmEntry;
 use fescuetide_records::AttemptResult;
-use fescuetide_records::RecordOutcome;
 use fescuetide_wire::api::CallOutcome;
 use fescuetide_wire::api::TokenUsage;
 use fescuetide_wire::frame::AdmissionRule;
@@ -26,7 +27,6 @@
 use crate::attempt::AttemptEvent;
 use crate::attempt::LiveAttempt;
 use crate::attempt::NotSent;
-use crate::call::CallEnd;
 use crate::call::CallEvent;
 use crate::call::CallSpec;
 use crate::call::CallWork;
@@ -42,9 +42,6 @@
 /// Longest wait before a retry.
 const RETRY_WAIT_LIMIT_MS: u64 = 1_000;
 
-/// When a caller should come back if no side process said so.
-const RETRY_AFTER_MS: u64 = 1_000;
-
 /// Why a request was given up when its time was over.
 const DEADLINE_REASON: &str = "deadline has passed";
 
@@ -399,18 +396,17 @@
     ) {
         self.shared.metrics.count("attempt.refused");
         self.last_reason = reason.to_string();
-        if reason == RefusalReason::Sealed && !self.asked_again {
-            // The dispatch went into a connection that had gone silent; the seal came over a new one, so the VM is well.
-            self.asked_again = true;
-            self.ask_again = Some((attempt.vm().clone(), self.current_rule));
-            return;
-        }
         self.history.note_result(
             attempt.tag().attempt,
             AttemptResult::Refused(reason.to_string()),
         );
         if let Some(keyed) = &mut self.keyed {
             keyed.note_refusal(reason);
+        } else if reason == RefusalReason::Sealed && !self.asked_again {
+            // The dispatch went into a connection that had gone silent; the seal came over a new one, so the VM is well.
+            self.asked_again = true;
+            self.ask_again = Some((attempt.vm().clone(), self.current_rule));
+            return;
         }
         self.plan.note_refusal(RefusalNote {
             vm: attempt.vm().clone(),
@@ -419,129 +415,6 @@
             retry_after,
         });
     }
-
-    fn end_not_run(&mut self) -> CallEvent {
-        let retry_after = self.plan.retry_after(SpanMillis::new(RETRY_AFTER_MS));
-        let reason = self.last_reason.clone();
-        // After a loss the request may have run, so it cannot end as not run.
-        let outcome = match &self.keyed {
-            Some(keyed) => keyed.outcome_without_run(),
-            None if self.lost_on.is_empty() => CallOutcome::NotRun,
-            None => CallOutcome::Failed,
-        };
-        self.end(outcome, reason, Some(retry_after), TokenUsage::default())
-    }
-
-    fn end_at_deadline(&mut self) -> CallEvent {
-        let in_progress = self.current.is_some();
-        self.cancel();
-        let reason = DEADLINE_REASON.to_owned();
-        if !in_progress {
-            self.last_reason = reason;
-            return self.end_not_run();
-        }
-        let outcome = if self.spec.targets.repeatable {
-            CallOutcome::Failed
-        } else {
-            CallOutcome::Unknown
-        };
-        self.end_with_retry(outcome, reason)
-    }
-
-    /// Ends a request whose caller has received bytes that are not its response's.
-    fn end_corrupt(&mut self, attempt: &LiveAttempt, reason: String) -> CallEvent {
-        let tag = attempt.tag();
-        self.shared.metrics.count("response.corrupt");
-        tracing::error!(%tag, vm = %attempt.vm().name, %reason, "response is corrupt");
-        self.history
-            .note_result(tag.attempt, AttemptResult::Lost(reason.clone()));
-        let outcome = if self.spec.targets.repeatable {
-            CallOutcome::Failed
-        } else {
-            CallOutcome::Unknown
-        };
-        self.end_with_retry(outcome, reason)
-    }
-
-    fn end_with_retry(&mut self, outcome: CallOutcome, reason: String) -> CallEvent {
-        let retry_after = self.plan.retry_after(SpanMillis::new(RETRY_AFTER_MS));
-        self.end(outcome, reason, Some(retry_after), TokenUsage::default())
-    }
-
-    fn end(
-        &mut self,
-        outcome: CallOutcome,
-        reason: String,
-        retry_after: Option<SpanMillis>,
-        usage: TokenUsage,
-    ) -> CallEvent {
-        self.ended = true;
-        self.shared.metrics.count(match outcome {
-            CallOutcome::Completed => "request.completed",
-            CallOutcome::NotRun => "request.not_run",
-            CallOutcome::Failed => "request.failed",
-            CallOutcome::Unknown => "request.unknown",
-        });
-        self.send_record(record_outcome(outcome), &reason);
-        CallEvent::End(CallEnd {
-            outcome,
-            reason,
-            retry_after,
-            usage,
-            attempts: self.attempts,
-        })
-    }
-
-    /// Ends a request whose caller has left.
-    pub(crate) fn abandon(&mut self) -> CallEnd {
-        self.cancel();
-        self.ended = true;
-        self.shared.metrics.count("request.abandoned");
-        self.send_record(RecordOutcome::Abandoned, "caller has left");
-        CallEnd {
-            outcome: CallOutcome::Failed,
-            reason: "caller has left".to_owned(),
-            retry_after: None,
-            usage: TokenUsage::default(),
-            attempts: self.attempts,
-        }
-    }
-
-    fn send_record(&mut self, outcome: RecordOutcome, reason: &str) {
-        let router = &self.shared.settings.vm;
-        let record = self.history.finish(router, &self.spec, outcome, reason);
-        if !self.shared.records.send(record) {
-            self.shared.metrics.count("records.overflow");
-        }
-    }
-
-    fn cancel(&mut self) {
-        if let Some(mut attempt) = self.current.take() {
-            self.history
-                .note_result(attempt.tag().attempt, AttemptResult::Cancelled);
-            // A request that is not repeatable runs to its end, since its caller may ask for the response again.
-            if self.keyed.is_none() {
-                attempt.cancel(&self.shared);
-            }
-        }
-    }
-}
-
-impl Drop for CallRunner {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.abandon();
-        }
-    }
-}
-
-fn record_outcome(outcome: CallOutcome) -> RecordOutcome {
-    match outcome {
-        CallOutcome::Completed => RecordOutcome::Completed,
-        CallOutcome::NotRun => RecordOutcome::NotRun,
-        CallOutcome::Failed => RecordOutcome::Failed,
-        CallOutcome::Unknown => RecordOutcome::Unknown,
-    }
 }
 
 fn make_dispatch(
--- a/crates/tools/fescuetide_bench/src/oracle.rs
+++ b/crates/tools/fescuetide_bench/src/oracle.rs
@@ -63,6 +63,19 @@
     }
 }
 
+/// How many runs of `content` upstreams started. Attempts that were refused are no runs.
+///
+/// # Errors
+///
+/// Fails when a journal cannot be read.
+pub fn run_count(fleet: &FleetProcesses, content: u64) -> anyhow::Result<usize> {
+    let lines = lines_of(fleet, content)?;
+    let starts = lines
+        .iter()
+        .filter(|placed| placed.line.event == JournalEvent::Start);
+    Ok(starts.count())
+}
+
 /// Checks that the caller was told the truth about its request.
 ///
 /// # Errors
