Count declined conditional offers as questions, not as attempts

Cause: with the offers to engines that may hold a chat, the number of attempts told to callers grew with each engine that did not hold it, and fault tests had to drop their checks of that number. Change: an offer that was declined on its condition does not count. The checks of the number of attempts are back, beside the counts of runs.

--- a/crates/process/fescuetide_router/src/runner.rs
+++ b/crates/process/fescuetide_router/src/runner.rs
@@ -396,6 +396,10 @@
         retry_after: SpanMillis,
     ) {
         self.shared.metrics.count("attempt.refused");
+        if self.plan.condition() != AdmitCondition::Always {
+            // A declined offer on a condition is a question, not an attempt.
+            self.attempts -= 1;
+        }
         self.last_reason = reason.to_string();
         self.history.note_result(
             attempt.tag().attempt,
--- a/crates/tools/fescuetide_bench/tests/faults_connection.rs
+++ b/crates/tools/fescuetide_bench/tests/faults_connection.rs
@@ -54,6 +54,7 @@
         true
     });
     assert_whole(&fleet, &result);
+    assert_eq!(result.attempts, 1);
     assert_eq!(
         run_count(&fleet, content_of(&result.messages)).expect("journals"),
         1
--- a/crates/tools/fescuetide_bench/tests/faults_leaving.rs
+++ b/crates/tools/fescuetide_bench/tests/faults_leaving.rs
@@ -67,6 +67,7 @@
     }
     let result = stream.join().expect("caller");
     assert_whole(&fleet, &result);
+    assert_eq!(result.attempts, 1, "the stream had to move");
     assert_eq!(runs(&fleet, &result), 1, "the stream had to move");
     for line in read_journal(&fleet.upstreams[place].journal).expect("journal") {
         let late = line.event == JournalEvent::Start && line.at_ms > limit;
@@ -177,6 +178,7 @@
     }
     let result = stream.join().expect("caller");
     assert_whole(&fleet, &result);
+    assert_eq!(result.attempts, 1, "the stream had to move");
     assert_eq!(runs(&fleet, &result), 1, "the stream had to move");
     let process = fleet.upstreams[place].side.as_mut().expect("process");
     assert!(
--- a/crates/tools/fescuetide_bench/tests/faults_pairs.rs
+++ b/crates/tools/fescuetide_bench/tests/faults_pairs.rs
@@ -70,6 +70,7 @@
         fleet.signal_side(place, SignalKind::Kill).expect("signal");
     });
     assert_whole(&fleet, &result);
+    assert_eq!(result.attempts, 2);
     assert_eq!(runs(&fleet, &result), 2);
 }
 
@@ -84,6 +85,7 @@
             .expect("signal");
     });
     assert_whole(&fleet, &result);
+    assert_eq!(result.attempts, 2);
     assert_eq!(runs(&fleet, &result), 2);
 }
 
@@ -98,6 +100,7 @@
             .expect("signal");
     });
     assert_whole(&fleet, &result);
+    assert_eq!(result.attempts, 1, "the stream had to move");
     assert_eq!(runs(&fleet, &result), 1, "the stream had to move");
     let process = fleet.upstreams[place].side.as_mut().expect("process");
     assert!(
@@ -122,6 +125,7 @@
     silence(&fleet, place);
     let result = stream.join().expect("caller");
     assert_whole(&fleet, &result);
+    assert_eq!(result.attempts, 1, "the stream had to move");
     assert_eq!(runs(&fleet, &result), 1, "the stream had to move");
 }
 
--- a/crates/tools/fescuetide_bench/tests/faults_process.rs
+++ b/crates/tools/fescuetide_bench/tests/faults_process.rs
@@ -58,6 +58,7 @@
         fleet.signal_side(place, SignalKind::Kill).expect("signal");
     });
     assert_whole(&fleet, &result);
+    assert_eq!(result.attempts, 2);
     assert_continued(&fleet, &result);
 }
 
@@ -72,6 +73,7 @@
             .expect("signal");
     });
     assert_whole(&fleet, &result);
+    assert_eq!(result.attempts, 2);
     assert_continued(&fleet, &result);
     // The side process still runs beside the dead engine; requests that rank it first are served elsewhere.
     for turn in 0..4 {
@@ -107,6 +109,7 @@
         fleet.signal_side(place, SignalKind::Pause).expect("signal");
     });
     assert_whole(&fleet, &result);
+    assert_eq!(result.attempts, 2);
     assert_continued(&fleet, &result);
     let lines = lines_of(&fleet, content_of(&result.messages)).expect("journals");
     let paused = lines[0].place;
