--- a/crates/process/fescuetide_router/src/history.rs
+++ b/crates/process/fescuetide_router/src/history.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Takes back an attempt that was only a question.
+    pub(crate) fn forget(&mut self, attempt: AttemptId) {
+        self.attempts.retain(|record| record.attempt != attempt);
+    }
+
     /// Notes the arrival of a part of the response. Only the first one counts.
     pub(crate) fn note_part(&mut self, spec: &CallSpec) {
         if self.first_part.is_none() {
--- a/crates/process/fescuetide_router/src/runner.rs
+++ b/crates/process/fescuetide_router/src/runner.rs
@@ -396,15 +396,17 @@
         retry_after: SpanMillis,
     ) {
         self.shared.metrics.count("attempt.refused");
-        if self.plan.condition() != AdmitCondition::Always {
+        self.last_reason = reason.to_string();
+        if self.plan.condition() == AdmitCondition::Always {
+            self.history.note_result(
+                attempt.tag().attempt,
+                AttemptResult::Refused(reason.to_string()),
+            );
+        } else {
             // A declined offer on a condition is a question, not an attempt.
             self.attempts -= 1;
+            self.history.forget(attempt.tag().attempt);
         }
-        self.last_reason = reason.to_string();
-        self.history.note_result(
-            attempt.tag().attempt,
-            AttemptResult::Refused(reason.to_string()),
-        );
         if let Some(keyed) = &mut self.keyed {
             keyed.note_refusal(reason);
         } else if reason == RefusalReason::Sealed && !self.asked_again {
