--- a/crates/coordination/fescuetide_limits/src/walk.rs
+++ b/crates/coordination/fescuetide_limits/src/walk.rs
@@ -60,7 +60,7 @@
 
     /// The place of the next candidate and the rule to ask it by.
     pub fn next_candidate(&mut self) -> Option<(usize, AdmitRule)> {
-        if self.cursor < self.notes.len() && self.loads().count() < WALK_LIMIT {
+        if self.cursor < self.notes.len() && self.known_count() < WALK_LIMIT {
             let place = self.cursor;
             self.cursor += 1;
             return Some((place, AdmitRule::OwnCap));
@@ -114,6 +114,12 @@
         Some(self.bound.cap(mean).get().max(mean as u32 + 1))
     }
 
+    /// Candidates asked so far whose loads are known.
+    fn known_count(&self) -> usize {
+        let asked = self.notes[..self.cursor].iter();
+        asked.filter(|note| **note != CandidateNote::Silent).count()
+    }
+
     fn loads(&self) -> impl Iterator<Item = u32> + '_ {
         self.notes.iter().filter_map(|note| match note {
             CandidateNote::Silent => None,
