--- a/crates/coordination/fescuetide_routing/src/lib.rs
+++ b/crates/coordination/fescuetide_routing/src/lib.rs
@@ -7,6 +7,7 @@
 mod demand;
 mod rank;
 mod table;
+mod transfer;
 
 pub use demand::DemandSettings;
 pub use demand::DemandTable;
@@ -15,6 +16,7 @@
 pub use rank::rank_upstreams;
 pub use rank::score_upstream;
 pub use table::RouteTable;
+pub use transfer::TransferEstimate;
 
 /// The types most users need.
 pub mod prelude {
--- a/crates/process/fescuetide_router/src/control.rs
+++ b/crates/process/fescuetide_router/src/control.rs
@@ -110,7 +110,7 @@
                 platform: news_receiver,
                 classes: class_receiver,
             };
-            let sender = send_claims(Arc::clone(&state.shared), claim_receiver);
+            let sender = send_claims(claim_receiver);
             let local = LocalSet::new();
             local.spawn_local(sender);
             run_control(&runtime, &local, state, listener, &news);
--- a/crates/process/fescuetide_router/src/lib.rs
+++ b/crates/process/fescuetide_router/src/lib.rs
@@ -136,7 +136,6 @@
         let links = LinkPool::new(settings.vm.clone(), incarnation, LinkSettings::default());
         let (records, record_receiver) = RecordSender::channel();
         let (claims, claim_receiver) = ClaimClient::channel();
-        let meter = ControlMeter::default();
         let shared = Arc::new(RouterShared {
             incarnation,
             view: ArcSwap::from_pointee(RouterView::default()),
@@ -150,10 +149,10 @@
             })),
             policy: Arc::default(),
             records,
-            registrar: Registrar::new(&settings, meter.clone()),
+            registrar: Registrar::new(&settings),
             claims,
             metrics: RouterMetrics::new(&settings)?,
-            meter,
+            meter: ControlMeter::default(),
             draining: AtomicBool::new(false),
             active: AtomicU32::new(0),
             http_drain: HttpDrain::default(),
--- a/crates/process/fescuetide_side/src/server.rs
+++ b/crates/process/fescuetide_side/src/server.rs
@@ -68,6 +68,10 @@
                 let state = shared.attempts.seal(tag, key, ClockMillis::now());
                 stream.send(&SideFrame::Sealed { tag, state })?;
             }
+            RouterFrame::ExportPrefix { tag, body, limit } => {
+                let blob = shared.upstream.export_prefix(&body, limit);
+                stream.send(&SideFrame::Prefix { tag, blob })?;
+            }
             RouterFrame::Cancel { tag } => {
                 match shared.attempts.find(tag) {
                     Some(entry) => cancel_attempt(shared, &entry),
@@ -78,6 +82,11 @@
                 }
                 stream.send(&SideFrame::Cancelled { tag })?;
             }
+            RouterFrame::Received { tag } => {
+                if let Some(entry) = shared.attempts.find(tag) {
+                    entry.answer.note_delivered();
+                }
+            }
         }
     }
 }
@@ -187,9 +196,7 @@
             }
             AnswerStep::Idle => stream.send(&SideFrame::Alive { tag })?,
             AnswerStep::End(ending, seal) => {
-                stream.send(&SideFrame::End { tag, seal, ending })?;
-                entry.answer.note_delivered();
-                return Ok(());
+                return stream.send(&SideFrame::End { tag, seal, ending });
             }
         }
     }
