Expect a falling mean to go on falling

After a surge, side processes still admitted by means of about a second before: engines rose to 1 or 2 requests above the cap. The gate now takes the fall of the last 1.5 s off the lowest mean. A mean that is too low costs a walk only.

The target of no sample above the cap is still missed.

--- a/crates/coordination/fescuetide_limits/src/gate.rs
+++ b/crates/coordination/fescuetide_limits/src/gate.rs
@@ -34,7 +34,7 @@
 ///
 /// The mean that an upstream knows is old. A mean that is too low only costs a walk over further candidates, whose
 /// loads give a fresh mean (see [`CandidateWalk`](crate::CandidateWalk)); a mean that is too high breaks the bound. The
-/// gate therefore uses the lowest mean of the last 1.5 s.
+/// gate therefore uses the lowest mean of the last 1.5 s, and expects a mean that fell in this time to fall as much again.
 #[derive(Clone, Debug, Default)]
 pub struct LoadGate {
     bound: LoadBound,
@@ -104,10 +104,18 @@
         LoadCount::new(self.load)
     }
 
-    /// The mean that the cap is derived from: the lowest of those learned lately, 0 when none was.
+    /// The mean that the cap is derived from: the lowest of those learned lately, less their fall, 0 when none was.
     pub fn mean(&self) -> f64 {
-        let means = self.means.iter().map(|(_, mean)| *mean);
-        means.reduce(f64::min).unwrap_or(0.0)
+        let (Some((_, first)), Some((_, last))) = (self.means.first(), self.means.last()) else {
+            return 0.0;
+        };
+        let lowest = self
+            .means
+            .iter()
+            .map(|(_, mean)| *mean)
+            .fold(*last, f64::min);
+        let fall = (first - last).max(0.0);
+        (lowest - fall).max(0.0)
     }
 
     /// Learns the mean load of the pool.
--- a/crates/coordination/fescuetide_limits/tests/bound.rs
+++ b/crates/coordination/fescuetide_limits/tests/bound.rs
@@ -194,6 +194,8 @@
     assert_eq!(gate.mean(), 4.0);
     gate.set_mean(8.0, ClockMillis::new(1_500));
     assert_eq!(gate.mean(), 8.0);
+    gate.set_mean(6.0, ClockMillis::new(1_900));
+    assert_eq!(gate.mean(), 4.0, "a falling mean goes on falling");
 }
 
 /// Guards against a walk that asks a candidate for ever which contradicts itself.
