--- a/crates/tools/fescuetide_bench/src/fault_client.rs
+++ b/crates/tools/fescuetide_bench/src/fault_client.rs
@@ -29,7 +29,7 @@
     pub router: SocketAddr,
     /// The class.
     pub class: String,
-    /// The chat, which decides the order of engines.
+    /// The chat, which decides the order of engines; none when empty.
     pub chat: String,
     /// The prompt.
     pub prompt: String,
@@ -123,8 +123,10 @@
         let mut request = agent
             .post(format!("http://{}/v1/chat/completions", self.router))
             .header(WORKSPACE_HEADER, "workspace-1")
-            .header(CHAT_HEADER, &self.chat)
             .header(CLASS_HEADER, &self.class);
+        if !self.chat.is_empty() {
+            request = request.header(CHAT_HEADER, &self.chat);
+        }
         if let Some(deadline) = self.deadline {
             request = request.header(DEADLINE_HEADER, deadline.as_millis().to_string());
         }
--- a/crates/tools/fescuetide_bench/tests/faults_connection.rs
+++ b/crates/tools/fescuetide_bench/tests/faults_connection.rs
@@ -75,7 +75,10 @@
     };
     let proxy = fleet.proxy(0).expect("proxy");
     proxy.set_faults(&faults).expect("faults");
-    let result = StreamCall::new(router, "after", 5).run();
+    // A request without a chat asks each engine only once under the same rule.
+    let mut call = StreamCall::new(router, "after", 5);
+    call.chat.clear();
+    let result = call.run();
     assert_whole(&fleet, &result);
     assert_eq!(
         run_count(&fleet, content_of(&result.messages)).expect("journals"),
--- /dev/null
+++ b/crates/tools/fescuetide_bench/tests/faults_upstream.rs
@@ -0,0 +1,116 @@
+//! Upstreams whose HTTP responses are not what a router can go on with.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use fescuetide_bench::fault_client::StreamCall;
+use fescuetide_bench::fleet::FleetProcesses;
+use fescuetide_bench::fleet::FleetSettings;
+use fescuetide_bench::fleet_faults::fault_settings;
+use fescuetide_bench::oracle::check_truth;
+use fescuetide_bench::oracle::content_of;
+use fescuetide_bench::oracle::last_runner;
+use fescuetide_bench::process::SignalKind;
+use fescuetide_bench::process::wait_for;
+use fescuetide_wire::api::CLASS_HEADER;
+use fescuetide_wire::api::CallOutcome;
+use fescuetide_wire::api::WORKSPACE_HEADER;
+
+/// Answers every request at `address` with the same bytes. Returns the count of requests.
+fn serve_fixed(address: SocketAddr, response: &'static str) -> Arc<AtomicUsize> {
+    let count = Arc::new(AtomicUsize::new(0));
+    let mut listener = None;
+    wait_for("free port", Duration::from_secs(30), || {
+        listener = TcpListener::bind(address).ok();
+        listener.is_some()
+    })
+    .expect("port");
+    let listener = listener.expect("listener");
+    let counter = Arc::clone(&count);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            counter.fetch_add(1, Ordering::AcqRel);
+            // A side process that breaks off its request is no concern of this server.
+            let _ = answer(stream, response);
+        }
+    });
+    count
+}
+
+fn answer(stream: TcpStream, response: &str) -> std::io::Result<()> {
+    let mut reader = BufReader::new(&stream);
+    let mut length = 0;
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line)? <= 2 {
+            break;
+        }
+        let line = line.to_ascii_lowercase();
+        if let Some(value) = line.strip_prefix("content-length:") {
+            length = value.trim().parse().unwrap_or(0);
+        }
+    }
+    reader.read_exact(&mut vec![0; length])?;
+    (&stream).write_all(response.as_bytes())
+}
+
+/// Guards against a second call of a service behind the first one's redirect.
+#[test]
+fn redirect_of_a_service_is_passed_on() {
+    let mut fleet = FleetProcesses::start(FleetSettings {
+        services: 1,
+        ..fault_settings(1, 0)
+    })
+    .expect("fleet starts");
+    fleet.kill_upstream(0).expect("kill");
+    let count = serve_fixed(
+        fleet.upstreams[0].upstream_address,
+        "HTTP/1.1 307 Temporary Redirect\r\nlocation: /elsewhere\r\ncontent-length: 0\r\n\
+         connection: close\r\n\r\n",
+    );
+    let agent: ureq::Agent = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .max_redirects_will_error(false)
+        .build()
+        .into();
+    let url = format!("http://{}/svc/deck-api/check", fleet.router_addresses()[0]);
+    let request = agent.post(url).header(WORKSPACE_HEADER, "workspace-1");
+    let response = request.header(CLASS_HEADER, "chat").send("body");
+    assert_eq!(response.expect("response").status(), 307);
+    assert_eq!(count.load(Ordering::Acquire), 1);
+}
+
+/// Guards against an error response of a later attempt that is appended to the text of the earlier one.
+#[test]
+fn error_of_a_later_attempt_is_not_appended_to_the_text() {
+    let fleet = FleetProcesses::start(fault_settings(1, 2)).expect("fleet starts");
+    let call = StreamCall::new(fleet.router_addresses()[0], "error later", 60);
+    let content = content_of(&call.messages());
+    let result = call.run_with(|tokens| {
+        if tokens == 10 {
+            let place = last_runner(&fleet, content).expect("runner");
+            let other = 1 - place;
+            fleet.signal_upstream(other, SignalKind::Kill).expect("signal");
+            serve_fixed(
+                fleet.upstreams[other].upstream_address,
+                "HTTP/1.1 400 Bad Request\r\ncontent-length: 9\r\nconnection: close\r\n\r\nbad input",
+            );
+            fleet.signal_upstream(place, SignalKind::Kill).expect("signal");
+        }
+        true
+    });
+    check_truth(&fleet, &result).expect("truth");
+    assert_eq!(result.outcome, Some(CallOutcome::Failed), "{result:?}");
+    assert!(result.text.len() >= 60, "{result:?}");
+}
