--- a/crates/process/fescuetide_router/src/runner.rs
+++ b/crates/process/fescuetide_router/src/runner.rs
@@ -332,6 +332,7 @@
             self.current_rule = rule;
             let mut dispatch = DispatchFrame {
                 condition: self.plan.condition(),
+                prefix_source: self.plan.prefix_source(&vm),
                 ..make_dispatch(&self.spec, &self.delivered, tag, rule)
             };
             dispatch.suspect = self.is_suspect();
@@ -395,6 +396,10 @@
         retry_after: SpanMillis,
     ) {
         self.shared.metrics.count("attempt.refused");
+        if self.plan.condition() != AdmitCondition::Always {
+            // A declined offer on a condition is a question, not an attempt.
+            self.attempts -= 1;
+        }
         self.last_reason = reason.to_string();
         self.history.note_result(
             attempt.tag().attempt,
@@ -436,6 +441,7 @@
         deadline: spec.deadline.since(now),
         chat: spec.chat_turn(),
         condition: AdmitCondition::Always,
+        prefix_source: None,
         loss_share: spec.targets.loss_share,
         suspect: false,
         admission,
