--- a/crates/process/fescuetide_router/src/partition.rs
+++ b/crates/process/fescuetide_router/src/partition.rs
@@ -13,6 +13,7 @@
 use fescuetide_claims::ClaimEntry;
 use fescuetide_claims::ClaimLedger;
 use fescuetide_claims::ClaimPartition;
+use fescuetide_claims::ClaimWindow;
 use fescuetide_claims::KeyStanding;
 use fescuetide_net::LogClient;
 use fescuetide_net::PlatformError;
@@ -51,6 +52,9 @@
     health: Arc<LogHealth>,
     ledger: Arc<Mutex<ClaimLedger>>,
     gap: SpanMillis,
+    window: ClaimWindow,
+    /// Whether the ledger has been read from its start.
+    is_started: bool,
     next_append: ClockMillis,
 }
 
@@ -61,6 +65,7 @@
         health: Arc<LogHealth>,
         ledger: Arc<Mutex<ClaimLedger>>,
         gap: SpanMillis,
+        window: ClaimWindow,
     ) -> Self {
         Self {
             partition,
@@ -69,6 +74,8 @@
             health,
             ledger,
             gap,
+            window,
+            is_started: false,
             next_append: ClockMillis::default(),
         }
     }
@@ -164,12 +171,16 @@
 
     /// Reads up to the end of the log. Returns whether that worked.
     fn catch_up(&mut self) -> bool {
+        if !self.is_started {
+            if let Err(error) = self.skip_old_records() {
+                self.note_failure(&error);
+                return false;
+            }
+            self.is_started = true;
+        }
         loop {
             let from = lock_ledger(&self.ledger).next_offset();
-            let result = self
-                .health
-                .observe(|| self.log.read(&self.stream, from, READ_LIMIT_RECORDS));
-            match result {
+            match self.read(from, READ_LIMIT_RECORDS) {
                 Ok(reply) if self.fold(from, &reply) => break,
                 Ok(_) => {}
                 Err(error) => {
@@ -182,6 +193,42 @@
         true
     }
 
+    fn read(&self, from: LogOffset, limit: u32) -> Result<ReadReply, PlatformError> {
+        self.health
+            .observe(|| self.log.read(&self.stream, from, limit))
+    }
+
+    /// Lets a new ledger start behind records which only have claims on keys that are too old, found by binary search.
+    fn skip_old_records(&self) -> Result<(), PlatformError> {
+        let reply = self.read(LogOffset::default(), 1)?;
+        let (mut low, mut high) = (reply.first, reply.next);
+        if high - low <= u64::from(READ_LIMIT_RECORDS) {
+            return Ok(());
+        }
+        let skew = self.window.skew.as_millis();
+        let age = self.window.age.as_millis();
+        let now = ClockMillis::now().as_millis();
+        // Clocks of registrars and callers may each differ by the skew.
+        let old = ClockMillis::new(now.saturating_sub(age + 2 * skew));
+        let first = low;
+        while high - low > 1 {
+            let middle = low + (high - low) / 2;
+            let reply = self.read(LogOffset::new(middle), 1)?;
+            let Some(wire) = reply.records.first() else {
+                return Ok(());
+            };
+            match parse_record(wire) {
+                Some(record) if record.at <= old => low = middle,
+                Some(_) | None => high = middle,
+            }
+        }
+        if low > first {
+            let lost_until = old + self.window.skew;
+            lock_ledger(&self.ledger).restart(LogOffset::new(low), lost_until);
+        }
+        Ok(())
+    }
+
     fn note_failure(&self, error: &PlatformError) {
         tracing::debug!(partition = %self.partition, %error, "claims cannot be read");
     }
--- a/crates/process/fescuetide_router/src/registrar.rs
+++ b/crates/process/fescuetide_router/src/registrar.rs
@@ -159,6 +159,7 @@
             Arc::clone(&self.health),
             Arc::clone(&ledger),
             self.gap,
+            self.window,
         );
         let spawned = thread::Builder::new()
             .name(format!("router-{partition}"))
--- a/crates/tools/fescuetide_bench/src/lib.rs
+++ b/crates/tools/fescuetide_bench/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod measure;
 pub mod offsets;
 pub mod once;
+pub mod once_fleet;
 pub mod oracle;
 pub mod plot;
 pub mod ports;
--- a/crates/tools/fescuetide_bench/src/once.rs
+++ b/crates/tools/fescuetide_bench/src/once.rs
@@ -9,6 +9,8 @@
 use anyhow::Context;
 use fescuetide_base::ClockMillis;
 use fescuetide_base::IdempotencyKey;
+use fescuetide_claims::ClaimKey;
+use fescuetide_claims::ClaimPartition;
 use fescuetide_standin::journal::JournalEvent;
 use fescuetide_standin::journal::JournalLine;
 use fescuetide_standin::journal::read_journal;
@@ -26,6 +28,9 @@
 use crate::client::outcome_of;
 use crate::fleet::FleetProcesses;
 
+/// The workspace of all requests.
+const WORKSPACE: &str = "w-1";
+
 /// Bits of a UUIDv7 below its creation time.
 const TIME_SHIFT_BITS: u32 = 80;
 
@@ -123,7 +128,7 @@
         let start = Instant::now();
         let result = agent
             .post(format!("http://{address}{}", self.path))
-            .header(WORKSPACE_HEADER, "w-1")
+            .header(WORKSPACE_HEADER, WORKSPACE)
             .header(CHAT_HEADER, &call.chat)
             .header(CLASS_HEADER, &self.class)
             .header(KEY_HEADER, call.key.to_string())
@@ -244,6 +249,28 @@
     Ok(lines.iter().filter(|line| is_run_of(line, key)).count())
 }
 
+/// The claim partition of `key`.
+///
+/// # Panics
+///
+/// Never: the name of the workspace is valid.
+pub fn partition_of(key: IdempotencyKey) -> ClaimPartition {
+    ClaimPartition::of(&ClaimKey {
+        workspace: WORKSPACE.parse().expect("workspace name"),
+        key,
+    })
+}
+
+/// A request with a new key of `partition`.
+pub fn call_in_partition(partition: ClaimPartition) -> OnceCall {
+    loop {
+        let call = OnceCall::new();
+        if partition_of(call.key) == partition {
+            return call;
+        }
+    }
+}
+
 /// A key that was created at `at`.
 pub fn key_of(at: ClockMillis) -> IdempotencyKey {
     let random = IdempotencyKey::generate().as_uuid().as_u128();
--- a/crates/tools/fescuetide_standin/src/log.rs
+++ b/crates/tools/fescuetide_standin/src/log.rs
@@ -69,12 +69,15 @@
     pub faults: LogFaults,
     /// Records ever appended, per stream.
     pub appends: IndexMap<String, u64>,
+    /// Records sent to readers, per stream.
+    pub reads: IndexMap<String, u64>,
 }
 
 #[derive(Debug, Default)]
 struct StreamState {
     first: u64,
     records: Vec<String>,
+    reads: u64,
 }
 
 impl StreamState {
@@ -177,12 +180,15 @@
     fn status(&self) -> LogStatus {
         let streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
         let mut appends = IndexMap::new();
+        let mut reads = IndexMap::new();
         for (name, state) in &*streams {
             appends.insert(name.clone(), state.next());
+            reads.insert(name.clone(), state.reads);
         }
         LogStatus {
             faults: self.lock_faults().faults.clone(),
             appends,
+            reads,
         }
     }
 
@@ -251,6 +257,7 @@
                 data: state.records[(offset - state.first) as usize].clone(),
             });
         }
+        state.reads += reply.records.len() as u64;
         reply
     }
 }
