--- a/crates/process/fescuetide_router/src/control.rs
+++ b/crates/process/fescuetide_router/src/control.rs
@@ -12,12 +12,8 @@
 use fescuetide_base::PoolName;
 use fescuetide_base::RequestId;
 use fescuetide_base::SpanMillis;
-use fescuetide_base::VmName;
 use fescuetide_classes::ClassSnapshot;
-use fescuetide_members::VmEntry;
 use fescuetide_members::VmTable;
-use fescuetide_net::connect_control;
-use fescuetide_net::rpc_deadline;
 use fescuetide_net::serve_control;
 use fescuetide_records::RequestRecord;
 use fescuetide_summary::LoadCollector;
@@ -27,16 +23,15 @@
 use fescuetide_wire::claim::ClaimWire;
 use fescuetide_wire::records::BurnWire;
 use fescuetide_wire::records::RequestWire;
+use fescuetide_wire::rpc::ExchangeReply;
 use fescuetide_wire::rpc::ExchangeWire;
 use fescuetide_wire::rpc::ReportWire;
 use fescuetide_wire::rpc::RouterControl;
-use fescuetide_wire::rpc::RouterControlClient;
 use fescuetide_wire::rpc::RouterStatus;
 use fescuetide_wire::rpc::SumWire;
 use indexmap::IndexMap;
 use std::cell::RefCell;
 use std::rc::Rc;
-use tarpc::client;
 use tarpc::context::Context;
 use tokio::runtime::Runtime;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -50,6 +45,8 @@
 use crate::class_log;
 use crate::class_log::ClassNews;
 use crate::classes::ClassControl;
+use crate::exchange;
+use crate::exchange::exchange_loop;
 use crate::peers;
 use crate::platform;
 use crate::platform::PlatformNews;
@@ -62,15 +59,12 @@
 /// How often news from the platform thread is taken in.
 const NEWS_INTERVAL_MS: u64 = 50;
 
-/// Longest time of an exchange with another collector.
-const EXCHANGE_TIMEOUT_MS: u64 = 1_000;
-
 /// Control state; only the control thread touches it.
 pub(crate) struct ControlState {
     pub(crate) shared: Arc<RouterShared>,
     pub(crate) classes: ClassControl,
-    vms: VmTable,
-    collector: LoadCollector,
+    pub(crate) vms: VmTable,
+    pub(crate) collector: LoadCollector,
     records: RecordKeeper,
 }
 
@@ -103,11 +97,13 @@
     thread::Builder::new()
         .name("router-control".to_owned())
         .spawn(move || {
+            let settings = exchange::collector_settings(&shared);
+            let collector = LoadCollector::new(settings);
             let state = ControlState {
                 classes: ClassControl::new(&shared, order_sender),
                 shared,
                 vms: VmTable::default(),
-                collector: LoadCollector::default(),
+                collector,
                 records,
             };
             let news = NewsReceivers {
@@ -189,80 +185,7 @@
     }
 }
 
-/// Sends this collector's sums to all other routers of its region at the interval.
-async fn exchange_loop(state: SharedState) {
-    let shared = Arc::clone(&state.borrow().shared);
-    let interval = Duration::from_millis(shared.settings.exchange_interval_ms);
-    let mut ticks = tokio::time::interval(interval);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut links: IndexMap<VmName, PeerLink> = IndexMap::new();
-    loop {
-        ticks.tick().await;
-        let (peers, message) = {
-            let mut state = state.borrow_mut();
-            state.collector.expire(ClockMillis::now());
-            (list_peers(&state), own_message(&state))
-        };
-        links.retain(|_, link| peers.contains(&link.entry));
-        if message.sums.is_empty() {
-            continue;
-        }
-        for peer in peers {
-            let link = match links.get(&peer.name) {
-                Some(link) => link,
-                None => {
-                    let Ok(transport) = connect_control(peer.control, shared.meter.clone()).await
-                    else {
-                        continue;
-                    };
-                    let client =
-                        RouterControlClient::new(client::Config::default(), transport).spawn();
-                    let link = PeerLink {
-                        entry: peer.clone(),
-                        client,
-                    };
-                    links.entry(peer.name.clone()).or_insert(link)
-                }
-            };
-            let context = rpc_deadline(SpanMillis::new(EXCHANGE_TIMEOUT_MS));
-            match link.client.exchange(context, message.clone()).await {
-                Ok(offset) => state.borrow_mut().classes.note_peer_offset(offset),
-                Err(_) => {
-                    shared.metrics.count("exchange.failed");
-                    links.swap_remove(&peer.name);
-                }
-            }
-        }
-    }
-}
-
-struct PeerLink {
-    entry: VmEntry,
-    client: RouterControlClient,
-}
-
-/// The other live routers of the region.
-pub(crate) fn list_peers(state: &ControlState) -> Vec<VmEntry> {
-    let settings = &state.shared.settings;
-    let mut peers = Vec::new();
-    for entry in state.vms.live_routers() {
-        if entry.name == settings.vm || entry.region != settings.region {
-            continue;
-        }
-        peers.push(entry.clone());
-    }
-    peers
-}
-
-fn own_message(state: &ControlState) -> ExchangeWire {
-    ExchangeWire {
-        collector: state.shared.settings.vm.clone(),
-        sums: list_sums(&state.collector.own_sums()),
-        class_offset: state.classes.next_offset().get(),
-    }
-}
-
-fn list_sums(sums: &IndexMap<PoolName, PoolSum>) -> Vec<(PoolName, SumWire)> {
+pub(crate) fn list_sums(sums: &IndexMap<PoolName, PoolSum>) -> Vec<(PoolName, SumWire)> {
     let mut list = Vec::with_capacity(sums.len());
     for (pool, sum) in sums {
         list.push((pool.clone(), SumWire::from(*sum)));
@@ -288,17 +211,8 @@
             .unwrap_or_default()
     }
 
-    async fn exchange(self, _: Context, sums: ExchangeWire) -> u64 {
-        let mut state = self.state.borrow_mut();
-        let mut received = IndexMap::new();
-        for (pool, sum) in sums.sums {
-            received.insert(pool, PoolSum::from(sum));
-        }
-        state
-            .collector
-            .note_peer(sums.collector, received, ClockMillis::now());
-        state.classes.note_peer_offset(sums.class_offset);
-        state.classes.next_offset().get()
+    async fn exchange(self, _: Context, sums: ExchangeWire) -> ExchangeReply {
+        exchange::take_exchange(&mut self.state.borrow_mut(), sums)
     }
 
     async fn claim(self, _: Context, claim: ClaimWire, within: SpanMillis) -> ClaimReply {
--- a/crates/process/fescuetide_router/src/lib.rs
+++ b/crates/process/fescuetide_router/src/lib.rs
@@ -9,6 +9,7 @@
 mod class_log;
 mod classes;
 mod control;
+mod exchange;
 mod history;
 mod http;
 mod keyed;
@@ -18,6 +19,7 @@
 mod plan;
 mod platform;
 mod policy;
+mod probes;
 mod records;
 mod registrar;
 mod request;
@@ -43,11 +45,14 @@
 use fescuetide_base::ProcessIncarnation;
 use fescuetide_base::SpanMillis;
 use fescuetide_limits::BreakerSettings;
+use fescuetide_limits::SuspectTable;
 use fescuetide_limits::VmBreaker;
 use fescuetide_net::ControlMeter;
 use fescuetide_net::HttpDrain;
 use fescuetide_net::LinkPool;
 use fescuetide_net::LinkSettings;
+use fescuetide_routing::DemandSettings;
+use fescuetide_routing::DemandTable;
 
 use crate::claim_client::ClaimClient;
 use crate::metrics::RouterMetrics;
@@ -71,6 +76,8 @@
     pub(crate) links: LinkPool,
     pub(crate) breaker: Mutex<VmBreaker>,
     pub(crate) retries: RetryLedger,
+    pub(crate) suspects: Mutex<SuspectTable>,
+    pub(crate) demand: Mutex<DemandTable>,
     pub(crate) policy: Arc<PolicyState>,
     pub(crate) records: RecordSender,
     pub(crate) registrar: Registrar,
@@ -92,6 +99,14 @@
         self.breaker.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn lock_suspects(&self) -> MutexGuard<'_, SuspectTable> {
+        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn lock_demand(&self) -> MutexGuard<'_, DemandTable> {
+        self.demand.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
     }
@@ -127,6 +142,11 @@
             links,
             breaker: Mutex::new(VmBreaker::new(BreakerSettings::default())),
             retries: RetryLedger::default(),
+            suspects: Mutex::default(),
+            demand: Mutex::new(DemandTable::new(DemandSettings {
+                first_size: settings.shard_size,
+                ..DemandSettings::default()
+            })),
             policy: Arc::default(),
             records,
             registrar: Registrar::new(&settings),
--- a/crates/process/fescuetide_router/src/peers.rs
+++ b/crates/process/fescuetide_router/src/peers.rs
@@ -12,7 +12,7 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::control::SharedState;
-use crate::control::list_peers;
+use crate::exchange::list_peers;
 
 /// How often peers are asked.
 const ASK_INTERVAL_MS: u64 = 1_000;
--- a/crates/process/fescuetide_router/src/plan.rs
+++ b/crates/process/fescuetide_router/src/plan.rs
@@ -3,34 +3,20 @@
 use fescuetide_base::ClockMillis;
 use fescuetide_base::LoadCount;
 use fescuetide_base::SpanMillis;
+use fescuetide_base::VmName;
+use fescuetide_limits::AdmitRule;
+use fescuetide_limits::CandidateWalk;
+use fescuetide_limits::LoadBound;
 use fescuetide_members::VmEntry;
 use fescuetide_routing::RankKey;
-use fescuetide_routing::ShardSize;
 use fescuetide_wire::frame::AdmissionRule;
+use fescuetide_wire::frame::AdmitCondition;
+use fescuetide_wire::frame::PrefixSource;
 use fescuetide_wire::frame::RefusalReason;
 
 use crate::RouterShared;
 use crate::call::CallSpec;
-
-/// How many candidates are asked whether they ran the chat's turn before. A chat that was displaced by the load bound
-/// is found again there without any state at the router.
-const HOLDER_PROBES: usize = 6;
-
-/// Messages of a chat's first turn at most: the system's and the user's.
-const FIRST_TURN_MESSAGES: u32 = 2;
-
-/// Which rule candidates are asked by.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum WalkStage {
-    /// The first candidates are asked to admit if they ran the chat's turn before.
-    Holders,
-    /// Candidates are asked to admit within their own cap.
-    OwnCap,
-    /// All refused by their caps; the least loaded is asked once more.
-    LeastLoaded,
-    /// No candidate is left.
-    Exhausted,
-}
+use crate::probes::ChatProbes;
 
 /// A candidate that refused.
 #[derive(Clone, Debug)]
@@ -45,126 +31,188 @@
 #[derive(Debug)]
 pub(crate) struct CandidatePlan {
     vms: Vec<VmEntry>,
-    cursor: usize,
-    stage: WalkStage,
+    walk: CandidateWalk,
     first_rule: AdmissionRule,
-    /// Candidates that are first asked whether they hold the chat.
-    holder_count: usize,
-    refusals: Vec<RefusalNote>,
+    probes: ChatProbes,
+    /// The candidate that ran the chat's turn before and had no room for this one.
+    holder: Option<VmEntry>,
+    /// The shortest time that a candidate asked to wait.
+    retry_after: Option<SpanMillis>,
+    held_by_suspect: bool,
 }
 
 impl CandidatePlan {
     /// Ranks the upstreams for `spec`; those held back by the breaker and those in `lost_on` come last.
     pub(crate) fn new(shared: &RouterShared, spec: &CallSpec, lost_on: &[VmEntry]) -> Self {
-        let mut plan = Self {
-            vms: Vec::new(),
-            cursor: 0,
-            stage: WalkStage::OwnCap,
-            first_rule: shared.settings.policy.first_rule(),
-            holder_count: 0,
-            refusals: Vec::new(),
-        };
-        let view = shared.view.load();
-        let Some(route) = view.routes.get(&spec.pool) else {
-            return plan;
+        let vms = rank_candidates(shared, spec, lost_on);
+        let may_ask = lost_on.is_empty() && spec.key.is_none();
+        let probes = if may_ask && shared.settings.policy.asks_holders() {
+            ChatProbes::new(shared, spec, vms.len())
+        } else {
+            ChatProbes::none()
         };
-        let key = RankKey {
-            workspace: &spec.workspace,
-            model: spec.model(),
-            chat: spec.chat.as_ref(),
+        let bound = LoadBound {
+            multiple: shared.settings.load_multiple,
         };
-        let shard = ShardSize::at_least(shared.settings.shard_size);
-        let now = ClockMillis::now();
-        let breaker = shared.lock_breaker();
-        let mut held = Vec::new();
-        let policy = shared.settings.policy;
-        for vm in shared.policy.order(policy, route, &key, shard) {
-            let lost = lost_on.iter().any(|entry| entry.name == vm.name);
-            if lost || !breaker.allows(&vm.name, now) {
-                held.push(vm.clone());
-                continue;
-            }
-            plan.vms.push(vm.clone());
-        }
-        let may_ask = lost_on.is_empty() && spec.key.is_none();
-        if may_ask && shared.settings.policy.asks_holders() && is_returning(spec) {
-            plan.holder_count = HOLDER_PROBES.min(plan.vms.len());
-            plan.stage = WalkStage::Holders;
+        Self {
+            walk: CandidateWalk::new(bound, vms.len()),
+            first_rule: shared.settings.policy.first_rule(),
+            probes,
+            holder: None,
+            vms,
+            retry_after: None,
+            held_by_suspect: false,
         }
-        plan.vms.extend(held);
-        plan
     }
 
     /// The next candidate and the rule to ask it by.
     pub(crate) fn next_candidate(&mut self) -> Option<(VmEntry, AdmissionRule)> {
-        if self.stage == WalkStage::Holders {
-            if self.cursor < self.holder_count {
-                self.cursor += 1;
-                return Some((self.vms[self.cursor - 1].clone(), AdmissionRule::OwnCap));
-            }
-            self.stage = WalkStage::OwnCap;
-            self.cursor = 0;
-        }
-        if self.stage == WalkStage::OwnCap {
-            if let Some(vm) = self.vms.get(self.cursor) {
-                self.cursor += 1;
-                return Some((vm.clone(), self.first_rule));
-            }
-            self.stage = WalkStage::LeastLoaded;
-        }
-        match self.stage {
-            WalkStage::LeastLoaded => {
-                self.stage = WalkStage::Exhausted;
-                self.least_loaded()
-            }
-            WalkStage::Holders | WalkStage::OwnCap | WalkStage::Exhausted => None,
+        if let Some(place) = self.probes.next_place() {
+            return Some((self.vms[place].clone(), AdmissionRule::OwnCap));
         }
+        let (place, rule) = self.walk.next_candidate()?;
+        let rule = match rule {
+            AdmitRule::OwnCap => self.first_rule,
+            AdmitRule::AtMost(_) => rule.into(),
+        };
+        Some((self.vms[place].clone(), rule))
     }
 
-    /// Whether the candidate just given is asked to run the request only if it holds the chat.
-    pub(crate) fn asks_holders(&self) -> bool {
-        self.stage == WalkStage::Holders
+    /// The condition on which the candidate just given is asked.
+    pub(crate) fn condition(&self) -> AdmitCondition {
+        self.probes.condition()
+    }
+
+    /// How long to wait before the candidate just given is asked.
+    pub(crate) fn wait(&self) -> SpanMillis {
+        self.probes.wait()
     }
 
     /// Notes that a candidate refused.
     pub(crate) fn note_refusal(&mut self, note: RefusalNote) {
         // It is asked again without the condition.
-        if !self.asks_holders() {
-            self.refusals.push(note);
+        if self.condition() == AdmitCondition::Held && is_full(note.reason) {
+            self.holder = Some(note.vm.clone());
+        }
+        self.probes.note_refusal(note.reason);
+        // A candidate whose condition was not met is asked again without it.
+        if matches!(
+            note.reason,
+            RefusalReason::NotHeld | RefusalReason::AboveMean
+        ) {
+            return;
+        }
+        let Some(place) = self.place_of(&note.vm.name) else {
+            return;
+        };
+        if note.reason == RefusalReason::TooLate {
+            self.note_wait(note.retry_after);
+        }
+        self.held_by_suspect |= note.reason == RefusalReason::Suspect;
+        match note.reason {
+            RefusalReason::OverBound => self.walk.note_over_bound(place, note.load),
+            RefusalReason::TooLate | RefusalReason::Suspect => {
+                self.walk.note_barred(place, note.load);
+            }
+            RefusalReason::Leaving
+            | RefusalReason::Sealed
+            | RefusalReason::OtherIncarnation
+            | RefusalReason::KeySeen
+            | RefusalReason::KeyExpired
+            | RefusalReason::NotHeld
+            | RefusalReason::AboveMean
+            | RefusalReason::UpstreamDown => self.walk.note_gone(place),
         }
     }
 
-    /// The longest time that a candidate asked to wait, at least `floor`.
-    pub(crate) fn retry_after(&self, floor: SpanMillis) -> SpanMillis {
-        let mut span = floor;
-        for note in &self.refusals {
-            span = span.max(note.retry_after);
+    /// Where `vm` can fetch the chat's prefix from.
+    pub(crate) fn prefix_source(&self, vm: &VmEntry) -> Option<PrefixSource> {
+        let holder = self.holder.as_ref()?;
+        if holder.name == vm.name {
+            return None;
         }
-        span
+        Some(PrefixSource {
+            vm: holder.name.clone(),
+            data: holder.data,
+        })
     }
 
-    /// The least loaded of those that refused by their cap, bounded by the mean of the loads just learned.
-    fn least_loaded(&self) -> Option<(VmEntry, AdmissionRule)> {
-        let mut least: Option<&RefusalNote> = None;
-        let mut sum = 0;
-        let mut count = 0;
-        for note in &self.refusals {
-            if note.reason != RefusalReason::OverBound {
-                continue;
-            }
-            sum += note.load.get();
-            count += 1;
-            if least.is_none_or(|other| note.load < other.load) {
-                least = Some(note);
-            }
+    /// Notes that a candidate cannot be used.
+    pub(crate) fn note_gone(&mut self, vm: &VmName) {
+        if let Some(place) = self.place_of(vm) {
+            self.walk.note_gone(place);
         }
-        let least = least?;
-        let mean = LoadCount::new(sum / count);
-        Some((least.vm.clone(), AdmissionRule::AtMost(mean)))
     }
+
+    /// Notes that a candidate took the request in and gave it up for other work.
+    pub(crate) fn note_shed(&mut self, vm: &VmName, retry_after: SpanMillis) {
+        self.note_wait(retry_after);
+        self.note_gone(vm);
+    }
+
+    /// Notes that the request itself is refused for `left`.
+    pub(crate) fn note_crasher(&mut self, left: SpanMillis) {
+        self.retry_after = Some(left);
+    }
+
+    /// Whether a candidate refused because another suspect runs there.
+    pub(crate) fn is_held_by_suspect(&self) -> bool {
+        self.held_by_suspect
+    }
+
+    fn note_wait(&mut self, span: SpanMillis) {
+        let shortest = self.retry_after.unwrap_or(span);
+        self.retry_after = Some(shortest.min(span));
+    }
+
+    fn place_of(&self, vm: &VmName) -> Option<usize> {
+        self.vms.iter().position(|entry| entry.name == *vm)
+    }
+
+    /// When a caller should come back: when the first candidate could meet the lateness target, else after `default`.
+    pub(crate) fn retry_after(&self, default: SpanMillis) -> SpanMillis {
+        self.retry_after.unwrap_or(default)
+    }
+}
+
+/// Whether a candidate that holds a chat refused only because it has no room. The condition is checked first.
+fn is_full(reason: RefusalReason) -> bool {
+    matches!(
+        reason,
+        RefusalReason::OverBound
+            | RefusalReason::TooLate
+            | RefusalReason::Suspect
+            | RefusalReason::Leaving
+    )
 }
 
-fn is_returning(spec: &CallSpec) -> bool {
-    spec.chat_turn()
-        .is_some_and(|turn| turn.messages > FIRST_TURN_MESSAGES)
+/// Ranks the upstreams for `spec`; those held back by the breaker and those in `lost_on` come last.
+fn rank_candidates(shared: &RouterShared, spec: &CallSpec, lost_on: &[VmEntry]) -> Vec<VmEntry> {
+    let view = shared.view.load();
+    let Some(route) = view.routes.get(&spec.pool) else {
+        return Vec::new();
+    };
+    let key = RankKey {
+        workspace: &spec.workspace,
+        model: spec.model(),
+        chat: spec.chat.as_ref(),
+    };
+    let now = ClockMillis::now();
+    let shard = shared
+        .lock_demand()
+        .note_request(&spec.pool, &key, route.len(), now);
+    let breaker = shared.lock_breaker();
+    let mut vms = Vec::new();
+    let mut held = Vec::new();
+    let policy = shared.settings.policy;
+    for vm in shared.policy.order(policy, route, &key, shard) {
+        let lost = lost_on.iter().any(|entry| entry.name == vm.name);
+        if lost || !breaker.allows(&vm.name, now) {
+            held.push(vm.clone());
+            continue;
+        }
+        vms.push(vm.clone());
+    }
+    vms.extend(held);
+    vms
 }
--- a/crates/process/fescuetide_router/src/runner.rs
+++ b/crates/process/fescuetide_router/src/runner.rs
@@ -1,5 +1,7 @@
 //! The way of a request through one or more attempts.
 
+mod ending;
+
 use std::sync::Arc;
 use std::thread;
 
@@ -8,13 +10,14 @@
 use fescuetide_base::LoadCount;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::StableHash;
+use fescuetide_limits::CrashFingerprint;
 use fescuetide_limits::RetryBudget;
 use fescuetide_members::VmEntry;
 use fescuetide_records::AttemptResult;
-use fescuetide_records::RecordOutcome;
 use fescuetide_wire::api::CallOutcome;
 use fescuetide_wire::api::TokenUsage;
 use fescuetide_wire::frame::AdmissionRule;
+use fescuetide_wire::frame::AdmitCondition;
 use fescuetide_wire::frame::AttemptEnding;
 use fescuetide_wire::frame::AttemptTag;
 use fescuetide_wire::frame::DispatchFrame;
@@ -24,7 +27,6 @@
 use crate::attempt::AttemptEvent;
 use crate::attempt::LiveAttempt;
 use crate::attempt::NotSent;
-use crate::call::CallEnd;
 use crate::call::CallEvent;
 use crate::call::CallSpec;
 use crate::call::CallWork;
@@ -40,9 +42,6 @@
 /// Longest wait before a retry.
 const RETRY_WAIT_LIMIT_MS: u64 = 1_000;
 
-/// When a caller should come back if no side process said so.
-const RETRY_AFTER_MS: u64 = 1_000;
-
 /// Why a request was given up when its time was over.
 const DEADLINE_REASON: &str = "deadline has passed";
 
@@ -50,6 +49,7 @@
 pub(crate) struct CallRunner {
     shared: Arc<RouterShared>,
     spec: CallSpec,
+    print: CrashFingerprint,
     plan: CandidatePlan,
     lost_on: Vec<VmEntry>,
     /// A candidate to ask once more before the next one of the plan.
@@ -75,6 +75,7 @@
         let plan = CandidatePlan::new(&shared, &spec, &[]);
         let keyed = KeyedCall::new(&spec);
         Self {
+            print: spec.fingerprint(),
             keyed,
             shared,
             spec,
@@ -105,11 +106,14 @@
                 return self.end_at_deadline();
             }
             let Some(mut attempt) = self.current.take() else {
+                if self.refuse_crasher() {
+                    return self.end_not_run();
+                }
                 if self.keyed.is_some() {
                     if let Some(event) = self.start_keyed() {
                         return event;
                     }
-                } else if !self.start_next() {
+                } else if !self.start_next() && !self.wait_for_suspects() {
                     return self.end_not_run();
                 }
                 continue;
@@ -185,6 +189,7 @@
                 completion_tokens,
             } => {
                 self.shared.lock_breaker().note_success(&attempt.vm().name);
+                self.shared.lock_suspects().note_completed(self.print);
                 self.history
                     .note_result(attempt.tag().attempt, AttemptResult::Completed);
                 let usage = TokenUsage {
@@ -200,12 +205,32 @@
                 self.history
                     .note_result(attempt.tag().attempt, AttemptResult::NotRun(reason.clone()));
                 self.last_reason = reason;
-                self.shared
-                    .lock_breaker()
-                    .note_failure(&attempt.vm().name, ClockMillis::now());
+                self.plan.note_gone(&attempt.vm().name);
+                let now = ClockMillis::now();
+                // An attempt whose deadline passed in the queue says nothing about its upstream.
+                if now < self.spec.deadline {
+                    self.shared
+                        .lock_breaker()
+                        .note_failure(&attempt.vm().name, now);
+                }
+                None
+            }
+            AttemptEnding::Shed(retry_after) => {
+                self.admitted = false;
+                let reason = RefusalReason::TooLate.to_string();
+                self.history
+                    .note_result(attempt.tag().attempt, AttemptResult::NotRun(reason.clone()));
+                self.last_reason = reason;
+                self.plan.note_shed(&attempt.vm().name, retry_after);
                 None
             }
             AttemptEnding::Failed(reason) => self.take_loss(attempt, reason),
+            AttemptEnding::Crashed(reason) => {
+                self.shared.metrics.count("attempt.crashed");
+                let now = ClockMillis::now();
+                self.shared.lock_suspects().note_crash(self.print, now);
+                self.take_loss(attempt, reason)
+            }
             AttemptEnding::Cancelled => self.take_loss(attempt, "attempt was cancelled".to_owned()),
         }
     }
@@ -224,7 +249,8 @@
         if !self.spec.targets.repeatable {
             return Some(self.end_with_retry(CallOutcome::Unknown, reason));
         }
-        if !self.may_retry() {
+        if self.refuse_crasher() || !self.may_retry() {
+            let reason = self.last_reason.clone();
             return Some(self.end_with_retry(CallOutcome::Failed, reason));
         }
         self.wait_before_retry();
@@ -232,6 +258,35 @@
         None
     }
 
+    fn is_suspect(&self) -> bool {
+        let now = ClockMillis::now();
+        self.shared.lock_suspects().is_suspect(self.print, now)
+    }
+
+    /// Whether the request is refused because it crashes upstreams.
+    fn refuse_crasher(&mut self) -> bool {
+        let refusal = self
+            .shared
+            .lock_suspects()
+            .refusal(self.print, ClockMillis::now());
+        let Some(left) = refusal else {
+            return false;
+        };
+        self.plan.note_crasher(left);
+        self.last_reason = "request crashed upstreams and is refused for a time".to_owned();
+        true
+    }
+
+    /// Waits for a while when an upstream refused only because another suspect runs there. Returns whether it did.
+    fn wait_for_suspects(&mut self) -> bool {
+        if !self.plan.is_held_by_suspect() {
+            return false;
+        }
+        self.wait_before_retry();
+        self.plan = CandidatePlan::new(&self.shared, &self.spec, &self.lost_on);
+        true
+    }
+
     fn may_retry(&self) -> bool {
         let is_service = matches!(self.spec.work, CallWork::Service { .. });
         if is_service && self.head_status.is_some() {
@@ -265,6 +320,7 @@
     /// Starts an attempt at the next candidate. Returns whether there was one.
     fn start_next(&mut self) -> bool {
         while let Some((vm, rule)) = self.next_candidate() {
+            thread::sleep(self.plan.wait().into());
             if ClockMillis::now() >= self.spec.deadline {
                 self.last_reason = DEADLINE_REASON.to_owned();
                 return false;
@@ -274,10 +330,16 @@
                 attempt: AttemptId::generate(),
             };
             self.current_rule = rule;
-            let dispatch = DispatchFrame {
-                only_if_held: self.plan.asks_holders(),
+            let mut dispatch = DispatchFrame {
+                condition: self.plan.condition(),
+                prefix_source: self.plan.prefix_source(&vm),
                 ..make_dispatch(&self.spec, &self.delivered, tag, rule)
             };
+            dispatch.suspect = self.is_suspect();
+            if !self.lost_on.is_empty() {
+                // A request that has been tried is not refused for being late: it would count as lost.
+                dispatch.slack = dispatch.deadline;
+            }
             self.history.note_sent(tag.attempt, &vm.name);
             match LiveAttempt::start(&self.shared, &vm, dispatch) {
                 Ok(attempt) => {
@@ -301,10 +363,12 @@
 
     /// Claims the key and starts or joins an attempt. Returns the end when there is none.
     fn start_keyed(&mut self) -> Option<CallEvent> {
+        let suspect = self.is_suspect();
         let keyed = self.keyed.as_mut()?;
         let (shared, spec) = (&self.shared, &self.spec);
-        let step = keyed.start(shared, spec, &mut self.plan, |tag, rule| {
-            make_dispatch(spec, &[], tag, rule)
+        let step = keyed.start(shared, spec, &mut self.plan, |tag, rule| DispatchFrame {
+            suspect,
+            ..make_dispatch(spec, &[], tag, rule)
         });
         let attempt = match step {
             KeyedStep::Dispatched(attempt) => {
@@ -332,19 +396,22 @@
         retry_after: SpanMillis,
     ) {
         self.shared.metrics.count("attempt.refused");
-        self.last_reason = reason.to_string();
-        if reason == RefusalReason::Sealed && !self.asked_again {
-            // The dispatch went into a connection that had gone silent; the seal came over a new one, so the VM is well.
-            self.asked_again = true;
-            self.ask_again = Some((attempt.vm().clone(), self.current_rule));
-            return;
+        if self.plan.condition() != AdmitCondition::Always {
+            // A declined offer on a condition is a question, not an attempt.
+            self.attempts -= 1;
         }
+        self.last_reason = reason.to_string();
         self.history.note_result(
             attempt.tag().attempt,
             AttemptResult::Refused(reason.to_string()),
         );
         if let Some(keyed) = &mut self.keyed {
             keyed.note_refusal(reason);
+        } else if reason == RefusalReason::Sealed && !self.asked_again {
+            // The dispatch went into a connection that had gone silent; the seal came over a new one, so the VM is well.
+            self.asked_again = true;
+            self.ask_again = Some((attempt.vm().clone(), self.current_rule));
+            return;
         }
         self.plan.note_refusal(RefusalNote {
             vm: attempt.vm().clone(),
@@ -353,129 +420,6 @@
             retry_after,
         });
     }
-
-    fn end_not_run(&mut self) -> CallEvent {
-        let retry_after = self.plan.retry_after(SpanMillis::new(RETRY_AFTER_MS));
-        let reason = self.last_reason.clone();
-        // After a loss the request may have run, so it cannot end as not run.
-        let outcome = match &self.keyed {
-            Some(keyed) => keyed.outcome_without_run(),
-            None if self.lost_on.is_empty() => CallOutcome::NotRun,
-            None => CallOutcome::Failed,
-        };
-        self.end(outcome, reason, Some(retry_after), TokenUsage::default())
-    }
-
-    fn end_at_deadline(&mut self) -> CallEvent {
-        let in_progress = self.current.is_some();
-        self.cancel();
-        let reason = DEADLINE_REASON.to_owned();
-        if !in_progress {
-            self.last_reason = reason;
-            return self.end_not_run();
-        }
-        let outcome = if self.spec.targets.repeatable {
-            CallOutcome::Failed
-        } else {
-            CallOutcome::Unknown
-        };
-        self.end_with_retry(outcome, reason)
-    }
-
-    /// Ends a request whose caller has received bytes that are not its response's.
-    fn end_corrupt(&mut self, attempt: &LiveAttempt, reason: String) -> CallEvent {
-        let tag = attempt.tag();
-        self.shared.metrics.count("response.corrupt");
-        tracing::error!(%tag, vm = %attempt.vm().name, %reason, "response is corrupt");
-        self.history
-            .note_result(tag.attempt, AttemptResult::Lost(reason.clone()));
-        let outcome = if self.spec.targets.repeatable {
-            CallOutcome::Failed
-        } else {
-            CallOutcome::Unknown
-        };
-        self.end_with_retry(outcome, reason)
-    }
-
-    fn end_with_retry(&mut self, outcome: CallOutcome, reason: String) -> CallEvent {
-        let retry_after = self.plan.retry_after(SpanMillis::new(RETRY_AFTER_MS));
-        self.end(outcome, reason, Some(retry_after), TokenUsage::default())
-    }
-
-    fn end(
-        &mut self,
-        outcome: CallOutcome,
-        reason: String,
-        retry_after: Option<SpanMillis>,
-        usage: TokenUsage,
-    ) -> CallEvent {
-        self.ended = true;
-        self.shared.metrics.count(match outcome {
-            CallOutcome::Completed => "request.completed",
-            CallOutcome::NotRun => "request.not_run",
-            CallOutcome::Failed => "request.failed",
-            CallOutcome::Unknown => "request.unknown",
-        });
-        self.send_record(record_outcome(outcome), &reason);
-        CallEvent::End(CallEnd {
-            outcome,
-            reason,
-            retry_after,
-            usage,
-            attempts: self.attempts,
-        })
-    }
-
-    /// Ends a request whose caller has left.
-    pub(crate) fn abandon(&mut self) -> CallEnd {
-        self.cancel();
-        self.ended = true;
-        self.shared.metrics.count("request.abandoned");
-        self.send_record(RecordOutcome::Abandoned, "caller has left");
-        CallEnd {
-            outcome: CallOutcome::Failed,
-            reason: "caller has left".to_owned(),
-            retry_after: None,
-            usage: TokenUsage::default(),
-            attempts: self.attempts,
-        }
-    }
-
-    fn send_record(&mut self, outcome: RecordOutcome, reason: &str) {
-        let router = &self.shared.settings.vm;
-        let record = self.history.finish(router, &self.spec, outcome, reason);
-        if !self.shared.records.send(record) {
-            self.shared.metrics.count("records.overflow");
-        }
-    }
-
-    fn cancel(&mut self) {
-        if let Some(mut attempt) = self.current.take() {
-            self.history
-                .note_result(attempt.tag().attempt, AttemptResult::Cancelled);
-            // A request that is not repeatable runs to its end, since its caller may ask for the response again.
-            if self.keyed.is_none() {
-                attempt.cancel(&self.shared);
-            }
-        }
-    }
-}
-
-impl Drop for CallRunner {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.abandon();
-        }
-    }
-}
-
-fn record_outcome(outcome: CallOutcome) -> RecordOutcome {
-    match outcome {
-        CallOutcome::Completed => RecordOutcome::Completed,
-        CallOutcome::NotRun => RecordOutcome::NotRun,
-        CallOutcome::Failed => RecordOutcome::Failed,
-        CallOutcome::Unknown => RecordOutcome::Unknown,
-    }
 }
 
 fn make_dispatch(
@@ -496,7 +440,10 @@
         slack: late_at.since(now),
         deadline: spec.deadline.since(now),
         chat: spec.chat_turn(),
-        only_if_held: false,
+        condition: AdmitCondition::Always,
+        prefix_source: None,
+        loss_share: spec.targets.loss_share,
+        suspect: false,
         admission,
         work: spec.work_body(delivered),
     }
--- a/crates/process/fescuetide_side/src/answer.rs
+++ b/crates/process/fescuetide_side/src/answer.rs
@@ -22,6 +22,7 @@
     readers: u32,
     delivered: bool,
     idle_since: ClockMillis,
+    first_part_at: Option<ClockMillis>,
 }
 
 /// The next thing to send to a reader.
@@ -61,7 +62,10 @@
     }
 
     pub(crate) fn append(&self, bytes: &[u8]) {
-        self.lock().body.extend_from_slice(bytes);
+        let mut state = self.lock();
+        state.body.extend_from_slice(bytes);
+        state.first_part_at.get_or_insert_with(ClockMillis::now);
+        drop(state);
         self.changed.notify_all();
     }
 
@@ -69,7 +73,9 @@
     pub(crate) fn finish(&self, ending: AttemptEnding, now: ClockMillis) {
         let mut state = self.lock();
         let ending = match ending {
-            AttemptEnding::Failed(_) if state.cancelled => AttemptEnding::Cancelled,
+            AttemptEnding::Failed(_) | AttemptEnding::Crashed(_) if state.cancelled => {
+                AttemptEnding::Cancelled
+            }
             other => other,
         };
         state.ending = Some(ending);
@@ -89,6 +95,11 @@
         self.lock().cancelled
     }
 
+    /// When the first part of the body arrived.
+    pub(crate) fn first_part_at(&self) -> Option<ClockMillis> {
+        self.lock().first_part_at
+    }
+
     /// Bytes of the body so far.
     pub(crate) fn body_length(&self) -> usize {
         self.lock().body.len()
@@ -117,13 +128,13 @@
         state.idle_since = now;
     }
 
-    /// Notes that a reader was sent the end.
+    /// Notes that a reader has received the whole response.
     pub(crate) fn note_delivered(&self) {
         self.lock().delivered = true;
     }
 
-    /// Whether a reader may still come for the response: it is in progress, is being read, or lost its reader before
-    /// the end less than `grace` ago.
+    /// Whether a reader may still come for the response: it is in progress, is being read, or was last
+    /// read less than `grace` ago without a confirmation.
     pub(crate) fn is_awaited(&self, grace: SpanMillis, now: ClockMillis) -> bool {
         let state = self.lock();
         if state.readers > 0 || state.ending.is_none() {
--- a/crates/protocol/fescuetide_wire/src/frame.rs
+++ b/crates/protocol/fescuetide_wire/src/frame.rs
@@ -5,6 +5,7 @@
 //! attempt. Times are relative, because clocks differ between VMs.
 
 use std::fmt;
+use std::net::SocketAddr;
 
 use fescuetide_base::AttemptId;
 use fescuetide_base::ClassName;
@@ -14,8 +15,10 @@
 use fescuetide_base::RequestId;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::StableHash;
+use fescuetide_base::TargetShare;
 use fescuetide_base::VmName;
 use fescuetide_base::WorkspaceName;
+use fescuetide_limits::AdmitRule;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -79,11 +82,26 @@
         /// How long to wait for a dispatch with the key before it is barred.
         wait: SpanMillis,
     },
+    /// Asks for the cached prefix of a prompt, from one side process to another.
+    ExportPrefix {
+        /// The attempt that it is for.
+        tag: AttemptTag,
+        /// The JSON request body.
+        body: Vec<u8>,
+        /// Longest time that the export may take.
+        limit: SpanMillis,
+    },
     /// Cancels an attempt whose caller has left.
     Cancel {
         /// The attempt.
         tag: AttemptTag,
     },
+    /// Confirms that the whole response of an attempt arrived. Has no answer. A side process that stops needs it to tell
+    /// a response that arrived from one that was written into a connection that had gone silent.
+    Received {
+        /// The attempt.
+        tag: AttemptTag,
+    },
 }
 
 /// An attempt to run.
@@ -107,14 +125,41 @@
     pub deadline: SpanMillis,
     /// The chat that the request belongs to, if any.
     pub chat: Option<ChatTurn>,
-    /// Whether the attempt may only be admitted by an engine that ran the chat's turn before.
-    pub only_if_held: bool,
+    /// What else the side process checks before it admits the attempt.
+    pub condition: AdmitCondition,
+    /// Another engine that holds the chat's prefix, if one is known.
+    pub prefix_source: Option<PrefixSource>,
+    /// The class's target for loss: work of a higher share is shed first.
+    pub loss_share: TargetShare,
+    /// Whether an upstream crashed while it ran an earlier attempt. A suspect runs only where no other suspect runs.
+    pub suspect: bool,
     /// The highest load at which the attempt may be admitted.
     pub admission: AdmissionRule,
     /// The work itself.
     pub work: WorkBody,
 }
 
+/// A side process whose engine holds a prefix.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PrefixSource {
+    /// Its VM.
+    pub vm: VmName,
+    /// Its address for requests.
+    pub data: SocketAddr,
+}
+
+/// A condition of admission besides the load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AdmitCondition {
+    /// The engine ran the chat's turn before.
+    Held,
+    /// The load before admission is below the mean. This keeps the room between mean and cap free for chats that the
+    /// engine holds.
+    BelowMean,
+    /// None.
+    Always,
+}
+
 /// A chat and how far it has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChatTurn {
@@ -133,6 +178,24 @@
     AtMost(LoadCount),
 }
 
+impl From<AdmitRule> for AdmissionRule {
+    fn from(rule: AdmitRule) -> Self {
+        match rule {
+            AdmitRule::OwnCap => Self::OwnCap,
+            AdmitRule::AtMost(limit) => Self::AtMost(limit),
+        }
+    }
+}
+
+impl From<AdmissionRule> for AdmitRule {
+    fn from(rule: AdmissionRule) -> Self {
+        match rule {
+            AdmissionRule::OwnCap => Self::OwnCap,
+            AdmissionRule::AtMost(limit) => Self::AtMost(limit),
+        }
+    }
+}
+
 /// The work of an attempt.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum WorkBody {
@@ -223,6 +286,13 @@
         /// What is known.
         state: SealState,
     },
+    /// Answers [`RouterFrame::ExportPrefix`].
+    Prefix {
+        /// The attempt asked for.
+        tag: AttemptTag,
+        /// The engine's export, empty when it has none.
+        blob: Vec<u8>,
+    },
     /// Answers [`RouterFrame::Cancel`].
     Cancelled {
         /// The attempt.
@@ -263,8 +333,12 @@
     },
     /// It was admitted but never given to the upstream.
     NotRun(String),
+    /// It was taken out of the queue for other work and never given to the upstream; when to come back.
+    Shed(SpanMillis),
     /// It ran, and the response is not complete.
     Failed(String),
+    /// It ran, and the upstream crashed.
+    Crashed(String),
     /// It was cancelled.
     Cancelled,
 }
@@ -276,6 +350,8 @@
     OverBound,
     /// The engine did not run the chat's turn before.
     NotHeld,
+    /// The load is not below the mean.
+    AboveMean,
     /// The queue is too long for the class's lateness target.
     TooLate,
     /// The VM is leaving.
@@ -299,6 +375,7 @@
         f.write_str(match self {
             Self::OverBound => "over the load bound",
             Self::NotHeld => "engine did not run the chat's turn before",
+            Self::AboveMean => "load is not below the mean",
             Self::TooLate => "queue too long for the lateness target",
             Self::Leaving => "VM is leaving",
             Self::Sealed => "attempt is sealed",
--- a/crates/protocol/fescuetide_wire/src/rpc.rs
+++ b/crates/protocol/fescuetide_wire/src/rpc.rs
@@ -6,6 +6,7 @@
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
 use fescuetide_classes::ClassSnapshot;
+use fescuetide_limits::CrashFingerprint;
 use fescuetide_summary::PoolSum;
 use fescuetide_summary::UpstreamReport;
 use serde::Deserialize;
@@ -78,13 +79,53 @@
     }
 }
 
-/// The sums of one collector's own reports.
+/// A request that is refused because it crashes upstreams.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct RefusedWire {
+    /// The fingerprint of workspace and body.
+    pub print: [u8; 16],
+    /// How long it is still refused, in ms.
+    pub left_ms: u32,
+}
+
+impl From<(CrashFingerprint, SpanMillis)> for RefusedWire {
+    fn from((print, left): (CrashFingerprint, SpanMillis)) -> Self {
+        Self {
+            print: print.to_bytes(),
+            left_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl From<RefusedWire> for (CrashFingerprint, SpanMillis) {
+    fn from(wire: RefusedWire) -> Self {
+        (
+            CrashFingerprint::from_bytes(wire.print),
+            SpanMillis::new(wire.left_ms.into()),
+        )
+    }
+}
+
+/// The reply to an exchange, from the collector above.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct ExchangeReply {
+    /// Sums per pool over the whole tree, as far as the collector knows them.
+    pub total: Vec<(PoolName, SumWire)>,
+    /// Requests that it refuses because they crash upstreams.
+    pub refused: Vec<RefusedWire>,
+    /// Its class-log offset.
+    pub class_offset: u64,
+}
+
+/// The sums of a collector and of those below it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ExchangeWire {
     /// The collector's VM.
     pub collector: VmName,
     /// Sums per pool.
     pub sums: Vec<(PoolName, SumWire)>,
+    /// Requests that the sender refuses because they crash upstreams.
+    pub refused: Vec<RefusedWire>,
     /// The next class-log offset that the collector will fold: all changes below are in force there.
     pub class_offset: u64,
 }
@@ -117,8 +158,8 @@
 pub trait RouterControl {
     /// Takes a side process's report; the reply has the sum over its pool.
     async fn report(report: ReportWire) -> SumWire;
-    /// Takes another collector's sums; the reply has the receiver's class-log offset.
-    async fn exchange(sums: ExchangeWire) -> u64;
+    /// Takes the sums of a collector below; the reply has those of the whole tree.
+    async fn exchange(sums: ExchangeWire) -> ExchangeReply;
     /// Asks the registrar to append a claim; the caller waits for `within`.
     async fn claim(claim: ClaimWire, within: SpanMillis) -> ClaimReply;
     /// The class table, when it is newer than the given offset.
