Reserve the ports of test fleets among processes

Two of 275 fleets did not start while other test processes ran: a port that was free when it was handed out was taken by another process's fleet before the child bound it ("Address already in use" in its log).

--- a/crates/tools/fescuetide_bench/src/ports.rs
+++ b/crates/tools/fescuetide_bench/src/ports.rs
@@ -3,6 +3,9 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::net::UdpSocket;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU16;
 use std::sync::atomic::Ordering;
 
@@ -15,6 +18,10 @@
 
 static NEXT: AtomicU16 = AtomicU16::new(0);
 
+/// UDP sockets on the ports that were handed out. They reserve the TCP ports of the same numbers among test processes,
+/// since a child binds its TCP port only later; 2 of 275 fleets did not start because another process had taken one.
+static RESERVED: Mutex<Vec<UdpSocket>> = Mutex::new(Vec::new());
+
 /// The loopback address of this process. Test programs that run at the same time took each other's ports between the
 /// look for a free one and its use, when all used 127.0.0.1.
 fn own_host() -> Ipv4Addr {
@@ -33,7 +40,12 @@
         let step = NEXT.fetch_add(1, Ordering::Relaxed);
         let port = PORT_FIRST + (start + step % PORT_COUNT) % PORT_COUNT;
         let address = SocketAddr::from((own_host(), port));
+        let Ok(reservation) = UdpSocket::bind(address) else {
+            continue;
+        };
         if TcpListener::bind(address).is_ok() {
+            let mut reserved = RESERVED.lock().unwrap_or_else(PoisonError::into_inner);
+            reserved.push(reservation);
             return Ok(address);
         }
     }
