Ask no engines first that the breaker holds back

Cause: the merge of the admission walk offered turns on a condition to engines that the breaker holds back, too.

--- a/crates/process/fescuetide_router/src/plan.rs
+++ b/crates/process/fescuetide_router/src/plan.rs
@@ -42,10 +42,10 @@
 impl CandidatePlan {
     /// Ranks the upstreams for `spec`; those held back by the breaker and those in `lost_on` come last.
     pub(crate) fn new(shared: &RouterShared, spec: &CallSpec, lost_on: &[VmEntry]) -> Self {
-        let vms = rank_candidates(shared, spec, lost_on);
+        let (vms, allowed) = rank_candidates(shared, spec, lost_on);
         let may_ask = lost_on.is_empty() && spec.key.is_none();
         let probes = if may_ask && shared.settings.policy.asks_holders() {
-            ChatProbes::new(shared, spec, vms.len())
+            ChatProbes::new(shared, spec, allowed)
         } else {
             ChatProbes::none()
         };
@@ -87,7 +87,6 @@
 
     /// Notes that a candidate refused.
     pub(crate) fn note_refusal(&mut self, note: RefusalNote) {
-        // It is asked again without the condition.
         self.probes.note_refusal(note.reason);
         // A candidate whose condition was not met is asked again without it.
         if matches!(
@@ -157,11 +156,16 @@
     }
 }
 
-/// Ranks the upstreams for `spec`; those held back by the breaker and those in `lost_on` come last.
-fn rank_candidates(shared: &RouterShared, spec: &CallSpec, lost_on: &[VmEntry]) -> Vec<VmEntry> {
+/// Ranks the upstreams for `spec`; those held back by the breaker and those in `lost_on` come last. Also returns the
+/// number of the others.
+fn rank_candidates(
+    shared: &RouterShared,
+    spec: &CallSpec,
+    lost_on: &[VmEntry],
+) -> (Vec<VmEntry>, usize) {
     let view = shared.view.load();
     let Some(route) = view.routes.get(&spec.pool) else {
-        return Vec::new();
+        return (Vec::new(), 0);
     };
     let key = RankKey {
         workspace: &spec.workspace,
@@ -182,6 +186,7 @@
         }
         vms.push(vm.clone());
     }
+    let allowed = vms.len();
     vms.extend(held);
-    vms
+    (vms, allowed)
 }
--- a/crates/tools/fescuetide_bench/src/action.rs
+++ b/crates/tools/fescuetide_bench/src/action.rs
@@ -85,6 +85,8 @@
 /// An action as it was carried out.
 #[derive(Clone, Debug)]
 pub struct ActionRecord {
+    /// When it began, in ms since the Unix epoch.
+    pub began_ms: u64,
     /// When it was complete, in ms since the Unix epoch.
     pub at_ms: u64,
     /// The action.
@@ -104,6 +106,7 @@
     fleet: &mut FleetProcesses,
     action: &FaultAction,
 ) -> anyhow::Result<ActionRecord> {
+    let began_ms = ClockMillis::now().as_millis();
     let mut vm = String::new();
     let mut class_next = None;
     match action {
@@ -154,6 +157,7 @@
         }
     }
     Ok(ActionRecord {
+        began_ms,
         at_ms: ClockMillis::now().as_millis(),
         action: action.clone(),
         vm,
--- a/crates/tools/fescuetide_bench/src/check.rs
+++ b/crates/tools/fescuetide_bench/src/check.rs
@@ -206,7 +206,9 @@
         let target = FaultTarget::Router(record.router);
         let during = |action: &FaultAction| {
             evidence.actions.iter().any(|done| {
-                done.action == *action && (record.sent_ms..=record.told_ms).contains(&done.at_ms)
+                done.action == *action
+                    && record.sent_ms <= done.at_ms
+                    && done.began_ms <= record.told_ms
             })
         };
         if during(&FaultAction::Kill(target)) {
--- a/crates/tools/fescuetide_bench/tests/evidence.rs
+++ b/crates/tools/fescuetide_bench/tests/evidence.rs
@@ -162,6 +162,7 @@
     let calls = small_trace(7);
     let (records, journal) = honest_run(&calls[..1]);
     let leaving = |at_ms| ActionRecord {
+        began_ms: at_ms,
         at_ms,
         action: FaultAction::ListLeaving(0),
         vm: "engine-1".to_owned(),
@@ -200,6 +201,7 @@
     let total = compute_reuse(&calls, &journal, &[], 0).total;
     assert_eq!((total.served, total.ideal), (128, 256));
     let removed = ActionRecord {
+        began_ms: 25,
         at_ms: 25,
         action: FaultAction::RemoveVm(0),
         vm: "engine-1".to_owned(),
