Ask holders by the cap at the newest mean

Cause: since side processes take the lowest mean of the last 1.5 s for their caps, holders refused turns of their chats while there was room.

Change: offers to holders carry the cap at the mean that the router's collector knows. All other offers keep the side process's own cap.

--- a/crates/process/fescuetide_router/src/control.rs
+++ b/crates/process/fescuetide_router/src/control.rs
@@ -167,10 +167,19 @@
             state.publish();
         }
         state.records.step(state.classes.table(), now);
+        state.publish_means();
     }
 }
 
 impl ControlState {
+    fn publish_means(&self) {
+        let mut means = IndexMap::new();
+        for (pool, sum) in self.collector.total_sums() {
+            means.insert(pool, sum.mean());
+        }
+        self.shared.means.store(Arc::new(means));
+    }
+
     /// Publishes a view of the tables as they stand.
     pub(crate) fn publish(&mut self) {
         let Some(classes) = self.classes.publish(&self.shared) else {
--- a/crates/process/fescuetide_router/src/lib.rs
+++ b/crates/process/fescuetide_router/src/lib.rs
@@ -42,6 +42,7 @@
 use anyhow::Context;
 use arc_swap::ArcSwap;
 use fescuetide_base::ClockMillis;
+use fescuetide_base::PoolName;
 use fescuetide_base::ProcessIncarnation;
 use fescuetide_base::SpanMillis;
 use fescuetide_limits::BreakerSettings;
@@ -51,6 +52,7 @@
 use fescuetide_net::HttpDrain;
 use fescuetide_net::LinkPool;
 use fescuetide_net::LinkSettings;
+use indexmap::IndexMap;
 
 use crate::claim_client::ClaimClient;
 use crate::metrics::RouterMetrics;
@@ -76,6 +78,8 @@
     pub(crate) retries: RetryLedger,
     pub(crate) suspects: Mutex<SuspectTable>,
     pub(crate) policy: Arc<PolicyState>,
+    /// Mean loads of the pools as the collector knows them.
+    pub(crate) means: ArcSwap<IndexMap<PoolName, f64>>,
     pub(crate) records: RecordSender,
     pub(crate) registrar: Registrar,
     pub(crate) claims: ClaimClient,
@@ -138,6 +142,7 @@
             retries: RetryLedger::default(),
             suspects: Mutex::default(),
             policy: Arc::default(),
+            means: ArcSwap::default(),
             records,
             registrar: Registrar::new(&settings, meter.clone()),
             claims,
--- a/crates/process/fescuetide_router/src/plan.rs
+++ b/crates/process/fescuetide_router/src/plan.rs
@@ -65,7 +65,7 @@
     /// The next candidate and the rule to ask it by.
     pub(crate) fn next_candidate(&mut self) -> Option<(VmEntry, AdmissionRule)> {
         if let Some(place) = self.probes.next_place() {
-            return Some((self.vms[place].clone(), AdmissionRule::OwnCap));
+            return Some((self.vms[place].clone(), self.probes.rule()));
         }
         let (place, rule) = self.walk.next_candidate()?;
         let rule = match rule {
--- a/crates/process/fescuetide_router/src/probes.rs
+++ b/crates/process/fescuetide_router/src/probes.rs
@@ -1,7 +1,10 @@
 //! The offers on a condition that come before the walk over all candidates.
 
 use fescuetide_base::ClockMillis;
+use fescuetide_base::LoadCount;
 use fescuetide_base::SpanMillis;
+use fescuetide_limits::LoadBound;
+use fescuetide_wire::frame::AdmissionRule;
 use fescuetide_wire::frame::AdmitCondition;
 use fescuetide_wire::frame::RefusalReason;
 
@@ -41,6 +44,8 @@
     /// Until when a holder that refused because of its cap is asked again.
     patient_until: ClockMillis,
     is_waiting: bool,
+    /// The rule by which holders are asked.
+    holder_rule: AdmissionRule,
 }
 
 impl ChatProbes {
@@ -60,6 +65,7 @@
             patient_until: ClockMillis::now()
                 + SpanMillis::new(wait.min(within / HOLDER_WAIT_SHARE)),
             is_waiting: false,
+            holder_rule: holder_rule(shared, spec),
         }
     }
 
@@ -71,6 +77,7 @@
             asked: 0,
             patient_until: ClockMillis::default(),
             is_waiting: false,
+            holder_rule: AdmissionRule::OwnCap,
         }
     }
 
@@ -102,6 +109,14 @@
         }
     }
 
+    /// The rule by which the candidate just given is asked.
+    pub(crate) fn rule(&self) -> AdmissionRule {
+        match self.stage {
+            ProbeStage::Held => self.holder_rule,
+            ProbeStage::BelowMean | ProbeStage::Done => AdmissionRule::OwnCap,
+        }
+    }
+
     /// How long to wait before the candidate just given is asked.
     pub(crate) fn wait(&self) -> SpanMillis {
         SpanMillis::new(if self.is_waiting { HOLDER_STEP_MS } else { 0 })
@@ -113,3 +128,15 @@
         self.is_waiting = is_full && ClockMillis::now() < self.patient_until;
     }
 }
+
+/// Holders are asked by the cap at the newest mean. Their own cap is at the lowest mean of the last 1.5 s, so that
+/// it refuses turns of chats that they hold while there is room.
+fn holder_rule(shared: &RouterShared, spec: &CallSpec) -> AdmissionRule {
+    let Some(mean) = shared.means.load().get(&spec.pool).copied() else {
+        return AdmissionRule::OwnCap;
+    };
+    let bound = LoadBound {
+        multiple: shared.settings.load_multiple,
+    };
+    AdmissionRule::AtMost(LoadCount::new(bound.cap(mean).get().saturating_sub(1)))
+}
