--- a/crates/process/fescuetide_router/src/lib.rs
+++ b/crates/process/fescuetide_router/src/lib.rs
@@ -52,6 +52,8 @@
 use fescuetide_net::HttpDrain;
 use fescuetide_net::LinkPool;
 use fescuetide_net::LinkSettings;
+use fescuetide_routing::DemandSettings;
+use fescuetide_routing::DemandTable;
 use indexmap::IndexMap;
 
 use crate::claim_client::ClaimClient;
@@ -77,6 +79,7 @@
     pub(crate) breaker: Mutex<VmBreaker>,
     pub(crate) retries: RetryLedger,
     pub(crate) suspects: Mutex<SuspectTable>,
+    pub(crate) demand: Mutex<DemandTable>,
     pub(crate) policy: Arc<PolicyState>,
     /// Mean loads of the pools as the collector knows them.
     pub(crate) means: ArcSwap<IndexMap<PoolName, f64>>,
@@ -104,6 +107,10 @@
         self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn lock_demand(&self) -> MutexGuard<'_, DemandTable> {
+        self.demand.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
     }
@@ -133,7 +140,6 @@
         let links = LinkPool::new(settings.vm.clone(), incarnation, LinkSettings::default());
         let (records, record_receiver) = RecordSender::channel();
         let (claims, claim_receiver) = ClaimClient::channel();
-        let meter = ControlMeter::default();
         let shared = Arc::new(RouterShared {
             incarnation,
             view: ArcSwap::from_pointee(RouterView::default()),
@@ -141,13 +147,17 @@
             breaker: Mutex::new(VmBreaker::new(BreakerSettings::default())),
             retries: RetryLedger::default(),
             suspects: Mutex::default(),
+            demand: Mutex::new(DemandTable::new(DemandSettings {
+                first_size: settings.shard_size,
+                ..DemandSettings::default()
+            })),
             policy: Arc::default(),
             means: ArcSwap::default(),
             records,
-            registrar: Registrar::new(&settings, meter.clone()),
+            registrar: Registrar::new(&settings),
             claims,
             metrics: RouterMetrics::new(&settings)?,
-            meter,
+            meter: ControlMeter::default(),
             draining: AtomicBool::new(false),
             active: AtomicU32::new(0),
             http_drain: HttpDrain::default(),
--- a/crates/tools/fescuetide_bench/src/once.rs
+++ b/crates/tools/fescuetide_bench/src/once.rs
@@ -135,7 +135,7 @@
             body: String::new(),
             retry_after: None,
             attempts: 0,
-            span: start.elapsed(),
+            span: Duration::default(),
         };
         if let Ok(mut response) = result {
             let header = |name: &str| response.headers().get(name)?.to_str().ok()?.parse().ok();
@@ -145,11 +145,23 @@
             told.attempts = header(ATTEMPTS_HEADER).unwrap_or_default() as u32;
             told.body = response.body_mut().read_to_string().unwrap_or_default();
         }
+        told.span = start.elapsed();
         let mut list = self.told.lock().unwrap_or_else(PoisonError::into_inner);
         list.push(told.clone());
         told
     }
 
+    /// How often each outcome was told; `none` counts requests without response.
+    pub fn count_outcomes(&self) -> IndexMap<String, u32> {
+        let told = self.told.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut counts = IndexMap::new();
+        for call in &*told {
+            let name = call.outcome.map_or("none".to_owned(), |it| it.to_string());
+            *counts.entry(name).or_default() += 1;
+        }
+        counts
+    }
+
     /// Compares all that was told with the journals of the fleet's services. Returns what does not agree.
     ///
     /// # Errors
--- a/crates/tools/fescuetide_bench/tests/faults_process.rs
+++ b/crates/tools/fescuetide_bench/tests/faults_process.rs
@@ -109,6 +109,7 @@
         fleet.signal_side(place, SignalKind::Pause).expect("signal");
     });
     assert_whole(&fleet, &result);
+    assert_eq!(result.attempts, 2);
     assert_continued(&fleet, &result);
     let lines = lines_of(&fleet, content_of(&result.messages)).expect("journals");
     let paused = lines[0].place;
