--- a/crates/tools/fescuetide_bench/src/check.rs
+++ b/crates/tools/fescuetide_bench/src/check.rs
@@ -5,6 +5,7 @@
 
 use std::fmt;
 
+use fescuetide_classes::ClassSnapshot;
 use fescuetide_standin::journal::JournalEvent;
 use fescuetide_standin::journal::JournalLine;
 use fescuetide_wire::api::CallOutcome;
@@ -70,6 +71,8 @@
     pub actions: &'a [ActionRecord],
     /// Class-log offsets of the routers.
     pub offsets: &'a [OffsetSample],
+    /// Class tables of the routers at the end.
+    pub tables: &'a [ClassSnapshot],
 }
 
 /// Finds all breaches.
@@ -82,6 +85,7 @@
     check_leaving(evidence, &mut breaches);
     check_cut_off(evidence, &mut breaches);
     check_changes(evidence, &mut breaches);
+    check_tables(evidence, &mut breaches);
     breaches
 }
 
@@ -261,6 +265,34 @@
     }
 }
 
+/// Of changes that were all based on the first version of a class, exactly one must be in force, everywhere the same.
+fn check_tables(evidence: &RunEvidence<'_>, breaches: &mut Vec<PromiseBreach>) {
+    let Some(first) = evidence.tables.first() else {
+        return;
+    };
+    for table in evidence.tables {
+        if table.entries != first.entries {
+            let detail = "routers have different classes in force".to_owned();
+            add(breaches, PromiseKind::P7, detail);
+        }
+    }
+    for record in evidence.actions {
+        let FaultAction::RaceChanges(class, _) = &record.action else {
+            continue;
+        };
+        let entry = first
+            .entries
+            .iter()
+            .find(|(name, _)| name.as_str() == class);
+        let version = entry.map(|(_, entry)| entry.version.get());
+        if version != Some(2) {
+            let detail =
+                format!("class {class} has version {version:?} after racing changes of version 1");
+            add(breaches, PromiseKind::P7, detail);
+        }
+    }
+}
+
 fn name_call(call: &TraceCall) -> String {
     match &call.work {
         TraceWork::Chat { script, turn, .. } => format!("turn {turn} of {}", script.name),
--- a/crates/tools/fescuetide_bench/src/measure.rs
+++ b/crates/tools/fescuetide_bench/src/measure.rs
@@ -111,6 +111,7 @@
             journal: &run.journal,
             actions: &run.actions,
             offsets: &run.offsets,
+            tables: &run.tables,
         };
         Ok(Self {
             label: run.label.clone(),
--- a/crates/tools/fescuetide_bench/src/runner.rs
+++ b/crates/tools/fescuetide_bench/src/runner.rs
@@ -11,6 +11,7 @@
 use std::time::Instant;
 
 use fescuetide_base::ClockMillis;
+use fescuetide_classes::ClassSnapshot;
 use fescuetide_standin::journal::JournalLine;
 use fescuetide_standin::journal::read_journal;
 
@@ -19,6 +20,7 @@
 use crate::action::apply_action;
 use crate::caller::CallRecord;
 use crate::caller::TraceCaller;
+use crate::config::router_table;
 use crate::fleet::FleetProcesses;
 use crate::fleet::FleetSettings;
 use crate::offsets::OffsetSample;
@@ -73,6 +75,8 @@
     pub samples: Vec<LoadSample>,
     /// Class-log offsets of the routers.
     pub offsets: Vec<OffsetSample>,
+    /// The class tables of the routers at the end, of those that answer.
+    pub tables: Vec<ClassSnapshot>,
     /// What was done to the fleet.
     pub actions: Vec<ActionRecord>,
     /// Control bytes per router and second, unless a router was restarted.
@@ -155,6 +159,11 @@
             Some(offsets) => offsets.finish()?,
             None => Vec::new(),
         },
+        tables: if spec.watch_offsets {
+            read_tables(&fleet)
+        } else {
+            Vec::new()
+        },
         actions: actions?,
         control_bytes_per_s,
         journal: read_journals(&fleet)?,
@@ -213,6 +222,16 @@
     Some(bytes)
 }
 
+fn read_tables(fleet: &FleetProcesses) -> Vec<ClassSnapshot> {
+    let mut tables = Vec::new();
+    for router in &fleet.routers {
+        if let Ok(Some(table)) = router_table(&router.vm) {
+            tables.push(table);
+        }
+    }
+    tables
+}
+
 fn read_journals(fleet: &FleetProcesses) -> anyhow::Result<Vec<JournalLine>> {
     let mut lines = Vec::new();
     for pair in &fleet.upstreams {
--- a/crates/tools/fescuetide_bench/tests/evidence.rs
+++ b/crates/tools/fescuetide_bench/tests/evidence.rs
@@ -1,6 +1,7 @@
 //! Traces are reproducible, and the check for violations finds what a tampered journal shows.
 
 use fescuetide_base::AttemptId;
+use fescuetide_base::ClassVersion;
 use fescuetide_bench::action::ActionRecord;
 use fescuetide_bench::action::FaultAction;
 use fescuetide_bench::caller::CallRecord;
@@ -16,6 +17,8 @@
 use fescuetide_bench::trace::TraceCall;
 use fescuetide_bench::trace::TraceWork;
 use fescuetide_bench::trace::build_trace;
+use fescuetide_classes::ClassEntry;
+use fescuetide_classes::ClassSnapshot;
 use fescuetide_standin::journal::JournalEvent;
 use fescuetide_standin::journal::JournalLine;
 use fescuetide_wire::api::CallOutcome;
@@ -93,6 +96,7 @@
         journal,
         actions,
         offsets: &[],
+        tables: &[],
     };
     let found = find_breaches(&evidence);
     found.into_iter().map(|breach| breach.promise).collect()
@@ -225,3 +229,41 @@
     let count = FaultName::ALL.len();
     assert_eq!(sets.len(), count + count * (count - 1) / 2);
 }
+
+/// Guards against a check that accepts several winners, or none, among conflicting changes of a class.
+#[test]
+fn racing_changes_without_one_winner_are_a_breach() {
+    let calls = small_trace(7);
+    let (records, journal) = honest_run(&calls);
+    let raced = ActionRecord {
+        began_ms: 10,
+        at_ms: 20,
+        action: FaultAction::RaceChanges("chat".to_owned(), 4),
+        vm: String::new(),
+        class_next: None,
+    };
+    let table = |version| {
+        let mut table = ClassSnapshot::default();
+        let entry = ClassEntry {
+            version: ClassVersion::new(version),
+            targets: None,
+        };
+        let name = "chat".parse().expect("class name");
+        table.entries.insert(name, entry);
+        table
+    };
+    let count = |tables: &[ClassSnapshot]| {
+        let evidence = RunEvidence {
+            calls: &calls,
+            records: &records,
+            journal: &journal,
+            actions: std::slice::from_ref(&raced),
+            offsets: &[],
+            tables,
+        };
+        find_breaches(&evidence).len()
+    };
+    assert_eq!(count(&[table(2), table(2)]), 0);
+    assert_eq!(count(&[table(2), table(3)]), 1);
+    assert_eq!(count(&[table(1), table(1)]), 1);
+}
