--- a/crates/tools/fescuetide_bench/src/fault_client.rs
+++ b/crates/tools/fescuetide_bench/src/fault_client.rs
@@ -54,6 +54,8 @@
     pub attempts: u32,
     /// The value of `Retry-After` in s.
     pub retry_after_secs: Option<u64>,
+    /// The error body, empty when there is none.
+    pub error: String,
     /// The text it received.
     pub text: String,
     /// The longest time between two tokens.
@@ -99,6 +101,7 @@
             outcome: None,
             attempts: 0,
             retry_after_secs: None,
+            error: String::new(),
             text: String::new(),
             longest_gap: Duration::ZERO,
             elapsed: Duration::ZERO,
@@ -140,6 +143,7 @@
             .and_then(|value| value.to_str().ok()?.parse().ok());
         if result.status != 200 {
             result.outcome = outcome_of(&response);
+            result.error = response.into_body().read_to_string().unwrap_or_default();
             return;
         }
         let reader = BufReader::new(response.into_body().into_reader());
