Wait for a router's earlier process before its next one starts

Cause: tests kill a router and start it again at once. The new process was started before the old one was waited for, and could find its ports taken (new_registrar_skips_old_records failed twice out of two runs, lost_log_records_make_keys_unknown once out of four, both with 'router took longer than 20s'). That the bind failed was inferred, not read in a log.

Change: the earlier process is ended and waited for first.

--- a/crates/tools/fescuetide_bench/src/fleet.rs
+++ b/crates/tools/fescuetide_bench/src/fleet.rs
@@ -349,6 +349,8 @@
     ///
     /// Fails when the process does not start.
     pub fn start_router(&mut self, place: usize) -> anyhow::Result<()> {
+        // An earlier process that was signalled to end may still hold the ports.
+        self.routers[place].process = None;
         let vm = &self.routers[place].vm;
         let mut text = String::from("role = \"router\"\n\n[router]\n");
         write_vm_lines(&mut text, vm)?;
