Wait for the side processes when a test fleet starts

Cause: in two runs of the whole test suite under load a request was refused at an idle fleet; a side process that does not listen yet is the likely cause, since the start waited only for the routers. Not reproduced in 12 runs alone.

--- a/crates/tools/fescuetide_bench/src/fleet.rs
+++ b/crates/tools/fescuetide_bench/src/fleet.rs
@@ -183,8 +183,16 @@
         wait_for("start of the routers", START_TIMEOUT, || {
             fleet.routers.iter().all(|router| is_ready(router.vm.data))
         })?;
-        // A router is ready with the first records of the log; the classes published last may still be on their way.
+        // A request that comes before its upstream's side process listens is refused.
         let probe = StatusProbe::new()?;
+        wait_for("start of the side processes", START_TIMEOUT, || {
+            fleet.upstreams.iter().all(|pair| {
+                probe
+                    .side(pair.vm.control)
+                    .is_ok_and(|status| status.vm.as_str() == pair.vm.name)
+            })
+        })?;
+        // A router is ready with the first records of the log; the classes published last may still be on their way.
         let published = fleet.settings.classes.len() as u64;
         wait_for("classes in force on all routers", START_TIMEOUT, || {
             fleet.routers.iter().all(|router| {
