Look for an earlier run before a crashing request is refused

Cause: a resend of a request whose fingerprint is refused fleet-wide was told not-run without a look at its claim, although its first send had run. Change: such a request makes no new claim, but follows the claim that it finds. Conclusion: by inspection; no test covers this yet.

--- a/crates/process/fescuetide_router/src/keyed.rs
+++ b/crates/process/fescuetide_router/src/keyed.rs
@@ -82,6 +82,8 @@
     refusal: Option<RefusalReason>,
     /// Whether a claim of another request may have been replaced by one that is not known here.
     is_uncertain: bool,
+    /// Whether a new run may start. Otherwise only an earlier one is looked for.
+    may_run: bool,
     rounds: u32,
 }
 
@@ -96,10 +98,16 @@
             sealed_on: Vec::new(),
             refusal: None,
             is_uncertain: false,
+            may_run: true,
             rounds: 0,
         })
     }
 
+    /// Sets whether a new run may start.
+    pub(crate) fn set_may_run(&mut self, may_run: bool) {
+        self.may_run = may_run;
+    }
+
     /// Notes why the attempt in progress was refused.
     pub(crate) fn note_refusal(&mut self, reason: RefusalReason) {
         self.refusal = Some(reason);
@@ -183,6 +191,9 @@
         shared: &RouterShared,
         plan: &mut CandidatePlan,
     ) -> Option<OpenCandidate> {
+        if !self.may_run {
+            return None;
+        }
         loop {
             let (vm, rule) = match self.pending.take() {
                 Some(pending) => pending,
@@ -198,6 +209,7 @@
                     tracing::debug!(vm = %vm.name, %error, "VM cannot be reached");
                     let now = ClockMillis::now();
                     shared.lock_breaker().note_failure(&vm.name, now);
+                    plan.note_gone(&vm.name);
                 }
             }
         }
--- a/crates/process/fescuetide_router/src/runner.rs
+++ b/crates/process/fescuetide_router/src/runner.rs
@@ -106,11 +106,12 @@
                 return self.end_at_deadline();
             }
             let Some(mut attempt) = self.current.take() else {
-                if self.refuse_crasher() {
+                let is_refused = self.refuse_crasher();
+                if is_refused && self.keyed.is_none() {
                     return self.end_not_run();
                 }
                 if self.keyed.is_some() {
-                    if let Some(event) = self.start_keyed() {
+                    if let Some(event) = self.start_keyed(!is_refused) {
                         return event;
                     }
                 } else if !self.start_next() && !self.wait_for_suspects() {
@@ -362,9 +363,10 @@
     }
 
     /// Claims the key and starts or joins an attempt. Returns the end when there is none.
-    fn start_keyed(&mut self) -> Option<CallEvent> {
+    fn start_keyed(&mut self, may_run: bool) -> Option<CallEvent> {
         let suspect = self.is_suspect();
         let keyed = self.keyed.as_mut()?;
+        keyed.set_may_run(may_run);
         let (shared, spec) = (&self.shared, &self.spec);
         let step = keyed.start(shared, spec, &mut self.plan, |tag, rule| DispatchFrame {
             suspect,
