--- a/crates/process/fescuetide_router/src/lib.rs
+++ b/crates/process/fescuetide_router/src/lib.rs
@@ -42,6 +42,7 @@
 use anyhow::Context;
 use arc_swap::ArcSwap;
 use fescuetide_base::ClockMillis;
+use fescuetide_base::PoolName;
 use fescuetide_base::ProcessIncarnation;
 use fescuetide_base::SpanMillis;
 use fescuetide_limits::BreakerSettings;
@@ -53,6 +54,7 @@
 use fescuetide_net::LinkSettings;
 use fescuetide_routing::DemandSettings;
 use fescuetide_routing::DemandTable;
+use indexmap::IndexMap;
 
 use crate::claim_client::ClaimClient;
 use crate::metrics::RouterMetrics;
@@ -79,6 +81,8 @@
     pub(crate) suspects: Mutex<SuspectTable>,
     pub(crate) demand: Mutex<DemandTable>,
     pub(crate) policy: Arc<PolicyState>,
+    /// Mean loads of the pools as the collector knows them.
+    pub(crate) means: ArcSwap<IndexMap<PoolName, f64>>,
     pub(crate) records: RecordSender,
     pub(crate) registrar: Registrar,
     pub(crate) claims: ClaimClient,
@@ -148,6 +152,7 @@
                 ..DemandSettings::default()
             })),
             policy: Arc::default(),
+            means: ArcSwap::default(),
             records,
             registrar: Registrar::new(&settings),
             claims,
