Test resends of a request that crashes upstreams

Change: resend_of_a_crashing_request_stays_unknown sends one body under six keys until it is refused, and resends all.

--- a/crates/tools/fescuetide_bench/src/once.rs
+++ b/crates/tools/fescuetide_bench/src/once.rs
@@ -47,6 +47,8 @@
     pub key: IdempotencyKey,
     /// The chat. Requests of different chats prefer different upstreams.
     pub chat: String,
+    /// The body, `None` for one that differs by key.
+    pub body: Option<String>,
     /// How long the caller stays.
     pub patience: Duration,
 }
@@ -62,6 +64,7 @@
         Self {
             key,
             chat: "c-0".to_owned(),
+            body: None,
             patience: CALL_TIMEOUT,
         }
     }
@@ -125,6 +128,8 @@
             .timeout_global(Some(call.patience))
             .build()
             .into();
+        let own_body = format!("receipt {}", call.key);
+        let body = call.body.as_ref().unwrap_or(&own_body);
         let start = Instant::now();
         let result = agent
             .post(format!("http://{address}{}", self.path))
@@ -132,7 +137,7 @@
             .header(CHAT_HEADER, &call.chat)
             .header(CLASS_HEADER, &self.class)
             .header(KEY_HEADER, call.key.to_string())
-            .send(format!("receipt {}", call.key));
+            .send(body);
         let mut told = ToldCall {
             key: call.key,
             outcome: None,
--- a/crates/tools/fescuetide_bench/tests/once_failures.rs
+++ b/crates/tools/fescuetide_bench/tests/once_failures.rs
@@ -8,6 +8,7 @@
 use fescuetide_base::ClockMillis;
 use fescuetide_base::VmName;
 use fescuetide_bench::fleet::is_ready;
+use fescuetide_bench::fleet_faults::put_faults;
 use fescuetide_bench::once::OnceCall;
 use fescuetide_bench::once::call_in_partition;
 use fescuetide_bench::once::count_runs;
@@ -20,11 +21,14 @@
 use fescuetide_bench::process::SignalKind;
 use fescuetide_bench::process::wait_for;
 use fescuetide_claims::rank_registrars;
+use fescuetide_standin::faults::ServiceFaults;
+use fescuetide_standin::journal::JournalEvent;
 use fescuetide_standin::log::LogFaults;
 use fescuetide_wire::api::CallOutcome;
 use fescuetide_wire::claim::ClaimRecord;
 
 const COMPLETED: Option<CallOutcome> = Some(CallOutcome::Completed);
+const NOT_RUN: Option<CallOutcome> = Some(CallOutcome::NotRun);
 const UNKNOWN: Option<CallOutcome> = Some(CallOutcome::Unknown);
 
 /// Guards against a second run after the process that knew of the first one is gone.
@@ -250,6 +254,42 @@
     fleet.verify(&caller);
 }
 
+/// Guards against a resend that is told `not-run` although its first send ran, because its body is refused fleet-wide
+/// after two crashes.
+#[test]
+fn resend_of_a_crashing_request_stays_unknown() {
+    let fleet = OnceFleet::start(1, 3, 5);
+    let caller = fleet.caller("export");
+    let faults = ServiceFaults {
+        crash_after: Some("crash".to_owned()),
+        ..ServiceFaults::default()
+    };
+    for pair in &fleet.fleet.upstreams {
+        put_faults(pair.upstream_address, &faults).expect("service takes faults");
+    }
+    let mut calls = Vec::new();
+    for _ in 0..6 {
+        let call = OnceCall {
+            body: Some("crash".to_owned()),
+            ..OnceCall::new()
+        };
+        let told = caller.send(fleet.router(0), &call);
+        calls.push((call, told));
+    }
+    let refused = calls.iter().any(|(_, told)| told.outcome == NOT_RUN);
+    assert!(refused, "{calls:#?}");
+    for (call, told) in &calls {
+        let again = caller.send(fleet.router(0), call);
+        assert_eq!(again.outcome, told.outcome, "{}", again.body);
+    }
+    fleet.verify(&caller);
+    let lines = list_runs(&fleet.fleet).expect("journals");
+    let runs = lines
+        .iter()
+        .filter(|line| line.event == JournalEvent::Start);
+    assert_eq!(runs.count(), 2);
+}
+
 /// Guards against what no single fault shows: resends while the log fails, a router pauses and a side process dies.
 /// `FESCUETIDE_STORM_ROUNDS=N` makes the run longer.
 #[test]
