Tell 'not-run' in a log outage only when no claim can exist

A resend was told 'not-run' although its first send had run: the preferred registrar, which had read the claim, waited for the log and did not answer in time; the router then asked its own ledger, which had never been read. Ruled out: the claims themselves, no key ran twice.

Change: the answer to a claim that cannot be made says whether a ledger that was read to its end knows no claim. Without that word, or when a preferred registrar was passed over, the outcome is 'unknown' with Retry-After. Registrars answer from their ledger before the asking router gives up, and read their partitions when they start.

More requests end as 'unknown' while a registrar is paused.

--- a/crates/process/fescuetide_router/src/claim_client.rs
+++ b/crates/process/fescuetide_router/src/claim_client.rs
@@ -73,26 +73,29 @@
         claim: &ClaimEntry,
         due: ClockMillis,
     ) -> ClaimReply {
+        let mut passed_over = false;
         for vm in list_registrars(shared, claim) {
             let now = ClockMillis::now();
             if now >= due {
-                return unavailable();
+                return unavailable(false);
             }
             if vm.name == shared.settings.vm {
                 break;
             }
             if self.is_avoided(&vm.name, now) {
+                passed_over = true;
                 continue;
             }
             let half = due.since(now).as_millis().div_ceil(2);
             let within = SpanMillis::new(half.min(REGISTRAR_TIMEOUT_MS));
             if let Some(reply) = self.ask(&vm, claim, within) {
-                return reply;
+                return doubt(reply, passed_over);
             }
+            passed_over = true;
             shared.metrics.count("registrar.failed");
             self.avoid(vm.name, ClockMillis::now());
         }
-        claim_here(shared, claim, due)
+        doubt(claim_here(shared, claim, due), passed_over)
     }
 
     fn ask(&self, vm: &VmEntry, claim: &ClaimEntry, within: SpanMillis) -> Option<ClaimReply> {
@@ -121,6 +124,15 @@
     }
 }
 
+/// What a registrar says while the log is out counts less when a preferred one was passed over, which may have read
+/// later claims.
+fn doubt(reply: ClaimReply, passed_over: bool) -> ClaimReply {
+    match reply {
+        ClaimReply::Unavailable { .. } if passed_over => unavailable(false),
+        other => other,
+    }
+}
+
 /// The live routers of the region, best registrar first.
 fn list_registrars(shared: &RouterShared, claim: &ClaimEntry) -> Vec<VmEntry> {
     let view = shared.view.load();
@@ -151,7 +163,7 @@
     let left = due.since(ClockMillis::now());
     receiver
         .recv_timeout(left.into())
-        .unwrap_or_else(|_| unavailable())
+        .unwrap_or_else(|_| shared.registrar.answer_now(claim))
 }
 
 type LinkTable = Rc<RefCell<IndexMap<VmName, (VmEntry, RouterControlClient)>>>;
--- a/crates/process/fescuetide_router/src/control.rs
+++ b/crates/process/fescuetide_router/src/control.rs
@@ -53,7 +53,6 @@
 use crate::platform::apply_list;
 use crate::records::RecordKeeper;
 use crate::registrar::ClaimJob;
-use crate::registrar::unavailable;
 use crate::view::RouterView;
 
 /// How often news from the platform thread is taken in.
@@ -191,6 +190,14 @@
         };
         let view = RouterView::new(classes, self.vms.clone(), &self.shared.settings.region);
         self.shared.view.store(Arc::new(view));
+        let settings = &self.shared.settings;
+        let mut routers = Vec::new();
+        for entry in self.vms.live_routers() {
+            if entry.region == settings.region {
+                routers.push(entry.name.clone());
+            }
+        }
+        self.shared.registrar.prepare(&settings.vm, &routers);
     }
 }
 
@@ -235,8 +242,14 @@
             }),
         };
         let shared = Arc::clone(&self.state.borrow().shared);
+        let asked = job.claim.clone();
         shared.registrar.submit(job);
-        receiver.await.unwrap_or_else(|_| unavailable())
+        // The asking router waits for `within`; an answer from the ledger must reach it before.
+        let patience = SpanMillis::new(within.as_millis() * 4 / 5);
+        match tokio::time::timeout(patience.into(), receiver).await {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(_)) | Err(_) => shared.registrar.answer_now(&asked),
+        }
     }
 
     async fn snapshot(self, _: Context, above: u64) -> Option<ClassSnapshot> {
--- a/crates/process/fescuetide_router/src/keyed.rs
+++ b/crates/process/fescuetide_router/src/keyed.rs
@@ -167,7 +167,14 @@
                 (ClaimReply::Free, None) => {
                     return self.give_up("no upstream is available".to_owned(), None);
                 }
-                (ClaimReply::Unavailable { retry_after }, _) => {
+                (
+                    ClaimReply::Unavailable {
+                        retry_after,
+                        is_free,
+                    },
+                    _,
+                ) => {
+                    self.is_uncertain |= !is_free;
                     let reason = "claim log cannot be used in time".to_owned();
                     return self.give_up(reason, Some(retry_after));
                 }
--- a/crates/process/fescuetide_router/src/partition.rs
+++ b/crates/process/fescuetide_router/src/partition.rs
@@ -1,7 +1,6 @@
 //! The worker of one partition of the claim log.
 
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
 
@@ -25,8 +24,7 @@
 
 use crate::registrar::ClaimJob;
 use crate::registrar::LogHealth;
-use crate::registrar::answer_without_log;
-use crate::registrar::lock_ledger;
+use crate::registrar::SharedLedger;
 use crate::registrar::unavailable;
 
 /// Most claims of one record. With `READ_LIMIT_RECORDS` it keeps a read below 10 MB, the limit of the HTTP client.
@@ -50,11 +48,11 @@
     stream: String,
     log: LogClient,
     health: Arc<LogHealth>,
-    ledger: Arc<Mutex<ClaimLedger>>,
+    ledger: SharedLedger,
     gap: SpanMillis,
     window: ClaimWindow,
-    /// Whether the ledger has been read from its start.
-    is_started: bool,
+    /// Whether records with too old keys have been skipped.
+    has_skipped: bool,
     next_append: ClockMillis,
 }
 
@@ -63,7 +61,7 @@
         partition: ClaimPartition,
         log: LogClient,
         health: Arc<LogHealth>,
-        ledger: Arc<Mutex<ClaimLedger>>,
+        ledger: SharedLedger,
         gap: SpanMillis,
         window: ClaimWindow,
     ) -> Self {
@@ -75,7 +73,7 @@
             ledger,
             gap,
             window,
-            is_started: false,
+            has_skipped: false,
             next_append: ClockMillis::default(),
         }
     }
@@ -99,10 +97,11 @@
         }
     }
 
-    /// Finds out whether a log that failed or was slow has recovered.
+    /// Reads the log for the first time, and finds out whether a log that failed or was slow has recovered.
     fn probe(&mut self) {
         let expected = self.health.expected(ClockMillis::now());
-        if expected.is_some_and(|span| span.as_millis() <= SLOW_CALL_MS) {
+        let is_well = expected.is_some_and(|span| span.as_millis() <= SLOW_CALL_MS);
+        if is_well && self.ledger.is_started() {
             return;
         }
         self.catch_up();
@@ -133,12 +132,12 @@
     /// Answers all claims that the ledger decides. Returns those that are still to be appended.
     fn settle(&self, jobs: Vec<ClaimJob>) -> Vec<ClaimJob> {
         let now = ClockMillis::now();
-        let ledger = lock_ledger(&self.ledger);
+        let ledger = self.ledger.lock();
         let mut waiting = Vec::with_capacity(jobs.len());
         for job in jobs {
             match judge(&ledger, &job.claim, now) {
                 Some(reply) => (job.reply)(reply),
-                None if now >= job.due => (job.reply)(unavailable()),
+                None if now >= job.due => (job.reply)(unavailable(true)),
                 None => waiting.push(job),
             }
         }
@@ -147,9 +146,9 @@
 
     fn give_up(&self, jobs: Vec<ClaimJob>) {
         let now = ClockMillis::now();
-        let ledger = lock_ledger(&self.ledger);
         for job in jobs {
-            (job.reply)(answer_without_log(&ledger, &job.claim, now));
+            let reply = self.ledger.answer_without_log(&job.claim, now);
+            (job.reply)(reply);
         }
     }
 
@@ -171,15 +170,15 @@
 
     /// Reads up to the end of the log. Returns whether that worked.
     fn catch_up(&mut self) -> bool {
-        if !self.is_started {
+        if !self.has_skipped {
             if let Err(error) = self.skip_old_records() {
                 self.note_failure(&error);
                 return false;
             }
-            self.is_started = true;
+            self.has_skipped = true;
         }
         loop {
-            let from = lock_ledger(&self.ledger).next_offset();
+            let from = self.ledger.lock().next_offset();
             match self.read(from, READ_LIMIT_RECORDS) {
                 Ok(reply) if self.fold(from, &reply) => break,
                 Ok(_) => {}
@@ -189,7 +188,8 @@
                 }
             }
         }
-        lock_ledger(&self.ledger).expire(ClockMillis::now());
+        self.ledger.lock().expire(ClockMillis::now());
+        self.ledger.note_started();
         true
     }
 
@@ -224,7 +224,7 @@
         }
         if low > first {
             let lost_until = old + self.window.skew;
-            lock_ledger(&self.ledger).restart(LogOffset::new(low), lost_until);
+            self.ledger.lock().restart(LogOffset::new(low), lost_until);
         }
         Ok(())
     }
@@ -235,7 +235,7 @@
 
     /// Folds what was read. Returns whether the end of the log was reached.
     fn fold(&self, from: LogOffset, reply: &ReadReply) -> bool {
-        let mut ledger = lock_ledger(&self.ledger);
+        let mut ledger = self.ledger.lock();
         let first = LogOffset::new(reply.first);
         if first > from || reply.next < from.get() {
             // Records expired unread, or the log lost its end. What they said is unknown.
--- a/crates/process/fescuetide_router/src/registrar.rs
+++ b/crates/process/fescuetide_router/src/registrar.rs
@@ -4,17 +4,21 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 
 use crossbeam::channel;
 use crossbeam::channel::Sender;
 use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
+use fescuetide_base::VmName;
 use fescuetide_claims::ClaimEntry;
 use fescuetide_claims::ClaimLedger;
 use fescuetide_claims::ClaimPartition;
 use fescuetide_claims::ClaimWindow;
 use fescuetide_claims::KeyStanding;
+use fescuetide_claims::rank_registrars;
 use fescuetide_net::ControlMeter;
 use fescuetide_net::LogClient;
 use fescuetide_wire::claim::ClaimReply;
@@ -98,7 +102,50 @@
 #[derive(Clone)]
 struct PartitionSlot {
     jobs: Sender<ClaimJob>,
+    ledger: SharedLedger,
+}
+
+/// The ledger of a partition, shared by its worker and the registrar.
+#[derive(Clone)]
+pub(crate) struct SharedLedger {
     ledger: Arc<Mutex<ClaimLedger>>,
+    /// Whether the ledger has been read up to the end of the log once.
+    is_started: Arc<AtomicBool>,
+}
+
+impl SharedLedger {
+    fn new(window: ClaimWindow) -> Self {
+        Self {
+            ledger: Arc::new(Mutex::new(ClaimLedger::new(window))),
+            is_started: Arc::default(),
+        }
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, ClaimLedger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn note_started(&self) {
+        self.is_started.store(true, Ordering::Release);
+    }
+
+    pub(crate) fn is_started(&self) -> bool {
+        self.is_started.load(Ordering::Acquire)
+    }
+
+    /// Answers from what was read before. A claim that is known stays useful without the log: its side process may hold
+    /// the response.
+    pub(crate) fn answer_without_log(&self, claim: &ClaimEntry, now: ClockMillis) -> ClaimReply {
+        let ledger = self.lock();
+        match ledger.look_up(&claim.key, now) {
+            KeyStanding::Held(found) if found.id != claim.id => ClaimReply::Held {
+                claim: Box::new(ClaimWire::from(found.clone())),
+                caught_up: false,
+            },
+            KeyStanding::Unknown => ClaimReply::Unknown,
+            KeyStanding::Held(_) | KeyStanding::Free => unavailable(self.is_started()),
+        }
+    }
 }
 
 /// The registrar of one router. Each partition that it is asked about has its own thread, since calls of the log block.
@@ -128,7 +175,7 @@
     pub(crate) fn submit(&self, job: ClaimJob) {
         let now = ClockMillis::now();
         let Some(slot) = self.slot(ClaimPartition::of(&job.claim.key)) else {
-            (job.reply)(unavailable());
+            (job.reply)(unavailable(false));
             return;
         };
         let left = job.due.since(now).as_millis();
@@ -137,14 +184,33 @@
             .expected(now)
             .is_some_and(|span| span.as_millis() * CALLS_PER_CLAIM < left);
         if !in_time {
-            let ledger = lock_ledger(&slot.ledger);
-            (job.reply)(answer_without_log(&ledger, &job.claim, now));
+            (job.reply)(slot.ledger.answer_without_log(&job.claim, now));
             return;
         }
         // The worker lives as long as its sender.
         let _ = slot.jobs.send(job);
     }
 
+    /// Reads the partitions that this router is the preferred registrar of, before a claim comes. A registrar that has
+    /// not read its partition before the log fails cannot tell whether a key was claimed.
+    pub(crate) fn prepare(&self, own: &VmName, routers: &[VmName]) {
+        for partition in ClaimPartition::all() {
+            let mut names = routers.to_vec();
+            rank_registrars(partition, &mut names);
+            if names.first() == Some(own) {
+                self.slot(partition);
+            }
+        }
+    }
+
+    /// Answers a claim from what was read before, when its worker does not answer in time.
+    pub(crate) fn answer_now(&self, claim: &ClaimEntry) -> ClaimReply {
+        match self.slot(ClaimPartition::of(&claim.key)) {
+            Some(slot) => slot.ledger.answer_without_log(claim, ClockMillis::now()),
+            None => unavailable(false),
+        }
+    }
+
     /// The partition's worker, started when it is asked for the first time.
     fn slot(&self, partition: ClaimPartition) -> Option<PartitionSlot> {
         let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
@@ -152,12 +218,12 @@
             return Some(slot.clone());
         }
         let (jobs, receiver) = channel::unbounded();
-        let ledger = Arc::new(Mutex::new(ClaimLedger::new(self.window)));
+        let ledger = SharedLedger::new(self.window);
         let worker = PartitionWorker::new(
             partition,
             self.log.clone(),
             Arc::clone(&self.health),
-            Arc::clone(&ledger),
+            ledger.clone(),
             self.gap,
             self.window,
         );
@@ -174,29 +240,10 @@
     }
 }
 
-pub(crate) fn lock_ledger(ledger: &Mutex<ClaimLedger>) -> MutexGuard<'_, ClaimLedger> {
-    ledger.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-pub(crate) fn unavailable() -> ClaimReply {
+/// The answer while the log cannot be used; `is_free` says whether the key is known to have no claim.
+pub(crate) fn unavailable(is_free: bool) -> ClaimReply {
     ClaimReply::Unavailable {
         retry_after: SpanMillis::new(RETRY_AFTER_MS),
-    }
-}
-
-/// Answers from what was read before. A claim that is known stays useful without the log: its side process may hold the
-/// response.
-pub(crate) fn answer_without_log(
-    ledger: &ClaimLedger,
-    claim: &ClaimEntry,
-    now: ClockMillis,
-) -> ClaimReply {
-    match ledger.look_up(&claim.key, now) {
-        KeyStanding::Held(found) if found.id != claim.id => ClaimReply::Held {
-            claim: Box::new(ClaimWire::from(found.clone())),
-            caught_up: false,
-        },
-        KeyStanding::Unknown => ClaimReply::Unknown,
-        KeyStanding::Held(_) | KeyStanding::Free => unavailable(),
+        is_free,
     }
 }
--- a/crates/protocol/fescuetide_wire/src/claim.rs
+++ b/crates/protocol/fescuetide_wire/src/claim.rs
@@ -115,5 +115,8 @@
     Unavailable {
         /// When to come back.
         retry_after: SpanMillis,
+        /// Whether the preferred registrar had read all claims before the log failed and found none on the key.
+        /// Otherwise an earlier request with the key may have run.
+        is_free: bool,
     },
 }
--- a/crates/tools/fescuetide_bench/tests/once_failures.rs
+++ b/crates/tools/fescuetide_bench/tests/once_failures.rs
@@ -122,6 +122,33 @@
     fleet.verify(&caller);
 }
 
+/// Guards against a resend that is told `not-run` during a log outage although its first send ran: the router that read
+/// the claim is paused, and the others have not read it. `faults --seed 7 --quick` showed this for one key.
+#[test]
+fn resend_in_an_outage_without_its_registrar_is_not_told_not_run() {
+    let fleet = OnceFleet::start(3, 2, 5);
+    let caller = fleet.caller("export");
+    let done = key_with_other_registrar(&fleet);
+    assert_eq!(caller.send(fleet.router(0), &done).outcome, COMPLETED);
+    fleet.set_faults(LogFaults {
+        down: true,
+        ..LogFaults::default()
+    });
+    fleet.signal_router(1, SignalKind::Pause);
+    fleet.signal_router(2, SignalKind::Pause);
+    let told = caller.send(fleet.router(0), &done);
+    assert_eq!(told.outcome, UNKNOWN, "{}", told.body);
+    assert!(told.retry_after.is_some());
+    fleet.signal_router(1, SignalKind::Resume);
+    fleet.signal_router(2, SignalKind::Resume);
+    fleet.set_faults(LogFaults::default());
+    wait_for("recovery", SOON, || {
+        caller.send(fleet.router(0), &done).outcome == COMPLETED
+    })
+    .expect("the kept answer is told again");
+    fleet.verify(&caller);
+}
+
 /// Guards against a router that dispatches under a claim which was replaced while the router was paused.
 #[test]
 fn router_paused_between_claim_and_dispatch_causes_no_second_run() {
@@ -230,10 +257,14 @@
         at: ClockMillis::new(ClockMillis::now().as_millis() - 2 * 3_600_000),
         claims: Vec::new(),
     };
+    // Routers read their partitions when they start, so the old records are there before this router's next start.
+    fleet.signal_router(0, SignalKind::Kill);
     let log = fleet.fleet.log_client();
     for _ in 0..OLD_COUNT {
         log.append(&stream, &old).expect("log takes records");
     }
+    fleet.fleet.start_router(0).expect("router starts");
+    wait_for("router", SOON, || is_ready(fleet.router(0))).expect("router is ready");
     let mut calls = vec![call];
     for _ in 0..5 {
         calls.push(call_in_partition(partition_of(calls[0].key)));
