--- a/crates/tools/fescuetide_standin/src/http.rs
+++ b/crates/tools/fescuetide_standin/src/http.rs
@@ -10,6 +10,10 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+/// Requests that a stand-in serves at once. In the scale experiment one engine serves 288 callers; at the default of 256
+/// the others were answered with status 503.
+const WORKER_LIMIT: usize = 1_024;
+
 /// Serves until the process ends.
 ///
 /// # Errors
@@ -19,12 +23,19 @@
 where
     F: Fn(HttpRequest) -> HttpResponse + Send + Sync + 'static,
 {
-    serve_http(address, HttpSettings::default(), handle)?;
+    serve_http(address, stand_in_settings(), handle)?;
     loop {
         thread::park();
     }
 }
 
+fn stand_in_settings() -> HttpSettings {
+    HttpSettings {
+        worker_limit: WORKER_LIMIT,
+        ..HttpSettings::default()
+    }
+}
+
 /// A response with a JSON body.
 pub fn json_response<T: Serialize>(status: u16, value: &T) -> HttpResponse {
     let bytes = serde_json::to_vec(value).unwrap_or_default();
