--- a/crates/base/fescuetide_base/src/clock.rs
+++ b/crates/base/fescuetide_base/src/clock.rs
@@ -6,10 +6,11 @@
 use std::str::FromStr;
 use std::sync::OnceLock;
 use std::time::Duration;
-use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -27,17 +28,18 @@
 
     /// Reads the clock.
     ///
-    /// The wall clock is read once per process and advanced by the monotonic clock, so values never go back while the
-    /// process runs.
+    /// The wall clock is read once per process and advanced by the boot clock, so values never go back while the
+    /// process runs, and time in which the VM is suspended counts.
     pub fn now() -> Self {
-        static ORIGIN: OnceLock<(Instant, u64)> = OnceLock::new();
-        let (instant, wall) = ORIGIN.get_or_init(|| {
+        static ORIGIN: OnceLock<(u64, u64)> = OnceLock::new();
+        let boot = read_boot_clock();
+        let (origin, wall) = ORIGIN.get_or_init(|| {
             let wall = SystemTime::now()
                 .duration_since(UNIX_EPOCH)
                 .unwrap_or_default();
-            (Instant::now(), wall.as_millis() as u64)
+            (boot, wall.as_millis() as u64)
         });
-        Self(wall + instant.elapsed().as_millis() as u64)
+        Self(wall + boot.saturating_sub(*origin))
     }
 
     /// Milliseconds since the Unix epoch.
@@ -73,6 +75,12 @@
     }
 }
 
+/// Milliseconds since the VM was started, with the time in which it was suspended.
+fn read_boot_clock() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
+}
+
 /// A length of time in milliseconds.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- /dev/null
+++ b/crates/process/fescuetide_gateway/src/buffer.rs
@@ -0,0 +1,67 @@
+//! Bytes that wait to be written.
+
+use std::io;
+use std::io::IoSlice;
+use std::io::Write;
+
+/// A buffer that gives its memory back once everything is written.
+#[derive(Debug, Default)]
+pub(crate) struct OutputBuffer {
+    bytes: Vec<u8>,
+    written: usize,
+}
+
+impl OutputBuffer {
+    /// The bytes to append to.
+    pub(crate) fn bytes_mut(&mut self) -> &mut Vec<u8> {
+        &mut self.bytes
+    }
+
+    /// Bytes that are not written yet.
+    pub(crate) fn len(&self) -> usize {
+        self.bytes.len() - self.written
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Writes as much as the peer takes. Returns whether everything is written.
+    pub(crate) fn flush(&mut self, stream: &mut impl Write) -> io::Result<bool> {
+        let (done, _) = self.flush_with(stream, &[], &mut 0)?;
+        Ok(done)
+    }
+
+    /// Like [`flush`](Self::flush), followed by `tail` from `tail_written` on. Returns whether everything is written,
+    /// and how many bytes were.
+    pub(crate) fn flush_with(
+        &mut self,
+        stream: &mut impl Write,
+        tail: &[u8],
+        tail_written: &mut usize,
+    ) -> io::Result<(bool, usize)> {
+        let mut total = 0;
+        while !self.is_empty() || *tail_written < tail.len() {
+            let parts = [
+                IoSlice::new(&self.bytes[self.written..]),
+                IoSlice::new(&tail[*tail_written..]),
+            ];
+            let count = match stream.write_vectored(&parts) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(count) => count,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    return Ok((false, total));
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                Err(error) => return Err(error),
+            };
+            total += count;
+            let own = count.min(self.len());
+            self.written += own;
+            *tail_written += count - own;
+        }
+        self.bytes = Vec::new();
+        self.written = 0;
+        Ok((true, total))
+    }
+}
--- /dev/null
+++ b/crates/process/fescuetide_gateway/src/callers.rs
@@ -0,0 +1,425 @@
+//! Connections of callers.
+
+use std::borrow::Cow;
+use std::io;
+use std::io::Read;
+use std::sync::Arc;
+
+use fescuetide_base::ClockMillis;
+use fescuetide_base::SpanMillis;
+use fescuetide_base::StableHash;
+use fescuetide_fleet::CallerLimits;
+use fescuetide_fleet::FleetConfig;
+use fescuetide_flow::FlowKey;
+use fescuetide_flow::WorkRequest;
+use fescuetide_http1::BodyDecoder;
+use fescuetide_http1::BodyFraming;
+use fescuetide_http1::EventSplitter;
+use fescuetide_http1::HeadError;
+use fescuetide_http1::RequestHead;
+
+use crate::connection::CallerState;
+use crate::connection::Connection;
+use crate::connection::IncomingRequest;
+use crate::counters::count;
+use crate::dialect::EdgeDialect;
+use crate::exchange::Exchange;
+use crate::exchange::RelayState;
+use crate::respond;
+use crate::traffic::TrafficLoop;
+
+/// Bytes that a caller may send ahead while its request is served.
+const PIPELINE_LIMIT_BYTES: usize = 64 * 1_024;
+
+/// When callers should come again while this process knows no configuration.
+const UNREADY_RETRY: SpanMillis = SpanMillis::new(500);
+
+/// How long a caller may take for the whole body of a request.
+const BODY_LIMIT: SpanMillis = SpanMillis::new(60_000);
+
+/// How long a closed connection's output may take to be written.
+const OUTPUT_LIMIT: SpanMillis = SpanMillis::new(30_000);
+
+/// Why a request is not taken in.
+enum Denial {
+    /// It breaks the protocol or a limit.
+    Bad(u16),
+    /// Its route or key is not known.
+    Unknown(u16),
+    /// No configuration is known yet.
+    Unready,
+}
+
+impl<D: EdgeDialect> TrafficLoop<D> {
+    /// Reads what a caller sent.
+    pub(crate) fn read_caller(&mut self, token: usize) {
+        let mut scratch = std::mem::take(&mut self.scratch);
+        loop {
+            let Some(Connection::Caller(caller)) = self.connections.get_mut(token) else {
+                break;
+            };
+            match caller.stream.read(&mut scratch) {
+                Ok(0) => {
+                    self.lose_caller(token);
+                    break;
+                }
+                Ok(read) => {
+                    caller.active_at = self.now;
+                    self.take_caller_bytes(token, &scratch[..read]);
+                    if read < scratch.len() {
+                        break;
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(_) => {
+                    self.lose_caller(token);
+                    break;
+                }
+            }
+        }
+        self.scratch = scratch;
+    }
+
+    /// The caller closed its connection: its request is cancelled.
+    fn lose_caller(&mut self, token: usize) {
+        let key = match self.connections.get(token) {
+            Some(Connection::Caller(caller)) => match caller.state {
+                CallerState::Serving(key) => Some(key),
+                _ => None,
+            },
+            _ => return,
+        };
+        self.remove(token);
+        let Some(key) = key else {
+            return;
+        };
+        count(&self.counters.callers_left);
+        if let Some(exchange) = self.exchanges.swap_remove(&key) {
+            if let Some(upstream) = exchange.upstream {
+                self.remove(upstream);
+            }
+            tracing::info!(
+                request = exchange.request_id(),
+                route = &*exchange.route,
+                attempts = exchange.attempts,
+                age_ms = self.now.since(exchange.arrived).as_millis(),
+                outcome = "caller_left",
+                "request ended"
+            );
+        }
+        self.core.caller_left(key, self.now);
+    }
+
+    fn take_caller_bytes(&mut self, token: usize, data: &[u8]) {
+        let Some(Connection::Caller(caller)) = self.connections.get_mut(token) else {
+            return;
+        };
+        if caller.closes {
+            return;
+        }
+        let mut bytes = Cow::Borrowed(data);
+        if !caller.input.is_empty() {
+            let mut joined = std::mem::take(&mut caller.input);
+            joined.extend_from_slice(data);
+            bytes = Cow::Owned(joined);
+        }
+        self.parse_requests(token, &bytes);
+    }
+
+    /// Parses requests until one is served or bytes are missing.
+    fn parse_requests(&mut self, token: usize, bytes: &[u8]) {
+        let limits = self
+            .config
+            .as_ref()
+            .map_or_else(CallerLimits::default, |config| config.limits);
+        let mut rest = bytes;
+        loop {
+            let Some(Connection::Caller(caller)) = self.connections.get_mut(token) else {
+                return;
+            };
+            match &mut caller.state {
+                CallerState::Serving(_) => {
+                    caller.input.extend_from_slice(rest);
+                    if caller.input.len() > PIPELINE_LIMIT_BYTES {
+                        self.lose_caller(token);
+                    }
+                    return;
+                }
+                CallerState::Idle { since } => {
+                    while let [b'\r' | b'\n', tail @ ..] = rest {
+                        rest = tail;
+                    }
+                    if rest.is_empty() {
+                        return;
+                    }
+                    since.get_or_insert(self.now);
+                    match RequestHead::parse(rest, limits.head_bytes.get() as usize) {
+                        Ok(None) => {
+                            caller.input = rest.to_vec();
+                            return;
+                        }
+                        Ok(Some((head, used))) => {
+                            rest = &rest[used..];
+                            if let Err(status) = self.begin_body(token, head, &limits) {
+                                self.deny(token, None, Denial::Bad(status));
+                                return;
+                            }
+                        }
+                        Err(error) => {
+                            let status = match error {
+                                HeadError::TooLarge => 431,
+                                HeadError::Malformed => 400,
+                            };
+                            self.deny(token, None, Denial::Bad(status));
+                            return;
+                        }
+                    }
+                }
+                CallerState::Body(incoming) => {
+                    let step = incoming.decoder.decode(rest, &mut incoming.body);
+                    let is_large = incoming.body.len() as u64 > limits.body_bytes.get();
+                    let Ok(step) = step else {
+                        self.deny(token, None, Denial::Bad(400));
+                        return;
+                    };
+                    if is_large {
+                        self.deny(token, None, Denial::Bad(413));
+                        return;
+                    }
+                    rest = &rest[step.used..];
+                    if !step.done {
+                        return;
+                    }
+                    self.begin_exchange(token);
+                }
+            }
+        }
+    }
+
+    /// Starts to read a body. Fails with the status for a request that breaks the protocol.
+    fn begin_body(
+        &mut self,
+        token: usize,
+        head: RequestHead,
+        limits: &CallerLimits,
+    ) -> Result<(), u16> {
+        let Some(Connection::Caller(caller)) = self.connections.get_mut(token) else {
+            return Ok(());
+        };
+        let framing = BodyFraming::of_request(&head).map_err(|_| 400_u16)?;
+        if head.count("host") != 1 || !head.target().starts_with('/') {
+            return Err(400);
+        }
+        if let BodyFraming::Length(length) = framing {
+            if length > limits.body_bytes.get() {
+                return Err(413);
+            }
+        }
+        let decoder = BodyDecoder::new(framing);
+        if head.expects_continue() && !decoder.is_done() {
+            let out = caller.output.bytes_mut();
+            out.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        let has_body = framing != BodyFraming::Length(0) || head.count("content-length") > 0;
+        caller.state = CallerState::Body(Box::new(IncomingRequest {
+            head,
+            decoder,
+            has_body,
+            body: Vec::new(),
+        }));
+        self.flush_caller(token);
+        Ok(())
+    }
+
+    /// Hands a whole request to the decisions.
+    fn begin_exchange(&mut self, token: usize) {
+        let Some(Connection::Caller(caller)) = self.connections.get_mut(token) else {
+            return;
+        };
+        let idle = CallerState::Idle { since: None };
+        let CallerState::Body(incoming) = std::mem::replace(&mut caller.state, idle) else {
+            return;
+        };
+        count(&self.counters.requests);
+        let fields = self.dialect.read_request(&incoming.head);
+        let Some(config) = self.config.clone() else {
+            self.deny(token, fields.request_id.as_deref(), Denial::Unready);
+            return;
+        };
+        let mut exchange = Exchange {
+            caller: token,
+            upstream: None,
+            keeps_alive: incoming.head.keeps_alive(),
+            head: incoming.head,
+            fields,
+            has_body: incoming.has_body,
+            body: incoming.body.into(),
+            workspace: None,
+            route: Arc::from(""),
+            config: config.version,
+            arrived: self.now,
+            answer: None,
+            stream_head: None,
+            splitter: EventSplitter::default(),
+            relay: RelayState::Nothing,
+            attempts: 0,
+        };
+        let request = match admit(&config, &mut exchange, self.now) {
+            Ok(request) => request,
+            Err(denial) => {
+                self.deny(token, exchange.fields.request_id.as_deref(), denial);
+                return;
+            }
+        };
+        let key = self.core.arrive(request, self.now);
+        self.exchanges.insert(key, exchange);
+        if let Some(Connection::Caller(caller)) = self.connections.get_mut(token) {
+            caller.state = CallerState::Serving(key);
+        }
+        self.perform();
+    }
+
+    /// Answers a request that is not taken in.
+    fn deny(&mut self, token: usize, request_id: Option<&str>, denial: Denial) {
+        count(&self.counters.denied);
+        let Some(Connection::Caller(caller)) = self.connections.get_mut(token) else {
+            return;
+        };
+        let (status, retry_after, closes) = match denial {
+            Denial::Bad(status) => (status, None, true),
+            Denial::Unknown(status) => (status, None, self.drain.is_some()),
+            Denial::Unready => (503, Some(UNREADY_RETRY), true),
+        };
+        let version = self
+            .config
+            .as_ref()
+            .map_or(0, |config| config.version.get());
+        tracing::info!(
+            request = request_id.unwrap_or(""),
+            status,
+            config = version,
+            outcome = "denied",
+            "request ended"
+        );
+        let out = caller.output.bytes_mut();
+        respond::write_own_response(out, status, retry_after, closes, |out| {
+            if let Some(id) = request_id {
+                self.dialect.write_request_id(out, id);
+            }
+        });
+        caller.state = CallerState::Idle { since: None };
+        caller.closes |= closes;
+        self.flush_caller(token);
+    }
+
+    /// Ends a request whose response is written, and goes on with the next one.
+    pub(crate) fn release_caller(&mut self, token: usize, keeps_alive: bool) {
+        let is_draining = self.drain.is_some();
+        let Some(Connection::Caller(caller)) = self.connections.get_mut(token) else {
+            return;
+        };
+        caller.state = CallerState::Idle { since: None };
+        caller.active_at = self.now;
+        caller.closes |= !keeps_alive || is_draining;
+        let input = std::mem::take(&mut caller.input);
+        let closes = caller.closes;
+        self.flush_caller(token);
+        if !closes && !input.is_empty() {
+            self.parse_requests(token, &input);
+        }
+    }
+
+    /// Writes what is left for a caller, and closes its connection when that was asked for.
+    pub(crate) fn flush_caller(&mut self, token: usize) {
+        let Some(Connection::Caller(caller)) = self.connections.get_mut(token) else {
+            return;
+        };
+        match caller.output.flush(&mut caller.stream) {
+            Ok(true) if caller.closes && !matches!(caller.state, CallerState::Serving(_)) => {
+                self.close_caller(token);
+            }
+            Ok(_) => {}
+            Err(_) => self.lose_caller(token),
+        }
+    }
+
+    /// Closes a connection after its last response. Unread bytes would turn the close into a reset, so the sending side
+    /// is closed first and the rest is read until the caller closes.
+    fn close_caller(&mut self, token: usize) {
+        let Some(Connection::Caller(caller)) = self.connections.get_mut(token) else {
+            return;
+        };
+        if caller.stream.shutdown(std::net::Shutdown::Write).is_err() {
+            self.remove(token);
+        }
+    }
+
+    /// Closes connections that are idle or slow for too long.
+    pub(crate) fn sweep_callers(&mut self) {
+        let limits = self
+            .config
+            .as_ref()
+            .map_or_else(CallerLimits::default, |config| config.limits);
+        let mut stale = Vec::new();
+        for (token, connection) in &self.connections {
+            let Connection::Caller(caller) = connection else {
+                continue;
+            };
+            let silence = self.now.since(caller.active_at);
+            let is_stale = match &caller.state {
+                CallerState::Idle { since: Some(since) } => {
+                    self.now.since(*since) > limits.head_time + limits.head_time
+                }
+                CallerState::Idle { since: None } if caller.closes => silence > OUTPUT_LIMIT,
+                CallerState::Idle { since: None } => silence > limits.idle_time,
+                CallerState::Body(_) => silence > BODY_LIMIT,
+                CallerState::Serving(_) => false,
+            };
+            if is_stale {
+                stale.push(token);
+            }
+        }
+        for token in stale {
+            self.remove(token);
+        }
+    }
+
+    /// Takes a request out of the table, for the last time.
+    pub(crate) fn take_exchange(&mut self, key: FlowKey) -> Option<Exchange> {
+        self.exchanges.swap_remove(&key)
+    }
+}
+
+/// Finds a request's route and workspace and describes it to the decisions.
+fn admit(
+    config: &FleetConfig,
+    exchange: &mut Exchange,
+    now: ClockMillis,
+) -> Result<WorkRequest, Denial> {
+    let host = exchange.fields.host.as_deref().unwrap_or("");
+    let route = config
+        .routes
+        .find(host, exchange.head.path())
+        .ok_or(Denial::Unknown(404))?;
+    let holder = exchange
+        .fields
+        .key
+        .as_deref()
+        .and_then(|key| config.workspace_of(key));
+    if config.needs_keys && !route.is_public && holder.is_none() {
+        return Err(Denial::Unknown(401));
+    }
+    let Some(id) = &exchange.fields.request_id else {
+        return Err(Denial::Bad(400));
+    };
+    exchange.route = Arc::from(route.name.as_str());
+    exchange.workspace = holder.map(|holder| holder.name.clone());
+    let mut request = WorkRequest::of_route(route, now, exchange.fields.time_limit);
+    request.rank = holder.and_then(|holder| holder.rank).unwrap_or(route.rank);
+    request.spread = StableHash::of_bytes(id.as_bytes());
+    if route.shares_prompts {
+        request.prompt = exchange.fields.prompt.clone();
+    }
+    Ok(request)
+}
--- /dev/null
+++ b/crates/process/fescuetide_gateway/src/counters.rs
@@ -0,0 +1,102 @@
+//! Counters and histograms.
+
+use std::fmt::Write;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+/// Upper bounds of the latency histogram's buckets, in milliseconds.
+const LATENCY_BOUNDS_MS: [u64; 10] = [5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 10_000];
+
+/// A histogram of latencies.
+#[derive(Debug, Default)]
+pub struct LatencyHistogram {
+    buckets: [AtomicU64; LATENCY_BOUNDS_MS.len() + 1],
+    sum_ms: AtomicU64,
+}
+
+impl LatencyHistogram {
+    /// Counts one latency.
+    pub fn note(&self, millis: u64) {
+        let place = LATENCY_BOUNDS_MS.partition_point(|bound| *bound < millis);
+        self.buckets[place].fetch_add(1, Ordering::Relaxed);
+        self.sum_ms.fetch_add(millis, Ordering::Relaxed);
+    }
+
+    fn write(&self, out: &mut String, name: &str) {
+        let mut count = 0;
+        for (place, bucket) in self.buckets.iter().enumerate() {
+            count += bucket.load(Ordering::Relaxed);
+            let bound = match LATENCY_BOUNDS_MS.get(place) {
+                Some(bound) => bound.to_string(),
+                None => "+Inf".to_owned(),
+            };
+            let _ = writeln!(out, "{name}_bucket{{le=\"{bound}\"}} {count}");
+        }
+        let sum = self.sum_ms.load(Ordering::Relaxed);
+        let _ = writeln!(out, "{name}_sum {sum}\n{name}_count {count}");
+    }
+}
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $field:ident => $name:literal,)*) => {
+        /// All counters of a gateway.
+        #[derive(Debug, Default)]
+        pub struct GatewayCounters {
+            $($(#[$doc])* pub $field: AtomicU64,)*
+            /// Time from a request's arrival to its response or first event.
+            pub first_part_ms: LatencyHistogram,
+        }
+
+        impl GatewayCounters {
+            /// The counters as text, one a line.
+            pub fn render(&self) -> String {
+                let mut out = String::new();
+                $(let _ = writeln!(out, "{} {}", $name, self.$field.load(Ordering::Relaxed));)*
+                self.first_part_ms.write(&mut out, "fescuetide_first_part_ms");
+                out
+            }
+        }
+    };
+}
+
+counters! {
+    /// Requests that arrived.
+    requests => "fescuetide_requests_total",
+    /// Responses of upstreams that were passed on whole.
+    relayed => "fescuetide_relayed_total",
+    /// Requests that were refused and have not run.
+    refused => "fescuetide_refused_total",
+    /// Requests that failed and may have run.
+    failed => "fescuetide_failed_total",
+    /// Requests that were wrong or not allowed.
+    denied => "fescuetide_denied_total",
+    /// Requests whose callers left.
+    callers_left => "fescuetide_callers_left_total",
+    /// Attempts at upstreams.
+    attempts => "fescuetide_attempts_total",
+    /// Attempts after the first of a request.
+    retries => "fescuetide_retries_total",
+    /// Attempts that ended without a whole answer.
+    attempts_broken => "fescuetide_attempts_broken_total",
+    /// Attempts that upstreams declined.
+    attempts_declined => "fescuetide_attempts_declined_total",
+    /// Connections opened to upstreams.
+    upstream_connections => "fescuetide_upstream_connections_total",
+    /// Connections that callers opened.
+    caller_connections => "fescuetide_caller_connections_total",
+    /// Events of streams passed on.
+    events => "fescuetide_events_total",
+    /// Calls to the platform's log.
+    log_calls => "fescuetide_log_calls_total",
+    /// Calls to the platform's log that failed.
+    log_failures => "fescuetide_log_failures_total",
+    /// Records that could not be read.
+    unreadable_records => "fescuetide_unreadable_records_total",
+    /// The version of the configuration in force.
+    config_version => "fescuetide_config_version",
+}
+
+/// Adds one to a counter.
+pub(crate) fn count(counter: &AtomicU64) {
+    counter.fetch_add(1, Ordering::Relaxed);
+}
--- /dev/null
+++ b/crates/process/fescuetide_gateway/src/follower.rs
@@ -0,0 +1,332 @@
+//! Control threads that follow the platform's log.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam::channel::Sender;
+use fescuetide_base::ClockMillis;
+use fescuetide_base::LogOffset;
+use fescuetide_base::SpanMillis;
+use fescuetide_fleet::ConfigVersion;
+use fescuetide_fleet::FleetView;
+use fescuetide_fleet::UpstreamChange;
+use fescuetide_fleet::UpstreamTable;
+use mio::Waker;
+
+use crate::GatewayCounters;
+use crate::counters::count;
+use crate::dialect::FleetStream;
+use crate::dialect::LogRecord;
+use crate::dialect::RecordDialect;
+use crate::store_client::CallError;
+use crate::store_client::StoreClient;
+
+/// How long a read of configurations waits for a new one. Silent connections are found by keep-alive probes.
+const CONFIG_WAIT: SpanMillis = SpanMillis::new(5_000);
+
+/// The pause between two reads of upstreams. New work must end 2 s after an upstream's entry says that it leaves.
+const UPSTREAM_PAUSE: Duration = Duration::from_millis(600);
+
+/// The pause after a call that failed.
+const FAILURE_PAUSE: Duration = Duration::from_millis(200);
+
+/// An outage is long enough for entries to lapse after this time.
+const OUTAGE_LIMIT: SpanMillis = SpanMillis::new(1_500);
+
+/// How long after an outage entries may be missing although their upstreams live.
+const RETURN_WINDOW: SpanMillis = SpanMillis::new(2_000);
+
+/// The status of a read whose records are gone.
+const GONE_STATUS: u16 = 410;
+
+/// Where followers publish what changed.
+#[derive(Clone, Debug)]
+pub(crate) struct FleetFeed {
+    pub(crate) sender: Sender<FleetView>,
+    pub(crate) waker: Arc<Waker>,
+    pub(crate) counters: Arc<GatewayCounters>,
+}
+
+impl FleetFeed {
+    fn publish(&self, view: FleetView) {
+        if self.sender.send(view).is_err() {
+            // The traffic thread has ended, and the process with it.
+            return;
+        }
+        if let Err(error) = self.waker.wake() {
+            tracing::error!(%error, "the traffic thread cannot be woken");
+        }
+    }
+}
+
+/// Starts the threads that follow configurations and upstreams.
+pub(crate) fn start<D: RecordDialect>(
+    address: SocketAddr,
+    dialect: &D,
+    feed: &FleetFeed,
+) -> std::io::Result<()> {
+    let configs = StreamFollower::new(FleetStream::Configs, address, dialect.clone(), feed);
+    let upstreams = StreamFollower::new(FleetStream::Upstreams, address, dialect.clone(), feed);
+    thread::Builder::new()
+        .name("configs".to_owned())
+        .spawn(move || follow_configs(configs))?;
+    thread::Builder::new()
+        .name("upstreams".to_owned())
+        .spawn(move || follow_upstreams(upstreams))?;
+    Ok(())
+}
+
+/// What a follower read.
+enum FollowStep {
+    /// The newest record of every key.
+    Listing(Vec<LogRecord>),
+    /// Records that were appended.
+    Records(Vec<LogRecord>),
+    /// The log gave no answer.
+    Nothing,
+}
+
+/// Reads one stream of the log in order.
+struct StreamFollower<D> {
+    stream: FleetStream,
+    client: StoreClient,
+    dialect: D,
+    feed: FleetFeed,
+    /// The offset to read from, `None` when the newest records have to be listed first.
+    next: Option<LogOffset>,
+    /// When the log answered last.
+    answered_at: ClockMillis,
+    is_away: bool,
+    /// Until when entries may be missing because of an outage.
+    lapse_until: ClockMillis,
+}
+
+impl<D: RecordDialect> StreamFollower<D> {
+    fn new(stream: FleetStream, address: SocketAddr, dialect: D, feed: &FleetFeed) -> Self {
+        Self {
+            stream,
+            client: StoreClient::new(address),
+            dialect,
+            feed: feed.clone(),
+            next: None,
+            answered_at: ClockMillis::now(),
+            is_away: false,
+            lapse_until: ClockMillis::default(),
+        }
+    }
+
+    /// Whether entries may be missing because of an outage.
+    fn is_after_outage(&self) -> bool {
+        ClockMillis::now() < self.lapse_until
+    }
+
+    /// Reads what is new, waiting for it for `wait` at most.
+    fn step(&mut self, wait: SpanMillis) -> FollowStep {
+        let result = match self.next {
+            None => self.list().map(FollowStep::Listing),
+            Some(from) => self.read(from, wait).map(FollowStep::Records),
+        };
+        match result {
+            Ok(step) => {
+                self.note_answer();
+                step
+            }
+            Err(CallError::Status(GONE_STATUS)) => {
+                tracing::info!(stream = %self.stream, "records are gone, listing the newest");
+                self.next = None;
+                FollowStep::Nothing
+            }
+            Err(error) => {
+                self.note_failure(&error);
+                thread::sleep(FAILURE_PAUSE);
+                FollowStep::Nothing
+            }
+        }
+    }
+
+    fn note_answer(&mut self) {
+        let now = ClockMillis::now();
+        let silence = now.since(self.answered_at);
+        if self.is_away {
+            tracing::info!(stream = %self.stream, away_ms = silence.as_millis(), "log service is back");
+        }
+        if silence >= OUTAGE_LIMIT && self.is_away {
+            self.lapse_until = now + RETURN_WINDOW;
+        }
+        self.is_away = false;
+        self.answered_at = now;
+    }
+
+    fn note_failure(&mut self, error: &CallError) {
+        count(&self.feed.counters.log_failures);
+        if !self.is_away {
+            tracing::warn!(stream = %self.stream, %error, "log service is away");
+        }
+        self.is_away = true;
+    }
+
+    fn list(&mut self) -> Result<Vec<LogRecord>, CallError> {
+        let mut records: Vec<LogRecord> = Vec::new();
+        let mut end = None;
+        loop {
+            let after = records.last().map(|record| record.key.as_str());
+            let target = self.dialect.listing_target(self.stream, after);
+            let body = self.call(&target, SpanMillis::default())?;
+            let Ok(page) = self.dialect.decode_listing(&body) else {
+                return Err(CallError::Malformed);
+            };
+            // Records that change while pages are read come again in the stream after the first page's end.
+            end.get_or_insert(page.end);
+            let is_last = !page.has_more || page.records.is_empty();
+            records.extend(page.records);
+            if is_last {
+                self.next = end;
+                return Ok(records);
+            }
+        }
+    }
+
+    fn read(&mut self, from: LogOffset, wait: SpanMillis) -> Result<Vec<LogRecord>, CallError> {
+        let target = self.dialect.read_target(self.stream, from, wait);
+        let body = self.call(&target, wait)?;
+        let Ok(page) = self.dialect.decode_records(&body) else {
+            self.next = None;
+            return Err(CallError::Malformed);
+        };
+        self.next = Some(LogOffset::new(from.get() + page.records.len() as u64));
+        Ok(page.records)
+    }
+
+    fn call(&mut self, target: &str, wait: SpanMillis) -> Result<Vec<u8>, CallError> {
+        count(&self.feed.counters.log_calls);
+        self.client.get(target, wait.into())
+    }
+
+    fn note_unreadable(&self, record: &LogRecord, error: &dyn std::fmt::Display) {
+        count(&self.feed.counters.unreadable_records);
+        tracing::warn!(stream = %self.stream, key = record.key, %error, "record is skipped");
+    }
+}
+
+/// Publishes each configuration that is newer than the one before.
+fn follow_configs<D: RecordDialect>(mut follower: StreamFollower<D>) {
+    let mut version: Option<ConfigVersion> = None;
+    loop {
+        let records = match follower.step(CONFIG_WAIT) {
+            FollowStep::Listing(records) | FollowStep::Records(records) => records,
+            FollowStep::Nothing => continue,
+        };
+        for record in &records {
+            let config = match follower.dialect.decode_config(record) {
+                Ok(Some(config)) => config,
+                Ok(None) => continue,
+                Err(error) => {
+                    follower.note_unreadable(record, &error);
+                    continue;
+                }
+            };
+            if version.is_some_and(|version| config.version <= version) {
+                continue;
+            }
+            version = Some(config.version);
+            let counter = &follower.feed.counters.config_version;
+            counter.store(config.version.get(), Ordering::Relaxed);
+            tracing::info!(
+                version = config.version.get(),
+                routes = config.routes.route_count(),
+                keys = config.keys.len(),
+                "configuration in force"
+            );
+            follower.feed.publish(FleetView::Config(Arc::new(config)));
+        }
+    }
+}
+
+/// Publishes the upstreams whenever one changed.
+fn follow_upstreams<D: RecordDialect>(mut follower: StreamFollower<D>) {
+    let mut table = UpstreamTable::default();
+    loop {
+        let step = follower.step(SpanMillis::default());
+        let now = ClockMillis::now();
+        let after_outage = follower.is_after_outage();
+        let before: Vec<_> = table.iter().cloned().collect();
+        let is_first = match step {
+            FollowStep::Listing(records) => {
+                let changes = decode_upstreams(&follower, &records);
+                let mut entries = Vec::new();
+                for change in changes {
+                    if let UpstreamChange::Written(entry) = change {
+                        entries.push(entry);
+                    }
+                }
+                table.replace(entries, after_outage, now);
+                before.is_empty()
+            }
+            FollowStep::Records(records) => {
+                for change in decode_upstreams(&follower, &records) {
+                    table.apply(change, after_outage, now);
+                }
+                false
+            }
+            FollowStep::Nothing => false,
+        };
+        // While the log is away, missing entries say nothing.
+        if !follower.is_away {
+            table.expire(now);
+        }
+        if is_first || !table.iter().eq(before.iter()) {
+            log_changes(&before, &table);
+            let upstreams = table.iter().cloned().collect();
+            follower.feed.publish(FleetView::Upstreams(upstreams));
+        }
+        if !follower.is_away {
+            thread::sleep(UPSTREAM_PAUSE);
+        }
+    }
+}
+
+fn decode_upstreams<D: RecordDialect>(
+    follower: &StreamFollower<D>,
+    records: &[LogRecord],
+) -> Vec<UpstreamChange> {
+    let mut changes = Vec::new();
+    for record in records {
+        match follower.dialect.decode_upstream(record) {
+            Ok(change) => {
+                if let UpstreamChange::Unreadable(_) = &change {
+                    follower.note_unreadable(record, &"entry names no upstream");
+                }
+                changes.push(change);
+            }
+            Err(error) => follower.note_unreadable(record, &error),
+        }
+    }
+    changes
+}
+
+fn log_changes(before: &[fescuetide_fleet::UpstreamEntry], table: &UpstreamTable) {
+    for entry in table.iter() {
+        let known = before.iter().find(|other| other.name == entry.name);
+        let is_same = known.is_some_and(|other| {
+            other.state == entry.state && other.incarnation == entry.incarnation
+        });
+        if !is_same {
+            tracing::info!(
+                upstream = %entry.name,
+                pool = %entry.pool,
+                address = %entry.address,
+                incarnation = entry.incarnation.get(),
+                state = ?entry.state,
+                "upstream changed"
+            );
+        }
+    }
+    for entry in before {
+        if !table.iter().any(|other| other.name == entry.name) {
+            tracing::info!(upstream = %entry.name, pool = %entry.pool, "upstream is gone");
+        }
+    }
+}
--- /dev/null
+++ b/crates/process/fescuetide_gateway/src/process.rs
@@ -0,0 +1,105 @@
+//! The gateway process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use anyhow::Context;
+use crossbeam::channel;
+use fescuetide_flow::FlowCore;
+use mio::Poll;
+use mio::Waker;
+
+use crate::GatewayCounters;
+use crate::GatewaySettings;
+use crate::dialect::EdgeDialect;
+use crate::dialect::RecordDialect;
+use crate::follower;
+use crate::follower::FleetFeed;
+use crate::sockets;
+use crate::traffic::LoopListeners;
+use crate::traffic::LoopSignals;
+use crate::traffic::TrafficLoop;
+use crate::traffic::WAKER_TOKEN;
+
+/// A gateway with its listeners open.
+pub struct GatewayProcess<E> {
+    traffic: TrafficLoop<E>,
+}
+
+impl<E: EdgeDialect> GatewayProcess<E> {
+    /// Opens the listeners and starts the control threads.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a listener or thread cannot be opened.
+    pub fn start<R: RecordDialect>(
+        settings: &GatewaySettings,
+        edge: E,
+        records: &R,
+    ) -> anyhow::Result<Self> {
+        let poll = Poll::new().context("cannot create the event loop")?;
+        let waker = Waker::new(poll.registry(), WAKER_TOKEN).context("cannot create the waker")?;
+        let listeners = open_listeners(settings)?;
+        let (sender, views) = channel::unbounded();
+        let counters = Arc::<GatewayCounters>::default();
+        let zone = settings.zone.parse().context("zone")?;
+        let core = FlowCore::new(settings.flow_settings(), zone);
+        let mut traffic = TrafficLoop::new(poll, listeners, core, views, edge, settings)
+            .context("cannot watch the listeners")?;
+        traffic.counters = Arc::clone(&counters);
+        traffic.signals = watch_signals().context("cannot handle signals")?;
+        let feed = FleetFeed {
+            sender,
+            waker: Arc::new(waker),
+            counters,
+        };
+        let log_service = parse_address("log_service", &settings.log_service)?;
+        follower::start(log_service, records, &feed).context("cannot start a control thread")?;
+        tracing::info!(
+            vm = settings.vm,
+            zone = settings.zone,
+            callers = settings.callers,
+            "gateway started"
+        );
+        Ok(Self { traffic })
+    }
+
+    /// Serves until a termination signal came and everything is finished.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the event loop fails.
+    pub fn run(mut self) -> anyhow::Result<()> {
+        self.traffic.run().context("event loop failed")
+    }
+}
+
+fn parse_address(key: &str, text: &str) -> anyhow::Result<SocketAddr> {
+    text.parse()
+        .with_context(|| format!("{key}: {text:?} is not an address"))
+}
+
+fn open_listeners(settings: &GatewaySettings) -> anyhow::Result<LoopListeners> {
+    let open = |key: &str, text: &str| -> anyhow::Result<mio::net::TcpListener> {
+        let address = parse_address(key, text)?;
+        sockets::listen(address).with_context(|| format!("{key}: cannot listen on {address}"))
+    };
+    let metrics = match settings.metrics.as_str() {
+        "" => None,
+        text => Some(open("metrics", text)?),
+    };
+    Ok(LoopListeners {
+        callers: Some(open("callers", &settings.callers)?),
+        ready: open("ready", &settings.ready)?,
+        metrics,
+    })
+}
+
+fn watch_signals() -> std::io::Result<LoopSignals> {
+    let signals = LoopSignals::default();
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        signal_hook::flag::register(signal, Arc::clone(&signals.stop))?;
+    }
+    signal_hook::flag::register(signal_hook::consts::SIGHUP, Arc::clone(&signals.reload))?;
+    Ok(signals)
+}
--- /dev/null
+++ b/crates/process/fescuetide_gateway/src/respond.rs
@@ -0,0 +1,97 @@
+//! Heads of responses to callers.
+
+use std::io::Write;
+
+use fescuetide_base::SpanMillis;
+use fescuetide_http1::ResponseHead;
+use fescuetide_http1::is_hop_field;
+
+/// The reason phrase of a status.
+fn reason_of(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        204 => "No Content",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        403 => "Forbidden",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
+
+/// How the body of a response ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ResponseFraming {
+    Length(u64),
+    Chunked,
+    UntilClose,
+}
+
+/// Writes the start line.
+pub(crate) fn write_status(out: &mut Vec<u8>, status: u16) {
+    // Writing to a vector cannot fail.
+    let _ = write!(out, "HTTP/1.1 {status} {}\r\n", reason_of(status));
+}
+
+/// Writes the upstream's head as it is, but for the fields that concern one connection.
+pub(crate) fn write_relayed_head(
+    out: &mut Vec<u8>,
+    head: &ResponseHead,
+    framing: ResponseFraming,
+    closes: bool,
+) {
+    write_status(out, head.status());
+    for (name, value) in head.fields() {
+        let is_own = is_hop_field(name)
+            || name.eq_ignore_ascii_case("content-length")
+            || head.has_token("connection", name);
+        if is_own {
+            continue;
+        }
+        out.extend_from_slice(name.as_bytes());
+        out.extend_from_slice(b": ");
+        out.extend_from_slice(value);
+        out.extend_from_slice(b"\r\n");
+    }
+    write_head_end(out, framing, closes);
+}
+
+/// Writes a response of the gateway's own without a body. `write_fields` adds fields.
+pub(crate) fn write_own_response(
+    out: &mut Vec<u8>,
+    status: u16,
+    retry_after: Option<SpanMillis>,
+    closes: bool,
+    write_fields: impl FnOnce(&mut Vec<u8>),
+) {
+    write_status(out, status);
+    write_fields(out);
+    if let Some(span) = retry_after {
+        let seconds = span.as_millis() as f64 / 1_000.0;
+        let _ = write!(out, "Retry-After: {seconds:.2}\r\n");
+    }
+    write_head_end(out, ResponseFraming::Length(0), closes);
+}
+
+fn write_head_end(out: &mut Vec<u8>, framing: ResponseFraming, closes: bool) {
+    match framing {
+        ResponseFraming::Length(length) => {
+            let _ = write!(out, "Content-Length: {length}\r\n");
+        }
+        ResponseFraming::Chunked => out.extend_from_slice(b"Transfer-Encoding: chunked\r\n"),
+        ResponseFraming::UntilClose => {}
+    }
+    if closes {
+        out.extend_from_slice(b"Connection: close\r\n");
+    }
+    out.extend_from_slice(b"\r\n");
+}
--- /dev/null
+++ b/crates/process/fescuetide_gateway/src/settings.rs
@@ -0,0 +1,115 @@
+//! Settings of a gateway.
+
+use std::net::SocketAddr;
+
+use fescuetide_base::FindingList;
+use fescuetide_base::SpanMillis;
+use fescuetide_flow::FlowSettings;
+use fescuetide_limits::BudgetSettings;
+use serde::Deserialize;
+
+/// Shortest and longest time for shutting down, in milliseconds.
+const GRACE_RANGE_MS: (u64, u64) = (1_000, 600_000);
+
+/// Settings of a gateway.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct GatewaySettings {
+    /// The name of this VM.
+    pub vm: String,
+    /// The availability zone of this VM.
+    pub zone: String,
+    /// Where callers connect.
+    pub callers: String,
+    /// Where readiness is asked.
+    pub ready: String,
+    /// Where metrics are served, empty for nowhere.
+    pub metrics: String,
+    /// The platform's log.
+    pub log_service: String,
+    /// The time between a termination signal and the kill that follows it.
+    pub grace_ms: u64,
+    /// Retries per request that all routers together may make.
+    pub retry_ratio: f64,
+    /// Retries beyond that ratio that all routers together may make within a few seconds.
+    pub retry_burst: u32,
+    /// Routers that share the burst.
+    pub retry_routers: u32,
+    /// No engine gets work above this multiple of the mean load of its pool.
+    pub load_multiple: f64,
+}
+
+impl Default for GatewaySettings {
+    fn default() -> Self {
+        Self {
+            vm: String::new(),
+            zone: String::new(),
+            callers: String::new(),
+            ready: String::new(),
+            metrics: String::new(),
+            log_service: String::new(),
+            grace_ms: 8_000,
+            retry_ratio: 0.2,
+            retry_burst: 40,
+            retry_routers: 8,
+            load_multiple: 1.5,
+        }
+    }
+}
+
+/// The part of the shared retry ratio that is used, since requests and retries are counted at different moments.
+const RETRY_RATIO_PART: f64 = 0.75;
+
+impl GatewaySettings {
+    /// Checks the settings and returns all findings, each with its key.
+    pub fn check(&self) -> FindingList {
+        let mut list = FindingList::default();
+        for (key, value) in [("vm", &self.vm), ("zone", &self.zone)] {
+            if value.parse::<fescuetide_base::ZoneName>().is_err() {
+                list.add(key, format!("{value:?} is not a name"));
+            }
+        }
+        let addresses = [
+            ("callers", &self.callers, true),
+            ("ready", &self.ready, true),
+            ("metrics", &self.metrics, false),
+            ("log_service", &self.log_service, true),
+        ];
+        for (key, value, is_needed) in addresses {
+            let is_missing = value.is_empty() && !is_needed;
+            if !is_missing && value.parse::<SocketAddr>().is_err() {
+                list.add(
+                    key,
+                    format!("{value:?} is not an address such as \"10.0.0.9:7000\""),
+                );
+            }
+        }
+        list.check_range(
+            "grace_ms",
+            self.grace_ms,
+            GRACE_RANGE_MS.0..=GRACE_RANGE_MS.1,
+        );
+        list.check_range("retry_ratio", self.retry_ratio, 0.0..=10.0);
+        list.check_range("retry_burst", self.retry_burst, 0..=1_000_000);
+        list.check_range("retry_routers", self.retry_routers, 1..=100_000);
+        list.check_range("load_multiple", self.load_multiple, 1.0..=100.0);
+        list
+    }
+
+    /// The time for shutting down.
+    pub fn grace(&self) -> SpanMillis {
+        SpanMillis::new(self.grace_ms)
+    }
+
+    /// The settings of the decisions.
+    pub fn flow_settings(&self) -> FlowSettings {
+        FlowSettings {
+            load_multiple: self.load_multiple,
+            retries: BudgetSettings {
+                ratio: self.retry_ratio * RETRY_RATIO_PART,
+                burst: f64::from(self.retry_burst) / f64::from(self.retry_routers),
+            },
+            ..FlowSettings::default()
+        }
+    }
+}
--- /dev/null
+++ b/crates/process/fescuetide_gateway/src/shutdown.rs
@@ -0,0 +1,90 @@
+//! Shutting down without cutting a request off.
+
+use std::sync::atomic::Ordering;
+
+use fescuetide_base::ClockMillis;
+use fescuetide_base::SpanMillis;
+
+use crate::connection::CallerState;
+use crate::connection::Connection;
+use crate::dialect::EdgeDialect;
+use crate::traffic::TrafficLoop;
+
+/// How long new callers are still accepted: the balancer notices within this time that the process is not ready.
+const ACCEPT_SPAN: SpanMillis = SpanMillis::new(2_500);
+
+/// The process ends this long before it would be killed.
+const KILL_MARGIN_MS: u64 = 250;
+
+/// A shutdown that is under way.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DrainState {
+    /// When it began.
+    pub(crate) since: ClockMillis,
+    /// Whether new callers are no longer accepted.
+    pub(crate) is_closed: bool,
+}
+
+impl<D: EdgeDialect> TrafficLoop<D> {
+    /// Looks for signals and goes on with a shutdown. Returns whether the process may end.
+    pub(crate) fn step_shutdown(&mut self) -> bool {
+        if self.signals.reload.swap(false, Ordering::AcqRel) {
+            tracing::info!("settings file changed; settings are read at the next start");
+        }
+        let Some(drain) = self.drain else {
+            if self.takes_signal() {
+                self.drain = Some(DrainState {
+                    since: self.now,
+                    is_closed: false,
+                });
+                tracing::info!(requests = self.exchanges.len(), "shutdown begins");
+            }
+            return false;
+        };
+        let span = self.now.since(drain.since);
+        if span < ACCEPT_SPAN {
+            return false;
+        }
+        if !drain.is_closed {
+            self.listeners.callers = None;
+            self.drain = Some(DrainState {
+                is_closed: true,
+                ..drain
+            });
+        }
+        self.close_idle_callers();
+        let limit = self.grace.as_millis().saturating_sub(KILL_MARGIN_MS);
+        let is_over = span.as_millis() >= limit;
+        if self.exchanges.is_empty() && !self.has_callers() || is_over {
+            tracing::info!(
+                requests = self.exchanges.len(),
+                took_ms = span.as_millis(),
+                "shutdown ends"
+            );
+            return true;
+        }
+        false
+    }
+
+    fn close_idle_callers(&mut self) {
+        let mut idle = Vec::new();
+        for (token, connection) in &self.connections {
+            let Connection::Caller(caller) = connection else {
+                continue;
+            };
+            let is_idle = matches!(caller.state, CallerState::Idle { since: None });
+            if is_idle && caller.output.is_empty() {
+                idle.push(token);
+            }
+        }
+        for token in idle {
+            self.remove(token);
+        }
+    }
+
+    fn has_callers(&self) -> bool {
+        self.connections
+            .iter()
+            .any(|(_, connection)| matches!(connection, Connection::Caller(_)))
+    }
+}
--- /dev/null
+++ b/crates/process/fescuetide_gateway/src/store_client.rs
@@ -0,0 +1,143 @@
+//! Calls to the platform's log over one kept connection.
+
+use std::fmt;
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use fescuetide_http1::BodyDecoder;
+use fescuetide_http1::BodyFraming;
+use fescuetide_http1::ResponseHead;
+use socket2::SockRef;
+
+use crate::sockets;
+
+/// Longest head of a response.
+const HEAD_LIMIT_BYTES: usize = 8 * 1_024;
+
+/// Longest body of a response: the log's largest page with room for its encoding.
+const BODY_LIMIT_BYTES: usize = 4 * 1_024 * 1_024;
+
+/// How long opening a connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// How long a response may take beyond the time that the call itself asks to wait.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Why a call gave no usable response.
+#[derive(Debug)]
+pub(crate) enum CallError {
+    /// The connection failed or no answer came.
+    Io(io::Error),
+    /// The answer is not HTTP.
+    Malformed,
+    /// The log answered with another status than 200.
+    Status(u16),
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Io(error) => error.fmt(f),
+            Self::Malformed => write!(f, "the answer is not HTTP"),
+            Self::Status(status) => write!(f, "status {status}"),
+        }
+    }
+}
+
+impl From<io::Error> for CallError {
+    fn from(error: io::Error) -> Self {
+        Self::Io(error)
+    }
+}
+
+/// A client of the platform's log. A connection with any doubt is dropped.
+#[derive(Debug)]
+pub(crate) struct StoreClient {
+    address: SocketAddr,
+    stream: Option<TcpStream>,
+}
+
+impl StoreClient {
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            stream: None,
+        }
+    }
+
+    /// Makes a call that the log may keep waiting for `wait`, and returns the body of its answer.
+    pub(crate) fn get(&mut self, target: &str, wait: Duration) -> Result<Vec<u8>, CallError> {
+        let mut stream = match self.stream.take() {
+            Some(stream) => stream,
+            None => self.connect()?,
+        };
+        stream.set_read_timeout(Some(wait + ANSWER_TIMEOUT))?;
+        let call = format!(
+            "GET {target} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
+            self.address
+        );
+        stream.write_all(call.as_bytes())?;
+        let (head, body) = read_response(&mut stream)?;
+        if head.keeps_alive() {
+            self.stream = Some(stream);
+        }
+        if head.status() != 200 {
+            return Err(CallError::Status(head.status()));
+        }
+        Ok(body)
+    }
+
+    fn connect(&self) -> io::Result<TcpStream> {
+        let stream = TcpStream::connect_timeout(&self.address, CONNECT_TIMEOUT)?;
+        stream.set_nodelay(true)?;
+        stream.set_write_timeout(Some(ANSWER_TIMEOUT))?;
+        sockets::watch_peer(SockRef::from(&stream))?;
+        Ok(stream)
+    }
+}
+
+fn read_response(stream: &mut TcpStream) -> Result<(ResponseHead, Vec<u8>), CallError> {
+    let mut input = Vec::new();
+    let mut part = [0; 4_096];
+    let (head, used) = loop {
+        let count = read_part(stream, &mut part)?;
+        input.extend_from_slice(&part[..count]);
+        match ResponseHead::parse(&input, HEAD_LIMIT_BYTES) {
+            Ok(Some(parsed)) => break parsed,
+            Ok(None) => {}
+            Err(_) => return Err(CallError::Malformed),
+        }
+    };
+    let framing = BodyFraming::of_response(&head, false).map_err(|_| CallError::Malformed)?;
+    if framing == BodyFraming::UntilClose {
+        return Err(CallError::Malformed);
+    }
+    let mut decoder = BodyDecoder::new(framing);
+    let mut body = Vec::new();
+    let mut rest = input.split_off(used);
+    loop {
+        let step = decoder
+            .decode(&rest, &mut body)
+            .map_err(|_| CallError::Malformed)?;
+        if step.done {
+            return Ok((head, body));
+        }
+        if body.len() > BODY_LIMIT_BYTES {
+            return Err(CallError::Malformed);
+        }
+        let count = read_part(stream, &mut part)?;
+        rest.clear();
+        rest.extend_from_slice(&part[..count]);
+    }
+}
+
+fn read_part(stream: &mut TcpStream, part: &mut [u8]) -> Result<usize, CallError> {
+    match stream.read(part)? {
+        0 => Err(CallError::Io(io::ErrorKind::UnexpectedEof.into())),
+        count => Ok(count),
+    }
+}
--- /dev/null
+++ b/crates/process/fescuetide_gateway/src/traffic.rs
@@ -0,0 +1,383 @@
+//! The event loop of the traffic thread.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use crossbeam::channel::Receiver;
+use fescuetide_base::ClockMillis;
+use fescuetide_base::SpanMillis;
+use fescuetide_base::VmName;
+use fescuetide_fleet::FleetConfig;
+use fescuetide_fleet::FleetView;
+use fescuetide_fleet::UpstreamEntry;
+use fescuetide_flow::FlowCore;
+use fescuetide_flow::FlowKey;
+use indexmap::IndexMap;
+use mio::Events;
+use mio::Interest;
+use mio::Poll;
+use mio::Token;
+use mio::event::Source;
+use mio::net::TcpListener;
+use slab::Slab;
+
+use crate::GatewayCounters;
+use crate::GatewaySettings;
+use crate::connection::CallerConnection;
+use crate::connection::Connection;
+use crate::connection::ProbeConnection;
+use crate::counters::count;
+use crate::dialect::EdgeDialect;
+use crate::exchange::Exchange;
+use crate::idle::IdleTable;
+use crate::shutdown::DrainState;
+
+/// The token of the waker.
+pub(crate) const WAKER_TOKEN: Token = Token(0);
+const CALLERS_TOKEN: Token = Token(1);
+const READY_TOKEN: Token = Token(2);
+const METRICS_TOKEN: Token = Token(3);
+
+/// Tokens of connections begin here.
+const FIRST_CONNECTION: usize = 4;
+
+/// Most events taken at once.
+const EVENT_LIMIT: usize = 256;
+
+/// Bytes read at once, from any connection.
+const READ_BYTES: usize = 16 * 1_024;
+
+/// How often deadlines are looked at while requests are served.
+const BUSY_TICK: SpanMillis = SpanMillis::new(20);
+
+/// How often connections are looked at while nothing is served.
+const IDLE_TICK: SpanMillis = SpanMillis::new(250);
+
+/// A loop that stood still for this long was suspended.
+const SUSPENSION_LIMIT: SpanMillis = SpanMillis::new(1_000);
+
+/// What the process tells the loop.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LoopSignals {
+    /// A termination signal came.
+    pub(crate) stop: Arc<AtomicBool>,
+    /// The settings file changed.
+    pub(crate) reload: Arc<AtomicBool>,
+}
+
+/// The listeners.
+#[derive(Debug)]
+pub(crate) struct LoopListeners {
+    pub(crate) callers: Option<TcpListener>,
+    pub(crate) ready: TcpListener,
+    pub(crate) metrics: Option<TcpListener>,
+}
+
+/// The state of the traffic thread.
+pub(crate) struct TrafficLoop<D> {
+    pub(crate) poll: Poll,
+    pub(crate) listeners: LoopListeners,
+    pub(crate) connections: Slab<Connection>,
+    pub(crate) exchanges: IndexMap<FlowKey, Exchange>,
+    pub(crate) idle: IdleTable,
+    pub(crate) core: FlowCore,
+    pub(crate) config: Option<Arc<FleetConfig>>,
+    pub(crate) upstreams: Option<IndexMap<VmName, UpstreamEntry>>,
+    pub(crate) views: Receiver<FleetView>,
+    pub(crate) signals: LoopSignals,
+    pub(crate) counters: Arc<GatewayCounters>,
+    pub(crate) dialect: D,
+    pub(crate) drain: Option<DrainState>,
+    pub(crate) grace: SpanMillis,
+    pub(crate) now: ClockMillis,
+    /// The buffer for all reads.
+    pub(crate) scratch: Vec<u8>,
+    last_sweep: ClockMillis,
+}
+
+impl<D: EdgeDialect> TrafficLoop<D> {
+    /// Creates the loop and registers its listeners.
+    pub(crate) fn new(
+        poll: Poll,
+        mut listeners: LoopListeners,
+        core: FlowCore,
+        views: Receiver<FleetView>,
+        dialect: D,
+        settings: &GatewaySettings,
+    ) -> io::Result<Self> {
+        let registry = poll.registry();
+        if let Some(callers) = &mut listeners.callers {
+            callers.register(registry, CALLERS_TOKEN, Interest::READABLE)?;
+        }
+        listeners
+            .ready
+            .register(registry, READY_TOKEN, Interest::READABLE)?;
+        if let Some(metrics) = &mut listeners.metrics {
+            metrics.register(registry, METRICS_TOKEN, Interest::READABLE)?;
+        }
+        Ok(Self {
+            poll,
+            listeners,
+            connections: Slab::new(),
+            exchanges: IndexMap::new(),
+            idle: IdleTable::default(),
+            core,
+            config: None,
+            upstreams: None,
+            views,
+            signals: LoopSignals::default(),
+            counters: Arc::default(),
+            dialect,
+            drain: None,
+            grace: settings.grace(),
+            now: ClockMillis::now(),
+            scratch: vec![0; READ_BYTES],
+            last_sweep: ClockMillis::now(),
+        })
+    }
+
+    /// Serves until a termination signal came and everything is finished.
+    pub(crate) fn run(&mut self) -> io::Result<()> {
+        let mut events = Events::with_capacity(EVENT_LIMIT);
+        let mut last_tick = ClockMillis::now();
+        loop {
+            let tick = if self.exchanges.is_empty() {
+                IDLE_TICK
+            } else {
+                BUSY_TICK
+            };
+            match self.poll.poll(&mut events, Some(Duration::from(tick))) {
+                Ok(()) => {}
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => events.clear(),
+                Err(error) => return Err(error),
+            }
+            let before = self.now;
+            self.now = ClockMillis::now();
+            if self.now.since(before) > SUSPENSION_LIMIT {
+                self.resume_after_suspension(self.now.since(before));
+            }
+            for event in &events {
+                self.dispatch(event);
+            }
+            self.take_views();
+            if self.now.since(last_tick) >= BUSY_TICK {
+                last_tick = self.now;
+                self.core.tick(self.now);
+                self.perform();
+                self.sweep();
+            }
+            if self.step_shutdown() {
+                return Ok(());
+            }
+        }
+    }
+
+    fn dispatch(&mut self, event: &mio::event::Event) {
+        match event.token() {
+            WAKER_TOKEN => {}
+            CALLERS_TOKEN => self.accept_callers(),
+            READY_TOKEN => self.accept_probes(true),
+            METRICS_TOKEN => self.accept_probes(false),
+            Token(token) => {
+                let token = token - FIRST_CONNECTION;
+                let is_read = event.is_readable() || event.is_read_closed() || event.is_error();
+                match self.connections.get(token) {
+                    Some(Connection::Caller(_)) => {
+                        if event.is_writable() {
+                            self.flush_caller(token);
+                        }
+                        if is_read {
+                            self.read_caller(token);
+                        }
+                    }
+                    Some(Connection::Upstream(_)) => {
+                        if event.is_writable() {
+                            self.write_attempt(token);
+                        }
+                        if is_read {
+                            self.read_upstream(token);
+                        }
+                    }
+                    Some(Connection::Probe(_)) => self.serve_probe(token),
+                    None => {}
+                }
+                self.perform();
+            }
+        }
+    }
+
+    /// Adds a connection to the loop and returns its token.
+    pub(crate) fn register(&mut self, connection: Connection) -> io::Result<usize> {
+        let token = self.connections.insert(connection);
+        let mio_token = Token(token + FIRST_CONNECTION);
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        let registry = self.poll.registry();
+        let result = match &mut self.connections[token] {
+            Connection::Caller(caller) => {
+                registry.register(&mut caller.stream, mio_token, interest)
+            }
+            Connection::Upstream(upstream) => {
+                registry.register(&mut upstream.stream, mio_token, interest)
+            }
+            Connection::Probe(probe) => registry.register(&mut probe.stream, mio_token, interest),
+        };
+        if let Err(error) = result {
+            self.connections.remove(token);
+            return Err(error);
+        }
+        Ok(token)
+    }
+
+    fn accept_callers(&mut self) {
+        loop {
+            let Some(listener) = &self.listeners.callers else {
+                return;
+            };
+            let stream = match listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) => {
+                    tracing::warn!(%error, "connection is not accepted");
+                    return;
+                }
+            };
+            count(&self.counters.caller_connections);
+            // Events must leave at once.
+            if let Err(error) = stream.set_nodelay(true) {
+                tracing::warn!(%error, "connection is closed before it is used");
+                continue;
+            }
+            let caller = CallerConnection::new(stream, self.now);
+            match self.register(Connection::Caller(caller)) {
+                Ok(token) => self.read_caller(token),
+                Err(error) => tracing::warn!(%error, "connection cannot be watched"),
+            }
+            self.perform();
+        }
+    }
+
+    fn accept_probes(&mut self, is_ready: bool) {
+        loop {
+            let listener = match (is_ready, &self.listeners.metrics) {
+                (true, _) => &self.listeners.ready,
+                (false, Some(metrics)) => metrics,
+                (false, None) => return,
+            };
+            let stream = match listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) => {
+                    tracing::warn!(%error, "probe is not accepted");
+                    return;
+                }
+            };
+            let probe = ProbeConnection {
+                stream,
+                input: Vec::new(),
+                output: crate::buffer::OutputBuffer::default(),
+                active_at: self.now,
+            };
+            match self.register(Connection::Probe(probe)) {
+                Ok(token) => self.serve_probe(token),
+                Err(error) => tracing::warn!(%error, "probe cannot be watched"),
+            }
+        }
+    }
+
+    /// Takes over what the control threads published.
+    fn take_views(&mut self) {
+        while let Ok(view) = self.views.try_recv() {
+            match view {
+                FleetView::Config(config) => self.config = Some(config),
+                FleetView::Upstreams(entries) => self.set_upstreams(entries),
+            }
+            self.perform();
+        }
+    }
+
+    fn set_upstreams(&mut self, entries: Vec<UpstreamEntry>) {
+        self.core.set_upstreams(&entries, self.now);
+        let mut table = IndexMap::with_capacity(entries.len());
+        for entry in entries {
+            table.insert(entry.name.clone(), entry);
+        }
+        let before = self.upstreams.replace(table).unwrap_or_default();
+        for (name, old) in before {
+            let table = self.upstreams.as_ref().and_then(|table| table.get(&name));
+            let is_same = table.is_some_and(|entry| {
+                entry.incarnation == old.incarnation && entry.address == old.address
+            });
+            if is_same {
+                continue;
+            }
+            for token in self.idle.remove_all(&name) {
+                self.remove(token);
+            }
+        }
+    }
+
+    /// Drops what may have died while this process stood still. Callers and attempts are judged by the time that has
+    /// passed, since the clock counts it.
+    fn resume_after_suspension(&mut self, span: SpanMillis) {
+        tracing::warn!(
+            stood_still_ms = span.as_millis(),
+            "resumed after a suspension"
+        );
+        for token in self.idle.tokens() {
+            self.drop_idle(token);
+        }
+    }
+
+    /// Looks after connections that wait.
+    fn sweep(&mut self) {
+        if self.now.since(self.last_sweep) < IDLE_TICK {
+            return;
+        }
+        self.last_sweep = self.now;
+        self.sweep_callers();
+        self.sweep_upstreams();
+        self.sweep_probes();
+        self.perform();
+    }
+
+    fn sweep_probes(&mut self) {
+        const PROBE_LIMIT: SpanMillis = SpanMillis::new(30_000);
+        let mut stale = Vec::new();
+        for (token, connection) in &self.connections {
+            let Connection::Probe(probe) = connection else {
+                continue;
+            };
+            if self.now.since(probe.active_at) > PROBE_LIMIT {
+                stale.push(token);
+            }
+        }
+        for token in stale {
+            self.remove(token);
+        }
+    }
+
+    /// Closes a connection.
+    pub(crate) fn remove(&mut self, token: usize) {
+        // Closing the socket takes it out of the poll as well.
+        self.connections.try_remove(token);
+    }
+
+    /// Whether callers may be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        let has_upstreams = self
+            .upstreams
+            .as_ref()
+            .is_some_and(|table| !table.is_empty());
+        self.config.is_some() && has_upstreams && self.drain.is_none()
+    }
+
+    /// Whether a termination signal came.
+    pub(crate) fn takes_signal(&self) -> bool {
+        self.signals.stop.load(Ordering::Acquire)
+    }
+}
--- a/crates/process/fescuetided/src/logs.rs
+++ b/crates/process/fescuetided/src/logs.rs
@@ -1,17 +1,38 @@
 //! Set-up of structured logs.
 
+use std::io;
+
 use fescuetided::settings::LogFormat;
 use fescuetided::settings::LogSettings;
 use tracing_subscriber::EnvFilter;
+use tracing_subscriber::fmt::MakeWriter;
+
+use crate::log_queue::LogQueue;
+
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LogTarget {
+    /// To standard error, by the thread that logs.
+    Stderr,
+    /// To standard output, by a thread of its own, so that no other thread waits for a full pipe.
+    Queue,
+}
+
+/// Starts logging.
+pub(crate) fn start(settings: &LogSettings, target: LogTarget) {
+    match target {
+        LogTarget::Stderr => start_with(settings, io::stderr),
+        LogTarget::Queue => start_with(settings, LogQueue::start(io::stdout())),
+    }
+}
 
-/// Starts logging to standard error.
-pub(crate) fn start(settings: &LogSettings) {
+fn start_with(settings: &LogSettings, writer: impl for<'a> MakeWriter<'a> + Send + Sync + 'static) {
     let filter = EnvFilter::try_new(&settings.level).unwrap_or_else(|_| EnvFilter::new("info"));
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
-        .with_writer(std::io::stderr);
+        .with_writer(writer);
     match settings.format {
-        LogFormat::Text => builder.init(),
-        LogFormat::Json => builder.json().init(),
+        LogFormat::Text => builder.with_ansi(false).init(),
+        LogFormat::Json => builder.json().flatten_event(true).with_target(false).init(),
     }
 }
--- a/crates/process/fescuetided/src/main.rs
+++ b/crates/process/fescuetided/src/main.rs
@@ -1,6 +1,7 @@
 //! The fescuetide daemon. Its settings file says whether it runs as a router or as a side process.
 
 mod command;
+mod log_queue;
 mod logs;
 
 use std::process::ExitCode;
@@ -11,11 +12,15 @@
 use std::time::Duration;
 
 use anyhow::Context;
+use fescuetide_gateway::GatewayProcess;
+use fescuetide_platform::PlatformEdge;
+use fescuetide_platform::PlatformRecords;
 use fescuetide_router::RouterProcess;
 use fescuetide_side::SideProcess;
 use fescuetided::settings;
 
 use crate::command::DaemonCommand;
+use crate::logs::LogTarget;
 use fescuetided::settings::DaemonSettings;
 use fescuetided::settings::RoleSettings;
 
@@ -62,7 +67,11 @@
 }
 
 fn run(settings: DaemonSettings) -> ExitCode {
-    logs::start(&settings.log);
+    let target = match &settings.role {
+        RoleSettings::Gateway(_) => LogTarget::Queue,
+        RoleSettings::Router(_) | RoleSettings::Side(_) => LogTarget::Stderr,
+    };
+    logs::start(&settings.log, target);
     match run_role(settings.role) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -74,6 +83,12 @@
 
 /// Starts the role and returns when a termination signal came and all work is done.
 fn run_role(role: RoleSettings) -> anyhow::Result<()> {
+    if let RoleSettings::Gateway(settings) = &role {
+        let process = GatewayProcess::start(settings, PlatformEdge, &PlatformRecords)?;
+        process.run()?;
+        tracing::info!("stopped");
+        return Ok(());
+    }
     let stop = Arc::new(AtomicBool::new(false));
     for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
         signal_hook::flag::register(signal, Arc::clone(&stop))
@@ -94,6 +109,7 @@
             process.drain();
             wait_until(|| process.is_idle());
         }
+        RoleSettings::Gateway(_) => {}
     }
     tracing::info!("stopped");
     Ok(())
--- a/crates/process/fescuetided/src/settings.rs
+++ b/crates/process/fescuetided/src/settings.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use fescuetide_base::FindingList;
+use fescuetide_gateway::GatewaySettings;
 use fescuetide_router::RouterSettings;
 use fescuetide_settings::SettingsDocument;
 use fescuetide_side::SideSettings;
@@ -46,6 +47,8 @@
     Router(RouterSettings),
     /// A side process.
     Side(SideSettings),
+    /// A router that talks to upstreams directly.
+    Gateway(GatewaySettings),
 }
 
 /// All settings of a daemon.
@@ -62,6 +65,7 @@
 enum RoleName {
     Router,
     Side,
+    Gateway,
 }
 
 impl RoleName {
@@ -69,6 +73,7 @@
         match self {
             Self::Router => "router",
             Self::Side => "side",
+            Self::Gateway => "gateway",
         }
     }
 }
@@ -80,13 +85,17 @@
 /// Returns all findings together, each with its line and key.
 pub fn load(path: &Path) -> Result<DaemonSettings, FindingList> {
     let mut document = SettingsDocument::load(path)?;
-    document.deny_other_keys(&["role", "log", "router", "side"], "unknown key");
+    document.deny_other_keys(&["role", "log", "router", "side", "gateway"], "unknown key");
     let role: Option<RoleName> = document.read_key("role");
     let log: LogSettings = document.read_table("log");
     let router: RouterSettings = document.read_table("router");
     document.extend("router", &router.check());
     let side: SideSettings = document.read_table("side");
     document.extend("side", &side.check());
+    let gateway: GatewaySettings = document.read_table("gateway");
+    if role == Some(RoleName::Gateway) {
+        document.extend("gateway", &gateway.check());
+    }
     if let Some(role) = role {
         check_role_tables(&mut document, role);
     }
@@ -97,6 +106,7 @@
     document.finish()?;
     let role = match role {
         Some(RoleName::Side) => RoleSettings::Side(side),
+        Some(RoleName::Gateway) => RoleSettings::Gateway(gateway),
         _ => RoleSettings::Router(router),
     };
     Ok(DaemonSettings { log, role })
@@ -104,15 +114,14 @@
 
 fn check_role_tables(document: &mut SettingsDocument, role: RoleName) {
     let own = role.as_str();
-    let other = match role {
-        RoleName::Router => RoleName::Side.as_str(),
-        RoleName::Side => RoleName::Router.as_str(),
-    };
-    if document.contains(other) {
-        document.add(
-            other,
-            format!("is the table of another role; the role is {own}"),
-        );
+    for other in [RoleName::Router, RoleName::Side, RoleName::Gateway] {
+        let other = other.as_str();
+        if other != own && document.contains(other) {
+            document.add(
+                other,
+                format!("is the table of another role; the role is {own}"),
+            );
+        }
     }
     if !document.contains(own) {
         document.add(own, format!("is missing; the role {own} needs this table"));
--- /dev/null
+++ b/crates/state/fescuetide_fleet/src/lib.rs
@@ -0,0 +1,24 @@
+//! What a router knows of its fleet: routes, workspaces and limits of one configuration, and the upstreams.
+//!
+//! A configuration is replaced as a whole and never by an older version. Upstreams come and go one by one; each start of
+//! an upstream is an incarnation of its own.
+
+mod config;
+mod route;
+mod upstream;
+mod view;
+
+pub use config::CallerLimits;
+pub use config::ConfigVersion;
+pub use config::FleetConfig;
+pub use config::WorkspaceEntry;
+pub use route::PoolEntry;
+pub use route::PoolShare;
+pub use route::RouteEntry;
+pub use route::RouteTable;
+pub use route::WorkKind;
+pub use upstream::UpstreamChange;
+pub use upstream::UpstreamEntry;
+pub use upstream::UpstreamState;
+pub use upstream::UpstreamTable;
+pub use view::FleetView;
--- /dev/null
+++ b/crates/state/fescuetide_fleet/tests/fleet.rs
@@ -0,0 +1,88 @@
+//! Routes and upstreams.
+
+use fescuetide_base::ClockMillis;
+use fescuetide_base::ProcessIncarnation;
+use fescuetide_base::SpanMillis;
+use fescuetide_fleet::RouteEntry;
+use fescuetide_fleet::RouteTable;
+use fescuetide_fleet::UpstreamChange;
+use fescuetide_fleet::UpstreamEntry;
+use fescuetide_fleet::UpstreamState;
+use fescuetide_fleet::UpstreamTable;
+use fescuetide_fleet::WorkKind;
+
+fn route(prefix: &str) -> RouteEntry {
+    RouteEntry {
+        name: prefix.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: WorkKind::Repeatable,
+        time_limit: SpanMillis::new(1_000),
+        late_after: SpanMillis::new(100),
+        pause_limit: None,
+        rank: 0,
+        attempt_limit: 1,
+        is_public: false,
+        shares_prompts: false,
+        pools: Vec::new(),
+    }
+}
+
+fn upstream(name: &str, state: UpstreamState) -> UpstreamEntry {
+    UpstreamEntry {
+        name: name.parse().unwrap(),
+        incarnation: ProcessIncarnation::new(1),
+        pool: "engines".parse().unwrap(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: "a".parse().unwrap(),
+        slots: 4,
+        state,
+        warm_up: SpanMillis::default(),
+    }
+}
+
+/// Guards against a shorter prefix that hides a longer one, and a path that matches half a segment.
+#[test]
+fn longest_prefix_of_the_host_wins() {
+    let mut table = RouteTable::default();
+    for prefix in ["/a/", "/a/b/", "/"] {
+        table.add_route("One.example", route(prefix));
+    }
+    let find = |host: &str, path: &str| table.find(host, path).map(|route| route.prefix.clone());
+    assert_eq!(find("one.example", "/a/b/c").as_deref(), Some("/a/b/"));
+    assert_eq!(find("ONE.example:8080", "/a/bc").as_deref(), Some("/a/"));
+    assert_eq!(find("one.example", "/ab").as_deref(), Some("/"));
+    assert_eq!(find("two.example", "/a/"), None);
+}
+
+/// Guards against a pool that is emptied because the platform forgot its entries in an outage.
+#[test]
+fn entries_that_lapsed_in_an_outage_are_kept_for_a_while() {
+    let mut table = UpstreamTable::default();
+    let start = ClockMillis::new(0);
+    for name in ["one", "two"] {
+        let change = UpstreamChange::Written(upstream(name, UpstreamState::Ready));
+        table.apply(change, false, start);
+    }
+    let leaving = UpstreamChange::Written(upstream("three", UpstreamState::Leaving));
+    table.apply(leaving, false, start);
+    for name in ["one", "two", "three"] {
+        table.apply(UpstreamChange::Removed(name.parse().unwrap()), true, start);
+    }
+    assert_eq!(table.iter().count(), 2);
+    let back = UpstreamChange::Written(upstream("one", UpstreamState::Ready));
+    table.apply(back, true, start + SpanMillis::new(1_000));
+    assert!(table.expire(start + SpanMillis::new(1_999)));
+    let names: Vec<&str> = table.iter().map(|entry| entry.name.as_str()).collect();
+    assert_eq!(names, ["one"]);
+}
+
+/// Guards against new work for an upstream that left while the platform was well.
+#[test]
+fn removed_entry_is_gone_at_once() {
+    let mut table = UpstreamTable::default();
+    let now = ClockMillis::new(0);
+    let written = UpstreamChange::Written(upstream("one", UpstreamState::Ready));
+    table.apply(written, false, now);
+    table.apply(UpstreamChange::Removed("one".parse().unwrap()), false, now);
+    assert_eq!(table.iter().count(), 0);
+}
--- /dev/null
+++ b/crates/transport/fescuetide_http1/src/framing.rs
@@ -0,0 +1,247 @@
+//! Where a message body ends.
+
+use std::fmt;
+
+use crate::RequestHead;
+use crate::ResponseHead;
+
+/// Most bytes of a chunk's size line or of one trailer line.
+const LINE_LIMIT_BYTES: usize = 1_024;
+
+/// How the end of a body is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// So many bytes.
+    Length(u64),
+    /// Chunks.
+    Chunked,
+    /// The connection's end.
+    UntilClose,
+}
+
+/// Why a body cannot be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FramingError {
+    /// The fields that frame the body are malformed or contradict each other.
+    BadFields,
+    /// A chunk is malformed.
+    BadChunk,
+}
+
+impl fmt::Display for FramingError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::BadFields => write!(f, "the fields that frame the body are not valid"),
+            Self::BadChunk => write!(f, "a chunk of the body is not valid"),
+        }
+    }
+}
+
+impl std::error::Error for FramingError {}
+
+/// Reads `Content-Length`; several equal values count as one.
+fn parse_length<'a>(
+    values: impl Iterator<Item = (&'a str, &'a [u8])>,
+) -> Result<Option<u64>, FramingError> {
+    let mut length = None;
+    for (name, value) in values {
+        if !name.eq_ignore_ascii_case("content-length") {
+            continue;
+        }
+        let is_number = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
+        let text = std::str::from_utf8(value).map_err(|_| FramingError::BadFields)?;
+        let number: u64 = text.parse().map_err(|_| FramingError::BadFields)?;
+        if !is_number || length.is_some_and(|other| other != number) {
+            return Err(FramingError::BadFields);
+        }
+        length = Some(number);
+    }
+    Ok(length)
+}
+
+impl BodyFraming {
+    /// The framing of a request's body (RFC 9112, section 6.3). A request with both a length and an encoding is
+    /// refused, since two readers could disagree about its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the framing fields are malformed or contradict each other.
+    pub fn of_request(head: &RequestHead) -> Result<Self, FramingError> {
+        let length = parse_length(head.fields())?;
+        match head.count("transfer-encoding") {
+            0 => Ok(Self::Length(length.unwrap_or(0))),
+            1 if length.is_none()
+                && !head.is_http10()
+                && is_chunked(head.field("transfer-encoding")) =>
+            {
+                Ok(Self::Chunked)
+            }
+            _ => Err(FramingError::BadFields),
+        }
+    }
+
+    /// The framing of a response's body. `to_head` says that the request was a `HEAD`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the framing fields are malformed or contradict each other.
+    pub fn of_response(head: &ResponseHead, to_head: bool) -> Result<Self, FramingError> {
+        if to_head || matches!(head.status(), 204 | 304) {
+            return Ok(Self::Length(0));
+        }
+        let length = parse_length(head.fields())?;
+        match (head.count("transfer-encoding"), length) {
+            (0, Some(length)) => Ok(Self::Length(length)),
+            (0, None) => Ok(Self::UntilClose),
+            (1, None) if is_chunked(head.field("transfer-encoding")) => Ok(Self::Chunked),
+            _ => Err(FramingError::BadFields),
+        }
+    }
+}
+
+fn is_chunked(value: Option<&str>) -> bool {
+    value.is_some_and(|value| value.trim().eq_ignore_ascii_case("chunked"))
+}
+
+/// What one call of [`BodyDecoder::decode`] did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DecodeStep {
+    /// Bytes of the input that belong to the body and its framing.
+    pub used: usize,
+    /// Whether the body is complete.
+    pub done: bool,
+}
+
+#[derive(Clone, Debug)]
+enum DecodeState {
+    Length(u64),
+    ChunkSize(Vec<u8>),
+    ChunkData(u64),
+    ChunkEnd(u8),
+    Trailer(Vec<u8>),
+    UntilClose,
+    Done,
+}
+
+/// Decodes a body from pieces of any size.
+#[derive(Clone, Debug)]
+pub struct BodyDecoder {
+    state: DecodeState,
+}
+
+impl BodyDecoder {
+    /// Starts a body.
+    pub fn new(framing: BodyFraming) -> Self {
+        let state = match framing {
+            BodyFraming::Length(0) => DecodeState::Done,
+            BodyFraming::Length(length) => DecodeState::Length(length),
+            BodyFraming::Chunked => DecodeState::ChunkSize(Vec::new()),
+            BodyFraming::UntilClose => DecodeState::UntilClose,
+        };
+        Self { state }
+    }
+
+    /// Whether the body is complete.
+    pub fn is_done(&self) -> bool {
+        matches!(self.state, DecodeState::Done)
+    }
+
+    /// Whether the end of the connection completes the body.
+    pub fn ends_with_close(&self) -> bool {
+        matches!(self.state, DecodeState::UntilClose)
+    }
+
+    /// Decodes `input` and appends the body's bytes to `body`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a chunk is malformed.
+    pub fn decode(&mut self, input: &[u8], body: &mut Vec<u8>) -> Result<DecodeStep, FramingError> {
+        let mut used = 0;
+        while used < input.len() && !self.is_done() {
+            used += self.decode_part(&input[used..], body)?;
+        }
+        Ok(DecodeStep {
+            used,
+            done: self.is_done(),
+        })
+    }
+
+    fn decode_part(&mut self, input: &[u8], body: &mut Vec<u8>) -> Result<usize, FramingError> {
+        match &mut self.state {
+            DecodeState::Length(left) => {
+                let count = input
+                    .len()
+                    .min(usize::try_from(*left).unwrap_or(usize::MAX));
+                body.extend_from_slice(&input[..count]);
+                *left -= count as u64;
+                if *left == 0 {
+                    self.state = DecodeState::Done;
+                }
+                Ok(count)
+            }
+            DecodeState::ChunkSize(line) => {
+                let Some(count) = take_line(line, input)? else {
+                    return Ok(input.len());
+                };
+                let size = match httparse::parse_chunk_size(line) {
+                    Ok(httparse::Status::Complete((_, size))) => size,
+                    _ => return Err(FramingError::BadChunk),
+                };
+                self.state = match size {
+                    0 => DecodeState::Trailer(Vec::new()),
+                    size => DecodeState::ChunkData(size),
+                };
+                Ok(count)
+            }
+            DecodeState::ChunkData(left) => {
+                let count = input
+                    .len()
+                    .min(usize::try_from(*left).unwrap_or(usize::MAX));
+                body.extend_from_slice(&input[..count]);
+                *left -= count as u64;
+                if *left == 0 {
+                    self.state = DecodeState::ChunkEnd(b'\r');
+                }
+                Ok(count)
+            }
+            DecodeState::ChunkEnd(expected) => {
+                if input[0] != *expected {
+                    return Err(FramingError::BadChunk);
+                }
+                self.state = match expected {
+                    b'\r' => DecodeState::ChunkEnd(b'\n'),
+                    _ => DecodeState::ChunkSize(Vec::new()),
+                };
+                Ok(1)
+            }
+            DecodeState::Trailer(line) => {
+                let Some(count) = take_line(line, input)? else {
+                    return Ok(input.len());
+                };
+                let is_last = line == b"\r\n" || line == b"\n";
+                line.clear();
+                if is_last {
+                    self.state = DecodeState::Done;
+                }
+                Ok(count)
+            }
+            DecodeState::UntilClose => {
+                body.extend_from_slice(input);
+                Ok(input.len())
+            }
+            DecodeState::Done => Ok(0),
+        }
+    }
+}
+
+/// Moves bytes up to the line's end into `line`. Returns how many, `None` when the line goes on.
+fn take_line(line: &mut Vec<u8>, input: &[u8]) -> Result<Option<usize>, FramingError> {
+    let end = input.iter().position(|byte| *byte == b'\n');
+    let count = end.map_or(input.len(), |end| end + 1);
+    if line.len() + count > LINE_LIMIT_BYTES {
+        return Err(FramingError::BadChunk);
+    }
+    line.extend_from_slice(&input[..count]);
+    Ok(end.map(|_| count))
+}
--- /dev/null
+++ b/crates/transport/fescuetide_http1/src/head.rs
@@ -0,0 +1,290 @@
+//! Message heads.
+
+use std::fmt;
+use std::ops::Range;
+
+/// Most fields in one head.
+const FIELD_LIMIT: usize = 96;
+
+/// Why bytes are not the head of a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeadError {
+    /// The head is longer than the limit.
+    TooLarge,
+    /// The bytes do not follow the grammar.
+    Malformed,
+}
+
+impl fmt::Display for HeadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TooLarge => write!(f, "message head is longer than the limit"),
+            Self::Malformed => write!(f, "message head does not follow the HTTP/1.1 grammar"),
+        }
+    }
+}
+
+impl std::error::Error for HeadError {}
+
+/// Fields that concern only one connection (RFC 9110, section 7.6.1).
+const HOP_FIELDS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Whether a field concerns only one connection and is not forwarded.
+pub fn is_hop_field(name: &str) -> bool {
+    HOP_FIELDS.iter().any(|hop| name.eq_ignore_ascii_case(hop))
+}
+
+#[derive(Clone, Debug)]
+struct FieldSpan {
+    name: Range<u32>,
+    value: Range<u32>,
+}
+
+/// The fields of a head with the bytes that they point into.
+#[derive(Clone, Debug)]
+struct FieldBlock {
+    text: Box<[u8]>,
+    spans: Box<[FieldSpan]>,
+}
+
+impl FieldBlock {
+    fn new(text: &[u8], fields: &[httparse::Header<'_>]) -> Self {
+        let mut spans = Vec::with_capacity(fields.len());
+        for field in fields {
+            spans.push(FieldSpan {
+                name: span_of(text, field.name.as_bytes()),
+                value: span_of(text, field.value),
+            });
+        }
+        Self {
+            text: text.into(),
+            spans: spans.into(),
+        }
+    }
+
+    fn slice(&self, span: &Range<u32>) -> &[u8] {
+        &self.text[span.start as usize..span.end as usize]
+    }
+
+    fn text_of(&self, span: &Range<u32>) -> &str {
+        std::str::from_utf8(self.slice(span)).unwrap_or("")
+    }
+
+    fn iter(&self) -> impl Iterator<Item = (&str, &[u8])> {
+        self.spans
+            .iter()
+            .map(|field| (self.text_of(&field.name), self.slice(&field.value)))
+    }
+
+    fn get_all<'a, 'b>(&'a self, name: &'b str) -> impl Iterator<Item = &'a [u8]> + use<'a, 'b> {
+        self.iter()
+            .filter(move |(own, _)| own.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value)
+    }
+
+    fn get(&self, name: &str) -> Option<&str> {
+        let value = self.get_all(name).next()?;
+        std::str::from_utf8(value).ok()
+    }
+
+    /// Whether a comma-separated list field has this token.
+    fn has_token(&self, name: &str, token: &str) -> bool {
+        self.get_all(name).any(|value| {
+            value
+                .split(|byte| *byte == b',')
+                .any(|part| part.trim_ascii().eq_ignore_ascii_case(token.as_bytes()))
+        })
+    }
+}
+
+/// Where `part` lies in `text`; `part` is a slice of `text` or empty.
+fn span_of(text: &[u8], part: &[u8]) -> Range<u32> {
+    if part.is_empty() {
+        return 0..0;
+    }
+    let start = (part.as_ptr() as usize - text.as_ptr() as usize) as u32;
+    start..start + part.len() as u32
+}
+
+/// The head of a request.
+#[derive(Clone, Debug)]
+pub struct RequestHead {
+    fields: FieldBlock,
+    method: Range<u32>,
+    target: Range<u32>,
+    minor: u8,
+}
+
+impl RequestHead {
+    /// Parses a head from the start of `bytes`, `None` while it is incomplete. Returns the bytes that it takes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the head is malformed or longer than `limit` bytes.
+    pub fn parse(bytes: &[u8], limit: usize) -> Result<Option<(Self, usize)>, HeadError> {
+        let mut fields = [httparse::EMPTY_HEADER; FIELD_LIMIT];
+        let mut request = httparse::Request::new(&mut fields);
+        let used = match request.parse(bytes) {
+            Ok(httparse::Status::Complete(used)) if used <= limit => used,
+            Ok(httparse::Status::Complete(_)) => return Err(HeadError::TooLarge),
+            Ok(httparse::Status::Partial) if bytes.len() <= limit => return Ok(None),
+            Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
+                return Err(HeadError::TooLarge);
+            }
+            Err(_) => return Err(HeadError::Malformed),
+        };
+        let text = &bytes[..used];
+        let (Some(method), Some(target), Some(minor)) =
+            (request.method, request.path, request.version)
+        else {
+            return Err(HeadError::Malformed);
+        };
+        let head = Self {
+            method: span_of(text, method.as_bytes()),
+            target: span_of(text, target.as_bytes()),
+            minor,
+            fields: FieldBlock::new(text, request.headers),
+        };
+        Ok(Some((head, used)))
+    }
+
+    /// The method.
+    pub fn method(&self) -> &str {
+        self.fields.text_of(&self.method)
+    }
+
+    /// The request target as sent: path and query.
+    pub fn target(&self) -> &str {
+        self.fields.text_of(&self.target)
+    }
+
+    /// The path without the query.
+    pub fn path(&self) -> &str {
+        let target = self.target();
+        target.split('?').next().unwrap_or(target)
+    }
+
+    /// All fields in order.
+    pub fn fields(&self) -> impl Iterator<Item = (&str, &[u8])> {
+        self.fields.iter()
+    }
+
+    /// The first value of a field.
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.fields.get(name)
+    }
+
+    /// How often a field occurs.
+    pub fn count(&self, name: &str) -> usize {
+        self.fields.get_all(name).count()
+    }
+
+    /// Whether a list field has a token.
+    pub fn has_token(&self, name: &str, token: &str) -> bool {
+        self.fields.has_token(name, token)
+    }
+
+    /// Whether the connection stays open after this request.
+    pub fn keeps_alive(&self) -> bool {
+        match self.minor {
+            0 => self.has_token("connection", "keep-alive"),
+            _ => !self.has_token("connection", "close"),
+        }
+    }
+
+    /// Whether the client waits for `100 Continue` before it sends the body.
+    pub fn expects_continue(&self) -> bool {
+        self.has_token("expect", "100-continue")
+    }
+
+    /// Whether this is HTTP/1.0.
+    pub fn is_http10(&self) -> bool {
+        self.minor == 0
+    }
+}
+
+/// The head of a response.
+#[derive(Clone, Debug)]
+pub struct ResponseHead {
+    fields: FieldBlock,
+    status: u16,
+    minor: u8,
+}
+
+impl ResponseHead {
+    /// Parses a head from the start of `bytes`, `None` while it is incomplete. Returns the bytes that it takes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the head is malformed or longer than `limit` bytes.
+    pub fn parse(bytes: &[u8], limit: usize) -> Result<Option<(Self, usize)>, HeadError> {
+        let mut fields = [httparse::EMPTY_HEADER; FIELD_LIMIT];
+        let mut response = httparse::Response::new(&mut fields);
+        let used = match response.parse(bytes) {
+            Ok(httparse::Status::Complete(used)) if used <= limit => used,
+            Ok(httparse::Status::Complete(_)) => return Err(HeadError::TooLarge),
+            Ok(httparse::Status::Partial) if bytes.len() <= limit => return Ok(None),
+            Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
+                return Err(HeadError::TooLarge);
+            }
+            Err(_) => return Err(HeadError::Malformed),
+        };
+        let (Some(status), Some(minor)) = (response.code, response.version) else {
+            return Err(HeadError::Malformed);
+        };
+        let head = Self {
+            status,
+            minor,
+            fields: FieldBlock::new(&bytes[..used], response.headers),
+        };
+        Ok(Some((head, used)))
+    }
+
+    /// The status code.
+    pub fn status(&self) -> u16 {
+        self.status
+    }
+
+    /// Whether this is a success (2xx).
+    pub fn is_success(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+
+    /// All fields in order.
+    pub fn fields(&self) -> impl Iterator<Item = (&str, &[u8])> {
+        self.fields.iter()
+    }
+
+    /// The first value of a field.
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.fields.get(name)
+    }
+
+    /// How often a field occurs.
+    pub fn count(&self, name: &str) -> usize {
+        self.fields.get_all(name).count()
+    }
+
+    /// Whether a list field has a token.
+    pub fn has_token(&self, name: &str, token: &str) -> bool {
+        self.fields.has_token(name, token)
+    }
+
+    /// Whether the connection stays open after this response.
+    pub fn keeps_alive(&self) -> bool {
+        match self.minor {
+            0 => self.has_token("connection", "keep-alive"),
+            _ => !self.has_token("connection", "close"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/transport/fescuetide_http1/src/lib.rs
@@ -0,0 +1,28 @@
+//! HTTP/1.1 messages without I/O: heads, body framing and the events of a stream.
+//!
+//! A connection that waits for its next message holds no buffer: bytes are parsed from the caller's shared buffer, and
+//! only an incomplete head or body is kept.
+//!
+//! ```
+//! use fescuetide_http1::RequestHead;
+//!
+//! let (head, used) = RequestHead::parse(b"GET /a HTTP/1.1\r\nHost: b\r\n\r\n", 1024).unwrap().unwrap();
+//! assert_eq!((head.method(), head.target(), used), ("GET", "/a", 28));
+//! ```
+
+mod chunk;
+mod event;
+mod framing;
+mod head;
+
+pub use chunk::write_chunk;
+pub use chunk::write_last_chunk;
+pub use event::EventSplitter;
+pub use framing::BodyDecoder;
+pub use framing::BodyFraming;
+pub use framing::DecodeStep;
+pub use framing::FramingError;
+pub use head::HeadError;
+pub use head::RequestHead;
+pub use head::ResponseHead;
+pub use head::is_hop_field;
--- /dev/null
+++ b/crates/transport/fescuetide_http1/tests/messages.rs
@@ -0,0 +1,104 @@
+//! Heads, framing and events.
+
+use fescuetide_http1::BodyDecoder;
+use fescuetide_http1::BodyFraming;
+use fescuetide_http1::EventSplitter;
+use fescuetide_http1::FramingError;
+use fescuetide_http1::HeadError;
+use fescuetide_http1::RequestHead;
+use fescuetide_http1::ResponseHead;
+
+const LIMIT: usize = 4_096;
+
+fn request(text: &str) -> RequestHead {
+    RequestHead::parse(text.as_bytes(), LIMIT)
+        .unwrap()
+        .unwrap()
+        .0
+}
+
+/// Guards against two readers that disagree about where a request ends.
+#[test]
+fn contradicting_request_framing_is_refused() {
+    for fields in [
+        "Content-Length: 3\r\nTransfer-Encoding: chunked",
+        "Content-Length: 3\r\nContent-Length: 4",
+        "Content-Length: +3",
+        "Content-Length: ",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+    ] {
+        let head = request(&format!("POST / HTTP/1.1\r\n{fields}\r\n\r\n"));
+        assert_eq!(
+            BodyFraming::of_request(&head),
+            Err(FramingError::BadFields),
+            "{fields}"
+        );
+    }
+}
+
+/// Guards against a head without end that fills the memory.
+#[test]
+fn long_heads_are_refused() {
+    let text = format!("GET / HTTP/1.1\r\na: {}", "x".repeat(LIMIT));
+    assert_eq!(
+        RequestHead::parse(text.as_bytes(), LIMIT).unwrap_err(),
+        HeadError::TooLarge
+    );
+}
+
+/// Guards against chunks that are only understood when they arrive in one piece.
+#[test]
+fn chunks_are_decoded_byte_by_byte() {
+    let wire = b"3\r\nabc\r\nA;x=y\r\n0123456789\r\n0\r\nt: u\r\n\r\nGET";
+    let mut decoder = BodyDecoder::new(BodyFraming::Chunked);
+    let mut body = Vec::new();
+    let mut used = 0;
+    for byte in wire {
+        let step = decoder.decode(&[*byte], &mut body).unwrap();
+        used += step.used;
+        if step.done {
+            break;
+        }
+    }
+    assert_eq!(body, b"abc0123456789");
+    assert_eq!(&wire[used..], b"GET");
+}
+
+/// Guards against a garbled chunk that passes as data.
+#[test]
+fn bad_chunks_are_refused() {
+    for wire in [&b"zz\r\n"[..], b"3\r\nabcde", b"-1\r\n"] {
+        let mut decoder = BodyDecoder::new(BodyFraming::Chunked);
+        assert_eq!(
+            decoder.decode(wire, &mut Vec::new()),
+            Err(FramingError::BadChunk)
+        );
+    }
+}
+
+/// Guards against a response without length that is taken for an empty one.
+#[test]
+fn response_without_length_ends_with_the_connection() {
+    let (head, _) = ResponseHead::parse(b"HTTP/1.1 200 OK\r\n\r\n", LIMIT)
+        .unwrap()
+        .unwrap();
+    assert_eq!(
+        BodyFraming::of_response(&head, false),
+        Ok(BodyFraming::UntilClose)
+    );
+}
+
+/// Guards against part of an event that is passed on before the stream moves to another upstream.
+#[test]
+fn only_whole_events_are_passed_on() {
+    let mut splitter = EventSplitter::default();
+    let mut out = Vec::new();
+    splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda", &mut out);
+    assert_eq!(out, b"id: 1\ndata: a\n\n");
+    assert_eq!(splitter.last_id(), Some(1));
+    splitter.drop_partial();
+    splitter.feed(b"id: 2\r\ndata: b\r\n\r\n", &mut out);
+    assert_eq!(splitter.last_id(), Some(2));
+    assert!(out.ends_with(b"data: b\r\n\r\n"));
+}
