Break a stream off when its resumption is answered with a failure

Change: only a stream completes a stream that its caller has part of; any other answer breaks the attempt.

--- a/crates/coordination/fescuetide_flow/src/core.rs
+++ b/crates/coordination/fescuetide_flow/src/core.rs
@@ -158,8 +158,15 @@
                 self.note_heard(&pool, &vm, None, now);
             }
             AttemptEvent::Completed { status, load } => {
+                let is_started = attempt.last_part.is_some();
+                let breaks_stream = flow.is_relayed && !is_started;
                 self.note_heard(&pool, &vm, load, now);
-                self.complete(key, &vm, status, now);
+                if breaks_stream {
+                    // The caller has part of a stream, which only a stream can complete.
+                    self.break_attempt(key, &vm, BreakCause::Garbled, now);
+                } else {
+                    self.complete(key, &vm, status, now);
+                }
             }
             AttemptEvent::Declined(cause, load) => {
                 self.note_heard(&pool, &vm, load, now);
--- /dev/null
+++ b/crates/coordination/fescuetide_flow/tests/harness/mod.rs
@@ -0,0 +1,112 @@
+//! A core with a clock that the test turns.
+
+use fescuetide_base::ClockMillis;
+use fescuetide_base::ProcessIncarnation;
+use fescuetide_base::SpanMillis;
+use fescuetide_fleet::PoolShare;
+use fescuetide_fleet::RouteEntry;
+use fescuetide_fleet::UpstreamEntry;
+use fescuetide_fleet::UpstreamState;
+use fescuetide_fleet::WorkKind;
+use fescuetide_flow::AttemptEvent;
+use fescuetide_flow::FlowAction;
+use fescuetide_flow::FlowCore;
+use fescuetide_flow::FlowKey;
+use fescuetide_flow::FlowSettings;
+use fescuetide_flow::SendOrder;
+use fescuetide_flow::WorkRequest;
+
+/// The pool that all requests go to.
+pub const POOL: &str = "engines";
+
+/// The time limit of requests.
+const TIME_LIMIT: SpanMillis = SpanMillis::new(10_000);
+
+/// Creates an upstream of the pool.
+pub fn upstream(name: &str, slots: u32) -> UpstreamEntry {
+    UpstreamEntry {
+        name: name.parse().unwrap(),
+        incarnation: ProcessIncarnation::new(1),
+        pool: POOL.parse().unwrap(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: "a".parse().unwrap(),
+        slots,
+        state: UpstreamState::Ready,
+        warm_up: SpanMillis::default(),
+    }
+}
+
+/// A route to the pool.
+pub fn route(kind: WorkKind, attempt_limit: u32) -> RouteEntry {
+    RouteEntry {
+        name: "route".to_owned(),
+        prefix: "/".to_owned(),
+        kind,
+        time_limit: TIME_LIMIT,
+        late_after: SpanMillis::new(400),
+        pause_limit: Some(SpanMillis::new(300)),
+        rank: 1,
+        attempt_limit,
+        is_public: false,
+        shares_prompts: false,
+        pools: vec![PoolShare {
+            pool: POOL.parse().unwrap(),
+            weight: 1,
+        }],
+    }
+}
+
+/// A core with its time.
+pub struct CoreHarness {
+    pub core: FlowCore,
+    pub now: ClockMillis,
+}
+
+impl CoreHarness {
+    pub fn with_upstreams(count: usize) -> Self {
+        let zone = "a".parse().unwrap();
+        let mut core = FlowCore::new(FlowSettings::default(), zone);
+        let now = ClockMillis::new(1_000_000);
+        let mut entries = Vec::new();
+        for index in 0..count {
+            entries.push(upstream(&format!("vm-{index}"), 8));
+        }
+        core.set_upstreams(&entries, now);
+        Self { core, now }
+    }
+
+    pub fn arrive(&mut self, kind: WorkKind, attempt_limit: u32) -> FlowKey {
+        let route = route(kind, attempt_limit);
+        let request = WorkRequest::of_route(&route, self.now, None);
+        self.core.arrive(request, self.now)
+    }
+
+    pub fn note(&mut self, key: FlowKey, event: AttemptEvent) {
+        self.core.note_attempt(key, event, self.now);
+    }
+
+    pub fn next(&mut self) -> Option<FlowAction> {
+        self.core.next_action()
+    }
+
+    pub fn expect_send(&mut self, key: FlowKey) -> SendOrder {
+        match self.core.next_action() {
+            Some(FlowAction::Send(order)) if order.key == key => order,
+            other => panic!("expected the request to be sent, not {other:?}"),
+        }
+    }
+
+    /// Lets time pass with the ticks of a process.
+    pub fn pass(&mut self, millis: u64) {
+        const TICK_MS: u64 = 20;
+        let end = self.now + SpanMillis::new(millis);
+        while self.now < end {
+            self.now = end.min(self.now + SpanMillis::new(TICK_MS));
+            self.core.tick(self.now);
+        }
+    }
+
+    pub fn time_limit_ms(&self) -> u64 {
+        TIME_LIMIT.as_millis()
+    }
+}
--- /dev/null
+++ b/crates/coordination/fescuetide_flow/tests/life.rs
@@ -0,0 +1,133 @@
+//! The life of single requests.
+
+mod harness;
+
+use fescuetide_fleet::WorkKind;
+use fescuetide_flow::AttemptEvent;
+use fescuetide_flow::BreakCause;
+use fescuetide_flow::DeclineCause;
+use fescuetide_flow::FlowAction;
+use fescuetide_flow::FlowFailure;
+use harness::CoreHarness;
+
+/// Guards against a stream that looks complete because the upstream that should go on with it answers with a failure.
+#[test]
+fn failure_of_a_resumption_does_not_complete_the_stream() {
+    let mut harness = CoreHarness::with_upstreams(3);
+    let key = harness.arrive(WorkKind::ResumableStream, 2);
+    harness.expect_send(key);
+    harness.note(key, AttemptEvent::Sent);
+    harness.note(key, AttemptEvent::StreamStarted(None));
+    assert_eq!(harness.next(), Some(FlowAction::Relay(key)));
+    harness.note(key, AttemptEvent::Broken(BreakCause::Closed));
+    assert!(harness.expect_send(key).is_resumption);
+    harness.note(key, AttemptEvent::Sent);
+    harness.note(
+        key,
+        AttemptEvent::Completed {
+            status: 500,
+            load: None,
+        },
+    );
+    let failure = FlowFailure::UpstreamBroke(BreakCause::Garbled);
+    assert_eq!(harness.next(), Some(FlowAction::Fail(key, failure)));
+    assert_eq!(harness.next(), None);
+}
+
+/// Guards against a second run of a request that may run at most once.
+#[test]
+fn request_that_runs_once_is_not_sent_again_after_a_break() {
+    for kind in [WorkKind::Once, WorkKind::OnceStream] {
+        let mut harness = CoreHarness::with_upstreams(3);
+        let key = harness.arrive(kind, 3);
+        harness.expect_send(key);
+        harness.note(key, AttemptEvent::Sent);
+        harness.note(key, AttemptEvent::Broken(BreakCause::Closed));
+        let failure = FlowFailure::UpstreamBroke(BreakCause::Closed);
+        assert_eq!(harness.next(), Some(FlowAction::Fail(key, failure)));
+    }
+}
+
+/// Guards against a request that is lost although nothing of it left the router.
+#[test]
+fn request_that_was_not_sent_goes_elsewhere() {
+    let mut harness = CoreHarness::with_upstreams(3);
+    let key = harness.arrive(WorkKind::Once, 1);
+    let first = harness.expect_send(key).upstream;
+    harness.note(key, AttemptEvent::Broken(BreakCause::NotConnected));
+    assert_ne!(harness.expect_send(key).upstream, first);
+}
+
+/// Guards against more attempts than the route allows, and a refusal of a request that was declined as "may have run".
+#[test]
+fn declined_request_is_refused_when_its_attempts_are_used_up() {
+    let mut harness = CoreHarness::with_upstreams(3);
+    let key = harness.arrive(WorkKind::Once, 2);
+    for _ in 0..2 {
+        harness.expect_send(key);
+        harness.note(key, AttemptEvent::Sent);
+        harness.note(key, AttemptEvent::Declined(DeclineCause::Full, None));
+    }
+    let Some(FlowAction::Refuse(refused, refusal)) = harness.next() else {
+        panic!("the request is refused");
+    };
+    assert_eq!(refused, key);
+    assert_eq!(refusal.evidence.to_string(), "declined_by_upstream");
+    assert!(refusal.retry_after.as_millis() > 0);
+}
+
+/// Guards against a promise that a request did not run after one upstream may have run it and another declined it.
+#[test]
+fn request_that_may_have_run_is_never_refused() {
+    let mut harness = CoreHarness::with_upstreams(3);
+    let key = harness.arrive(WorkKind::Repeatable, 2);
+    harness.expect_send(key);
+    harness.note(key, AttemptEvent::Sent);
+    harness.note(key, AttemptEvent::Broken(BreakCause::Closed));
+    harness.expect_send(key);
+    harness.note(key, AttemptEvent::Sent);
+    harness.note(key, AttemptEvent::Declined(DeclineCause::Full, None));
+    assert!(matches!(harness.next(), Some(FlowAction::Fail(failed, _)) if failed == key));
+}
+
+/// Guards against a request that is kept past the operator's time limit, and one that is answered before it.
+#[test]
+fn request_fails_at_its_time_limit_and_not_before() {
+    let mut harness = CoreHarness::with_upstreams(1);
+    let key = harness.arrive(WorkKind::Once, 1);
+    harness.expect_send(key);
+    harness.note(key, AttemptEvent::Sent);
+    harness.pass(harness.time_limit_ms());
+    assert_eq!(harness.next(), None);
+    harness.pass(400);
+    assert_eq!(harness.next(), Some(FlowAction::Cancel(key)));
+    let failure = FlowFailure::TimedOut;
+    assert_eq!(harness.next(), Some(FlowAction::Fail(key, failure)));
+}
+
+/// Guards against a stream that waits for a dead upstream until its caller leaves.
+#[test]
+fn silent_stream_goes_on_elsewhere() {
+    let mut harness = CoreHarness::with_upstreams(2);
+    let key = harness.arrive(WorkKind::ResumableStream, 2);
+    harness.expect_send(key);
+    harness.note(key, AttemptEvent::Sent);
+    harness.note(key, AttemptEvent::StreamStarted(None));
+    assert_eq!(harness.next(), Some(FlowAction::Relay(key)));
+    // Callers leave a stream after a pause of 2 s.
+    harness.pass(1_900);
+    assert_eq!(harness.next(), Some(FlowAction::Cancel(key)));
+    assert!(harness.expect_send(key).is_resumption);
+}
+
+/// Guards against a request that waits although no upstream is known.
+#[test]
+fn request_without_upstream_is_refused_at_once() {
+    let mut harness = CoreHarness::with_upstreams(0);
+    let key = harness.arrive(WorkKind::Repeatable, 2);
+    let Some(FlowAction::Refuse(refused, refusal)) = harness.next() else {
+        panic!("the request is refused");
+    };
+    assert_eq!(refused, key);
+    assert_eq!(refusal.evidence.to_string(), "never_sent");
+}
--- a/crates/process/fescuetide_gateway/src/attempts.rs
+++ b/crates/process/fescuetide_gateway/src/attempts.rs
@@ -368,7 +368,9 @@
                 let Ok(step) = decoder.decode(bytes, &mut events) else {
                     return (garbled, bytes.len());
                 };
-                self.relay_events(key, &events, step.done);
+                if !self.relay_events(key, &events, step.done) {
+                    return (garbled, bytes.len());
+                }
                 if step.done {
                     let event = AttemptEvent::Completed {
                         status: 200,
@@ -518,14 +520,14 @@
         }
     }
 
-    /// Passes events of a stream on.
-    fn relay_events(&mut self, key: FlowKey, bytes: &[u8], is_last: bool) {
+    /// Passes events of a stream on. Returns false when the stream is not one of events.
+    fn relay_events(&mut self, key: FlowKey, bytes: &[u8], is_last: bool) -> bool {
         let Some(exchange) = self.exchanges.get_mut(&key) else {
-            return;
+            return true;
         };
         let before = exchange.splitter.event_count();
         let mut events = Vec::with_capacity(bytes.len());
-        exchange.splitter.feed(bytes, &mut events);
+        let is_sound = exchange.splitter.feed(bytes, &mut events);
         if is_last {
             exchange.splitter.finish(&mut events);
         }
@@ -543,15 +545,16 @@
         }
         let (caller, relay) = (exchange.caller, exchange.relay);
         let Some(Connection::Caller(connection)) = self.connections.get_mut(caller) else {
-            return;
+            return is_sound;
         };
         let out = connection.output.bytes_mut();
         match relay {
             RelayState::Streaming { is_chunked: true } => write_chunk(out, &events),
             RelayState::Streaming { is_chunked: false } => out.extend_from_slice(&events),
-            RelayState::Nothing => return,
+            RelayState::Nothing => return is_sound,
         }
         self.flush_caller(caller);
+        is_sound
     }
 
     fn relay(&mut self, key: FlowKey) {
--- a/crates/transport/fescuetide_http1/src/event.rs
+++ b/crates/transport/fescuetide_http1/src/event.rs
@@ -1,7 +1,7 @@
 //! Events of a stream (WHATWG HTML, "Server-sent events").
 
-/// Longest incomplete event that is kept, in bytes. A longer one is passed on in parts and cannot be resumed.
-const EVENT_LIMIT_BYTES: usize = 64 * 1_024;
+/// Longest event, in bytes.
+const EVENT_LIMIT_BYTES: usize = 1_024 * 1_024;
 
 /// Cuts a stream into whole events, so that a stream that breaks in the middle of an event can go on elsewhere.
 #[derive(Clone, Debug, Default)]
@@ -9,12 +9,12 @@
     partial: Vec<u8>,
     last_id: Option<u64>,
     events: u64,
-    is_split: bool,
 }
 
 impl EventSplitter {
-    /// Takes bytes of the stream and appends all events that are now complete to `out`.
-    pub fn feed(&mut self, bytes: &[u8], out: &mut Vec<u8>) {
+    /// Takes bytes of the stream and appends all events that are now complete to `out`. Returns false when the
+    /// incomplete event is longer than any event may be.
+    pub fn feed(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> bool {
         self.partial.extend_from_slice(bytes);
         let mut start = 0;
         while let Some(end) = find_event_end(&self.partial[start..]) {
@@ -27,13 +27,10 @@
         }
         out.extend_from_slice(&self.partial[..start]);
         self.partial.drain(..start);
-        if self.partial.len() > EVENT_LIMIT_BYTES {
-            self.is_split = true;
-            out.append(&mut self.partial);
-        }
         if self.partial.is_empty() {
             self.partial = Vec::new();
         }
+        self.partial.len() <= EVENT_LIMIT_BYTES
     }
 
     /// Ends the stream: appends what is left.
@@ -55,11 +52,6 @@
     pub fn event_count(&self) -> u64 {
         self.events
     }
-
-    /// Whether everything that was passed on ends with a whole event.
-    pub fn is_at_boundary(&self) -> bool {
-        !self.is_split
-    }
 }
 
 /// The length of the first whole event, with its blank line.
