Hold lapsed entries only from the first answer after an outage

Ruled out: late reads (the entry was read 0.6 s after it went). Change: OutageWatch tells the end of an outage; only what its first answer removes is held.

--- a/crates/coordination/fescuetide_flow/src/pool.rs
+++ b/crates/coordination/fescuetide_flow/src/pool.rs
@@ -50,7 +50,6 @@
 #[derive(Debug)]
 pub(crate) struct PoolState {
     upstreams: IndexMap<VmName, PoolUpstream>,
-    /// Loads of this router at upstreams that were removed while requests were under way there.
     pub(crate) waiting: WaitingQueue,
     pub(crate) budget: RetryBudget,
 }
@@ -66,11 +65,11 @@
 
     /// Takes over an entry. Returns whether a new life began.
     pub(crate) fn insert(&mut self, entry: UpstreamEntry) -> bool {
-        if let Some(known) = self.upstreams.get_mut(&entry.name) {
-            if known.entry.incarnation == entry.incarnation {
-                known.entry = entry;
-                return false;
-            }
+        if let Some(known) = self.upstreams.get_mut(&entry.name)
+            && known.entry.incarnation == entry.incarnation
+        {
+            known.entry = entry;
+            return false;
         }
         let name = entry.name.clone();
         self.upstreams.insert(name, PoolUpstream::new(entry));
--- a/crates/coordination/fescuetide_flow/tests/harness/mod.rs
+++ b/crates/coordination/fescuetide_flow/tests/harness/mod.rs
@@ -17,13 +17,13 @@
 use fescuetide_flow::WorkRequest;
 
 /// The pool that all requests go to.
-pub const POOL: &str = "engines";
+pub(crate) const POOL: &str = "engines";
 
 /// The time limit of requests.
 const TIME_LIMIT: SpanMillis = SpanMillis::new(10_000);
 
 /// Creates an upstream of the pool.
-pub fn upstream(name: &str, slots: u32) -> UpstreamEntry {
+pub(crate) fn upstream(name: &str, slots: u32) -> UpstreamEntry {
     UpstreamEntry {
         name: name.parse().unwrap(),
         incarnation: ProcessIncarnation::new(1),
@@ -37,7 +37,7 @@
 }
 
 /// A route to the pool.
-pub fn route(kind: WorkKind, attempt_limit: u32) -> RouteEntry {
+pub(crate) fn route(kind: WorkKind, attempt_limit: u32) -> RouteEntry {
     RouteEntry {
         name: "route".to_owned(),
         prefix: "/".to_owned(),
@@ -57,13 +57,13 @@
 }
 
 /// A core with its time.
-pub struct CoreHarness {
-    pub core: FlowCore,
-    pub now: ClockMillis,
+pub(crate) struct CoreHarness {
+    pub(crate) core: FlowCore,
+    pub(crate) now: ClockMillis,
 }
 
 impl CoreHarness {
-    pub fn with_upstreams(count: usize) -> Self {
+    pub(crate) fn with_upstreams(count: usize) -> Self {
         let zone = "a".parse().unwrap();
         let mut core = FlowCore::new(FlowSettings::default(), zone);
         let now = ClockMillis::new(1_000_000);
@@ -75,21 +75,21 @@
         Self { core, now }
     }
 
-    pub fn arrive(&mut self, kind: WorkKind, attempt_limit: u32) -> FlowKey {
+    pub(crate) fn arrive(&mut self, kind: WorkKind, attempt_limit: u32) -> FlowKey {
         let route = route(kind, attempt_limit);
         let request = WorkRequest::of_route(&route, self.now, None);
         self.core.arrive(request, self.now)
     }
 
-    pub fn note(&mut self, key: FlowKey, event: AttemptEvent) {
+    pub(crate) fn note(&mut self, key: FlowKey, event: AttemptEvent) {
         self.core.note_attempt(key, event, self.now);
     }
 
-    pub fn next(&mut self) -> Option<FlowAction> {
+    pub(crate) fn next(&mut self) -> Option<FlowAction> {
         self.core.next_action()
     }
 
-    pub fn expect_send(&mut self, key: FlowKey) -> SendOrder {
+    pub(crate) fn expect_send(&mut self, key: FlowKey) -> SendOrder {
         match self.core.next_action() {
             Some(FlowAction::Send(order)) if order.key == key => order,
             other => panic!("expected the request to be sent, not {other:?}"),
@@ -97,7 +97,7 @@
     }
 
     /// Lets time pass with the ticks of a process.
-    pub fn pass(&mut self, millis: u64) {
+    pub(crate) fn pass(&mut self, millis: u64) {
         const TICK_MS: u64 = 20;
         let end = self.now + SpanMillis::new(millis);
         while self.now < end {
@@ -106,7 +106,7 @@
         }
     }
 
-    pub fn time_limit_ms(&self) -> u64 {
+    pub(crate) fn time_limit_ms(&self) -> u64 {
         TIME_LIMIT.as_millis()
     }
 }
--- a/crates/process/fescuetide_gateway/src/follower.rs
+++ b/crates/process/fescuetide_gateway/src/follower.rs
@@ -12,6 +12,7 @@
 use fescuetide_base::SpanMillis;
 use fescuetide_fleet::ConfigVersion;
 use fescuetide_fleet::FleetView;
+use fescuetide_fleet::OutageWatch;
 use fescuetide_fleet::UpstreamChange;
 use fescuetide_fleet::UpstreamTable;
 use mio::Waker;
@@ -33,12 +34,6 @@
 /// The pause after a call that failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
 
-/// An outage is long enough for entries to lapse after this time.
-const OUTAGE_LIMIT: SpanMillis = SpanMillis::new(1_500);
-
-/// How long after an outage entries may be missing although their upstreams live.
-const RETURN_WINDOW: SpanMillis = SpanMillis::new(2_000);
-
 /// The status of a read whose records are gone.
 const GONE_STATUS: u16 = 410;
 
@@ -97,11 +92,9 @@
     feed: FleetFeed,
     /// The offset to read from, `None` when the newest records have to be listed first.
     next: Option<LogOffset>,
-    /// When the log answered last.
-    answered_at: ClockMillis,
-    is_away: bool,
-    /// Until when entries may be missing because of an outage.
-    lapse_until: ClockMillis,
+    outage: OutageWatch,
+    /// Whether entries may be missing from what was read last because of an outage.
+    may_have_lapsed: bool,
 }
 
 impl<D: RecordDialect> StreamFollower<D> {
@@ -112,17 +105,11 @@
             dialect,
             feed: feed.clone(),
             next: None,
-            answered_at: ClockMillis::now(),
-            is_away: false,
-            lapse_until: ClockMillis::default(),
+            outage: OutageWatch::new(ClockMillis::now()),
+            may_have_lapsed: false,
         }
     }
 
-    /// Whether entries may be missing because of an outage.
-    fn is_after_outage(&self) -> bool {
-        ClockMillis::now() < self.lapse_until
-    }
-
     /// Reads what is new, waiting for it for `wait` at most.
     fn step(&mut self, wait: SpanMillis) -> FollowStep {
         let result = match self.next {
@@ -148,24 +135,18 @@
     }
 
     fn note_answer(&mut self) {
-        let now = ClockMillis::now();
-        let silence = now.since(self.answered_at);
-        if self.is_away {
-            tracing::info!(stream = %self.stream, away_ms = silence.as_millis(), "log service is back");
-        }
-        if silence >= OUTAGE_LIMIT && self.is_away {
-            self.lapse_until = now + RETURN_WINDOW;
+        let end = self.outage.note_answer(ClockMillis::now());
+        self.may_have_lapsed = end.is_some_and(|end| end.may_have_lapsed);
+        if let Some(end) = end {
+            tracing::info!(stream = %self.stream, away_ms = end.span.as_millis(), "log service is back");
         }
-        self.is_away = false;
-        self.answered_at = now;
     }
 
     fn note_failure(&mut self, error: &CallError) {
         count(&self.feed.counters.log_failures);
-        if !self.is_away {
+        if self.outage.note_failure() {
             tracing::warn!(stream = %self.stream, %error, "log service is away");
         }
-        self.is_away = true;
     }
 
     fn list(&mut self) -> Result<Vec<LogRecord>, CallError> {
@@ -251,7 +232,7 @@
     loop {
         let step = follower.step(SpanMillis::default());
         let now = ClockMillis::now();
-        let after_outage = follower.is_after_outage();
+        let after_outage = follower.may_have_lapsed;
         let before: Vec<_> = table.iter().cloned().collect();
         let is_first = match step {
             FollowStep::Listing(records) => {
@@ -274,7 +255,7 @@
             FollowStep::Nothing => false,
         };
         // While the log is away, missing entries say nothing.
-        if !follower.is_away {
+        if !follower.outage.is_away() {
             table.expire(now);
         }
         if is_first || !table.iter().eq(before.iter()) {
@@ -282,7 +263,7 @@
             let upstreams = table.iter().cloned().collect();
             follower.feed.publish(FleetView::Upstreams(upstreams));
         }
-        if !follower.is_away {
+        if !follower.outage.is_away() {
             thread::sleep(UPSTREAM_PAUSE);
         }
     }
--- a/crates/state/fescuetide_fleet/src/lib.rs
+++ b/crates/state/fescuetide_fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! an upstream is an incarnation of its own.
 
 mod config;
+mod outage;
 mod route;
 mod upstream;
 mod view;
@@ -12,6 +13,8 @@
 pub use config::ConfigVersion;
 pub use config::FleetConfig;
 pub use config::WorkspaceEntry;
+pub use outage::OutageEnd;
+pub use outage::OutageWatch;
 pub use route::PoolEntry;
 pub use route::PoolShare;
 pub use route::RouteEntry;
--- a/crates/state/fescuetide_fleet/tests/fleet.rs
+++ b/crates/state/fescuetide_fleet/tests/fleet.rs
@@ -3,6 +3,7 @@
 use fescuetide_base::ClockMillis;
 use fescuetide_base::ProcessIncarnation;
 use fescuetide_base::SpanMillis;
+use fescuetide_fleet::OutageWatch;
 use fescuetide_fleet::RouteEntry;
 use fescuetide_fleet::RouteTable;
 use fescuetide_fleet::UpstreamChange;
@@ -86,3 +87,20 @@
     table.apply(UpstreamChange::Removed("one".parse().unwrap()), false, now);
     assert_eq!(table.iter().count(), 0);
 }
+
+/// Guards against new work for an upstream that left soon after an outage: only what the first answer tells may have
+/// lapsed.
+#[test]
+fn only_the_first_answer_after_an_outage_tells_of_lapsed_entries() {
+    let at = ClockMillis::new;
+    let mut watch = OutageWatch::new(at(0));
+    assert!(watch.note_failure());
+    assert!(!watch.note_failure());
+    assert!(watch.is_away());
+    let end = watch.note_answer(at(4_000)).unwrap();
+    assert_eq!((end.span.as_millis(), end.may_have_lapsed), (4_000, true));
+    assert_eq!(watch.note_answer(at(4_600)), None);
+    watch.note_failure();
+    let end = watch.note_answer(at(5_000)).unwrap();
+    assert!(!end.may_have_lapsed);
+}
