--- /dev/null
+++ b/crates/process/fescuetide_gateway/src/answers.rs
@@ -0,0 +1,324 @@
+//! Reading of upstreams' answers.
+
+use std::io;
+use std::io::Read;
+
+use fescuetide_base::VmName;
+use fescuetide_flow::AttemptEvent;
+use fescuetide_flow::BreakCause;
+use fescuetide_flow::FlowKey;
+use fescuetide_http1::BodyDecoder;
+use fescuetide_http1::BodyFraming;
+use fescuetide_http1::ResponseHead;
+
+use crate::connection::AnswerState;
+use crate::connection::CollectedAnswer;
+use crate::connection::Connection;
+use crate::connection::UpstreamWork;
+use crate::counters::count;
+use crate::dialect::EdgeDialect;
+use crate::exchange::RelayState;
+use crate::idle;
+use crate::soundness;
+use crate::traffic::TrafficLoop;
+
+/// Longest head of an upstream's answer.
+const ANSWER_HEAD_LIMIT_BYTES: usize = 32 * 1_024;
+
+/// Longest answer that is collected before it is passed on.
+const ANSWER_LIMIT_BYTES: usize = 16 * 1_024 * 1_024;
+
+/// What follows from bytes of an answer.
+enum AnswerStep {
+    /// More bytes are needed.
+    More,
+    /// The answer, or the answer to another request before it, is complete.
+    Next,
+    /// The attempt is over.
+    Over(AttemptEvent),
+}
+
+impl<D: EdgeDialect> TrafficLoop<D> {
+    /// Reads what an upstream sent.
+    pub(crate) fn read_upstream(&mut self, token: usize) {
+        let mut scratch = std::mem::take(&mut self.scratch);
+        while let Some(Connection::Upstream(upstream)) = self.connections.get_mut(token) {
+            match upstream.stream.read(&mut scratch) {
+                Ok(0) => {
+                    self.close_upstream(token, false);
+                    break;
+                }
+                Ok(read) => {
+                    self.take_upstream_bytes(token, &scratch[..read]);
+                    if read < scratch.len() {
+                        break;
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(_) => {
+                    self.close_upstream(token, true);
+                    break;
+                }
+            }
+        }
+        self.scratch = scratch;
+    }
+
+    /// The upstream closed its connection, or reset it.
+    fn close_upstream(&mut self, token: usize, is_reset: bool) {
+        let Some(Connection::Upstream(upstream)) = self.connections.get_mut(token) else {
+            return;
+        };
+        let UpstreamWork::Busy { answer, .. } = &mut upstream.work else {
+            self.drop_idle(token);
+            return;
+        };
+        if upstream.connect_until.is_some() {
+            self.end_attempt(token, AttemptEvent::Broken(BreakCause::NotConnected));
+            return;
+        }
+        let ends = |decoder: &BodyDecoder| decoder.ends_with_close() && !is_reset;
+        let event = match answer {
+            AnswerState::Collecting(collected) if ends(&collected.decoder) => {
+                soundness::judge_answer(&collected.head, &collected.fields)
+            }
+            AnswerState::Streaming { decoder, .. } if ends(decoder) => AttemptEvent::Completed {
+                status: 200,
+                load: None,
+            },
+            _ => AttemptEvent::Broken(BreakCause::Closed),
+        };
+        self.end_attempt(token, event);
+    }
+
+    fn take_upstream_bytes(&mut self, token: usize, data: &[u8]) {
+        let Some(Connection::Upstream(upstream)) = self.connections.get_mut(token) else {
+            return;
+        };
+        if let UpstreamWork::Idle { .. } = upstream.work {
+            // Bytes that nobody asked for belong to no request.
+            self.drop_idle(token);
+            return;
+        }
+        let mut joined = std::mem::take(&mut upstream.input);
+        let mut rest = data;
+        if !joined.is_empty() {
+            joined.extend_from_slice(data);
+            rest = &joined;
+        }
+        loop {
+            let (step, used) = self.step_answer(token, rest);
+            rest = &rest[used..];
+            self.perform();
+            match step {
+                AnswerStep::More => break,
+                AnswerStep::Next => {}
+                AnswerStep::Over(event) => {
+                    let is_clean = rest.is_empty();
+                    self.finish_answer(token, event, is_clean);
+                    return;
+                }
+            }
+        }
+        if let Some(Connection::Upstream(upstream)) = self.connections.get_mut(token) {
+            upstream.input = rest.to_vec();
+        }
+    }
+
+    /// Reads the next part of an answer. Returns how many bytes it took.
+    fn step_answer(&mut self, token: usize, bytes: &[u8]) -> (AnswerStep, usize) {
+        let garbled = AnswerStep::Over(AttemptEvent::Broken(BreakCause::Garbled));
+        let Some(Connection::Upstream(upstream)) = self.connections.get_mut(token) else {
+            return (AnswerStep::More, bytes.len());
+        };
+        let UpstreamWork::Busy { key, answer } = &mut upstream.work else {
+            return (AnswerStep::More, bytes.len());
+        };
+        let key = *key;
+        match answer {
+            AnswerState::Head => match ResponseHead::parse(bytes, ANSWER_HEAD_LIMIT_BYTES) {
+                Ok(None) => (AnswerStep::More, 0),
+                Ok(Some((head, used))) => (self.take_answer_head(token, key, head), used),
+                Err(_) => (garbled, bytes.len()),
+            },
+            AnswerState::Skipping(decoder) => {
+                let Ok(step) = decoder.decode(bytes, &mut Vec::new()) else {
+                    return (garbled, bytes.len());
+                };
+                if step.done {
+                    *answer = AnswerState::Head;
+                    return (AnswerStep::Next, step.used);
+                }
+                (AnswerStep::More, step.used)
+            }
+            AnswerState::Collecting(collected) => {
+                let step = collected.decoder.decode(bytes, &mut collected.body);
+                match step {
+                    Ok(step) if step.done => {
+                        let event = soundness::judge_answer(&collected.head, &collected.fields);
+                        (AnswerStep::Over(event), step.used)
+                    }
+                    Ok(step) if collected.body.len() <= ANSWER_LIMIT_BYTES => {
+                        (AnswerStep::More, step.used)
+                    }
+                    _ => (garbled, bytes.len()),
+                }
+            }
+            AnswerState::Streaming { decoder, .. } => {
+                let mut events = Vec::new();
+                let Ok(step) = decoder.decode(bytes, &mut events) else {
+                    return (garbled, bytes.len());
+                };
+                if !self.relay_events(key, &events, step.done) {
+                    return (garbled, bytes.len());
+                }
+                if step.done {
+                    let event = AttemptEvent::Completed {
+                        status: 200,
+                        load: None,
+                    };
+                    return (AnswerStep::Over(event), step.used);
+                }
+                (AnswerStep::More, step.used)
+            }
+        }
+    }
+
+    fn take_answer_head(&mut self, token: usize, key: FlowKey, head: ResponseHead) -> AnswerStep {
+        let garbled = AnswerStep::Over(AttemptEvent::Broken(BreakCause::Garbled));
+        let Some(exchange) = self.exchanges.get_mut(&key) else {
+            return garbled;
+        };
+        let Some(Connection::Upstream(upstream)) = self.connections.get_mut(token) else {
+            return garbled;
+        };
+        let UpstreamWork::Busy { answer, .. } = &mut upstream.work else {
+            return garbled;
+        };
+        if (100..200).contains(&head.status()) {
+            return AnswerStep::Next;
+        }
+        let is_head = exchange.head.method() == "HEAD";
+        let Ok(framing) = BodyFraming::of_response(&head, is_head) else {
+            return garbled;
+        };
+        let fields = self.dialect.read_answer(&head, exchange.request_id());
+        if fields.is_ours == Some(false) {
+            if framing == BodyFraming::UntilClose {
+                return garbled;
+            }
+            *answer = AnswerState::Skipping(BodyDecoder::new(framing));
+            return AnswerStep::Next;
+        }
+        let decoder = BodyDecoder::new(framing);
+        let is_stream = head
+            .field("content-type")
+            .is_some_and(|kind| kind.starts_with("text/event-stream"));
+        if is_stream && soundness::is_sound_success(&head, &fields) {
+            *answer = AnswerState::Streaming {
+                decoder,
+                keeps_alive: head.keeps_alive(),
+                idle_limit: fields.idle_limit,
+            };
+            if exchange.relay == RelayState::Nothing {
+                exchange.stream_head = Some(head);
+            }
+            let event = AttemptEvent::StreamStarted(fields.load);
+            self.core.note_attempt(key, event, self.now);
+            return AnswerStep::Next;
+        }
+        *answer = AnswerState::Collecting(Box::new(CollectedAnswer {
+            head,
+            fields,
+            decoder,
+            body: Vec::new(),
+        }));
+        AnswerStep::Next
+    }
+
+    /// Ends an attempt whose answer is complete, and keeps its connection if there is no doubt about it.
+    fn finish_answer(&mut self, token: usize, event: AttemptEvent, is_clean: bool) {
+        let Some(Connection::Upstream(upstream)) = self.connections.get_mut(token) else {
+            return;
+        };
+        let UpstreamWork::Busy { answer, .. } = &upstream.work else {
+            return;
+        };
+        let (keeps_alive, idle_limit) = match answer {
+            AnswerState::Collecting(collected) => {
+                (collected.head.keeps_alive(), collected.fields.idle_limit)
+            }
+            AnswerState::Streaming {
+                keeps_alive,
+                idle_limit,
+                ..
+            } => (*keeps_alive, *idle_limit),
+            AnswerState::Head | AnswerState::Skipping(_) => (false, None),
+        };
+        let is_sound = !matches!(event, AttemptEvent::Broken(_));
+        if !(keeps_alive && is_sound && is_clean && upstream.is_written) {
+            self.end_attempt(token, event);
+            return;
+        }
+        let until = idle::idle_until(idle_limit, self.now);
+        let work = std::mem::replace(&mut upstream.work, UpstreamWork::Idle { until });
+        let vm = upstream.vm.clone();
+        let limit = self.idle_limit_of(&vm);
+        if !self.idle.put(&vm, token, limit) {
+            self.remove(token);
+        }
+        self.report_end(work, event);
+    }
+
+    /// Idle connections to keep for an upstream.
+    fn idle_limit_of(&self, vm: &VmName) -> usize {
+        let entry = self.upstreams.as_ref().and_then(|table| table.get(vm));
+        let pool = entry
+            .zip(self.config.as_ref())
+            .and_then(|(entry, config)| config.routes.pool(&entry.pool));
+        idle::idle_limit(pool.map(|pool| pool.connection_limit))
+    }
+
+    /// Ends an attempt and its connection.
+    pub(crate) fn end_attempt(&mut self, token: usize, event: AttemptEvent) {
+        let Some(Connection::Upstream(upstream)) = self.connections.try_remove(token) else {
+            return;
+        };
+        self.report_end(upstream.work, event);
+    }
+
+    fn report_end(&mut self, work: UpstreamWork, event: AttemptEvent) {
+        let UpstreamWork::Busy { key, answer } = work else {
+            return;
+        };
+        if let Some(exchange) = self.exchanges.get_mut(&key) {
+            exchange.upstream = None;
+            match (&event, answer) {
+                (AttemptEvent::Completed { .. }, AnswerState::Collecting(collected)) => {
+                    exchange.answer = Some(*collected);
+                }
+                (AttemptEvent::Broken(cause), _) => {
+                    count(&self.counters.attempts_broken);
+                    tracing::info!(
+                        request = exchange.request_id(),
+                        cause = cause.as_str(),
+                        "attempt broke"
+                    );
+                }
+                (AttemptEvent::Declined(cause, load), _) => {
+                    count(&self.counters.attempts_declined);
+                    tracing::info!(
+                        request = exchange.request_id(),
+                        ?cause,
+                        ?load,
+                        "attempt declined"
+                    );
+                }
+                _ => {}
+            }
+        }
+        self.core.note_attempt(key, event, self.now);
+        self.perform();
+    }
+}
--- a/crates/process/fescuetide_gateway/src/callers.rs
+++ b/crates/process/fescuetide_gateway/src/callers.rs
@@ -54,10 +54,7 @@
     /// Reads what a caller sent.
     pub(crate) fn read_caller(&mut self, token: usize) {
         let mut scratch = std::mem::take(&mut self.scratch);
-        loop {
-            let Some(Connection::Caller(caller)) = self.connections.get_mut(token) else {
-                break;
-            };
+        while let Some(Connection::Caller(caller)) = self.connections.get_mut(token) {
             match caller.stream.read(&mut scratch) {
                 Ok(0) => {
                     self.lose_caller(token);
@@ -211,10 +208,10 @@
         if head.count("host") != 1 || !head.target().starts_with('/') {
             return Err(400);
         }
-        if let BodyFraming::Length(length) = framing {
-            if length > limits.body_bytes.get() {
-                return Err(413);
-            }
+        if let BodyFraming::Length(length) = framing
+            && length > limits.body_bytes.get()
+        {
+            return Err(413);
         }
         let decoder = BodyDecoder::new(framing);
         if head.expects_continue() && !decoder.is_done() {
--- a/crates/process/fescuetide_gateway/src/idle.rs
+++ b/crates/process/fescuetide_gateway/src/idle.rs
@@ -5,9 +5,12 @@
 use fescuetide_base::VmName;
 use indexmap::IndexMap;
 
-/// Connections kept for each upstream. More are only opened for a burst.
+/// Idle connections kept for each upstream at most.
 const IDLE_LIMIT: usize = 48;
 
+/// Routers that share the connections of an upstream.
+const SHARING_ROUTERS: u32 = 8;
+
 /// How long a connection is kept where the upstream names no limit.
 const DEFAULT_IDLE_LIMIT: SpanMillis = SpanMillis::new(60_000);
 
@@ -21,13 +24,13 @@
 }
 
 impl IdleTable {
-    /// Keeps a connection. Returns whether there was room.
-    pub(crate) fn put(&mut self, vm: &VmName, token: usize) -> bool {
+    /// Keeps a connection unless `limit` are kept already. Returns whether it is kept.
+    pub(crate) fn put(&mut self, vm: &VmName, token: usize, limit: usize) -> bool {
         let tokens = match self.idle.get_mut(vm) {
             Some(tokens) => tokens,
             None => self.idle.entry(vm.clone()).or_default(),
         };
-        if tokens.len() >= IDLE_LIMIT {
+        if tokens.len() >= limit {
             return false;
         }
         tokens.push(token);
@@ -62,3 +65,11 @@
     let limit = limit.unwrap_or(DEFAULT_IDLE_LIMIT).as_millis();
     now + SpanMillis::new(limit.saturating_sub(CLOSE_MARGIN_MS))
 }
+
+/// Idle connections to keep for an upstream that takes `connection_limit` connections from all routers.
+pub(crate) fn idle_limit(connection_limit: Option<u32>) -> usize {
+    let Some(limit) = connection_limit else {
+        return IDLE_LIMIT;
+    };
+    IDLE_LIMIT.min((limit / SHARING_ROUTERS).max(1) as usize)
+}
--- a/crates/process/fescuetide_gateway/src/lib.rs
+++ b/crates/process/fescuetide_gateway/src/lib.rs
@@ -5,7 +5,7 @@
 //! header fields look like is told by an [`EdgeDialect`] and a [`RecordDialect`]; the gateway itself knows no
 //! platform's names.
 
-mod answer;
+mod answers;
 mod attempts;
 mod buffer;
 mod callers;
@@ -15,11 +15,14 @@
 mod exchange;
 mod follower;
 mod idle;
+mod probes;
 mod process;
+mod relay;
 mod respond;
 mod settings;
 mod shutdown;
 mod sockets;
+mod soundness;
 mod store_client;
 mod traffic;
 
--- /dev/null
+++ b/crates/process/fescuetide_gateway/src/relay.rs
@@ -0,0 +1,182 @@
+//! What callers get: answers of upstreams, events of streams, refusals and failures.
+
+use fescuetide_base::SpanMillis;
+use fescuetide_flow::AttemptEvent;
+use fescuetide_flow::FlowFailure;
+use fescuetide_flow::FlowKey;
+use fescuetide_flow::FlowRefusal;
+use fescuetide_http1::write_chunk;
+use fescuetide_http1::write_last_chunk;
+
+use crate::connection::Connection;
+use crate::counters::count;
+use crate::dialect::EdgeDialect;
+use crate::exchange::Exchange;
+use crate::exchange::RelayState;
+use crate::respond;
+use crate::respond::ResponseFraming;
+use crate::traffic::TrafficLoop;
+
+impl<D: EdgeDialect> TrafficLoop<D> {
+    /// Passes events of a stream on. Returns false when the stream is not one of events.
+    pub(crate) fn relay_events(&mut self, key: FlowKey, bytes: &[u8], is_last: bool) -> bool {
+        let Some(exchange) = self.exchanges.get_mut(&key) else {
+            return true;
+        };
+        let before = exchange.splitter.event_count();
+        let mut events = Vec::with_capacity(bytes.len());
+        let is_sound = exchange.splitter.feed(bytes, &mut events);
+        if is_last {
+            exchange.splitter.finish(&mut events);
+        }
+        let fresh = exchange.splitter.event_count() - before;
+        if fresh > 0 {
+            if before == 0 {
+                let span = self.now.since(exchange.arrived);
+                self.counters.first_part_ms.note(span.as_millis());
+            }
+            self.counters
+                .events
+                .fetch_add(fresh, std::sync::atomic::Ordering::Relaxed);
+            self.core
+                .note_attempt(key, AttemptEvent::StreamProgress, self.now);
+        }
+        let (caller, relay) = (exchange.caller, exchange.relay);
+        let Some(Connection::Caller(connection)) = self.connections.get_mut(caller) else {
+            return is_sound;
+        };
+        let out = connection.output.bytes_mut();
+        match relay {
+            RelayState::Streaming { is_chunked: true } => write_chunk(out, &events),
+            RelayState::Streaming { is_chunked: false } => out.extend_from_slice(&events),
+            RelayState::Nothing => return is_sound,
+        }
+        self.flush_caller(caller);
+        is_sound
+    }
+
+    pub(crate) fn relay(&mut self, key: FlowKey) {
+        let Some(exchange) = self.exchanges.get_mut(&key) else {
+            return;
+        };
+        if exchange.relay != RelayState::Nothing {
+            self.finish_stream(key);
+            return;
+        }
+        if let Some(head) = exchange.stream_head.take() {
+            let is_chunked = !exchange.head.is_http10();
+            exchange.relay = RelayState::Streaming { is_chunked };
+            let framing = match is_chunked {
+                true => ResponseFraming::Chunked,
+                false => ResponseFraming::UntilClose,
+            };
+            exchange.keeps_alive &= is_chunked;
+            let closes = !exchange.keeps_alive || self.drain.is_some();
+            let caller = exchange.caller;
+            if let Some(Connection::Caller(connection)) = self.connections.get_mut(caller) {
+                let out = connection.output.bytes_mut();
+                respond::write_relayed_head(out, &head, framing, closes);
+                connection.closes |= closes;
+            }
+            return;
+        }
+        self.relay_answer(key);
+    }
+
+    fn finish_stream(&mut self, key: FlowKey) {
+        let Some(exchange) = self.take_exchange(key) else {
+            return;
+        };
+        count(&self.counters.relayed);
+        self.log_end(&exchange, "relayed", 200);
+        if let Some(Connection::Caller(connection)) = self.connections.get_mut(exchange.caller)
+            && exchange.relay == (RelayState::Streaming { is_chunked: true })
+        {
+            write_last_chunk(connection.output.bytes_mut());
+        }
+        self.release_caller(exchange.caller, exchange.keeps_alive);
+    }
+
+    fn relay_answer(&mut self, key: FlowKey) {
+        let Some(mut exchange) = self.take_exchange(key) else {
+            return;
+        };
+        let Some(answer) = exchange.answer.take() else {
+            return;
+        };
+        count(&self.counters.relayed);
+        let span = self.now.since(exchange.arrived);
+        self.counters.first_part_ms.note(span.as_millis());
+        self.log_end(&exchange, "relayed", answer.head.status());
+        let closes = !exchange.keeps_alive || self.drain.is_some();
+        if let Some(Connection::Caller(connection)) = self.connections.get_mut(exchange.caller) {
+            let out = connection.output.bytes_mut();
+            let framing = ResponseFraming::Length(answer.body.len() as u64);
+            respond::write_relayed_head(out, &answer.head, framing, closes);
+            out.extend_from_slice(&answer.body);
+        }
+        self.release_caller(exchange.caller, exchange.keeps_alive);
+    }
+
+    pub(crate) fn refuse(&mut self, key: FlowKey, refusal: &FlowRefusal) {
+        let Some(exchange) = self.take_exchange(key) else {
+            return;
+        };
+        count(&self.counters.refused);
+        tracing::info!(
+            request = exchange.request_id(),
+            route = &*exchange.route,
+            cause = refusal.cause.as_str(),
+            evidence = %refusal.evidence,
+            retry_after_ms = refusal.retry_after.as_millis(),
+            attempts = exchange.attempts,
+            waiting = self.core.waiting_count(),
+            age_ms = self.now.since(exchange.arrived).as_millis(),
+            outcome = "refused",
+            "request ended"
+        );
+        self.answer_own(&exchange, 503, Some(refusal.retry_after));
+    }
+
+    pub(crate) fn fail(&mut self, key: FlowKey, failure: FlowFailure) {
+        let Some(exchange) = self.take_exchange(key) else {
+            return;
+        };
+        count(&self.counters.failed);
+        let (status, outcome) = match failure {
+            FlowFailure::TimedOut => (504, "timed_out"),
+            FlowFailure::UpstreamBroke(cause) => (502, cause.as_str()),
+        };
+        self.log_end(&exchange, outcome, status);
+        if exchange.relay != RelayState::Nothing {
+            // A response that ends early must not look complete.
+            self.remove(exchange.caller);
+            return;
+        }
+        self.answer_own(&exchange, status, None);
+    }
+
+    fn answer_own(&mut self, exchange: &Exchange, status: u16, retry_after: Option<SpanMillis>) {
+        let closes = !exchange.keeps_alive || self.drain.is_some();
+        if let Some(Connection::Caller(connection)) = self.connections.get_mut(exchange.caller) {
+            let out = connection.output.bytes_mut();
+            respond::write_own_response(out, status, retry_after, closes, |out| {
+                self.dialect.write_request_id(out, exchange.request_id());
+            });
+        }
+        self.release_caller(exchange.caller, exchange.keeps_alive);
+    }
+
+    fn log_end(&self, exchange: &Exchange, outcome: &str, status: u16) {
+        tracing::info!(
+            request = exchange.request_id(),
+            route = &*exchange.route,
+            status,
+            attempts = exchange.attempts,
+            events = exchange.splitter.event_count(),
+            age_ms = self.now.since(exchange.arrived).as_millis(),
+            outcome,
+            "request ended"
+        );
+    }
+}
--- a/crates/process/fescuetide_gateway/src/traffic.rs
+++ b/crates/process/fescuetide_gateway/src/traffic.rs
@@ -28,7 +28,6 @@
 use crate::GatewaySettings;
 use crate::connection::CallerConnection;
 use crate::connection::Connection;
-use crate::connection::ProbeConnection;
 use crate::counters::count;
 use crate::dialect::EdgeDialect;
 use crate::exchange::Exchange;
@@ -260,35 +259,6 @@
         }
     }
 
-    fn accept_probes(&mut self, is_ready: bool) {
-        loop {
-            let listener = match (is_ready, &self.listeners.metrics) {
-                (true, _) => &self.listeners.ready,
-                (false, Some(metrics)) => metrics,
-                (false, None) => return,
-            };
-            let stream = match listener.accept() {
-                Ok((stream, _)) => stream,
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
-                Err(error) => {
-                    tracing::warn!(%error, "probe is not accepted");
-                    return;
-                }
-            };
-            let probe = ProbeConnection {
-                stream,
-                input: Vec::new(),
-                output: crate::buffer::OutputBuffer::default(),
-                active_at: self.now,
-            };
-            match self.register(Connection::Probe(probe)) {
-                Ok(token) => self.serve_probe(token),
-                Err(error) => tracing::warn!(%error, "probe cannot be watched"),
-            }
-        }
-    }
-
     /// Takes over what the control threads published.
     fn take_views(&mut self) {
         while let Ok(view) = self.views.try_recv() {
@@ -345,22 +315,6 @@
         self.perform();
     }
 
-    fn sweep_probes(&mut self) {
-        const PROBE_LIMIT: SpanMillis = SpanMillis::new(30_000);
-        let mut stale = Vec::new();
-        for (token, connection) in &self.connections {
-            let Connection::Probe(probe) = connection else {
-                continue;
-            };
-            if self.now.since(probe.active_at) > PROBE_LIMIT {
-                stale.push(token);
-            }
-        }
-        for token in stale {
-            self.remove(token);
-        }
-    }
-
     /// Closes a connection.
     pub(crate) fn remove(&mut self, token: usize) {
         // Closing the socket takes it out of the poll as well.
