--- a/crates/process/fescuetide_gateway/src/answers.rs
+++ b/crates/process/fescuetide_gateway/src/answers.rs
@@ -39,8 +39,9 @@
 }
 
 impl<D: EdgeDialect> TrafficLoop<D> {
-    /// Reads what an upstream sent.
-    pub(crate) fn read_upstream(&mut self, token: usize) {
+    /// Reads what an upstream sent. `is_closed` says that the end of the connection was announced; without it, a read
+    /// that does not fill the buffer took everything, and the next bytes announce themselves.
+    pub(crate) fn read_upstream(&mut self, token: usize, is_closed: bool) {
         let mut scratch = std::mem::take(&mut self.scratch);
         while let Some(Connection::Upstream(upstream)) = self.connections.get_mut(token) {
             match upstream.stream.read(&mut scratch) {
@@ -50,7 +51,7 @@
                 }
                 Ok(read) => {
                     self.take_upstream_bytes(token, &scratch[..read]);
-                    if read < scratch.len() {
+                    if read < scratch.len() && !is_closed {
                         break;
                     }
                 }
--- a/crates/process/fescuetide_gateway/src/callers.rs
+++ b/crates/process/fescuetide_gateway/src/callers.rs
@@ -51,8 +51,9 @@
 }
 
 impl<D: EdgeDialect> TrafficLoop<D> {
-    /// Reads what a caller sent.
-    pub(crate) fn read_caller(&mut self, token: usize) {
+    /// Reads what a caller sent. `is_closed` says that the end of the connection was announced; without it, a read that
+    /// does not fill the buffer took everything, and the next bytes announce themselves.
+    pub(crate) fn read_caller(&mut self, token: usize, is_closed: bool) {
         let mut scratch = std::mem::take(&mut self.scratch);
         while let Some(Connection::Caller(caller)) = self.connections.get_mut(token) {
             match caller.stream.read(&mut scratch) {
@@ -63,7 +64,7 @@
                 Ok(read) => {
                     caller.active_at = self.now;
                     self.take_caller_bytes(token, &scratch[..read]);
-                    if read < scratch.len() {
+                    if read < scratch.len() && !is_closed {
                         break;
                     }
                 }
--- a/crates/process/fescuetide_gateway/src/traffic.rs
+++ b/crates/process/fescuetide_gateway/src/traffic.rs
@@ -182,14 +182,15 @@
             METRICS_TOKEN => self.accept_probes(false),
             Token(token) => {
                 let token = token - FIRST_CONNECTION;
-                let is_read = event.is_readable() || event.is_read_closed() || event.is_error();
+                let is_closed = event.is_read_closed() || event.is_error();
+                let is_read = event.is_readable() || is_closed;
                 match self.connections.get(token) {
                     Some(Connection::Caller(_)) => {
                         if event.is_writable() {
                             self.flush_caller(token);
                         }
                         if is_read {
-                            self.read_caller(token);
+                            self.read_caller(token, is_closed);
                         }
                     }
                     Some(Connection::Upstream(_)) => {
@@ -197,7 +198,7 @@
                             self.write_attempt(token);
                         }
                         if is_read {
-                            self.read_upstream(token);
+                            self.read_upstream(token, is_closed);
                         }
                     }
                     Some(Connection::Probe(_)) => self.serve_probe(token),
@@ -252,7 +253,7 @@
             }
             let caller = CallerConnection::new(stream, self.now);
             match self.register(Connection::Caller(caller)) {
-                Ok(token) => self.read_caller(token),
+                Ok(token) => self.read_caller(token, true),
                 Err(error) => tracing::warn!(%error, "connection cannot be watched"),
             }
             self.perform();
--- a/crates/process/fescuetided/src/log_queue.rs
+++ b/crates/process/fescuetided/src/log_queue.rs
@@ -19,20 +19,32 @@
 /// How long lines are collected before they are written together.
 const COLLECT_SPAN: Duration = Duration::from_millis(100);
 
+/// How long the end of the process waits for a slow reader.
+const FLUSH_LIMIT: Duration = Duration::from_millis(250);
+
+/// What the writing thread is given.
+#[derive(Debug)]
+enum QueueItem {
+    /// A line.
+    Line(Vec<u8>),
+    /// Everything before this is to be written; then the sender is told.
+    Flush(Sender<()>),
+}
+
 /// Takes lines without ever waiting.
 #[derive(Clone, Debug)]
 pub(crate) struct LogQueue {
-    lines: Sender<Vec<u8>>,
+    items: Sender<QueueItem>,
     dropped: Arc<AtomicU64>,
 }
 
 impl LogQueue {
     /// Starts the thread that writes lines to `out`.
     pub(crate) fn start(out: impl Write + Send + 'static) -> Self {
-        let (lines, receiver) = channel::bounded(LINE_LIMIT);
+        let (items, receiver) = channel::bounded(LINE_LIMIT);
         let dropped = Arc::<AtomicU64>::default();
         let queue = Self {
-            lines,
+            items,
             dropped: Arc::clone(&dropped),
         };
         let spawned = thread::Builder::new()
@@ -43,15 +55,30 @@
         }
         queue
     }
+
+    /// Waits until all lines are written, for a limited time.
+    pub(crate) fn flush(&self) {
+        let (done, is_done) = channel::bounded(1);
+        if self
+            .items
+            .send_timeout(QueueItem::Flush(done), FLUSH_LIMIT)
+            .is_ok()
+        {
+            // A reader that takes too long loses the rest.
+            let _ = is_done.recv_timeout(FLUSH_LIMIT);
+        }
+    }
 }
 
-fn write_lines(lines: &Receiver<Vec<u8>>, dropped: &AtomicU64, mut out: impl Write) {
+fn write_lines(items: &Receiver<QueueItem>, dropped: &AtomicU64, mut out: impl Write) {
     let mut batch = Vec::new();
-    while let Ok(line) = lines.recv() {
-        batch.extend_from_slice(&line);
-        thread::sleep(COLLECT_SPAN);
-        while let Ok(line) = lines.try_recv() {
-            batch.extend_from_slice(&line);
+    while let Ok(item) = items.recv() {
+        let mut flushed = collect(item, &mut batch);
+        if flushed.is_none() {
+            thread::sleep(COLLECT_SPAN);
+        }
+        while let (None, Ok(item)) = (&flushed, items.try_recv()) {
+            flushed = collect(item, &mut batch);
         }
         let count = dropped.swap(0, Ordering::Relaxed);
         if count > 0 {
@@ -65,6 +92,21 @@
             return;
         }
         batch.clear();
+        if let Some(flushed) = flushed {
+            // The process may not wait any more.
+            let _ = flushed.send(());
+        }
+    }
+}
+
+/// Adds a line to a batch. Returns whom to tell when the batch is written.
+fn collect(item: QueueItem, batch: &mut Vec<u8>) -> Option<Sender<()>> {
+    match item {
+        QueueItem::Line(line) => {
+            batch.extend_from_slice(&line);
+            None
+        }
+        QueueItem::Flush(done) => Some(done),
     }
 }
 
@@ -91,12 +133,8 @@
         if self.line.is_empty() {
             return;
         }
-        if self
-            .queue
-            .lines
-            .try_send(std::mem::take(&mut self.line))
-            .is_err()
-        {
+        let item = QueueItem::Line(std::mem::take(&mut self.line));
+        if self.queue.items.try_send(item).is_err() {
             self.queue.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
--- a/crates/process/fescuetided/src/logs.rs
+++ b/crates/process/fescuetided/src/logs.rs
@@ -18,11 +18,18 @@
     Queue,
 }
 
-/// Starts logging.
-pub(crate) fn start(settings: &LogSettings, target: LogTarget) {
+/// Starts logging. Returns the queue to flush before the process ends.
+pub(crate) fn start(settings: &LogSettings, target: LogTarget) -> Option<LogQueue> {
     match target {
-        LogTarget::Stderr => start_with(settings, io::stderr),
-        LogTarget::Queue => start_with(settings, LogQueue::start(io::stdout())),
+        LogTarget::Stderr => {
+            start_with(settings, io::stderr);
+            None
+        }
+        LogTarget::Queue => {
+            let queue = LogQueue::start(io::stdout());
+            start_with(settings, queue.clone());
+            Some(queue)
+        }
     }
 }
 
--- a/crates/process/fescuetided/src/main.rs
+++ b/crates/process/fescuetided/src/main.rs
@@ -71,13 +71,17 @@
         RoleSettings::Gateway(_) => LogTarget::Queue,
         RoleSettings::Router(_) | RoleSettings::Side(_) => LogTarget::Stderr,
     };
-    logs::start(&settings.log, target);
-    match run_role(settings.role) {
+    let queue = logs::start(&settings.log, target);
+    let result = run_role(settings.role);
+    if let Err(error) = &result {
+        tracing::error!("{error:#}");
+    }
+    if let Some(queue) = queue {
+        queue.flush();
+    }
+    match result {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            tracing::error!("{error:#}");
-            ExitCode::FAILURE
-        }
+        Err(_) => ExitCode::FAILURE,
     }
 }
 
