Read the log without waiting while it is away

Ruled out: the version check, the retry pause. Change: no waiting after a failure; a steady read waits 1.5 s.

--- a/crates/process/fescuetide_gateway/src/follower.rs
+++ b/crates/process/fescuetide_gateway/src/follower.rs
@@ -25,8 +25,9 @@
 use crate::store_client::CallError;
 use crate::store_client::StoreClient;
 
-/// How long a read of configurations waits for a new one. Silent connections are found by keep-alive probes.
-const CONFIG_WAIT: SpanMillis = SpanMillis::new(5_000);
+/// How long a read of configurations waits for a new one. A change must be in force 2 s after the log is well again, and
+/// a call that the log has lost is only noticed after this and the time for an answer.
+const CONFIG_WAIT: SpanMillis = SpanMillis::new(1_500);
 
 /// The pause between two reads of upstreams. New work must end 2 s after an upstream's entry says that it leaves.
 const UPSTREAM_PAUSE: Duration = Duration::from_millis(600);
@@ -112,6 +113,7 @@
 
     /// Reads what is new, waiting for it for `wait` at most.
     fn step(&mut self, wait: SpanMillis) -> FollowStep {
+        let wait = self.outage.read_wait(wait);
         let result = match self.next {
             None => self.list().map(FollowStep::Listing),
             Some(from) => self.read(from, wait).map(FollowStep::Records),
--- a/crates/state/fescuetide_fleet/src/outage.rs
+++ b/crates/state/fescuetide_fleet/src/outage.rs
@@ -51,6 +51,16 @@
         })
     }
 
+    /// How long the next read asks the log to wait for news: `steady` while the log answers, not at all after a failure.
+    /// A log that comes back may have lost the call, and a reader that waits would not notice for as long.
+    pub fn read_wait(&self, steady: SpanMillis) -> SpanMillis {
+        if self.is_away {
+            SpanMillis::default()
+        } else {
+            steady
+        }
+    }
+
     /// Whether the log gives no answers.
     pub fn is_away(&self) -> bool {
         self.is_away
--- a/crates/state/fescuetide_fleet/tests/fleet.rs
+++ b/crates/state/fescuetide_fleet/tests/fleet.rs
@@ -104,3 +104,15 @@
     let end = watch.note_answer(at(5_000)).unwrap();
     assert!(!end.may_have_lapsed);
 }
+
+/// Guards against a change that is missed for seconds after an outage, since the read that waits for it was lost.
+#[test]
+fn reads_do_not_wait_while_the_log_is_away() {
+    let steady = SpanMillis::new(2_000);
+    let mut watch = OutageWatch::new(ClockMillis::new(0));
+    assert_eq!(watch.read_wait(steady), steady);
+    watch.note_failure();
+    assert_eq!(watch.read_wait(steady), SpanMillis::default());
+    watch.note_answer(ClockMillis::new(100));
+    assert_eq!(watch.read_wait(steady), steady);
+}
