Keep shared prompt parts where they are and copy them when they move

Change: a directory of which upstreams keep a part, filled from own requests; placement prefers them; an attempt at another upstream names one to copy from, also one that other routers are expected to have used.

--- a/crates/coordination/fescuetide_flow/src/action.rs
+++ b/crates/coordination/fescuetide_flow/src/action.rs
@@ -35,6 +35,8 @@
     pub is_resumption: bool,
     /// The load that the upstream is expected to have.
     pub load: u32,
+    /// Another upstream that keeps the shared part of the prompt, which this one lacks.
+    pub copy_from: Option<VmName>,
 }
 
 /// What the process has to do next.
--- a/crates/coordination/fescuetide_flow/src/core.rs
+++ b/crates/coordination/fescuetide_flow/src/core.rs
@@ -22,6 +22,7 @@
 use crate::RefusalCause;
 use crate::SendOrder;
 use crate::WorkRequest;
+use crate::directory::PrefixDirectory;
 use crate::flow::FlowAttempt;
 use crate::flow::FlowState;
 use crate::flow::RequestFlow;
@@ -49,6 +50,7 @@
     zone: ZoneName,
     pools: IndexMap<PoolName, PoolState>,
     outcomes: OutcomeTable,
+    directory: PrefixDirectory,
     flows: IndexMap<FlowKey, RequestFlow>,
     next_key: u64,
     turn: u64,
@@ -63,6 +65,7 @@
             zone,
             pools: IndexMap::new(),
             outcomes: OutcomeTable::new(settings.breaker),
+            directory: PrefixDirectory::default(),
             flows: IndexMap::new(),
             next_key: 0,
             turn: 0,
@@ -92,8 +95,9 @@
                 .pools
                 .entry(entry.pool.clone())
                 .or_insert_with(|| PoolState::new(self.settings.retries));
-            if pool.insert(entry.clone()) {
+            if pool.insert(entry.clone(), now) {
                 self.outcomes.forget(&entry.name);
+                self.directory.forget(&entry.name);
             }
         }
         for (name, pool) in &mut self.pools {
@@ -104,6 +108,7 @@
             };
             for vm in pool.retain(is_listed) {
                 self.outcomes.forget(&vm);
+                self.directory.forget(&vm);
             }
         }
         self.start_waiting(now);
@@ -278,15 +283,32 @@
         };
         let flow = &mut self.flows[&key];
         self.turn += 1;
-        let candidates = pool.candidates(&flow.tried, self.zone.as_str(), &self.outcomes, now);
         let shared = flow.request.prompt.shared_hash();
+        let holders = shared.map_or_else(Vec::new, |part| self.directory.holders(part, now));
+        let zone = self.zone.as_str();
+        let candidates = pool.candidates(&flow.tried, &holders, zone, &self.outcomes, now);
         let Some(choice) =
             placement::choose_upstream(&candidates, shared, self.turn, &self.settings)
         else {
             return false;
         };
         let (vm, load) = (choice.vm.clone(), choice.load);
+        let copy_from = match shared {
+            Some(part) if !choice.is_holder => {
+                let known = pool.ranked(&self.outcomes, now);
+                let holder = holders
+                    .into_iter()
+                    .find(|holder| known.iter().any(|upstream| upstream.vm == *holder));
+                holder
+                    .or_else(|| placement::expected_holder(&known, &vm, part, now))
+                    .cloned()
+            }
+            _ => None,
+        };
         pool.add_work(&vm);
+        if let Some(part) = shared {
+            self.directory.note_use(part, &vm, now);
+        }
         self.actions.push_back(FlowAction::Send(SendOrder {
             key,
             upstream: vm.clone(),
@@ -295,6 +317,7 @@
             attempt: flow.sent_count + 1,
             is_resumption: flow.is_relayed,
             load,
+            copy_from,
         }));
         flow.state = FlowState::Running(FlowAttempt {
             pool: pool_name.clone(),
@@ -414,6 +437,9 @@
             return;
         };
         let (pool_name, vm) = (attempt.pool.clone(), attempt.vm.clone());
+        if let Some(part) = flow.request.prompt.shared_hash() {
+            self.directory.note_failure(part, &vm);
+        }
         flow.tried.push(vm.clone());
         flow.state = FlowState::Waiting(pool_name.clone());
         if let Some(pool) = self.pools.get_mut(&pool_name) {
@@ -448,7 +474,8 @@
         };
         let has_other = self.pools.get(&attempt.pool).is_some_and(|pool| {
             let tried = [attempt.vm.clone()];
-            let others = pool.candidates(&tried, self.zone.as_str(), &self.outcomes, now);
+            let zone = self.zone.as_str();
+            let others = pool.candidates(&tried, &[], zone, &self.outcomes, now);
             others.iter().any(|other| other.load < other.room)
         });
         if !has_other || !self.take_retry(key) {
--- a/crates/coordination/fescuetide_flow/src/lib.rs
+++ b/crates/coordination/fescuetide_flow/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod action;
 mod core;
+mod directory;
 mod evidence;
 mod flow;
 mod health;
--- a/crates/coordination/fescuetide_flow/src/pool.rs
+++ b/crates/coordination/fescuetide_flow/src/pool.rs
@@ -13,6 +13,7 @@
 use crate::health::OutcomeTable;
 use crate::load::UpstreamLoad;
 use crate::placement::PlaceCandidate;
+use crate::placement::RankedUpstream;
 use crate::waiting::WaitingQueue;
 
 /// Requests that may wait at an upstream beyond its slots.
@@ -25,15 +26,17 @@
     hash: u64,
     load: UpstreamLoad,
     heard_at: ClockMillis,
+    known_since: ClockMillis,
 }
 
 impl PoolUpstream {
-    fn new(entry: UpstreamEntry) -> Self {
+    fn new(entry: UpstreamEntry, now: ClockMillis) -> Self {
         Self {
             hash: StableHash::of_bytes(entry.name.as_str().as_bytes()),
             entry,
             load: UpstreamLoad::default(),
             heard_at: ClockMillis::default(),
+            known_since: now,
         }
     }
 
@@ -64,7 +67,7 @@
     }
 
     /// Takes over an entry. Returns whether a new life began.
-    pub(crate) fn insert(&mut self, entry: UpstreamEntry) -> bool {
+    pub(crate) fn insert(&mut self, entry: UpstreamEntry, now: ClockMillis) -> bool {
         if let Some(known) = self.upstreams.get_mut(&entry.name)
             && known.entry.incarnation == entry.incarnation
         {
@@ -72,7 +75,7 @@
             return false;
         }
         let name = entry.name.clone();
-        self.upstreams.insert(name, PoolUpstream::new(entry));
+        self.upstreams.insert(name, PoolUpstream::new(entry, now));
         true
     }
 
@@ -89,6 +92,26 @@
         removed
     }
 
+    /// All upstreams that can be reached, also those that leave.
+    pub(crate) fn ranked(
+        &self,
+        outcomes: &OutcomeTable,
+        now: ClockMillis,
+    ) -> Vec<RankedUpstream<'_>> {
+        let mut ranked = Vec::with_capacity(self.upstreams.len());
+        for (vm, upstream) in &self.upstreams {
+            if !outcomes.is_reachable(vm, now) {
+                continue;
+            }
+            ranked.push(RankedUpstream {
+                vm,
+                hash: upstream.hash,
+                known_since: upstream.known_since,
+            });
+        }
+        ranked
+    }
+
     pub(crate) fn has_ready(&self) -> bool {
         self.upstreams.values().any(PoolUpstream::is_ready)
     }
@@ -127,6 +150,7 @@
     pub(crate) fn candidates(
         &self,
         tried: &[VmName],
+        holders: &[&VmName],
         zone: &str,
         outcomes: &OutcomeTable,
         now: ClockMillis,
@@ -147,6 +171,7 @@
                 room: upstream.room(),
                 is_near: upstream.entry.zone.as_str() == zone,
                 is_doubtful: outcomes.is_failing(name, failure_share),
+                is_holder: holders.contains(&name),
             };
             if outcomes.is_reachable(name, now) {
                 reachable.push(candidate);
--- /dev/null
+++ b/crates/coordination/fescuetide_flow/tests/placement.rs
@@ -0,0 +1,175 @@
+//! Load patterns for placement.
+
+mod harness;
+
+use std::collections::HashMap;
+
+use fescuetide_base::SpanMillis;
+use fescuetide_base::VmName;
+use fescuetide_fleet::UpstreamEntry;
+use fescuetide_fleet::UpstreamState;
+use fescuetide_fleet::WorkKind;
+use fescuetide_flow::AttemptEvent;
+use fescuetide_flow::FlowKey;
+use fescuetide_flow::LoadReport;
+use fescuetide_flow::PromptPart;
+use fescuetide_flow::PromptShape;
+use fescuetide_flow::SendOrder;
+use fescuetide_flow::WorkRequest;
+use harness::CoreHarness;
+use harness::route;
+use harness::upstream;
+
+const PARTS: u64 = 40;
+
+/// The multiple of the mean load, and the requests beyond it, that no upstream may exceed.
+const CAP_MULTIPLE: f64 = 2.0;
+const CAP_ALLOWANCE: f64 = 3.0;
+
+fn entries(count: usize) -> Vec<UpstreamEntry> {
+    (0..count)
+        .map(|index| upstream(&format!("vm-{index}"), 128))
+        .collect()
+}
+
+/// Sends a request whose prompt begins with a shared part.
+fn send(harness: &mut CoreHarness, part: u64) -> SendOrder {
+    let route = route(WorkKind::ResumableStream, 2);
+    let mut request = WorkRequest::of_route(&route, harness.now, None);
+    let own = 1_000_000 + part;
+    request.prompt = PromptShape {
+        parts: [(part, 10_000), (own, 500)]
+            .map(|(id, tokens)| PromptPart { id, tokens })
+            .to_vec(),
+        prompt_tokens: 10_500,
+        output_tokens: 300,
+    };
+    let key = harness.core.arrive(request, harness.now);
+    let order = harness.expect_send(key);
+    harness.note(key, AttemptEvent::Sent);
+    order
+}
+
+fn complete(harness: &mut CoreHarness, key: FlowKey) {
+    harness.note(key, AttemptEvent::StreamStarted(None));
+    harness.note(
+        key,
+        AttemptEvent::Completed {
+            status: 200,
+            load: None,
+        },
+    );
+    while harness.next().is_some() {}
+}
+
+/// Sends one request for each part and returns where they went.
+fn send_round(harness: &mut CoreHarness) -> HashMap<u64, SendOrder> {
+    let mut orders = HashMap::new();
+    for part in 0..PARTS {
+        let order = send(harness, part);
+        complete(harness, order.key);
+        orders.insert(part, order);
+    }
+    orders
+}
+
+/// Guards against prompts that are read again because an upstream was added.
+#[test]
+fn parts_keep_their_place_when_an_upstream_joins() {
+    let mut harness = CoreHarness::with_upstreams(0);
+    harness.core.set_upstreams(&entries(4), harness.now);
+    let before = send_round(&mut harness);
+    harness.pass(1_000);
+    harness.core.set_upstreams(&entries(5), harness.now);
+    for (part, order) in send_round(&mut harness) {
+        assert_eq!(order.upstream, before[&part].upstream, "part {part}");
+        assert_eq!(order.copy_from, None);
+    }
+}
+
+/// Guards against prompts that are read again although the upstream that leaves still keeps them.
+#[test]
+fn parts_of_a_leaving_upstream_are_copied_from_it() {
+    let mut harness = CoreHarness::with_upstreams(0);
+    let mut entries = entries(4);
+    harness.core.set_upstreams(&entries, harness.now);
+    let before = send_round(&mut harness);
+    entries[1].state = UpstreamState::Leaving;
+    harness.core.set_upstreams(&entries, harness.now);
+    let mut moved = 0;
+    for (part, order) in send_round(&mut harness) {
+        let old = &before[&part].upstream;
+        if *old == entries[1].name {
+            assert_eq!(order.copy_from.as_ref(), Some(old), "part {part}");
+            moved += 1;
+        } else {
+            assert_eq!(order.upstream, *old, "part {part}");
+        }
+    }
+    assert!(moved > 0);
+}
+
+/// Guards against prompts that are read again at a router that has not seen them before an upstream was added.
+#[test]
+fn router_without_experience_copies_from_where_others_sent() {
+    let mut seasoned = CoreHarness::with_upstreams(0);
+    seasoned.core.set_upstreams(&entries(4), seasoned.now);
+    let homes = send_round(&mut seasoned);
+    let mut fresh = CoreHarness::with_upstreams(0);
+    fresh.core.set_upstreams(&entries(4), fresh.now);
+    fresh.pass(5_000);
+    fresh.core.set_upstreams(&entries(5), fresh.now);
+    let joined: VmName = "vm-4".parse().unwrap();
+    let mut taken = 0;
+    for (part, order) in send_round(&mut fresh) {
+        if order.upstream == joined {
+            let home = &homes[&part].upstream;
+            assert_eq!(order.copy_from.as_ref(), Some(home), "part {part}");
+            taken += 1;
+        }
+    }
+    assert!(taken > 0);
+}
+
+/// Guards against one upstream that takes a surge for one part alone. Four routers see each other only through the loads
+/// that upstreams report.
+#[test]
+fn surge_for_one_part_stays_below_the_cap() {
+    const ROUTERS: usize = 4;
+    const REQUESTS: u32 = 400;
+    let entries = entries(12);
+    let mut routers = Vec::new();
+    for _ in 0..ROUTERS {
+        let mut harness = CoreHarness::with_upstreams(0);
+        harness.core.set_upstreams(&entries, harness.now);
+        routers.push(harness);
+    }
+    let mut loads: HashMap<VmName, u32> = HashMap::new();
+    let mut over = 0;
+    for index in 0..REQUESTS {
+        let harness = &mut routers[index as usize % ROUTERS];
+        harness.now = harness.now + SpanMillis::new(10);
+        // Two in three requests are for one part.
+        let part = if index % 3 == 0 { u64::from(index) } else { 7 };
+        let order = send(harness, part);
+        let load = loads.entry(order.upstream).or_default();
+        *load += 1;
+        let report = LoadReport {
+            running: *load,
+            waiting: 0,
+            slots: 128,
+        };
+        let load = f64::from(*load);
+        harness.note(order.key, AttemptEvent::StreamStarted(Some(report)));
+        while harness.next().is_some() {}
+        let mean = f64::from(loads.values().sum::<u32>()) / entries.len() as f64;
+        if load > CAP_MULTIPLE * mean + CAP_ALLOWANCE {
+            over += 1;
+        }
+    }
+    // The stated target allows 3 in 100.
+    assert!(
+        over * 100 <= REQUESTS * 3,
+        "{over} of {REQUESTS} over the cap"
+    );
+}
--- a/crates/process/fescuetide_gateway/src/attempts.rs
+++ b/crates/process/fescuetide_gateway/src/attempts.rs
@@ -1,6 +1,7 @@
 //! Attempts at upstreams: opening connections and sending requests.
 
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use fescuetide_base::SpanMillis;
@@ -56,6 +57,7 @@
             config = exchange.config.get(),
             upstream = %order.upstream,
             load = order.load,
+            copy_from = order.copy_from.as_ref().map(VmName::as_str),
             attempt = order.attempt,
             resumes = order.is_resumption,
             time_left_ms = order.time_left.as_millis(),
@@ -81,6 +83,7 @@
             None => self.connect(&entry)?,
         };
         let exchange = self.exchanges.get(&order.key)?;
+        let copy_from = self.copy_source(order, &entry);
         let Some(Connection::Upstream(upstream)) = self.connections.get_mut(token) else {
             return None;
         };
@@ -90,6 +93,7 @@
             time_left: order.time_left,
             rank: order.rank,
             last_event: order.is_resumption.then(|| exchange.last_event()).flatten(),
+            copy_from,
             body_length: exchange.has_body.then_some(exchange.body.len()),
         };
         self.dialect
@@ -103,6 +107,16 @@
         Some(token)
     }
 
+    /// Where the shared part of the prompt is copied from, if the pool's upstreams copy at all.
+    fn copy_source(&self, order: &SendOrder, entry: &UpstreamEntry) -> Option<SocketAddr> {
+        let source = order.copy_from.as_ref()?;
+        let pool = self.config.as_ref()?.routes.pool(&entry.pool)?;
+        if !pool.copies_prompts {
+            return None;
+        }
+        Some(self.upstreams.as_ref()?.get(source)?.address)
+    }
+
     /// An idle connection that is still open and silent.
     fn take_idle(&mut self, vm: &VmName) -> Option<usize> {
         while let Some(token) = self.idle.take(vm) {
--- a/crates/process/fescuetide_gateway/src/dialect.rs
+++ b/crates/process/fescuetide_gateway/src/dialect.rs
@@ -1,6 +1,7 @@
 //! How a platform spells requests, answers and records. Implementations translate and decide nothing.
 
 use std::fmt;
+use std::net::SocketAddr;
 
 use fescuetide_base::LogOffset;
 use fescuetide_base::SpanMillis;
@@ -43,6 +44,8 @@
     pub rank: u8,
     /// For a stream that goes on, the last event that the caller has.
     pub last_event: Option<u64>,
+    /// Where another upstream listens that keeps the shared part of the prompt, which this one lacks.
+    pub copy_from: Option<SocketAddr>,
     /// The length of the body, `None` for a request without one.
     pub body_length: Option<usize>,
 }
--- a/crates/process/fescuetide_gateway/src/settings.rs
+++ b/crates/process/fescuetide_gateway/src/settings.rs
@@ -52,7 +52,7 @@
             retry_ratio: 0.2,
             retry_burst: 40,
             retry_routers: 8,
-            load_multiple: 1.5,
+            load_multiple: FlowSettings::default().load_multiple,
         }
     }
 }
--- a/crates/state/fescuetide_fleet/src/route.rs
+++ b/crates/state/fescuetide_fleet/src/route.rs
@@ -72,6 +72,8 @@
     pub connection_limit: u32,
     /// Whether the upstreams are model engines.
     pub has_engines: bool,
+    /// Whether an upstream can copy parts of prompts from another one.
+    pub copies_prompts: bool,
     /// Tokens that an engine's memory holds.
     pub memory_tokens: u64,
 }
