--- a/crates/coordination/fescuetide_flow/tests/life.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/life.rs
@@ -1,14 +1,12 @@
 //! The life of single requests.
 
-mod harness;
-
+use crate::harness::CoreHarness;
 use fescuetide_fleet::WorkKind;
 use fescuetide_flow::AttemptEvent;
 use fescuetide_flow::BreakCause;
 use fescuetide_flow::DeclineCause;
 use fescuetide_flow::FlowAction;
 use fescuetide_flow::FlowFailure;
-use harness::CoreHarness;
 
 /// Guards against a stream that looks complete because the upstream that should go on with it answers with a failure.
 #[test]
--- a/crates/coordination/fescuetide_flow/tests/placement.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/placement.rs
@@ -1,9 +1,10 @@
 //! Load patterns for placement.
 
-mod harness;
-
 use std::collections::HashMap;
 
+use crate::harness::CoreHarness;
+use crate::harness::route;
+use crate::harness::upstream;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
 use fescuetide_fleet::UpstreamEntry;
@@ -16,9 +17,6 @@
 use fescuetide_flow::PromptShape;
 use fescuetide_flow::SendOrder;
 use fescuetide_flow::WorkRequest;
-use harness::CoreHarness;
-use harness::route;
-use harness::upstream;
 
 const PARTS: u64 = 40;
 
