--- a/crates/tools/fescuetide_bench/src/main.rs
+++ b/crates/tools/fescuetide_bench/src/main.rs
@@ -40,6 +40,7 @@
   --set LINE        A line for the routers' settings, for trials
   --sizes LIST      Scale: numbers of routers (default 8,24,72)
   --only NAMES      Faults to run, such as pause,kill
+  --seeds N         Faults: so many seeds, from --seed on (default 1)
   --json            Print one JSON object as the last line
   --plot FOLDER     Write SVG plots of churn or surge
   -h, --help        Print this help
@@ -58,6 +59,7 @@
     name: String,
     options: ExperimentOptions,
     only: Vec<FaultName>,
+    seeds: Option<u64>,
     sizes: Option<Vec<usize>>,
     json: bool,
     plots: Option<PathBuf>,
@@ -92,7 +94,7 @@
     let result = match run.name.as_str() {
         "churn" => run_churn(&run.options, plots)?,
         "surge" => run_surge(&run.options, plots)?,
-        "faults" => run_faults(&run.options, &run.only)?,
+        "faults" => return run_fault_seeds(run),
         "scale" => return run_scale(run),
         _ => return demo::run(&run.options),
     };
@@ -102,6 +104,34 @@
     Ok(result.breaches)
 }
 
+/// Runs the faults over one or more seeds and returns the number of breaches over all of them.
+fn run_fault_seeds(run: &BenchRun) -> anyhow::Result<usize> {
+    let mut breaches = 0;
+    let mut broken = Vec::new();
+    let count = run.seeds.unwrap_or(1);
+    for seed in run.options.seed..run.options.seed.saturating_add(count) {
+        let options = ExperimentOptions {
+            seed,
+            ..run.options.clone()
+        };
+        let result = run_faults(&options, &run.only)?;
+        if run.json {
+            println!("{}", result.json);
+        }
+        if result.breaches > 0 {
+            broken.push(seed.to_string());
+        }
+        breaches += result.breaches;
+    }
+    if count > 1 {
+        println!(
+            "{count} seeds, {breaches} breaches; seeds with a breach: {}",
+            broken.join(" ")
+        );
+    }
+    Ok(breaches)
+}
+
 fn run_scale(run: &BenchRun) -> anyhow::Result<usize> {
     let fallback = ScaleSettings::default();
     let violations = scale::run(&ScaleSettings {
@@ -135,6 +165,7 @@
             Arg::Long("seconds") => run.options.seconds = Some(parser.value()?.parse()?),
             Arg::Long("deployment") => run.options.deployment = parser.value()?.parse()?,
             Arg::Long("set") => run.options.lines.push(parser.value()?.string()?),
+            Arg::Long("seeds") => run.seeds = Some(parser.value()?.parse()?),
             Arg::Long("quick") => run.options.quick = true,
             Arg::Long("sizes") => run.sizes = Some(parse_sizes(&parser.value()?.string()?)?),
             Arg::Long("json") => run.json = true,
