--- a/crates/process/fescuetide_gateway/src/callers.rs
+++ b/crates/process/fescuetide_gateway/src/callers.rs
@@ -3,6 +3,7 @@
 use std::borrow::Cow;
 use std::io;
 use std::io::Read;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 
 use fescuetide_base::ClockMillis;
@@ -32,8 +33,12 @@
 /// Bytes that a caller may send ahead while its request is served.
 const PIPELINE_LIMIT_BYTES: usize = 64 * 1_024;
 
-/// When callers should come again while this process knows no configuration.
-const UNREADY_RETRY: SpanMillis = SpanMillis::new(500);
+/// When callers should come again while this process knows no configuration. Reading it takes some milliseconds.
+const UNREADY_RETRY: SpanMillis = SpanMillis::new(300);
+
+/// The same while the log is away: outages mostly last seconds, and one that has lasted is expected to last as long
+/// again.
+const OUTAGE_RETRY_MS: RangeInclusive<u64> = 1_500..=5_000;
 
 /// How long a caller may take for the whole body of a request.
 const BODY_LIMIT: SpanMillis = SpanMillis::new(60_000);
@@ -278,7 +283,7 @@
         let (status, retry_after, closes) = match denial {
             Denial::Bad(status) => (status, None, true),
             Denial::Unknown(status) => (status, None, self.drain.is_some()),
-            Denial::Unready => (503, Some(UNREADY_RETRY), true),
+            Denial::Unready => (503, Some(self.unready_retry()), true),
         };
         let version = self
             .config
@@ -307,6 +312,15 @@
         self.flush_caller(token);
     }
 
+    /// When a caller should come again that this process cannot serve yet.
+    fn unready_retry(&self) -> SpanMillis {
+        if !self.is_log_away {
+            return UNREADY_RETRY;
+        }
+        let age = self.now.since(self.started).as_millis();
+        SpanMillis::new(age.clamp(*OUTAGE_RETRY_MS.start(), *OUTAGE_RETRY_MS.end()))
+    }
+
     /// Ends a request whose response is written, and goes on with the next one.
     pub(crate) fn release_caller(&mut self, token: usize, keeps_alive: bool) {
         let is_draining = self.drain.is_some();
--- a/crates/process/fescuetide_gateway/src/follower.rs
+++ b/crates/process/fescuetide_gateway/src/follower.rs
@@ -141,6 +141,7 @@
         self.may_have_lapsed = end.is_some_and(|end| end.may_have_lapsed);
         if let Some(end) = end {
             tracing::info!(stream = %self.stream, away_ms = end.span.as_millis(), "log service is back");
+            self.feed.publish(FleetView::LogAway(false));
         }
     }
 
@@ -148,6 +149,7 @@
         count(&self.feed.counters.log_failures);
         if self.outage.note_failure() {
             tracing::warn!(stream = %self.stream, %error, "log service is away");
+            self.feed.publish(FleetView::LogAway(true));
         }
     }
 
--- a/crates/process/fescuetide_gateway/src/traffic.rs
+++ b/crates/process/fescuetide_gateway/src/traffic.rs
@@ -88,6 +88,9 @@
     pub(crate) core: FlowCore,
     pub(crate) config: Option<Arc<FleetConfig>>,
     pub(crate) upstreams: Option<IndexMap<VmName, UpstreamEntry>>,
+    /// Whether the platform's log gave no answer lately.
+    pub(crate) is_log_away: bool,
+    pub(crate) started: ClockMillis,
     pub(crate) views: Receiver<FleetView>,
     pub(crate) signals: LoopSignals,
     pub(crate) counters: Arc<GatewayCounters>,
@@ -130,6 +133,8 @@
             core,
             config: None,
             upstreams: None,
+            is_log_away: false,
+            started: ClockMillis::now(),
             views,
             signals: LoopSignals::default(),
             counters: Arc::default(),
@@ -271,6 +276,7 @@
             match view {
                 FleetView::Config(config) => self.config = Some(config),
                 FleetView::Upstreams(entries) => self.set_upstreams(entries),
+                FleetView::LogAway(is_away) => self.is_log_away = is_away,
             }
             self.perform();
         }
--- a/crates/state/fescuetide_fleet/src/view.rs
+++ b/crates/state/fescuetide_fleet/src/view.rs
@@ -12,4 +12,6 @@
     Config(Arc<FleetConfig>),
     /// All upstreams.
     Upstreams(Vec<UpstreamEntry>),
+    /// Whether the platform's log gives no answers.
+    LogAway(bool),
 }
