Use the retry budget by this router's share of the traffic

Cause: each router took an eighth of the burst that all share; 22 routers of a larger deployment could use almost three times the budget. Change: the share is estimated from the loads that upstreams report; the reading pace follows the operators' limits for leaving upstreams and configurations.

--- a/crates/coordination/fescuetide_flow/src/core.rs
+++ b/crates/coordination/fescuetide_flow/src/core.rs
@@ -8,6 +8,7 @@
 use fescuetide_base::VmName;
 use fescuetide_base::ZoneName;
 use fescuetide_fleet::UpstreamEntry;
+use fescuetide_limits::BudgetSettings;
 use indexmap::IndexMap;
 
 use crate::AttemptEvent;
@@ -29,6 +30,7 @@
 use crate::health::OutcomeTable;
 use crate::placement;
 use crate::pool::PoolState;
+use crate::share::TrafficShare;
 use crate::timing;
 use crate::waiting::WaitingEntry;
 
@@ -51,6 +53,7 @@
     pools: IndexMap<PoolName, PoolState>,
     outcomes: OutcomeTable,
     directory: PrefixDirectory,
+    share: TrafficShare,
     flows: IndexMap<FlowKey, RequestFlow>,
     next_key: u64,
     turn: u64,
@@ -66,6 +69,7 @@
             pools: IndexMap::new(),
             outcomes: OutcomeTable::new(settings.breaker),
             directory: PrefixDirectory::default(),
+            share: TrafficShare::default(),
             flows: IndexMap::new(),
             next_key: 0,
             turn: 0,
@@ -90,11 +94,12 @@
 
     /// Replaces the upstreams.
     pub fn set_upstreams(&mut self, entries: &[UpstreamEntry], now: ClockMillis) {
+        let budget = self.own_budget();
         for entry in entries {
             let pool = self
                 .pools
                 .entry(entry.pool.clone())
-                .or_insert_with(|| PoolState::new(self.settings.retries));
+                .or_insert_with(|| PoolState::new(budget));
             if pool.insert(entry.clone(), now) {
                 self.outcomes.forget(&entry.name);
                 self.directory.forget(&entry.name);
@@ -183,6 +188,7 @@
 
     /// Does what is due by time.
     pub fn tick(&mut self, now: ClockMillis) {
+        self.share_budgets(now);
         self.refuse_expired(now);
         let mut silent = Vec::new();
         let mut over = Vec::new();
@@ -204,6 +210,30 @@
         self.start_waiting(now);
     }
 
+    /// The part of the shared retry budget that this router may use.
+    pub fn own_budget(&self) -> BudgetSettings {
+        let retries = self.settings.retries;
+        BudgetSettings {
+            burst: retries.burst * self.share.get(),
+            ..retries
+        }
+    }
+
+    /// Learns this router's share of the traffic from the pool with most work, and takes its part of the budgets.
+    fn share_budgets(&mut self, now: ClockMillis) {
+        if !self.share.is_due(now) {
+            return;
+        }
+        let totals = self.pools.values().map(|pool| pool.work_totals(now));
+        if let Some((own, all)) = totals.max_by_key(|(_, all)| *all) {
+            self.share.sample(own, all, now);
+        }
+        let budget = self.own_budget();
+        for pool in self.pools.values_mut() {
+            pool.budget.set(budget);
+        }
+    }
+
     fn note_heard(
         &mut self,
         pool: &PoolName,
--- a/crates/coordination/fescuetide_flow/src/lib.rs
+++ b/crates/coordination/fescuetide_flow/src/lib.rs
@@ -15,6 +15,7 @@
 mod pool;
 mod request;
 mod settings;
+mod share;
 mod timing;
 mod waiting;
 
--- a/crates/coordination/fescuetide_flow/src/pool.rs
+++ b/crates/coordination/fescuetide_flow/src/pool.rs
@@ -186,6 +186,26 @@
         }
     }
 
+    /// This router's requests at all upstreams, and those of all routers. Upstreams that told no load lately count with
+    /// the mean of the others: they are mostly those where this router has nothing.
+    pub(crate) fn work_totals(&self, now: ClockMillis) -> (u32, u32) {
+        let mut own = 0;
+        let mut known = 0;
+        let mut count = 0;
+        for upstream in self.upstreams.values() {
+            own += upstream.load.own();
+            if let Some(others) = upstream.load.others(now) {
+                known += upstream.load.own() + others;
+                count += 1;
+            }
+        }
+        if count == 0 {
+            return (own, 0);
+        }
+        let all = f64::from(known) * self.upstreams.len() as f64 / f64::from(count);
+        (own, all as u32)
+    }
+
     /// The mean work of other routers at the upstreams that told it.
     fn mean_others(&self, now: ClockMillis) -> u32 {
         let mut sum = 0;
--- a/crates/coordination/fescuetide_flow/src/settings.rs
+++ b/crates/coordination/fescuetide_flow/src/settings.rs
@@ -11,7 +11,7 @@
     pub load_multiple: f64,
     /// Requests above the multiple that an engine may hold, so that small loads are not spread needlessly.
     pub load_allowance: u32,
-    /// Retries of this router, for each pool.
+    /// Retries of all routers together, for each pool. This router uses its share of the burst.
     pub retries: BudgetSettings,
     /// How long a failing upstream is held back.
     pub breaker: BreakerSettings,
@@ -28,7 +28,7 @@
             load_allowance: 2,
             retries: BudgetSettings {
                 ratio: 0.15,
-                burst: 6.0,
+                burst: 40.0,
             },
             breaker: BreakerSettings {
                 first_hold: SpanMillis::new(500),
--- a/crates/coordination/fescuetide_flow/tests/flow/placement.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/placement.rs
@@ -12,6 +12,7 @@
 use fescuetide_fleet::WorkKind;
 use fescuetide_flow::AttemptEvent;
 use fescuetide_flow::FlowKey;
+use fescuetide_flow::FlowSettings;
 use fescuetide_flow::LoadReport;
 use fescuetide_flow::PromptPart;
 use fescuetide_flow::PromptShape;
@@ -171,3 +172,52 @@
         "{over} of {REQUESTS} over the cap"
     );
 }
+
+/// Guards against a retry budget that is used several times over by routers which each take it for their own, and one
+/// that is left unused.
+#[test]
+fn routers_share_the_retry_budget() {
+    const ROUTERS: usize = 20;
+    let entries = entries(12);
+    let mut routers = Vec::new();
+    for _ in 0..ROUTERS {
+        let mut harness = CoreHarness::with_upstreams(0);
+        harness.core.set_upstreams(&entries, harness.now);
+        routers.push(harness);
+    }
+    let mut loads: HashMap<VmName, u32> = HashMap::new();
+    // Each router holds 6 requests; every step ends its oldest one and sends another.
+    let mut held: Vec<Vec<SendOrder>> = vec![Vec::new(); ROUTERS];
+    for step in 0..4_000_usize {
+        let router = step % ROUTERS;
+        let harness = &mut routers[router];
+        if held[router].len() == 6 {
+            let oldest = held[router].remove(0);
+            *loads.entry(oldest.upstream).or_default() -= 1;
+            complete(harness, oldest.key);
+        }
+        let order = send(harness, step as u64 % 97);
+        let load = loads.entry(order.upstream.clone()).or_default();
+        *load += 1;
+        let report = LoadReport {
+            running: *load,
+            waiting: 0,
+            slots: 128,
+        };
+        harness.note(order.key, AttemptEvent::StreamStarted(Some(report)));
+        while harness.next().is_some() {}
+        held[router].push(order);
+        for harness in &mut routers {
+            harness.now = harness.now + SpanMillis::new(5);
+            harness.core.tick(harness.now);
+            while harness.next().is_some() {}
+        }
+    }
+    let whole = FlowSettings::default().retries.burst;
+    let sum: f64 = routers
+        .iter()
+        .map(|router| router.core.own_budget().burst)
+        .sum();
+    assert!(sum <= whole * 1.25, "{sum} of {whole}");
+    assert!(sum >= whole * 0.5, "{sum} of {whole}");
+}
--- a/crates/coordination/fescuetide_limits/src/budget.rs
+++ b/crates/coordination/fescuetide_limits/src/budget.rs
@@ -45,6 +45,12 @@
         }
     }
 
+    /// Changes the settings. What is saved beyond the new burst is lost.
+    pub fn set(&mut self, settings: BudgetSettings) {
+        self.settings = settings;
+        self.saved = self.saved.min(settings.burst);
+    }
+
     /// Notes a first attempt, which earns a share of a retry.
     pub fn note_request(&mut self) {
         self.saved = (self.saved + self.settings.ratio).min(self.settings.burst);
--- a/crates/process/fescuetide_gateway/src/follower.rs
+++ b/crates/process/fescuetide_gateway/src/follower.rs
@@ -25,12 +25,14 @@
 use crate::store_client::CallError;
 use crate::store_client::StoreClient;
 
-/// How long a read of configurations waits for a new one. A change must be in force 2 s after the log is well again, and
-/// a call that the log has lost is only noticed after this and the time for an answer.
-const CONFIG_WAIT: SpanMillis = SpanMillis::new(1_500);
-
-/// The pause between two reads of upstreams. New work must end 2 s after an upstream's entry says that it leaves.
-const UPSTREAM_PAUSE: Duration = Duration::from_millis(600);
+/// How often streams of the log are read.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FollowPace {
+    /// How long a read of configurations waits for a new one.
+    pub(crate) config_wait: SpanMillis,
+    /// The pause between two reads of upstreams.
+    pub(crate) upstream_pause: SpanMillis,
+}
 
 /// The pause after a call that failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
@@ -63,15 +65,16 @@
     address: SocketAddr,
     dialect: &D,
     feed: &FleetFeed,
+    pace: FollowPace,
 ) -> std::io::Result<()> {
     let configs = StreamFollower::new(FleetStream::Configs, address, dialect.clone(), feed);
     let upstreams = StreamFollower::new(FleetStream::Upstreams, address, dialect.clone(), feed);
     thread::Builder::new()
         .name("configs".to_owned())
-        .spawn(move || follow_configs(configs))?;
+        .spawn(move || follow_configs(configs, pace.config_wait))?;
     thread::Builder::new()
         .name("upstreams".to_owned())
-        .spawn(move || follow_upstreams(upstreams))?;
+        .spawn(move || follow_upstreams(upstreams, pace.upstream_pause))?;
     Ok(())
 }
 
@@ -197,10 +200,10 @@
 }
 
 /// Publishes each configuration that is newer than the one before.
-fn follow_configs<D: RecordDialect>(mut follower: StreamFollower<D>) {
+fn follow_configs<D: RecordDialect>(mut follower: StreamFollower<D>, wait: SpanMillis) {
     let mut version: Option<ConfigVersion> = None;
     loop {
-        let records = match follower.step(CONFIG_WAIT) {
+        let records = match follower.step(wait) {
             FollowStep::Listing(records) | FollowStep::Records(records) => records,
             FollowStep::Nothing => continue,
         };
@@ -231,7 +234,7 @@
 }
 
 /// Publishes the upstreams whenever one changed.
-fn follow_upstreams<D: RecordDialect>(mut follower: StreamFollower<D>) {
+fn follow_upstreams<D: RecordDialect>(mut follower: StreamFollower<D>, pause: SpanMillis) {
     let mut table = UpstreamTable::default();
     loop {
         let step = follower.step(SpanMillis::default());
@@ -268,7 +271,7 @@
             follower.feed.publish(FleetView::Upstreams(upstreams));
         }
         if !follower.outage.is_away() {
-            thread::sleep(UPSTREAM_PAUSE);
+            thread::sleep(pause.into());
         }
     }
 }
--- a/crates/process/fescuetide_gateway/src/process.rs
+++ b/crates/process/fescuetide_gateway/src/process.rs
@@ -15,6 +15,7 @@
 use crate::dialect::RecordDialect;
 use crate::follower;
 use crate::follower::FleetFeed;
+use crate::follower::FollowPace;
 use crate::sockets;
 use crate::traffic::LoopListeners;
 use crate::traffic::LoopSignals;
@@ -54,7 +55,12 @@
             counters,
         };
         let log_service = parse_address("log_service", &settings.log_service)?;
-        follower::start(log_service, records, &feed).context("cannot start a control thread")?;
+        let pace = FollowPace {
+            config_wait: settings.config_wait(),
+            upstream_pause: settings.upstream_pause(),
+        };
+        follower::start(log_service, records, &feed, pace)
+            .context("cannot start a control thread")?;
         tracing::info!(
             vm = settings.vm,
             zone = settings.zone,
--- a/crates/process/fescuetide_gateway/src/settings.rs
+++ b/crates/process/fescuetide_gateway/src/settings.rs
@@ -33,8 +33,10 @@
     pub retry_ratio: f64,
     /// Retries beyond that ratio that all routers together may make within a few seconds.
     pub retry_burst: u32,
-    /// Routers that share the burst.
-    pub retry_routers: u32,
+    /// How long after an upstream's entry says that it leaves it may get new work.
+    pub leave_limit_ms: u64,
+    /// How long after a configuration is published it must be in force.
+    pub config_limit_ms: u64,
     /// No engine gets work above this multiple of the mean load of its pool.
     pub load_multiple: f64,
 }
@@ -51,12 +53,19 @@
             grace_ms: 8_000,
             retry_ratio: 0.2,
             retry_burst: 40,
-            retry_routers: 8,
+            leave_limit_ms: 2_000,
+            config_limit_ms: 2_000,
             load_multiple: FlowSettings::default().load_multiple,
         }
     }
 }
 
+/// Shortest and longest limit for news from the log, in milliseconds.
+const LIMIT_RANGE_MS: (u64, u64) = (500, 600_000);
+
+/// The part of the shared burst that is used, since each router only estimates its share.
+const RETRY_BURST_PART: f64 = 0.75;
+
 /// The part of the shared retry ratio that is used, since requests and retries are counted at different moments.
 const RETRY_RATIO_PART: f64 = 0.75;
 
@@ -91,7 +100,12 @@
         );
         list.check_range("retry_ratio", self.retry_ratio, 0.0..=10.0);
         list.check_range("retry_burst", self.retry_burst, 0..=1_000_000);
-        list.check_range("retry_routers", self.retry_routers, 1..=100_000);
+        for (key, value) in [
+            ("leave_limit_ms", self.leave_limit_ms),
+            ("config_limit_ms", self.config_limit_ms),
+        ] {
+            list.check_range(key, value, LIMIT_RANGE_MS.0..=LIMIT_RANGE_MS.1);
+        }
         list.check_range("load_multiple", self.load_multiple, 1.0..=100.0);
         list
     }
@@ -101,13 +115,23 @@
         SpanMillis::new(self.grace_ms)
     }
 
+    /// The pause between two reads of upstreams: with the time for an answer, news must come well within the limit.
+    pub(crate) fn upstream_pause(&self) -> SpanMillis {
+        SpanMillis::new(self.leave_limit_ms * 3 / 10)
+    }
+
+    /// How long a read of configurations waits for news: a call that the log has lost is only noticed after this.
+    pub(crate) fn config_wait(&self) -> SpanMillis {
+        SpanMillis::new(self.config_limit_ms * 3 / 4)
+    }
+
     /// The settings of the decisions.
     pub fn flow_settings(&self) -> FlowSettings {
         FlowSettings {
             load_multiple: self.load_multiple,
             retries: BudgetSettings {
                 ratio: self.retry_ratio * RETRY_RATIO_PART,
-                burst: f64::from(self.retry_burst) / f64::from(self.retry_routers),
+                burst: f64::from(self.retry_burst) * RETRY_BURST_PART,
             },
             ..FlowSettings::default()
         }
