--- a/crates/process/fescuetide_cli/src/story.rs
+++ b/crates/process/fescuetide_cli/src/story.rs
@@ -21,6 +21,12 @@
     "log lines dropped",
 ];
 
+/// The message of a request's last line.
+const END_MESSAGE: &str = "request ended";
+
+/// The message of a process's first line.
+const START_MESSAGE: &str = "gateway started";
+
 /// Beliefs shown from before the request's first line, for each process and subject: the newest one.
 const EARLIER_LIMIT: usize = 1;
 
@@ -117,6 +123,7 @@
         .collect();
     let mut earlier: IndexMap<(String, String), Vec<LogLine>> = IndexMap::new();
     let mut during = Vec::new();
+    let mut has_end = decisions.iter().any(|line| line.message == END_MESSAGE);
     for line in others {
         let upstream = line.fields.get("upstream").map(String::as_str);
         let is_about = upstream.is_some_and(|name| upstreams.contains(name))
@@ -125,6 +132,11 @@
             continue;
         }
         if line.time > last.time {
+            if !has_end && line.message == START_MESSAGE {
+                // Whatever happened, the process that had the request is gone.
+                during.push(line);
+                has_end = true;
+            }
             continue;
         }
         if line.time >= first.time {
--- a/crates/process/fescuetide_cli/tests/explain.rs
+++ b/crates/process/fescuetide_cli/tests/explain.rs
@@ -16,6 +16,8 @@
 "#;
 
 const SECOND_LOG: &str = r#"{"timestamp":"2026-01-01T00:00:04Z","level":"INFO","message":"request sent","request":"r-3","upstream":"i-1"}
+{"timestamp":"2026-01-01T00:00:08Z","level":"INFO","message":"gateway started","vm":"entry-2"}
+{"timestamp":"2026-01-01T00:00:09Z","level":"INFO","message":"gateway started","vm":"entry-2"}
 "#;
 
 fn explain(folder: &str, id: &str, flags: &[&str]) -> (bool, String) {
@@ -81,3 +83,12 @@
     assert_eq!(story["beliefs"].as_array().unwrap().len(), 3);
     assert_eq!(story["decisions"][0]["fields"]["load"], "4");
 }
+
+/// Guards against a request that was lost with its router and whose story just stops.
+#[test]
+fn request_without_end_is_shown_with_the_next_start() {
+    let (success, text) = explain("lost", "r-3", &[]);
+    assert!(success);
+    assert!(text.contains("00:00:08Z"), "{text}");
+    assert!(!text.contains("00:00:09Z"), "{text}");
+}
