Ask who holds a key before a sealed claim counts as 'not-run'

The second send had no upstream left and was told 'not-run' by the claim it had sealed, which was no longer the current one. Ruled out by the trace: unready routers, outages of the log, lost replies. Change: KeyEvidence holds what a request knows about its key. A sealed claim leaves a doubt until the log shows it as still current, which is now asked before the request is given up.

--- a/crates/process/fescuetide_router/src/keyed.rs
+++ b/crates/process/fescuetide_router/src/keyed.rs
@@ -7,11 +7,13 @@
 use fescuetide_base::VmName;
 use fescuetide_claims::ClaimEntry;
 use fescuetide_claims::ClaimHolder;
+use fescuetide_claims::KeyEvidence;
 use fescuetide_members::VmEntry;
 use fescuetide_net::FrameError;
 use fescuetide_net::SideLink;
 use fescuetide_wire::api::CallOutcome;
 use fescuetide_wire::claim::ClaimReply;
+use fescuetide_wire::claim::ClaimWire;
 use fescuetide_wire::frame::AdmissionRule;
 use fescuetide_wire::frame::AttemptTag;
 use fescuetide_wire::frame::DispatchFrame;
@@ -80,8 +82,7 @@
     sealed_on: Vec<VmName>,
     /// Why the attempt under `current` was refused, `None` when it ended without having run.
     refusal: Option<RefusalReason>,
-    /// Whether a claim of another request may have been replaced by one that is not known here.
-    is_uncertain: bool,
+    evidence: KeyEvidence,
     /// Whether a new run may start. Otherwise only an earlier one is looked for.
     may_run: bool,
     rounds: u32,
@@ -97,7 +98,7 @@
             pending: None,
             sealed_on: Vec::new(),
             refusal: None,
-            is_uncertain: false,
+            evidence: KeyEvidence::default(),
             may_run: true,
             rounds: 0,
         })
@@ -115,7 +116,7 @@
 
     /// How the request ends when it is given up while no attempt is in progress.
     pub(crate) fn outcome_without_run(&self) -> CallOutcome {
-        if self.is_uncertain || self.refusal.is_some_and(may_have_run) {
+        if !self.evidence.is_not_run() || self.refusal.is_some_and(may_have_run) {
             CallOutcome::Unknown
         } else {
             CallOutcome::NotRun
@@ -147,19 +148,20 @@
         while self.rounds < ROUND_LIMIT {
             self.rounds += 1;
             let candidate = self.next_candidate(shared, plan);
-            if candidate.is_none() && self.replaced.is_some() {
-                return self.give_up("no other upstream is available".to_owned(), None);
-            }
             let claim = self.make_claim(shared, candidate.as_ref());
             let reply = shared.claims.claim(shared, &claim, due);
             match (reply, candidate) {
                 (ClaimReply::Claimed, Some(candidate)) => {
-                    self.is_uncertain = false;
+                    self.evidence.note_claimed();
                     return self.dispatch(spec, claim, candidate, &make_dispatch);
                 }
+                (ClaimReply::Held { claim, caught_up }, None) if self.is_replaced(&claim) => {
+                    self.evidence.note_current(caught_up);
+                    return self.give_up("no other upstream is available".to_owned(), None);
+                }
                 (ClaimReply::Held { claim, caught_up }, candidate) => {
                     self.pending = candidate.map(|candidate| (candidate.vm, candidate.rule));
-                    self.is_uncertain = !caught_up;
+                    self.evidence.note_held(caught_up);
                     if let Some(step) = self.follow(shared, spec, ClaimEntry::from(*claim)) {
                         return step;
                     }
@@ -174,7 +176,7 @@
                     },
                     _,
                 ) => {
-                    self.is_uncertain |= !is_free;
+                    self.evidence.note_unavailable(is_free);
                     let reason = "claim log cannot be used in time".to_owned();
                     return self.give_up(reason, Some(retry_after));
                 }
@@ -289,6 +291,14 @@
             self.sealed_on.push(claim.target.vm.clone());
         }
         self.replaced = Some(claim);
+        self.evidence.note_sealed();
+    }
+
+    /// Whether `claim` is the one whose attempt is known never to run.
+    fn is_replaced(&self, claim: &ClaimWire) -> bool {
+        self.replaced
+            .as_ref()
+            .is_some_and(|replaced| replaced.id == claim.id)
     }
 
     fn ask_side(&self, shared: &RouterShared, spec: &CallSpec, claim: &ClaimEntry) -> KeyFate {
--- a/crates/state/fescuetide_claims/src/lib.rs
+++ b/crates/state/fescuetide_claims/src/lib.rs
@@ -35,12 +35,14 @@
 //! ```
 
 mod claim;
+mod evidence;
 mod ledger;
 mod partition;
 
 pub use claim::ClaimEntry;
 pub use claim::ClaimHolder;
 pub use claim::ClaimKey;
+pub use evidence::KeyEvidence;
 pub use ledger::ClaimLedger;
 pub use ledger::ClaimVerdict;
 pub use ledger::ClaimWindow;
--- a/crates/tools/fescuetide_bench/tests/once.rs
+++ b/crates/tools/fescuetide_bench/tests/once.rs
@@ -19,6 +19,7 @@
 
 const COMPLETED: Option<CallOutcome> = Some(CallOutcome::Completed);
 const NOT_RUN: Option<CallOutcome> = Some(CallOutcome::NotRun);
+const UNKNOWN: Option<CallOutcome> = Some(CallOutcome::Unknown);
 
 /// An answer that should come at once; requests of the class `slow` may wait ten times as long for the log.
 const AT_ONCE: Duration = Duration::from_secs(10);
@@ -191,9 +192,14 @@
     });
     let call = OnceCall::new();
     for router in [0, 1, 0, 1] {
-        let told = caller.send(fleet.router(router), &call);
+        let told = caller.send(fleet.router(router), &OnceCall::new());
         assert_eq!(told.outcome, NOT_RUN, "{}", told.body);
         assert!(told.retry_after.is_some());
+        // The claim of an earlier send may have appeared in the log by now. Whether it was replaced cannot be read in
+        // time, so a resend may also be told that it is not known.
+        let told = caller.send(fleet.router(router), &call);
+        assert!(matches!(told.outcome, NOT_RUN | UNKNOWN), "{}", told.body);
+        assert!(told.retry_after.is_some());
     }
     fleet.set_faults(LogFaults {
         stream: "claims-".to_owned(),
