Split the decisions by subject and remove what nothing uses

Fields that no decision reads and a refusal cause that nothing gives are gone. Connections that wait to be accepted are taken over before a shutdown closes the listener.

--- a/crates/coordination/fescuetide_flow/src/action.rs
+++ b/crates/coordination/fescuetide_flow/src/action.rs
@@ -103,8 +103,6 @@
     Closed,
     /// The response was not sound.
     Garbled,
-    /// Nothing came for too long.
-    Silent,
 }
 
 impl BreakCause {
@@ -114,7 +112,6 @@
             Self::NotConnected => "not_connected",
             Self::Closed => "closed",
             Self::Garbled => "garbled",
-            Self::Silent => "silent",
         }
     }
 }
--- /dev/null
+++ b/crates/coordination/fescuetide_flow/src/core/ending.rs
@@ -0,0 +1,104 @@
+//! How requests end.
+
+use fescuetide_base::ClockMillis;
+use fescuetide_base::SpanMillis;
+
+use super::DECLINED_RETRY;
+use super::FlowCore;
+use crate::BreakCause;
+use crate::FlowAction;
+use crate::FlowFailure;
+use crate::FlowKey;
+use crate::FlowRefusal;
+use crate::RefusalCause;
+use crate::flow::FlowState;
+
+impl FlowCore {
+    pub(super) fn end_overdue(&mut self, key: FlowKey, now: ClockMillis) {
+        let Some(flow) = self.flows.get_mut(&key) else {
+            return;
+        };
+        let is_sent = flow.attempt().is_some_and(|attempt| attempt.is_sent);
+        flow.may_have_run |= is_sent;
+        if flow.attempt().is_some() {
+            self.actions.push_back(FlowAction::Cancel(key));
+        }
+        let flow = &self.flows[&key];
+        if flow.is_relayed || flow.may_have_run {
+            self.fail(key, FlowFailure::TimedOut, now);
+            return;
+        }
+        self.end(key, RefusalCause::Overloaded, DECLINED_RETRY, now);
+    }
+
+    pub(super) fn end_broken(&mut self, key: FlowKey, cause: BreakCause, now: ClockMillis) {
+        self.fail_or_refuse(
+            key,
+            FlowFailure::UpstreamBroke(cause),
+            RefusalCause::NoRetryLeft,
+            DECLINED_RETRY,
+            now,
+        );
+    }
+
+    /// Refuses a request, or fails it when there is no evidence that it did not run.
+    pub(super) fn end(
+        &mut self,
+        key: FlowKey,
+        cause: RefusalCause,
+        retry_after: SpanMillis,
+        now: ClockMillis,
+    ) {
+        let failure = FlowFailure::UpstreamBroke(BreakCause::Closed);
+        self.fail_or_refuse(key, failure, cause, retry_after, now);
+    }
+
+    pub(super) fn fail_or_refuse(
+        &mut self,
+        key: FlowKey,
+        failure: FlowFailure,
+        cause: RefusalCause,
+        retry_after: SpanMillis,
+        now: ClockMillis,
+    ) {
+        let Some(flow) = self.flows.get(&key) else {
+            return;
+        };
+        let Some(evidence) = flow.evidence() else {
+            self.fail(key, failure, now);
+            return;
+        };
+        let refusal = FlowRefusal {
+            evidence,
+            cause,
+            retry_after,
+        };
+        self.actions.push_back(FlowAction::Refuse(key, refusal));
+        self.forget(key, now);
+    }
+
+    pub(super) fn fail(&mut self, key: FlowKey, failure: FlowFailure, now: ClockMillis) {
+        self.actions.push_back(FlowAction::Fail(key, failure));
+        self.forget(key, now);
+    }
+
+    /// Forgets a request and gives its place to one that waits.
+    pub(super) fn forget(&mut self, key: FlowKey, now: ClockMillis) {
+        let Some(flow) = self.flows.swap_remove(&key) else {
+            return;
+        };
+        match flow.state {
+            FlowState::Waiting(pool) => {
+                if let Some(pool) = self.pools.get_mut(&pool) {
+                    pool.waiting.remove(key);
+                }
+            }
+            FlowState::Running(attempt) => {
+                if let Some(pool) = self.pools.get_mut(&attempt.pool) {
+                    pool.remove_work(&attempt.vm);
+                }
+                self.start_waiting(now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/fescuetide_flow/src/core/placing.rs
@@ -0,0 +1,183 @@
+//! Where requests are sent, and who waits.
+
+use fescuetide_base::ClockMillis;
+use fescuetide_base::PoolName;
+use fescuetide_base::SpanMillis;
+
+use super::FlowCore;
+use crate::FlowAction;
+use crate::FlowKey;
+use crate::RefusalCause;
+use crate::SendOrder;
+use crate::WorkRequest;
+use crate::flow::FlowAttempt;
+use crate::flow::FlowState;
+use crate::placement;
+use crate::pool::PoolState;
+use crate::waiting::WaitingEntry;
+
+/// When a request should come again while no upstream is known.
+const NO_UPSTREAM_RETRY: SpanMillis = SpanMillis::new(700);
+
+impl FlowCore {
+    /// The pool of a request by weight; one without usable upstreams gives way to the next.
+    pub(super) fn choose_pool(&self, request: &WorkRequest) -> PoolName {
+        let total: u64 = request
+            .pools
+            .iter()
+            .map(|share| u64::from(share.weight))
+            .sum();
+        let mut point = request.spread % total.max(1);
+        let mut chosen = 0;
+        for (index, share) in request.pools.iter().enumerate() {
+            if point < u64::from(share.weight) {
+                chosen = index;
+                break;
+            }
+            point -= u64::from(share.weight);
+        }
+        let count = request.pools.len();
+        for step in 0..count {
+            let pool = &request.pools[(chosen + step) % count].pool;
+            if self.pools.get(pool).is_some_and(PoolState::has_ready) {
+                return pool.clone();
+            }
+        }
+        request.pools[chosen].pool.clone()
+    }
+
+    /// Sends a request that waits, or lets it wait, or refuses it.
+    pub(super) fn place(&mut self, key: FlowKey, now: ClockMillis) {
+        let Some(flow) = self.flows.get(&key) else {
+            return;
+        };
+        let FlowState::Waiting(pool_name) = &flow.state else {
+            return;
+        };
+        let pool_name = pool_name.clone();
+        if self.try_send(key, &pool_name, now) {
+            return;
+        }
+        let flow = &self.flows[&key];
+        let has_ready = self.pools.get(&pool_name).is_some_and(PoolState::has_ready);
+        if !has_ready {
+            self.end(key, RefusalCause::NoUpstream, NO_UPSTREAM_RETRY, now);
+            return;
+        }
+        let wait = WaitingEntry {
+            key,
+            rank: flow.request.rank,
+            late_at: flow.request.late_at,
+            until: wait_limit(&flow.request, now),
+        };
+        let target = flow.request.late_at.since(flow.request.arrived);
+        let pool = &mut self.pools[&pool_name];
+        if pool.waiting.len() >= self.settings.waiting_limit || wait.until <= now {
+            let retry_after = pool.waiting.retry_after(target);
+            self.end(key, RefusalCause::Overloaded, retry_after, now);
+            return;
+        }
+        pool.waiting.push(wait);
+    }
+
+    /// Sends a request if an upstream of the pool has room.
+    pub(super) fn try_send(
+        &mut self,
+        key: FlowKey,
+        pool_name: &PoolName,
+        now: ClockMillis,
+    ) -> bool {
+        let Some(pool) = self.pools.get_mut(pool_name) else {
+            return false;
+        };
+        let flow = &mut self.flows[&key];
+        self.turn += 1;
+        let shared = flow.request.prompt.shared_hash();
+        let holders = shared.map_or_else(Vec::new, |part| self.directory.holders(part, now));
+        let zone = self.zone.as_str();
+        let candidates = pool.candidates(&flow.tried, &holders, zone, &self.outcomes, now);
+        let Some(choice) =
+            placement::choose_upstream(&candidates, shared, self.turn, &self.settings)
+        else {
+            return false;
+        };
+        let (vm, load) = (choice.vm.clone(), choice.load);
+        let copy_from = match shared {
+            Some(part) if !choice.is_holder => {
+                let known = pool.ranked(&self.outcomes, now);
+                let holder = holders
+                    .into_iter()
+                    .find(|holder| known.iter().any(|upstream| upstream.vm == *holder));
+                holder
+                    .or_else(|| placement::expected_holder(&known, &vm, part, now))
+                    .cloned()
+            }
+            _ => None,
+        };
+        pool.add_work(&vm);
+        if let Some(part) = shared {
+            self.directory.note_use(part, &vm, now);
+        }
+        self.actions.push_back(FlowAction::Send(SendOrder {
+            key,
+            upstream: vm.clone(),
+            time_left: flow.request.deadline().since(now),
+            rank: flow.request.rank,
+            attempt: flow.sent_count + 1,
+            is_resumption: flow.is_relayed,
+            load,
+            copy_from,
+        }));
+        flow.state = FlowState::Running(FlowAttempt {
+            pool: pool_name.clone(),
+            vm,
+            ordered_at: now,
+            is_sent: false,
+            last_part: None,
+        });
+        true
+    }
+
+    /// Sends what waits, as far as upstreams have room.
+    pub(super) fn start_waiting(&mut self, now: ClockMillis) {
+        for index in 0..self.pools.len() {
+            let Some((name, pool)) = self.pools.get_index(index) else {
+                continue;
+            };
+            if pool.waiting.len() == 0 {
+                continue;
+            }
+            let (name, keys) = (name.clone(), pool.waiting.keys());
+            for key in keys {
+                if !self.flows.contains_key(&key) {
+                    self.pools[&name].waiting.remove(key);
+                    continue;
+                }
+                if !self.try_send(key, &name, now) {
+                    break;
+                }
+                self.pools[&name].waiting.remove(key);
+            }
+        }
+    }
+
+    pub(super) fn refuse_expired(&mut self, now: ClockMillis) {
+        let mut expired = Vec::new();
+        for pool in self.pools.values_mut() {
+            for key in pool.waiting.take_expired(now) {
+                expired.push((key, pool.waiting.retry_after(SpanMillis::default())));
+            }
+        }
+        for (key, retry_after) in expired {
+            self.end(key, RefusalCause::Overloaded, retry_after, now);
+        }
+    }
+}
+
+/// Until when a request may wait for room: half of the time to its latency target, or half of what is left of its time
+/// when it was sent before.
+fn wait_limit(request: &WorkRequest, now: ClockMillis) -> ClockMillis {
+    let target = request.late_at.since(now).as_millis();
+    let left = request.deadline().since(now).as_millis();
+    now + SpanMillis::new((target / 2).min(left / 2))
+}
--- /dev/null
+++ b/crates/coordination/fescuetide_flow/src/core/retrying.rs
@@ -0,0 +1,158 @@
+//! What follows from how an attempt ended, or from its silence.
+
+use fescuetide_base::ClockMillis;
+use fescuetide_base::VmName;
+
+use super::DECLINED_RETRY;
+use super::FlowCore;
+use crate::BreakCause;
+use crate::DeclineCause;
+use crate::FlowAction;
+use crate::FlowKey;
+use crate::RefusalCause;
+use crate::flow::FlowState;
+use crate::flow::RequestFlow;
+use crate::timing;
+
+impl FlowCore {
+    pub(super) fn complete(&mut self, key: FlowKey, vm: &VmName, status: u16, now: ClockMillis) {
+        let is_failure = status >= 500;
+        if is_failure {
+            self.outcomes.note_failure(vm);
+        } else {
+            self.outcomes.note_success(vm);
+        }
+        let flow = &mut self.flows[&key];
+        flow.may_have_run = true;
+        // A stream that the caller has the head of cannot be replaced by a failure.
+        let retries = is_failure && flow.request.kind.is_repeatable() && !flow.is_relayed;
+        if retries && self.take_retry(key) {
+            self.resend(key, now);
+            return;
+        }
+        self.actions.push_back(FlowAction::Relay(key));
+        self.forget(key, now);
+    }
+
+    pub(super) fn decline(
+        &mut self,
+        key: FlowKey,
+        vm: &VmName,
+        cause: DeclineCause,
+        now: ClockMillis,
+    ) {
+        if cause == DeclineCause::Misdirected {
+            self.outcomes.note_unreachable(vm, now);
+        }
+        if self.take_retry(key) {
+            self.resend(key, now);
+            return;
+        }
+        self.end(key, RefusalCause::Declined, DECLINED_RETRY, now);
+    }
+
+    pub(super) fn break_attempt(
+        &mut self,
+        key: FlowKey,
+        vm: &VmName,
+        cause: BreakCause,
+        now: ClockMillis,
+    ) {
+        match cause {
+            BreakCause::NotConnected => self.outcomes.note_unreachable(vm, now),
+            BreakCause::Closed | BreakCause::Garbled => {
+                self.outcomes.note_failure(vm);
+            }
+        }
+        let flow = &mut self.flows[&key];
+        let is_sent = flow.attempt().is_some_and(|attempt| attempt.is_sent);
+        flow.may_have_run |= is_sent;
+        if !is_sent || self.take_retry(key) {
+            self.resend(key, now);
+            return;
+        }
+        self.end_broken(key, cause, now);
+    }
+
+    /// Whether the request may be sent once more; takes its retry from the budget.
+    pub(super) fn take_retry(&mut self, key: FlowKey) -> bool {
+        let Some(flow) = self.flows.get(&key) else {
+            return false;
+        };
+        if !flow.may_send() {
+            return false;
+        }
+        let Some(attempt) = flow.attempt() else {
+            return true;
+        };
+        match self.pools.get_mut(&attempt.pool) {
+            Some(pool) => pool.budget.try_retry(),
+            None => false,
+        }
+    }
+
+    /// Ends the attempt and places the request again.
+    pub(super) fn resend(&mut self, key: FlowKey, now: ClockMillis) {
+        let Some(flow) = self.flows.get_mut(&key) else {
+            return;
+        };
+        let FlowState::Running(attempt) = &flow.state else {
+            return;
+        };
+        let (pool_name, vm) = (attempt.pool.clone(), attempt.vm.clone());
+        if let Some(part) = flow.request.prompt.shared_hash() {
+            self.directory.note_failure(part, &vm);
+        }
+        flow.tried.push(vm.clone());
+        flow.state = FlowState::Waiting(pool_name.clone());
+        if let Some(pool) = self.pools.get_mut(&pool_name) {
+            pool.remove_work(&vm);
+        }
+        self.place(key, now);
+    }
+
+    pub(super) fn is_silent(&self, flow: &RequestFlow, now: ClockMillis) -> bool {
+        let Some(attempt) = flow.attempt() else {
+            return false;
+        };
+        let since = attempt.last_part.unwrap_or(attempt.ordered_at);
+        let is_heard = self
+            .pools
+            .get(&attempt.pool)
+            .is_some_and(|pool| pool.is_heard(&attempt.vm, since));
+        let due = match attempt.last_part {
+            None => timing::first_part_due(&flow.request, &self.settings, since, is_heard),
+            Some(last) => timing::next_part_due(&flow.request, &self.settings, last, is_heard),
+        };
+        now >= due
+    }
+
+    /// Leaves a silent upstream for another one, unless there is no retry left; then the request goes on waiting.
+    pub(super) fn leave_silent(&mut self, key: FlowKey, now: ClockMillis) {
+        let Some(flow) = self.flows.get_mut(&key) else {
+            return;
+        };
+        let Some(attempt) = flow.attempt().cloned() else {
+            return;
+        };
+        let has_other = self.pools.get(&attempt.pool).is_some_and(|pool| {
+            let tried = [attempt.vm.clone()];
+            let zone = self.zone.as_str();
+            let others = pool.candidates(&tried, &[], zone, &self.outcomes, now);
+            others.iter().any(|other| other.load < other.room)
+        });
+        if !has_other || !self.take_retry(key) {
+            return;
+        }
+        let flow = &mut self.flows[&key];
+        flow.may_have_run |= attempt.is_sent;
+        self.outcomes.note_failure(&attempt.vm);
+        let since = attempt.last_part.unwrap_or(attempt.ordered_at);
+        let pool = self.pools.get(&attempt.pool);
+        if !pool.is_some_and(|pool| pool.is_heard(&attempt.vm, since)) {
+            self.outcomes.note_unreachable(&attempt.vm, now);
+        }
+        self.actions.push_back(FlowAction::Cancel(key));
+        self.resend(key, now);
+    }
+}
--- a/crates/coordination/fescuetide_flow/src/evidence.rs
+++ b/crates/coordination/fescuetide_flow/src/evidence.rs
@@ -46,8 +46,6 @@
     Declined,
     /// It was sent to as many upstreams as its route allows, or the retry budget is used up.
     NoRetryLeft,
-    /// Requests with this content crashed upstreams.
-    CrashesUpstreams,
 }
 
 impl RefusalCause {
@@ -58,7 +56,6 @@
             Self::Overloaded => "overloaded",
             Self::Declined => "declined",
             Self::NoRetryLeft => "no_retry_left",
-            Self::CrashesUpstreams => "crashes_upstreams",
         }
     }
 }
--- a/crates/coordination/fescuetide_flow/src/pattern.rs
+++ b/crates/coordination/fescuetide_flow/src/pattern.rs
@@ -16,10 +16,6 @@
 pub struct PromptShape {
     /// The parts in order. The last one belongs to the request itself or to its chat.
     pub parts: Vec<PromptPart>,
-    /// Tokens of the whole prompt.
-    pub prompt_tokens: u32,
-    /// Most tokens of the response.
-    pub output_tokens: u32,
 }
 
 impl PromptShape {
--- a/crates/coordination/fescuetide_flow/tests/flow/harness.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/harness.rs
@@ -32,7 +32,6 @@
         zone: "a".parse().unwrap(),
         slots,
         state: UpstreamState::Ready,
-        warm_up: SpanMillis::default(),
     }
 }
 
--- a/crates/coordination/fescuetide_flow/tests/flow/placement.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/placement.rs
@@ -40,8 +40,6 @@
         parts: [(part, 10_000), (own, 500)]
             .map(|(id, tokens)| PromptPart { id, tokens })
             .to_vec(),
-        prompt_tokens: 10_500,
-        output_tokens: 300,
     };
     let key = harness.core.arrive(request, harness.now);
     let order = harness.expect_send(key);
--- /dev/null
+++ b/crates/process/fescuetide_gateway/src/admission.rs
@@ -0,0 +1,53 @@
+//! Which requests are handed to the decisions.
+
+use std::sync::Arc;
+
+use fescuetide_base::ClockMillis;
+use fescuetide_base::StableHash;
+use fescuetide_fleet::FleetConfig;
+use fescuetide_flow::WorkRequest;
+
+use crate::exchange::Exchange;
+
+/// Why a request is not taken in.
+pub(crate) enum Denial {
+    /// It breaks the protocol or a limit.
+    Bad(u16),
+    /// Its route or key is not known.
+    Unknown(u16),
+    /// No configuration is known yet.
+    Unready,
+}
+
+/// Finds a request's route and workspace and describes it to the decisions.
+pub(crate) fn admit(
+    config: &FleetConfig,
+    exchange: &mut Exchange,
+    now: ClockMillis,
+) -> Result<WorkRequest, Denial> {
+    let host = exchange.fields.host.as_deref().unwrap_or("");
+    let route = config
+        .routes
+        .find(host, exchange.head.path())
+        .ok_or(Denial::Unknown(404))?;
+    let holder = exchange
+        .fields
+        .key
+        .as_deref()
+        .and_then(|key| config.workspace_of(key));
+    if config.needs_keys && !route.is_public && holder.is_none() {
+        return Err(Denial::Unknown(401));
+    }
+    let Some(id) = &exchange.fields.request_id else {
+        return Err(Denial::Bad(400));
+    };
+    exchange.route = Arc::from(route.name.as_str());
+    exchange.workspace = holder.map(|holder| holder.name.clone());
+    let mut request = WorkRequest::of_route(route, now, exchange.fields.time_limit);
+    request.rank = holder.and_then(|holder| holder.rank).unwrap_or(route.rank);
+    request.spread = StableHash::of_bytes(id.as_bytes());
+    if route.shares_prompts {
+        request.prompt = exchange.fields.prompt.clone();
+    }
+    Ok(request)
+}
--- a/crates/process/fescuetide_gateway/src/callers.rs
+++ b/crates/process/fescuetide_gateway/src/callers.rs
@@ -6,19 +6,17 @@
 use std::ops::RangeInclusive;
 use std::sync::Arc;
 
-use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
-use fescuetide_base::StableHash;
 use fescuetide_fleet::CallerLimits;
-use fescuetide_fleet::FleetConfig;
 use fescuetide_flow::FlowKey;
-use fescuetide_flow::WorkRequest;
 use fescuetide_http1::BodyDecoder;
 use fescuetide_http1::BodyFraming;
 use fescuetide_http1::EventSplitter;
 use fescuetide_http1::HeadError;
 use fescuetide_http1::RequestHead;
 
+use crate::admission::Denial;
+use crate::admission::admit;
 use crate::connection::CallerState;
 use crate::connection::Connection;
 use crate::connection::IncomingRequest;
@@ -46,16 +44,6 @@
 /// How long a closed connection's output may take to be written.
 const OUTPUT_LIMIT: SpanMillis = SpanMillis::new(30_000);
 
-/// Why a request is not taken in.
-enum Denial {
-    /// It breaks the protocol or a limit.
-    Bad(u16),
-    /// Its route or key is not known.
-    Unknown(u16),
-    /// No configuration is known yet.
-    Unready,
-}
-
 impl<D: EdgeDialect> TrafficLoop<D> {
     /// Reads what a caller sent. `is_closed` says that the end of the connection was announced; without it, a read that
     /// does not fill the buffer took everything, and the next bytes announce themselves.
@@ -398,36 +386,3 @@
         self.exchanges.swap_remove(&key)
     }
 }
-
-/// Finds a request's route and workspace and describes it to the decisions.
-fn admit(
-    config: &FleetConfig,
-    exchange: &mut Exchange,
-    now: ClockMillis,
-) -> Result<WorkRequest, Denial> {
-    let host = exchange.fields.host.as_deref().unwrap_or("");
-    let route = config
-        .routes
-        .find(host, exchange.head.path())
-        .ok_or(Denial::Unknown(404))?;
-    let holder = exchange
-        .fields
-        .key
-        .as_deref()
-        .and_then(|key| config.workspace_of(key));
-    if config.needs_keys && !route.is_public && holder.is_none() {
-        return Err(Denial::Unknown(401));
-    }
-    let Some(id) = &exchange.fields.request_id else {
-        return Err(Denial::Bad(400));
-    };
-    exchange.route = Arc::from(route.name.as_str());
-    exchange.workspace = holder.map(|holder| holder.name.clone());
-    let mut request = WorkRequest::of_route(route, now, exchange.fields.time_limit);
-    request.rank = holder.and_then(|holder| holder.rank).unwrap_or(route.rank);
-    request.spread = StableHash::of_bytes(id.as_bytes());
-    if route.shares_prompts {
-        request.prompt = exchange.fields.prompt.clone();
-    }
-    Ok(request)
-}
--- a/crates/process/fescuetide_gateway/src/lib.rs
+++ b/crates/process/fescuetide_gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! header fields look like is told by an [`EdgeDialect`] and a [`RecordDialect`]; the gateway itself knows no
 //! platform's names.
 
+mod admission;
 mod answers;
 mod attempts;
 mod buffer;
--- a/crates/process/fescuetide_gateway/src/shutdown.rs
+++ b/crates/process/fescuetide_gateway/src/shutdown.rs
@@ -46,6 +46,8 @@
             return false;
         }
         if !drain.is_closed {
+            // Connections that wait to be accepted would be reset with the listener.
+            self.accept_callers();
             self.listeners.callers = None;
             self.drain = Some(DrainState {
                 is_closed: true,
--- a/crates/process/fescuetide_gateway/src/traffic.rs
+++ b/crates/process/fescuetide_gateway/src/traffic.rs
@@ -241,7 +241,7 @@
         Ok(token)
     }
 
-    fn accept_callers(&mut self) {
+    pub(crate) fn accept_callers(&mut self) {
         loop {
             let Some(listener) = &self.listeners.callers else {
                 return;
--- a/crates/state/fescuetide_fleet/src/route.rs
+++ b/crates/state/fescuetide_fleet/src/route.rs
@@ -70,12 +70,8 @@
 pub struct PoolEntry {
     /// Most connections that one upstream takes from all routers.
     pub connection_limit: u32,
-    /// Whether the upstreams are model engines.
-    pub has_engines: bool,
     /// Whether an upstream can copy parts of prompts from another one.
     pub copies_prompts: bool,
-    /// Tokens that an engine's memory holds.
-    pub memory_tokens: u64,
 }
 
 /// Routes by host, and pools by name.
--- a/crates/state/fescuetide_fleet/src/upstream.rs
+++ b/crates/state/fescuetide_fleet/src/upstream.rs
@@ -40,8 +40,6 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub state: UpstreamState,
-    /// How long it stays slow after its start.
-    pub warm_up: SpanMillis,
 }
 
 /// A change of the upstreams.
--- a/crates/state/fescuetide_fleet/tests/fleet.rs
+++ b/crates/state/fescuetide_fleet/tests/fleet.rs
@@ -37,7 +37,6 @@
         zone: "a".parse().unwrap(),
         slots: 4,
         state,
-        warm_up: SpanMillis::default(),
     }
 }
 
