--- a/crates/process/fescuetide_gateway/src/callers.rs
+++ b/crates/process/fescuetide_gateway/src/callers.rs
@@ -74,7 +74,7 @@
     }
 
     /// The caller closed its connection: its request is cancelled.
-    fn lose_caller(&mut self, token: usize) {
+    pub(crate) fn lose_caller(&mut self, token: usize) {
         let key = match self.connections.get(token) {
             Some(Connection::Caller(caller)) => match caller.state {
                 CallerState::Serving(key) => Some(key),
--- a/crates/process/fescuetide_gateway/src/relay.rs
+++ b/crates/process/fescuetide_gateway/src/relay.rs
@@ -18,6 +18,9 @@
 use crate::respond::ResponseFraming;
 use crate::traffic::TrafficLoop;
 
+/// Bytes of a stream that a caller may leave unread.
+const UNREAD_LIMIT_BYTES: usize = 8 * 1_024 * 1_024;
+
 impl<D: EdgeDialect> TrafficLoop<D> {
     /// Passes events of a stream on. Returns false when the stream is not one of events.
     pub(crate) fn relay_events(&mut self, key: FlowKey, bytes: &[u8], is_last: bool) -> bool {
@@ -52,6 +55,12 @@
             RelayState::Streaming { is_chunked: false } => out.extend_from_slice(&events),
             RelayState::Nothing => return is_sound,
         }
+        let is_slow = connection.output.len() > UNREAD_LIMIT_BYTES;
+        if is_slow {
+            // A caller that does not read its stream must not take the memory of all others.
+            self.lose_caller(caller);
+            return is_sound;
+        }
         self.flush_caller(caller);
         is_sound
     }
--- a/crates/process/fescuetide_gateway/src/traffic.rs
+++ b/crates/process/fescuetide_gateway/src/traffic.rs
@@ -91,6 +91,8 @@
     /// Whether the platform's log gave no answer lately.
     pub(crate) is_log_away: bool,
     pub(crate) started: ClockMillis,
+    /// Whether connections wait that could not be accepted, for want of descriptors.
+    has_unaccepted: bool,
     pub(crate) views: Receiver<FleetView>,
     pub(crate) signals: LoopSignals,
     pub(crate) counters: Arc<GatewayCounters>,
@@ -135,6 +137,7 @@
             upstreams: None,
             is_log_away: false,
             started: ClockMillis::now(),
+            has_unaccepted: false,
             views,
             signals: LoopSignals::default(),
             counters: Arc::default(),
@@ -251,7 +254,9 @@
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
                 Err(error) => {
+                    // The listener announces waiting connections once; they are tried again with the next sweep.
                     tracing::warn!(%error, "connection is not accepted");
+                    self.has_unaccepted = true;
                     return;
                 }
             };
@@ -323,6 +328,9 @@
         self.last_sweep = self.now;
         line_budget::report_left_out(&mut self.lines);
         self.sweep_callers();
+        if std::mem::take(&mut self.has_unaccepted) {
+            self.accept_callers();
+        }
         self.sweep_upstreams();
         self.sweep_probes();
         self.perform();
