--- a/crates/transport/fescuetide_http1/src/head.rs
+++ b/crates/transport/fescuetide_http1/src/head.rs
@@ -105,6 +105,28 @@
                 .any(|part| part.trim_ascii().eq_ignore_ascii_case(token.as_bytes()))
         })
     }
+
+    /// Whether the connection stays open after a message of HTTP/1.`minor` with these fields.
+    fn keeps_alive(&self, minor: u8) -> bool {
+        match minor {
+            0 => self.has_token("connection", "keep-alive"),
+            _ => !self.has_token("connection", "close"),
+        }
+    }
+}
+
+/// The length of a complete head, `None` while it is incomplete, from what the parser says about `available` bytes.
+fn check_length(
+    result: httparse::Result<usize>,
+    available: usize,
+    limit: usize,
+) -> Result<Option<usize>, HeadError> {
+    match result {
+        Ok(httparse::Status::Complete(used)) if used <= limit => Ok(Some(used)),
+        Ok(httparse::Status::Partial) if available <= limit => Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => Err(HeadError::TooLarge),
+        Err(_) => Err(HeadError::Malformed),
+    }
 }
 
 /// Where `part` lies in `text`; `part` is a slice of `text` or empty.
@@ -134,14 +156,8 @@
     pub fn parse(bytes: &[u8], limit: usize) -> Result<Option<(Self, usize)>, HeadError> {
         let mut fields = [httparse::EMPTY_HEADER; FIELD_LIMIT];
         let mut request = httparse::Request::new(&mut fields);
-        let used = match request.parse(bytes) {
-            Ok(httparse::Status::Complete(used)) if used <= limit => used,
-            Ok(httparse::Status::Complete(_)) => return Err(HeadError::TooLarge),
-            Ok(httparse::Status::Partial) if bytes.len() <= limit => return Ok(None),
-            Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
-                return Err(HeadError::TooLarge);
-            }
-            Err(_) => return Err(HeadError::Malformed),
+        let Some(used) = check_length(request.parse(bytes), bytes.len(), limit)? else {
+            return Ok(None);
         };
         let text = &bytes[..used];
         let (Some(method), Some(target), Some(minor)) =
@@ -196,10 +212,7 @@
 
     /// Whether the connection stays open after this request.
     pub fn keeps_alive(&self) -> bool {
-        match self.minor {
-            0 => self.has_token("connection", "keep-alive"),
-            _ => !self.has_token("connection", "close"),
-        }
+        self.fields.keeps_alive(self.minor)
     }
 
     /// Whether the client waits for `100 Continue` before it sends the body.
@@ -230,14 +243,8 @@
     pub fn parse(bytes: &[u8], limit: usize) -> Result<Option<(Self, usize)>, HeadError> {
         let mut fields = [httparse::EMPTY_HEADER; FIELD_LIMIT];
         let mut response = httparse::Response::new(&mut fields);
-        let used = match response.parse(bytes) {
-            Ok(httparse::Status::Complete(used)) if used <= limit => used,
-            Ok(httparse::Status::Complete(_)) => return Err(HeadError::TooLarge),
-            Ok(httparse::Status::Partial) if bytes.len() <= limit => return Ok(None),
-            Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
-                return Err(HeadError::TooLarge);
-            }
-            Err(_) => return Err(HeadError::Malformed),
+        let Some(used) = check_length(response.parse(bytes), bytes.len(), limit)? else {
+            return Ok(None);
         };
         let (Some(status), Some(minor)) = (response.code, response.version) else {
             return Err(HeadError::Malformed);
@@ -282,9 +289,6 @@
 
     /// Whether the connection stays open after this response.
     pub fn keeps_alive(&self) -> bool {
-        match self.minor {
-            0 => self.has_token("connection", "keep-alive"),
-            _ => !self.has_token("connection", "close"),
-        }
+        self.fields.keeps_alive(self.minor)
     }
 }
