Take a stream without length that ends within an event for cut

Cause: such a stream was ended as complete at the close of its connection, and its caller got a stream that looked whole without its last events (test stream_without_length_ends_with_a_whole_event, failing before). Change: an event that is held back at the close breaks the attempt.

--- a/crates/process/fescuetide_gateway/src/answers.rs
+++ b/crates/process/fescuetide_gateway/src/answers.rs
@@ -72,10 +72,15 @@
         let Some(Connection::Upstream(upstream)) = self.connections.get_mut(token) else {
             return;
         };
-        let UpstreamWork::Busy { answer, .. } = &mut upstream.work else {
+        let UpstreamWork::Busy { key, answer } = &mut upstream.work else {
             self.drop_idle(token);
             return;
         };
+        // A stream without length that ends within an event was cut.
+        let is_cut = self
+            .exchanges
+            .get(key)
+            .is_some_and(|exchange| exchange.splitter.has_partial());
         if upstream.connect_until.is_some() {
             self.end_attempt(token, AttemptEvent::Broken(BreakCause::NotConnected));
             return;
@@ -85,10 +90,12 @@
             AnswerState::Collecting(collected) if ends(&collected.decoder) => {
                 soundness::judge_answer(&collected.head, &collected.fields)
             }
-            AnswerState::Streaming { decoder, .. } if ends(decoder) => AttemptEvent::Completed {
-                status: 200,
-                load: None,
-            },
+            AnswerState::Streaming { decoder, .. } if ends(decoder) && !is_cut => {
+                AttemptEvent::Completed {
+                    status: 200,
+                    load: None,
+                }
+            }
             _ => AttemptEvent::Broken(BreakCause::Closed),
         };
         self.end_attempt(token, event);
--- a/crates/transport/fescuetide_http1/src/event.rs
+++ b/crates/transport/fescuetide_http1/src/event.rs
@@ -38,6 +38,11 @@
         out.append(&mut self.partial);
     }
 
+    /// Whether part of an event is held back.
+    pub fn has_partial(&self) -> bool {
+        !self.partial.is_empty()
+    }
+
     /// Forgets the incomplete event, since another upstream sends it again.
     pub fn drop_partial(&mut self) {
         self.partial = Vec::new();
