Let the check of embeddable crates look into subfolders

Cause: it took the new folder core/ of fescuetide_flow for a file and failed. A forbidden word put into its list turned it red for core/placing.rs.

--- a/crates/tools/fescuetide_bench/tests/layers.rs
+++ b/crates/tools/fescuetide_bench/tests/layers.rs
@@ -1,6 +1,7 @@
 //! The layers of the workspace.
 
 use std::path::Path;
+use std::path::PathBuf;
 use std::process::Command;
 
 use serde_json::Value;
@@ -72,6 +73,20 @@
     assert!(checked > 20, "only {checked} dependencies were checked");
 }
 
+/// All files below a folder.
+fn list_files(folder: &Path) -> Vec<PathBuf> {
+    let mut files = Vec::new();
+    for entry in std::fs::read_dir(folder).expect("source folder") {
+        let path = entry.expect("entry").path();
+        if path.is_dir() {
+            files.extend(list_files(&path));
+            continue;
+        }
+        files.push(path);
+    }
+    files
+}
+
 /// Guards against sockets, threads or clocks in the crates that others embed.
 #[test]
 fn embeddable_crates_use_no_threads_sockets_or_clocks() {
@@ -88,8 +103,7 @@
     for layer in ["state", "coordination"] {
         for krate in std::fs::read_dir(root.join(layer)).expect("layer folder") {
             let source = krate.expect("entry").path().join("src");
-            for file in std::fs::read_dir(&source).expect("source folder") {
-                let path = file.expect("entry").path();
+            for path in list_files(&source) {
                 let text = std::fs::read_to_string(&path).expect("source file");
                 for word in forbidden {
                     assert!(!text.contains(word), "{} uses {word}", path.display());
