Pass an upstream's failed answer on when no second one can be asked

Cause: after a 500 the gateway gave the request to a second upstream. When none was left, or the second one broke, it answered 502 of its own, although it held the first one's answer. A request that every upstream had declined also waited in the queue until its wait was over, although nobody was left to ask.

Change: the decisions remember that a whole answer is held and relay it instead of failing. A request whose upstreams have all been tried ends at once instead of waiting.

--- a/crates/coordination/fescuetide_flow/src/core/ending.rs
+++ b/crates/coordination/fescuetide_flow/src/core/ending.rs
@@ -77,7 +77,19 @@
         self.forget(key, now);
     }
 
+    /// Passes the answer in hand on, or the end of the stream.
+    pub(super) fn relay_last(&mut self, key: FlowKey, now: ClockMillis) {
+        self.actions.push_back(FlowAction::Relay(key));
+        self.forget(key, now);
+    }
+
+    /// Fails a request, with the answer of an upstream that failed if there is one.
     pub(super) fn fail(&mut self, key: FlowKey, failure: FlowFailure, now: ClockMillis) {
+        let flow = self.flows.get(&key);
+        if flow.is_some_and(|flow| flow.has_answer && !flow.is_relayed) {
+            self.relay_last(key, now);
+            return;
+        }
         self.actions.push_back(FlowAction::Fail(key, failure));
         self.forget(key, now);
     }
--- a/crates/coordination/fescuetide_flow/src/core/placing.rs
+++ b/crates/coordination/fescuetide_flow/src/core/placing.rs
@@ -59,9 +59,13 @@
             return;
         }
         let flow = &self.flows[&key];
-        let has_ready = self.pools.get(&pool_name).is_some_and(PoolState::has_ready);
-        if !has_ready {
-            self.end(key, RefusalCause::NoUpstream, NO_UPSTREAM_RETRY, now);
+        let pool = self.pools.get(&pool_name);
+        if !pool.is_some_and(|pool| pool.has_untried(&flow.tried)) {
+            let cause = match flow.tried.is_empty() {
+                true => RefusalCause::NoUpstream,
+                false => RefusalCause::NoRetryLeft,
+            };
+            self.end(key, cause, NO_UPSTREAM_RETRY, now);
             return;
         }
         let wait = WaitingEntry {
--- a/crates/coordination/fescuetide_flow/src/core/retrying.rs
+++ b/crates/coordination/fescuetide_flow/src/core/retrying.rs
@@ -27,11 +27,11 @@
         // A stream that the caller has the head of cannot be replaced by a failure.
         let retries = is_failure && flow.request.kind.is_repeatable() && !flow.is_relayed;
         if retries && self.take_retry(key) {
+            self.flows[&key].has_answer = true;
             self.resend(key, now);
             return;
         }
-        self.actions.push_back(FlowAction::Relay(key));
-        self.forget(key, now);
+        self.relay_last(key, now);
     }
 
     pub(super) fn decline(
--- a/crates/coordination/fescuetide_flow/src/flow.rs
+++ b/crates/coordination/fescuetide_flow/src/flow.rs
@@ -39,6 +39,8 @@
     pub(crate) may_have_run: bool,
     /// Whether the caller has the head of a stream.
     pub(crate) is_relayed: bool,
+    /// Whether the process holds the whole answer of an upstream that failed.
+    pub(crate) has_answer: bool,
     /// Upstreams that are not asked again.
     pub(crate) tried: Vec<VmName>,
 }
@@ -51,6 +53,7 @@
             sent_count: 0,
             may_have_run: false,
             is_relayed: false,
+            has_answer: false,
             tried: Vec::new(),
         }
     }
--- a/crates/coordination/fescuetide_flow/src/pool.rs
+++ b/crates/coordination/fescuetide_flow/src/pool.rs
@@ -116,6 +116,12 @@
         self.upstreams.values().any(PoolUpstream::is_ready)
     }
 
+    /// Whether there is an upstream that a request may still go to, now or when it has room.
+    pub(crate) fn has_untried(&self, tried: &[VmName]) -> bool {
+        let mut upstreams = self.upstreams.iter();
+        upstreams.any(|(name, upstream)| upstream.is_ready() && !tried.contains(name))
+    }
+
     pub(crate) fn add_work(&mut self, vm: &VmName) {
         if let Some(upstream) = self.upstreams.get_mut(vm) {
             upstream.load.add();
--- a/crates/coordination/fescuetide_flow/tests/flow/life.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/life.rs
@@ -8,6 +8,12 @@
 use fescuetide_flow::FlowAction;
 use fescuetide_flow::FlowFailure;
 
+/// The whole answer of an upstream that failed.
+const COMPLETED_WITH_500: AttemptEvent = AttemptEvent::Completed {
+    status: 500,
+    load: None,
+};
+
 /// Guards against a stream that looks complete because the upstream that should go on with it answers with a failure.
 #[test]
 fn failure_of_a_resumption_does_not_complete_the_stream() {
@@ -88,6 +94,44 @@
     assert!(matches!(harness.next(), Some(FlowAction::Fail(failed, _)) if failed == key));
 }
 
+/// Guards against an upstream's answer that is replaced by a failure of the router's own because the second upstream broke.
+#[test]
+fn failed_answer_in_hand_is_passed_on_when_the_second_upstream_breaks() {
+    let mut harness = CoreHarness::with_upstreams(3);
+    let key = harness.arrive(WorkKind::Repeatable, 2);
+    harness.expect_send(key);
+    harness.note(key, AttemptEvent::Sent);
+    harness.note(key, COMPLETED_WITH_500);
+    harness.expect_send(key);
+    harness.note(key, AttemptEvent::Sent);
+    harness.note(key, AttemptEvent::Broken(BreakCause::Closed));
+    assert_eq!(harness.next(), Some(FlowAction::Relay(key)));
+    assert_eq!(harness.next(), None);
+}
+
+/// Guards against an upstream's answer that is held back while the request waits for an upstream that does not exist.
+#[test]
+fn failed_answer_is_passed_on_at_once_without_a_second_upstream() {
+    let mut harness = CoreHarness::with_upstreams(1);
+    let key = harness.arrive(WorkKind::Repeatable, 2);
+    harness.expect_send(key);
+    harness.note(key, AttemptEvent::Sent);
+    harness.note(key, COMPLETED_WITH_500);
+    assert_eq!(harness.next(), Some(FlowAction::Relay(key)));
+    assert_eq!(harness.next(), None);
+}
+
+/// Guards against a request that waits for its time limit although every upstream has declined it.
+#[test]
+fn request_that_all_upstreams_declined_is_refused_at_once() {
+    let mut harness = CoreHarness::with_upstreams(1);
+    let key = harness.arrive(WorkKind::Repeatable, 3);
+    harness.expect_send(key);
+    harness.note(key, AttemptEvent::Sent);
+    harness.note(key, AttemptEvent::Declined(DeclineCause::Full, None));
+    assert!(matches!(harness.next(), Some(FlowAction::Refuse(refused, _)) if refused == key));
+}
+
 /// Guards against a request that is kept past the operator's time limit, and one that is answered before it.
 #[test]
 fn request_fails_at_its_time_limit_and_not_before() {
