--- a/crates/process/fescuetide_router/src/history.rs
+++ b/crates/coordination/fescuetide_flow/src/call/history.rs
@@ -9,10 +9,10 @@
 use fescuetide_records::RecordOutcome;
 use fescuetide_records::RequestRecord;
 
-use crate::call::CallSpec;
+use super::CallFacts;
 
 /// The attempts of a request so far.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct CallHistory {
     attempts: Vec<AttemptRecord>,
     first_part: Option<SpanMillis>,
@@ -20,23 +20,28 @@
 
 impl CallHistory {
     /// Notes that an attempt was sent. It counts as lost until its result is noted.
-    pub(crate) fn note_sent(&mut self, attempt: AttemptId, vm: &VmName) {
+    pub(crate) fn note_sent(&mut self, attempt: AttemptId, vm: &VmName, now: ClockMillis) {
         self.attempts.push(AttemptRecord {
             attempt,
             vm: vm.clone(),
-            started: ClockMillis::now(),
+            started: now,
             span: SpanMillis::default(),
             result: AttemptResult::Lost("no result".to_owned()),
         });
     }
 
     /// Notes how an attempt ended.
-    pub(crate) fn note_result(&mut self, attempt: AttemptId, result: AttemptResult) {
+    pub(crate) fn note_result(
+        &mut self,
+        attempt: AttemptId,
+        result: AttemptResult,
+        now: ClockMillis,
+    ) {
         for record in &mut self.attempts {
             if record.attempt != attempt {
                 continue;
             }
-            record.span = ClockMillis::now().since(record.started);
+            record.span = now.since(record.started);
             record.result = result;
             return;
         }
@@ -48,29 +53,30 @@
     }
 
     /// Notes the arrival of a part of the response. Only the first one counts.
-    pub(crate) fn note_part(&mut self, spec: &CallSpec) {
+    pub(crate) fn note_part(&mut self, facts: &CallFacts, now: ClockMillis) {
         if self.first_part.is_none() {
-            self.first_part = Some(ClockMillis::now().since(spec.received));
+            self.first_part = Some(now.since(facts.received));
         }
     }
 
-    /// The record of the request, which has ended now.
+    /// The record of the request, which ends now.
     pub(crate) fn finish(
         &mut self,
         router: &VmName,
-        spec: &CallSpec,
+        facts: &CallFacts,
         outcome: RecordOutcome,
         reason: &str,
+        now: ClockMillis,
     ) -> RequestRecord {
         RequestRecord {
-            request: spec.request,
+            request: facts.request,
             router: router.clone(),
-            workspace: spec.workspace.clone(),
-            class: spec.class.clone(),
-            pool: spec.pool.clone(),
-            received: spec.received,
+            workspace: facts.workspace.clone(),
+            class: facts.class.clone(),
+            pool: facts.pool.clone(),
+            received: facts.received,
             first_part: self.first_part,
-            span: ClockMillis::now().since(spec.received),
+            span: now.since(facts.received),
             outcome,
             reason: reason.to_owned(),
             attempts: std::mem::take(&mut self.attempts),
--- /dev/null
+++ b/crates/coordination/fescuetide_flow/src/call/life.rs
@@ -0,0 +1,184 @@
+//! The state of one request.
+
+use fescuetide_base::AttemptId;
+use fescuetide_base::ClockMillis;
+use fescuetide_base::VmName;
+use fescuetide_limits::AdmitRule;
+use fescuetide_members::VmEntry;
+
+use super::CallEnd;
+use super::CallFacts;
+use super::CallStep;
+use super::CallTables;
+use super::CallView;
+use super::history::CallHistory;
+use super::keyed::KeyClaims;
+use super::keyed::KeyState;
+use super::plan::CandidatePlan;
+
+/// A side process that the request was offered to.
+#[derive(Clone, Debug)]
+pub(crate) struct OfferTarget {
+    pub(crate) vm: VmEntry,
+    pub(crate) rule: AdmitRule,
+    pub(crate) at: ClockMillis,
+}
+
+/// An attempt under way.
+#[derive(Clone, Debug)]
+pub(crate) struct RunningAttempt {
+    pub(crate) vm: VmEntry,
+    pub(crate) rule: AdmitRule,
+    pub(crate) attempt: AttemptId,
+    /// Whether it counts as outstanding at its upstream. An attempt of an earlier request does not.
+    pub(crate) is_counted: bool,
+}
+
+/// What follows a pause.
+#[derive(Clone, Debug)]
+pub(crate) enum PauseEnd {
+    /// The candidate is asked.
+    Offer(VmEntry, AdmitRule),
+    /// All candidates are ranked again.
+    Rank,
+}
+
+/// Where a request is.
+#[derive(Clone, Debug)]
+pub(crate) enum CallState {
+    /// The next candidate is chosen.
+    Ready,
+    /// Nothing happens before the time.
+    Paused(ClockMillis, PauseEnd),
+    /// An offer is being sent.
+    Offering(OfferTarget),
+    /// An attempt is under way.
+    Running(RunningAttempt),
+    /// The key is claimed, or its holder asked.
+    Keyed(KeyState),
+    /// The request has ended.
+    Ended(Box<CallEnd>),
+}
+
+/// Decides about one request.
+///
+/// The process calls [`step`](Self::step), carries out what it returns, and notes the result with the method that the
+/// step names. Every method takes the time.
+#[derive(Clone, Debug)]
+pub struct CallFlow {
+    pub(crate) facts: CallFacts,
+    pub(crate) plan: CandidatePlan,
+    pub(crate) state: CallState,
+    /// Whether the side process must be told that the attempt is not wanted any more.
+    pub(crate) cancels: bool,
+    pub(crate) lost_on: Vec<VmName>,
+    /// A candidate to ask once more before the next one of the plan.
+    pub(crate) repeat: Option<(VmEntry, AdmitRule)>,
+    pub(crate) has_repeated: bool,
+    /// Status of the response's head, once it was passed on.
+    pub(crate) head_status: Option<u16>,
+    pub(crate) attempts: u32,
+    pub(crate) last_reason: String,
+    pub(crate) history: CallHistory,
+    /// The claims of a request that may run once.
+    pub(crate) claims: Option<KeyClaims>,
+}
+
+impl CallFlow {
+    /// Takes in a request.
+    pub fn new(
+        facts: CallFacts,
+        tables: &mut CallTables,
+        view: &CallView<'_>,
+        now: ClockMillis,
+    ) -> Self {
+        tables.retries.budget(&facts).note_request();
+        let plan = CandidatePlan::new(&facts, tables, view, &[], now);
+        let claims = facts.key.is_some().then(KeyClaims::new);
+        Self {
+            facts,
+            plan,
+            state: CallState::Ready,
+            cancels: false,
+            lost_on: Vec::new(),
+            repeat: None,
+            has_repeated: false,
+            head_status: None,
+            attempts: 0,
+            last_reason: "no upstream is available".to_owned(),
+            history: CallHistory::default(),
+            claims,
+        }
+    }
+
+    /// What the decisions know of the request.
+    pub fn facts(&self) -> &CallFacts {
+        &self.facts
+    }
+
+    /// The end of the request, once it is decided.
+    pub fn end_decided(&self) -> Option<&CallEnd> {
+        match &self.state {
+            CallState::Ended(end) => Some(end),
+            _ => None,
+        }
+    }
+
+    /// What to do next.
+    pub fn step(
+        &mut self,
+        tables: &mut CallTables,
+        view: &CallView<'_>,
+        now: ClockMillis,
+    ) -> CallStep {
+        if now >= self.facts.deadline {
+            self.end_at_deadline(tables, now);
+        }
+        loop {
+            if self.takes_cancel() {
+                return CallStep::Cancel;
+            }
+            let step = match &self.state {
+                CallState::Ready => self.choose(tables, now),
+                CallState::Paused(until, _) if now < *until => Some(CallStep::Wait(*until)),
+                CallState::Paused(_, PauseEnd::Offer(vm, rule)) => {
+                    let (vm, rule) = (vm.clone(), *rule);
+                    Some(self.offer(vm, rule, tables, now))
+                }
+                CallState::Paused(_, PauseEnd::Rank) => {
+                    self.plan = CandidatePlan::new(&self.facts, tables, view, &self.lost_on, now);
+                    self.state = CallState::Ready;
+                    None
+                }
+                CallState::Offering(_) | CallState::Running(_) => Some(CallStep::Listen),
+                CallState::Keyed(state) => {
+                    let state = state.clone();
+                    self.step_keyed(state, tables, view, now)
+                }
+                CallState::Ended(end) => Some(CallStep::End(end.clone())),
+            };
+            if let Some(step) = step {
+                return step;
+            }
+        }
+    }
+
+    /// Whether the side process of the attempt must be told now that it is not wanted any more.
+    pub fn takes_cancel(&mut self) -> bool {
+        std::mem::take(&mut self.cancels)
+    }
+
+    /// Chooses what comes next while no attempt is under way. `None` when only the state has changed.
+    fn choose(&mut self, tables: &mut CallTables, now: ClockMillis) -> Option<CallStep> {
+        let is_refused = self.refuse_crasher(tables, now);
+        if self.claims.is_some() {
+            self.start_round(!is_refused, tables, now);
+            return None;
+        }
+        if is_refused {
+            self.end_not_run(tables, now);
+            return None;
+        }
+        self.offer_next(tables, now)
+    }
+}
--- /dev/null
+++ b/crates/coordination/fescuetide_flow/src/call/news.rs
@@ -0,0 +1,230 @@
+//! What comes of an attempt, and what follows from it.
+
+use fescuetide_base::ClockMillis;
+use fescuetide_base::SpanMillis;
+use fescuetide_records::AttemptResult;
+
+use super::CallFlow;
+use super::CallKind;
+use super::CallTables;
+use super::CallVerdict;
+use super::DeclineNote;
+use super::DeclineReason;
+use super::life::CallState;
+use super::life::RunningAttempt;
+
+/// The status of an upstream that may take the request later or elsewhere. With other error statuses below 500, every
+/// upstream would answer the same.
+const TOO_MANY_REQUESTS: u16 = 429;
+
+/// What comes of an attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AttemptNews {
+    /// The head of the response, with its status.
+    Head(u16),
+    /// The next bytes of the response.
+    Chunk,
+    /// A sign of life.
+    Alive,
+    /// The response is complete.
+    Completed,
+    /// It was admitted but never given to the upstream.
+    NotRun(String),
+    /// It was taken out of the queue for other work and never given to the upstream; when to come back.
+    Shed(SpanMillis),
+    /// It ran, and the response is not complete.
+    Failed(String),
+    /// It ran, and the upstream crashed.
+    Crashed(String),
+    /// The side process refused it, and it will never run there.
+    Declined(DeclineNote),
+    /// The side process or its incarnation is gone, so that the attempt may have run.
+    Lost(String),
+    /// The bytes received so far are not those of the response: nothing can go on behind them.
+    Corrupt(String),
+}
+
+/// What the process does with the news.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NewsStep {
+    /// It passes them on to the caller.
+    Pass,
+    /// It waits for further news.
+    Skip,
+    /// The attempt is over; [`CallFlow::step`] says what comes next.
+    Over,
+}
+
+impl CallFlow {
+    /// Notes what came of the attempt under way.
+    pub fn note_news(
+        &mut self,
+        news: AttemptNews,
+        tables: &mut CallTables,
+        now: ClockMillis,
+    ) -> NewsStep {
+        match news {
+            AttemptNews::Alive => return NewsStep::Pass,
+            AttemptNews::Chunk => {
+                self.history.note_part(&self.facts, now);
+                return NewsStep::Pass;
+            }
+            AttemptNews::Head(status) if !self.is_other_head(status) => {
+                if self.facts.kind == CallKind::Service {
+                    self.history.note_part(&self.facts, now);
+                }
+                return match self.head_status.replace(status) {
+                    None => NewsStep::Pass,
+                    Some(_) => NewsStep::Skip,
+                };
+            }
+            _ => {}
+        }
+        if let Some(attempt) = self.take_attempt(tables) {
+            self.note_over(&attempt, news, tables, now);
+        }
+        NewsStep::Over
+    }
+
+    /// Takes an attempt that is over out of the state.
+    pub(super) fn take_attempt(&mut self, tables: &mut CallTables) -> Option<RunningAttempt> {
+        let CallState::Running(attempt) = &self.state else {
+            return None;
+        };
+        let attempt = attempt.clone();
+        if attempt.is_counted {
+            tables.policy.note_over(&attempt.vm.name);
+        }
+        self.state = CallState::Ready;
+        Some(attempt)
+    }
+
+    fn note_over(
+        &mut self,
+        attempt: &RunningAttempt,
+        news: AttemptNews,
+        tables: &mut CallTables,
+        now: ClockMillis,
+    ) {
+        match news {
+            AttemptNews::Completed => {
+                tables.breaker.note_success(&attempt.vm.name);
+                tables.suspects().note_completed(self.facts.print);
+                self.note_result(attempt, AttemptResult::Completed, now);
+                self.end(CallVerdict::Completed, String::new(), None, tables, now);
+            }
+            AttemptNews::NotRun(reason) => {
+                self.note_result(attempt, AttemptResult::NotRun(reason.clone()), now);
+                self.last_reason = reason;
+                self.plan.note_gone(&attempt.vm.name);
+                // An attempt whose deadline passed in the queue says nothing about its upstream.
+                if now < self.facts.deadline {
+                    tables.breaker.note_failure(&attempt.vm.name, now);
+                }
+            }
+            AttemptNews::Shed(retry_after) => {
+                let reason = DeclineReason::TooLate.to_string();
+                self.note_result(attempt, AttemptResult::NotRun(reason.clone()), now);
+                self.last_reason = reason;
+                self.plan.note_shed(&attempt.vm.name, retry_after);
+            }
+            AttemptNews::Declined(note) => self.note_declined(attempt, note, now),
+            AttemptNews::Head(status) => {
+                // An error response must not be appended to what the caller has received.
+                self.cancels = true;
+                let reason = format!("later attempt answered with status {status}");
+                match status {
+                    TOO_MANY_REQUESTS => self.take_loss(attempt, reason, tables, now),
+                    _ => self.end_unusable(attempt, reason, tables, now),
+                }
+            }
+            AttemptNews::Crashed(reason) => {
+                tables.suspects().note_crash(self.facts.print, now);
+                self.take_loss(attempt, reason, tables, now);
+            }
+            AttemptNews::Failed(reason) | AttemptNews::Lost(reason) => {
+                self.take_loss(attempt, reason, tables, now);
+            }
+            AttemptNews::Corrupt(reason) => self.end_unusable(attempt, reason, tables, now),
+            AttemptNews::Chunk | AttemptNews::Alive => {}
+        }
+    }
+
+    pub(super) fn note_result(
+        &mut self,
+        attempt: &RunningAttempt,
+        result: AttemptResult,
+        now: ClockMillis,
+    ) {
+        self.history.note_result(attempt.attempt, result, now);
+    }
+
+    fn is_other_head(&self, status: u16) -> bool {
+        self.head_status.is_some_and(|first| first != status)
+    }
+
+    fn note_declined(&mut self, attempt: &RunningAttempt, note: DeclineNote, now: ClockMillis) {
+        self.last_reason = note.reason.to_string();
+        if self.is_question() {
+            // A declined offer on a condition is a question, not an attempt.
+            self.attempts -= 1;
+            self.history.forget(attempt.attempt);
+        } else {
+            let result = AttemptResult::Refused(note.reason.to_string());
+            self.note_result(attempt, result, now);
+        }
+        if let Some(claims) = &mut self.claims {
+            claims.note_refusal(note.reason);
+        } else if note.reason == DeclineReason::Sealed && !self.has_repeated {
+            // The offer went into a connection that had gone silent; the seal came over a new one, so the VM is well.
+            self.has_repeated = true;
+            self.repeat = Some((attempt.vm.clone(), attempt.rule));
+            return;
+        }
+        self.plan.note_refusal(&attempt.vm, note, now);
+    }
+
+    /// Handles an attempt that may have run.
+    fn take_loss(
+        &mut self,
+        attempt: &RunningAttempt,
+        reason: String,
+        tables: &mut CallTables,
+        now: ClockMillis,
+    ) {
+        let vm = &attempt.vm.name;
+        tables.breaker.note_failure(vm, now);
+        self.note_result(attempt, AttemptResult::Lost(reason.clone()), now);
+        self.last_reason = reason.clone();
+        self.lost_on.push(vm.clone());
+        if !self.facts.is_repeatable {
+            self.end_with_retry(CallVerdict::Unknown, reason, tables, now);
+            return;
+        }
+        if self.refuse_crasher(tables, now) || !self.may_retry(tables) {
+            let reason = self.last_reason.clone();
+            self.end_with_retry(CallVerdict::Failed, reason, tables, now);
+            return;
+        }
+        self.pause_before_retry(now);
+    }
+
+    /// Whether the request is refused because it crashes upstreams.
+    pub(super) fn refuse_crasher(&mut self, tables: &mut CallTables, now: ClockMillis) -> bool {
+        let Some(left) = tables.suspects().refusal(self.facts.print, now) else {
+            return false;
+        };
+        self.plan.note_crasher(left);
+        self.last_reason = "request crashed upstreams and is refused for a time".to_owned();
+        true
+    }
+
+    fn may_retry(&self, tables: &mut CallTables) -> bool {
+        let is_service = self.facts.kind == CallKind::Service;
+        if is_service && self.head_status.is_some() {
+            // Bytes of the response have reached the caller; another run's response need not match them.
+            return false;
+        }
+        tables.retries.budget(&self.facts).try_retry()
+    }
+}
--- /dev/null
+++ b/crates/coordination/fescuetide_flow/src/call/offering.rs
@@ -0,0 +1,143 @@
+//! Offers to side processes, and the pauses between them.
+
+use fescuetide_base::AttemptId;
+use fescuetide_base::ClockMillis;
+use fescuetide_base::SpanMillis;
+use fescuetide_base::StableHash;
+use fescuetide_limits::AdmitRule;
+use fescuetide_members::VmEntry;
+use fescuetide_records::AttemptResult;
+
+use super::CallFlow;
+use super::CallOffer;
+use super::CallStep;
+use super::CallTables;
+use super::OfferCondition;
+use super::life::CallState;
+use super::life::OfferTarget;
+use super::life::PauseEnd;
+use super::life::RunningAttempt;
+
+/// First wait before a retry; it doubles with each further one and is shortened by jitter.
+const RETRY_WAIT_MS: u64 = 50;
+
+/// Longest wait before a retry.
+const RETRY_WAIT_LIMIT_MS: u64 = 1_000;
+
+/// Most doublings of the first wait, which keeps the shift within its type.
+const RETRY_DOUBLING_LIMIT: usize = 8;
+
+impl CallFlow {
+    /// The offer went out, or may have: what comes of it is waited for.
+    pub fn note_sent(&mut self, attempt: AttemptId, tables: &mut CallTables) {
+        let CallState::Offering(target) = &self.state else {
+            return;
+        };
+        tables.policy.note_started(&target.vm.name);
+        self.history.note_sent(attempt, &target.vm.name, target.at);
+        self.attempts += 1;
+        self.state = CallState::Running(RunningAttempt {
+            vm: target.vm.clone(),
+            rule: target.rule,
+            attempt,
+            is_counted: true,
+        });
+    }
+
+    /// No connection for the offer could be made.
+    pub fn note_not_sent(
+        &mut self,
+        attempt: AttemptId,
+        reason: String,
+        tables: &mut CallTables,
+        now: ClockMillis,
+    ) {
+        let CallState::Offering(target) = &self.state else {
+            return;
+        };
+        let vm = &target.vm.name;
+        self.last_reason = format!("VM {vm} cannot be reached: {reason}");
+        self.history.note_sent(attempt, vm, target.at);
+        self.history
+            .note_result(attempt, AttemptResult::NotSent(reason), now);
+        tables.breaker.note_failure(vm, now);
+        self.state = CallState::Ready;
+    }
+
+    /// Offers the request to the next candidate, or ends it when there is none.
+    pub(super) fn offer_next(
+        &mut self,
+        tables: &mut CallTables,
+        now: ClockMillis,
+    ) -> Option<CallStep> {
+        let next = match self.repeat.take() {
+            Some(candidate) => Some(candidate),
+            None => self.plan.next_candidate(),
+        };
+        let Some((vm, rule)) = next else {
+            if self.plan.is_held_by_suspect() {
+                // Suspects of crashing upstreams run one at a time at each.
+                self.pause_before_retry(now);
+            } else {
+                self.end_not_run(tables, now);
+            }
+            return None;
+        };
+        let wait = self.plan.wait();
+        if wait.as_millis() > 0 {
+            self.pause(now + wait, PauseEnd::Offer(vm, rule));
+            return None;
+        }
+        Some(self.offer(vm, rule, tables, now))
+    }
+
+    pub(super) fn offer(
+        &mut self,
+        vm: VmEntry,
+        rule: AdmitRule,
+        tables: &mut CallTables,
+        now: ClockMillis,
+    ) -> CallStep {
+        let is_suspect = tables.suspects().is_suspect(self.facts.print, now);
+        let time_left = self.facts.deadline.since(now);
+        // A request that has been tried is not refused for being late: it would count as lost.
+        let slack = match self.lost_on.is_empty() {
+            true => self.facts.late_at().since(now),
+            false => time_left,
+        };
+        let offer = CallOffer {
+            rule,
+            condition: self.plan.condition(),
+            copy_from: self.plan.prefix_source(&vm.name),
+            is_suspect,
+            slack,
+            time_left,
+            vm: vm.clone(),
+        };
+        self.state = CallState::Offering(OfferTarget { vm, rule, at: now });
+        CallStep::Offer(Box::new(offer))
+    }
+
+    /// Whether the offer in progress only asks whether a condition is met.
+    pub(super) fn is_question(&self) -> bool {
+        self.plan.condition() != OfferCondition::Always
+    }
+
+    /// Waits before the candidates are ranked again, longer after each loss. The jitter keeps requests that were lost
+    /// together from coming back together.
+    pub(super) fn pause_before_retry(&mut self, now: ClockMillis) {
+        let doubled = RETRY_WAIT_MS << self.lost_on.len().min(RETRY_DOUBLING_LIMIT);
+        let limit = doubled.min(RETRY_WAIT_LIMIT_MS);
+        let jitter = StableHash::new()
+            .field(self.facts.request.as_uuid().as_bytes())
+            .field(&self.attempts.to_le_bytes())
+            .finish();
+        let wait = limit / 2 + jitter % (limit / 2);
+        self.pause(now + SpanMillis::new(wait), PauseEnd::Rank);
+    }
+
+    fn pause(&mut self, until: ClockMillis, end: PauseEnd) {
+        let until = until.min(self.facts.deadline);
+        self.state = CallState::Paused(until, end);
+    }
+}
--- a/crates/process/fescuetide_router/src/policy.rs
+++ b/crates/coordination/fescuetide_flow/src/call/policy.rs
@@ -1,20 +1,13 @@
 //! Routing policies. All but [`RoutingPolicy::Fescuetide`] are baselines for measurement only.
 
-use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
-
 use fescuetide_base::LoadCount;
 use fescuetide_base::StableHash;
 use fescuetide_base::VmName;
+use fescuetide_limits::AdmitRule;
 use fescuetide_members::VmEntry;
 use fescuetide_routing::RankKey;
 use fescuetide_routing::RouteTable;
 use fescuetide_routing::ShardSize;
-use fescuetide_wire::frame::AdmissionRule;
 use indexmap::IndexMap;
 use serde::Deserialize;
 
@@ -39,17 +32,34 @@
     Random,
 }
 
-/// State of the baselines.
+impl RoutingPolicy {
+    /// Whether engines that ran a chat's turn before are asked first.
+    pub(crate) fn asks_holders(self) -> bool {
+        self == Self::Fescuetide
+    }
+
+    /// The rule by which candidates are asked first.
+    pub(crate) fn first_rule(self) -> AdmitRule {
+        match self {
+            Self::Fescuetide => AdmitRule::OwnCap,
+            Self::Rendezvous | Self::LeastLoaded | Self::RoundRobin | Self::Random => {
+                AdmitRule::AtMost(LoadCount::new(u32::MAX))
+            }
+        }
+    }
+}
+
+/// Orders upstreams by the policy and keeps the state of the baselines.
 #[derive(Debug, Default)]
 pub(crate) struct PolicyState {
-    turns: AtomicU64,
-    outstanding: Mutex<IndexMap<VmName, u32>>,
+    turns: u64,
+    outstanding: IndexMap<VmName, u32>,
 }
 
 impl PolicyState {
     /// Orders the upstreams of `route`, best first.
     pub(crate) fn order<'a>(
-        &self,
+        &mut self,
         policy: RoutingPolicy,
         route: &'a RouteTable,
         key: &RankKey<'_>,
@@ -60,7 +70,7 @@
             RoutingPolicy::Rendezvous => route.rank(key, ShardSize::at_least(route.len())),
             RoutingPolicy::LeastLoaded => {
                 let mut order = self.shuffled(route, key);
-                let outstanding = self.lock();
+                let outstanding = &self.outstanding;
                 order.sort_by_key(|vm| outstanding.get(&vm.name).copied().unwrap_or_default());
                 order
             }
@@ -70,8 +80,7 @@
                 let mut order = route.rank(&fixed, ShardSize::at_least(1));
                 order.sort_by(|one, other| one.name.cmp(&other.name));
                 if !order.is_empty() {
-                    let turn = self.turns.fetch_add(1, Ordering::Relaxed) as usize;
-                    let first = turn % order.len();
+                    let first = self.next_turn() as usize % order.len();
                     order.rotate_left(first);
                 }
                 order
@@ -80,18 +89,31 @@
         }
     }
 
-    /// Counts an attempt at `vm` until the result is dropped.
-    pub(crate) fn count_attempt(self: &Arc<Self>, vm: &VmName) -> AttemptCount {
-        *self.lock().entry(vm.clone()).or_default() += 1;
-        AttemptCount {
-            state: Arc::clone(self),
-            vm: vm.clone(),
+    /// Notes an attempt at `vm`.
+    pub(crate) fn note_started(&mut self, vm: &VmName) {
+        *self.outstanding.entry(vm.clone()).or_default() += 1;
+    }
+
+    /// Notes that an attempt at `vm` is over.
+    pub(crate) fn note_over(&mut self, vm: &VmName) {
+        let Some(count) = self.outstanding.get_mut(vm) else {
+            return;
+        };
+        *count = count.saturating_sub(1);
+        if *count == 0 {
+            self.outstanding.swap_remove(vm);
         }
     }
 
+    fn next_turn(&mut self) -> u64 {
+        let turn = self.turns;
+        self.turns += 1;
+        turn
+    }
+
     /// The upstreams in an order that differs with each call.
-    fn shuffled<'a>(&self, route: &'a RouteTable, key: &RankKey<'_>) -> Vec<&'a VmEntry> {
-        let turn = self.turns.fetch_add(1, Ordering::Relaxed).to_le_bytes();
+    fn shuffled<'a>(&mut self, route: &'a RouteTable, key: &RankKey<'_>) -> Vec<&'a VmEntry> {
+        let turn = self.next_turn().to_le_bytes();
         let chat = key.chat.map_or("", |chat| chat.as_str());
         let mut order = route.rank(key, ShardSize::at_least(1));
         order.sort_by_cached_key(|vm| {
@@ -103,42 +125,4 @@
         });
         order
     }
-
-    fn lock(&self) -> MutexGuard<'_, IndexMap<VmName, u32>> {
-        self.outstanding
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-/// One outstanding attempt in the count of its upstream.
-#[derive(Debug)]
-pub(crate) struct AttemptCount {
-    state: Arc<PolicyState>,
-    vm: VmName,
-}
-
-impl Drop for AttemptCount {
-    fn drop(&mut self) {
-        if let Some(count) = self.state.lock().get_mut(&self.vm) {
-            *count = count.saturating_sub(1);
-        }
-    }
-}
-
-impl RoutingPolicy {
-    /// Whether engines that ran a chat's turn before are asked first.
-    pub(crate) fn asks_holders(self) -> bool {
-        self == Self::Fescuetide
-    }
-
-    /// The rule by which candidates are asked first.
-    pub(crate) fn first_rule(self) -> AdmissionRule {
-        match self {
-            Self::Fescuetide => AdmissionRule::OwnCap,
-            Self::Rendezvous | Self::LeastLoaded | Self::RoundRobin | Self::Random => {
-                AdmissionRule::AtMost(LoadCount::new(u32::MAX))
-            }
-        }
-    }
 }
--- /dev/null
+++ b/crates/coordination/fescuetide_flow/src/call/retries.rs
@@ -0,0 +1,31 @@
+//! Retry budgets of workspaces and classes.
+
+use fescuetide_base::ClassName;
+use fescuetide_base::WorkspaceName;
+use fescuetide_limits::BudgetSettings;
+use fescuetide_limits::RetryBudget;
+use indexmap::IndexMap;
+
+use super::CallFacts;
+
+/// Most workspaces and classes whose retry budgets are kept.
+const BUDGET_LIMIT: usize = 8_192;
+
+/// Retry budgets, so that the retries of one workspace's class during a failure take no room from others.
+#[derive(Debug, Default)]
+pub(crate) struct RetryLedger {
+    budgets: IndexMap<(WorkspaceName, ClassName), RetryBudget>,
+}
+
+impl RetryLedger {
+    /// The budget of a request's workspace and class.
+    pub(crate) fn budget(&mut self, facts: &CallFacts) -> &mut RetryBudget {
+        let place = (facts.workspace.clone(), facts.class.clone());
+        if self.budgets.len() >= BUDGET_LIMIT && !self.budgets.contains_key(&place) {
+            self.budgets.shift_remove_index(0);
+        }
+        self.budgets
+            .entry(place)
+            .or_insert_with(|| RetryBudget::new(BudgetSettings::default()))
+    }
+}
--- a/crates/coordination/fescuetide_flow/src/evidence.rs
+++ b/crates/coordination/fescuetide_flow/src/evidence.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use fescuetide_base::SpanMillis;
+use fescuetide_claims::KeyEvidence;
 
 /// Why a request is known not to have run. Only this crate creates it, from the history of the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -12,6 +13,7 @@
 enum EvidenceKind {
     NeverSent,
     DeclinedByUpstream,
+    KeyNeverRan,
 }
 
 impl RunEvidence {
@@ -24,6 +26,12 @@
             (false, _) => Some(Self(EvidenceKind::DeclinedByUpstream)),
         }
     }
+
+    /// Derives the evidence from what is known of the claims on a request's key. `None` when it may have run under one.
+    pub(crate) fn of_key(evidence: KeyEvidence) -> Option<Self> {
+        let is_not_run = evidence.is_not_run();
+        is_not_run.then_some(Self(EvidenceKind::KeyNeverRan))
+    }
 }
 
 impl fmt::Display for RunEvidence {
@@ -31,6 +39,7 @@
         f.write_str(match self.0 {
             EvidenceKind::NeverSent => "never_sent",
             EvidenceKind::DeclinedByUpstream => "declined_by_upstream",
+            EvidenceKind::KeyNeverRan => "key_never_ran",
         })
     }
 }
@@ -46,6 +55,8 @@
     Declined,
     /// It was sent to as many upstreams as its route allows, or the retry budget is used up.
     NoRetryLeft,
+    /// It crashes the upstreams that run it.
+    CrashesUpstreams,
 }
 
 impl RefusalCause {
@@ -56,6 +67,7 @@
             Self::Overloaded => "overloaded",
             Self::Declined => "declined",
             Self::NoRetryLeft => "no_retry_left",
+            Self::CrashesUpstreams => "crashes_upstreams",
         }
     }
 }
--- a/crates/coordination/fescuetide_flow/src/lib.rs
+++ b/crates/coordination/fescuetide_flow/src/lib.rs
@@ -1,10 +1,15 @@
 //! The life of a request: admit, wait, place, send, resume, send elsewhere, refuse, give up, cancel.
 //!
-//! [`FlowCore`] is a state machine without sockets, threads or clocks. A process tells it what happened and at which
-//! time, and carries out the [`FlowAction`]s that it returns. Load patterns are replayed through it in tests.
+//! The decisions are state machines without sockets, threads or clocks. A process tells them what happened and at which
+//! time, and carries out what they return. Load patterns are replayed through them in tests.
+//!
+//! * [`FlowCore`] decides about all requests of a gateway, which sends them to upstreams itself.
+//! * [`CallFlow`] decides about one request of a router, which offers it to the side processes beside the upstreams.
 
 mod action;
+mod call;
 mod core;
+mod crash;
 mod directory;
 mod evidence;
 mod flow;
@@ -27,6 +32,27 @@
 pub use action::FlowFailure;
 pub use action::FlowKey;
 pub use action::SendOrder;
+pub use call::AskOrder;
+pub use call::AttemptNews;
+pub use call::CallEnd;
+pub use call::CallFacts;
+pub use call::CallFlow;
+pub use call::CallKind;
+pub use call::CallOffer;
+pub use call::CallSettings;
+pub use call::CallStep;
+pub use call::CallTables;
+pub use call::CallVerdict;
+pub use call::CallView;
+pub use call::ClaimAnswer;
+pub use call::ClaimOrder;
+pub use call::DeclineNote;
+pub use call::DeclineReason;
+pub use call::KeyFacts;
+pub use call::KeyFate;
+pub use call::NewsStep;
+pub use call::OfferCondition;
+pub use call::RoutingPolicy;
 pub use evidence::FlowRefusal;
 pub use evidence::RefusalCause;
 pub use evidence::RunEvidence;
--- /dev/null
+++ b/crates/coordination/fescuetide_flow/tests/call/harness.rs
@@ -0,0 +1,249 @@
+//! One request with a clock that the test turns.
+
+use fescuetide_base::prelude::*;
+use fescuetide_claims::ClaimEntry;
+use fescuetide_claims::ClaimHolder;
+use fescuetide_claims::ClaimKey;
+use fescuetide_flow::AttemptNews;
+use fescuetide_flow::CallEnd;
+use fescuetide_flow::CallFacts;
+use fescuetide_flow::CallFlow;
+use fescuetide_flow::CallKind;
+use fescuetide_flow::CallOffer;
+use fescuetide_flow::CallSettings;
+use fescuetide_flow::CallStep;
+use fescuetide_flow::CallTables;
+use fescuetide_flow::CallView;
+use fescuetide_flow::DeclineNote;
+use fescuetide_flow::DeclineReason;
+use fescuetide_flow::KeyFacts;
+use fescuetide_flow::NewsStep;
+use fescuetide_flow::RoutingPolicy;
+use fescuetide_limits::CrashFingerprint;
+use fescuetide_limits::LoadBound;
+use fescuetide_members::RoleKind;
+use fescuetide_members::VmEntry;
+use fescuetide_members::VmPhase;
+use fescuetide_members::VmTable;
+use fescuetide_routing::RouteTable;
+use indexmap::IndexMap;
+
+/// The pool that all requests go to.
+const POOL: &str = "engines";
+
+/// Time that callers wait.
+pub(crate) const DEADLINE: SpanMillis = SpanMillis::new(10_000);
+
+/// The latency target.
+pub(crate) const LATENESS: SpanMillis = SpanMillis::new(2_000);
+
+/// What the tests' requests ask for, as a hash.
+pub(crate) const CONTENT: u64 = 7;
+
+/// The VM of an upstream.
+pub(crate) fn vm_name(index: usize) -> VmName {
+    format!("vm-{index}").parse().unwrap()
+}
+
+fn vm(index: usize) -> VmEntry {
+    VmEntry {
+        name: vm_name(index),
+        role: RoleKind::Engine,
+        pool: POOL.parse().unwrap(),
+        zone: "a".parse().unwrap(),
+        region: "r".parse().unwrap(),
+        data: "127.0.0.1:1".parse().unwrap(),
+        control: "127.0.0.1:2".parse().unwrap(),
+        phase: VmPhase::Live,
+    }
+}
+
+/// What a router knows of some upstreams.
+pub(crate) struct FleetModel {
+    pub(crate) tables: CallTables,
+    pub(crate) vms: VmTable,
+    routes: IndexMap<PoolName, RouteTable>,
+    means: IndexMap<PoolName, f64>,
+}
+
+impl FleetModel {
+    pub(crate) fn new(upstreams: usize) -> Self {
+        let pool: PoolName = POOL.parse().unwrap();
+        let list = (0..upstreams).map(vm).collect();
+        let vms = VmTable::new(1, list, ClockMillis::new(0));
+        let route = RouteTable::new(&vms, &pool, &"r".parse().unwrap());
+        let settings = CallSettings {
+            router: "router".parse().unwrap(),
+            incarnation: ProcessIncarnation::new(1),
+            policy: RoutingPolicy::Fescuetide,
+            load_bound: LoadBound::default(),
+            shard_size: 4,
+            holder_wait: SpanMillis::new(100),
+        };
+        Self {
+            tables: CallTables::new(settings),
+            vms,
+            routes: IndexMap::from([(pool, route)]),
+            means: IndexMap::new(),
+        }
+    }
+
+    /// Lets decisions go on what the router knows.
+    pub(crate) fn decide<T>(
+        &mut self,
+        action: impl FnOnce(&mut CallTables, &CallView<'_>) -> T,
+    ) -> T {
+        let view = CallView {
+            vms: &self.vms,
+            routes: &self.routes,
+            means: &self.means,
+        };
+        action(&mut self.tables, &view)
+    }
+}
+
+/// A repeatable turn of a chat.
+pub(crate) fn chat(now: ClockMillis) -> CallFacts {
+    let workspace: WorkspaceName = "atelier".parse().unwrap();
+    CallFacts {
+        request: RequestId::generate(),
+        class: "chat".parse().unwrap(),
+        pool: POOL.parse().unwrap(),
+        model: Some("deck-1".parse().unwrap()),
+        chat: Some("chat-1".parse().unwrap()),
+        turn_messages: None,
+        kind: CallKind::Chat,
+        is_repeatable: true,
+        key: None,
+        print: CrashFingerprint::of(&workspace, b"{}"),
+        workspace,
+        received: now,
+        lateness: LATENESS,
+        deadline: now + DEADLINE,
+    }
+}
+
+/// A call of a service that may run once.
+pub(crate) fn keyed(key: &ClaimKey, now: ClockMillis) -> CallFacts {
+    CallFacts {
+        model: None,
+        chat: None,
+        kind: CallKind::Service,
+        is_repeatable: false,
+        key: Some(KeyFacts {
+            key: key.clone(),
+            content: CONTENT,
+        }),
+        ..chat(now)
+    }
+}
+
+/// A key that was created at `now`.
+pub(crate) fn key_at(now: ClockMillis) -> ClaimKey {
+    ClaimKey {
+        workspace: "atelier".parse().unwrap(),
+        key: IdempotencyKey::from_u128(u128::from(now.as_millis()) << 80 | 1),
+    }
+}
+
+/// A claim by another router.
+pub(crate) fn claim_on(key: &ClaimKey, upstream: usize, now: ClockMillis) -> ClaimEntry {
+    let holder = |vm: VmName| ClaimHolder {
+        vm,
+        incarnation: ProcessIncarnation::new(1),
+    };
+    ClaimEntry {
+        id: ClaimId::from_u128(u128::from(now.as_millis()) << 80 | 2),
+        key: key.clone(),
+        target: holder(vm_name(upstream)),
+        router: holder("other".parse().unwrap()),
+        content: CONTENT,
+        supersedes: None,
+    }
+}
+
+/// A request, the router that serves it, and the time.
+pub(crate) struct CallHarness {
+    pub(crate) fleet: FleetModel,
+    pub(crate) flow: CallFlow,
+    pub(crate) now: ClockMillis,
+}
+
+impl CallHarness {
+    pub(crate) fn new(upstreams: usize, facts: impl FnOnce(ClockMillis) -> CallFacts) -> Self {
+        let now = ClockMillis::new(1_000_000);
+        let mut fleet = FleetModel::new(upstreams);
+        let facts = facts(now);
+        let flow = fleet.decide(|tables, view| CallFlow::new(facts, tables, view, now));
+        Self { fleet, flow, now }
+    }
+
+    /// Begins another request at the same router.
+    pub(crate) fn restart(&mut self, facts: CallFacts) {
+        let now = self.now;
+        self.flow = self
+            .fleet
+            .decide(|tables, view| CallFlow::new(facts, tables, view, now));
+    }
+
+    /// What to do next.
+    pub(crate) fn step(&mut self) -> CallStep {
+        let (flow, now) = (&mut self.flow, self.now);
+        self.fleet
+            .decide(|tables, view| flow.step(tables, view, now))
+    }
+
+    /// What to do next, after all pauses.
+    pub(crate) fn step_after_pauses(&mut self) -> CallStep {
+        loop {
+            match self.step() {
+                CallStep::Wait(until) => self.now = until,
+                step => return step,
+            }
+        }
+    }
+
+    /// Expects an offer, and lets it go out.
+    pub(crate) fn send_offer(&mut self) -> CallOffer {
+        let offer = match self.step_after_pauses() {
+            CallStep::Offer(offer) => *offer,
+            other => panic!("expected an offer, not {other:?}"),
+        };
+        self.flow
+            .note_sent(AttemptId::generate(), &mut self.fleet.tables);
+        offer
+    }
+
+    /// Lets no connection for the next offer be made.
+    pub(crate) fn fail_offer(&mut self) -> CallOffer {
+        let offer = match self.step_after_pauses() {
+            CallStep::Offer(offer) => *offer,
+            other => panic!("expected an offer, not {other:?}"),
+        };
+        let reason = "refused".to_owned();
+        let tables = &mut self.fleet.tables;
+        self.flow
+            .note_not_sent(AttemptId::generate(), reason, tables, self.now);
+        offer
+    }
+
+    pub(crate) fn news(&mut self, news: AttemptNews) -> NewsStep {
+        self.flow.note_news(news, &mut self.fleet.tables, self.now)
+    }
+
+    pub(crate) fn decline(&mut self, reason: DeclineReason) {
+        self.news(AttemptNews::Declined(DeclineNote {
+            reason,
+            load: LoadCount::new(5),
+            retry_after: SpanMillis::new(400),
+        }));
+    }
+
+    /// Expects the end.
+    pub(crate) fn end(&mut self) -> CallEnd {
+        match self.step_after_pauses() {
+            CallStep::End(end) => *end,
+            other => panic!("expected the end, not {other:?}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/fescuetide_flow/tests/call/keyed_fuzz.rs
@@ -0,0 +1,144 @@
+//! Stateful fuzz test of keys: claims, seals, kills, restarts and lost replies against what really ran.
+//!
+//! A run has a fixed seed and case count. `FESCUETIDE_FUZZ_CASES=N` runs N cases with a new seed, which is printed;
+//! `FESCUETIDE_FUZZ_SEED=S` repeats one.
+
+use std::sync::OnceLock;
+
+use fescuetide_base::ClockMillis;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+use proptest_state_machine::prop_state_machine;
+
+use crate::world::KeyWorld;
+use crate::world::SIDES;
+use crate::world::StepFault;
+
+/// Cases of up to 100 steps: about 10^5 steps.
+const CASE_COUNT: u32 = 2_000;
+const SEED: u64 = 0x5eed_11ee;
+
+fn config() -> Config {
+    static CONFIG: OnceLock<Config> = OnceLock::new();
+    CONFIG.get_or_init(make_config).clone()
+}
+
+fn make_config() -> Config {
+    let number = |name: &str| {
+        let text = std::env::var(name).ok()?;
+        Some(text.parse::<u64>().expect("a number"))
+    };
+    let cases = number("FESCUETIDE_FUZZ_CASES");
+    let seed = match (number("FESCUETIDE_FUZZ_SEED"), cases) {
+        (Some(seed), _) => seed,
+        (None, Some(_)) => ClockMillis::now().as_millis(),
+        (None, None) => SEED,
+    };
+    println!("FESCUETIDE_FUZZ_SEED={seed}");
+    Config {
+        cases: cases.map_or(CASE_COUNT, |cases| cases as u32),
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        max_shrink_iters: 20_000,
+        ..Config::default()
+    }
+}
+
+#[derive(Clone, Debug)]
+enum WorldStep {
+    Arrive,
+    Step(usize, StepFault),
+    RunSide(usize),
+    Shed(usize),
+    RestartSide(usize),
+    KillRouter(usize),
+    LandClaims,
+    LandOffers,
+    LandStrays,
+    Pass(u64),
+}
+
+struct StepSource;
+
+impl ReferenceStateMachine for StepSource {
+    type State = ();
+    type Transition = WorldStep;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<WorldStep> {
+        let fault = prop_oneof![
+            6 => Just(StepFault::None),
+            2 => Just(StepFault::Fails),
+            1 => Just(StepFault::Late),
+            2 => (1..3_usize).prop_map(StepFault::Stale),
+        ];
+        prop_oneof![
+            3 => Just(WorldStep::Arrive),
+            16 => (0..4_usize, fault).prop_map(|(caller, fault)| WorldStep::Step(caller, fault)),
+            3 => (0..SIDES).prop_map(WorldStep::RunSide),
+            1 => (0..SIDES).prop_map(WorldStep::Shed),
+            1 => (0..SIDES).prop_map(WorldStep::RestartSide),
+            1 => (0..4_usize).prop_map(WorldStep::KillRouter),
+            2 => Just(WorldStep::LandClaims),
+            2 => Just(WorldStep::LandOffers),
+            1 => Just(WorldStep::LandStrays),
+            1 => (1..3_000_u64).prop_map(WorldStep::Pass),
+            1 => (8_000..11_000_u64).prop_map(WorldStep::Pass),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &WorldStep) {}
+}
+
+struct KeyTest;
+
+impl StateMachineTest for KeyTest {
+    type SystemUnderTest = KeyWorld;
+    type Reference = StepSource;
+
+    fn init_test((): &()) -> KeyWorld {
+        KeyWorld::new()
+    }
+
+    fn apply(mut world: KeyWorld, (): &(), step: WorldStep) -> KeyWorld {
+        match step {
+            WorldStep::Arrive => world.arrive(),
+            WorldStep::Step(caller, fault) => world.step(caller, fault),
+            WorldStep::RunSide(side) => world.run_side(side),
+            WorldStep::Shed(side) => world.shed(side),
+            WorldStep::RestartSide(side) => world.restart_side(side),
+            WorldStep::KillRouter(caller) => world.kill_router(caller),
+            WorldStep::LandClaims => world.land_late_claims(),
+            WorldStep::LandOffers => world.land_offers(),
+            WorldStep::LandStrays => world.land_strays(),
+            WorldStep::Pass(millis) => world.pass(millis),
+        }
+        world
+    }
+
+    fn check_invariants(world: &KeyWorld, (): &()) {
+        world.check();
+    }
+
+    fn teardown(mut world: KeyWorld) {
+        world.settle();
+        world.check();
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(config())]
+
+    /// Guards against a key that runs twice, and "not run" for one that ran.
+    #[test]
+    fn keys_run_at_most_once_and_refusals_are_true(
+        sequential 20..100 => KeyTest
+    );
+}
--- /dev/null
+++ b/crates/coordination/fescuetide_flow/tests/call/patterns.rs
@@ -0,0 +1,133 @@
+//! Load patterns that single modules of the decisions answer.
+
+use fescuetide_base::prelude::*;
+use fescuetide_flow::AttemptNews;
+use fescuetide_flow::CallFacts;
+use fescuetide_flow::CallStep;
+use fescuetide_flow::CallVerdict;
+use fescuetide_flow::DeclineNote;
+use fescuetide_flow::DeclineReason;
+use fescuetide_flow::OfferCondition;
+use fescuetide_limits::CrashFingerprint;
+
+use crate::harness::CallHarness;
+use crate::harness::chat;
+
+fn returning(now: ClockMillis) -> CallFacts {
+    CallFacts {
+        turn_messages: Some(5),
+        ..chat(now)
+    }
+}
+
+/// Crash fingerprints: a request that crashes each engine it reaches. Guards against a third engine that it takes down,
+/// and against other requests that are refused with it.
+#[test]
+fn request_that_crashes_engines_stops_after_two() {
+    let mut harness = CallHarness::new(6, chat);
+    let mut crashes = 0;
+    let end = loop {
+        match harness.step_after_pauses() {
+            CallStep::Offer(offer) => assert_eq!(offer.is_suspect, crashes > 0),
+            CallStep::End(end) => break end,
+            other => panic!("unexpected {other:?}"),
+        }
+        let tables = &mut harness.fleet.tables;
+        harness.flow.note_sent(AttemptId::generate(), tables);
+        harness.news(AttemptNews::Crashed("engine crashed".to_owned()));
+        crashes += 1;
+    };
+    assert_eq!(crashes, 2);
+    assert_eq!(end.verdict, CallVerdict::Failed);
+
+    let again = chat(harness.now);
+    harness.restart(again);
+    assert!(matches!(harness.end().verdict, CallVerdict::NotRun(_)));
+
+    let other = CallFacts {
+        print: CrashFingerprint::of(&"atelier".parse().unwrap(), b"other"),
+        ..chat(harness.now)
+    };
+    harness.restart(other);
+    assert!(!harness.send_offer().is_suspect);
+}
+
+/// Placement: a chat that was displaced in a surge returns while its engine is at its cap. Guards against a turn that
+/// leaves the engine with its prefix without waiting for a place, and one that waits longer than its target allows.
+#[test]
+fn returning_chat_waits_shortly_for_its_engine() {
+    let mut harness = CallHarness::new(4, returning);
+    let holder = harness.send_offer();
+    assert_eq!(holder.condition, OfferCondition::Held);
+    let start = harness.now;
+    let mut asked = 0;
+    loop {
+        harness.decline(DeclineReason::OverBound);
+        let offer = harness.send_offer();
+        if offer.vm.name != holder.vm.name {
+            assert_eq!(
+                offer.copy_from.map(|vm| vm.name),
+                Some(holder.vm.name.clone())
+            );
+            break;
+        }
+        asked += 1;
+    }
+    let waited = harness.now.since(start).as_millis();
+    assert!(asked > 1, "the holder was asked again {asked} times");
+    assert!((80..=120).contains(&waited), "waited {waited} ms");
+}
+
+/// Waiting: all engines refuse by a stale mean in a surge. Guards against a refusal while one of them has room under
+/// the cap at the loads that they told.
+#[test]
+fn engine_with_room_is_found_by_the_loads_that_were_told() {
+    let mut harness = CallHarness::new(3, chat);
+    let loads = [8, 2, 8];
+    let mut roomy = None;
+    for load in loads {
+        let offer = harness.send_offer();
+        if load == 2 {
+            roomy = Some(offer.vm.name);
+        }
+        harness.news(AttemptNews::Declined(DeclineNote {
+            reason: DeclineReason::OverBound,
+            load: LoadCount::new(load),
+            retry_after: SpanMillis::default(),
+        }));
+    }
+    assert_eq!(Some(harness.send_offer().vm.name), roomy);
+}
+
+/// Breaker: an engine that loses every request. Guards against first offers that go on to it.
+#[test]
+fn engine_that_failed_is_asked_last() {
+    let mut harness = CallHarness::new(3, chat);
+    let failed = harness.send_offer().vm.name;
+    harness.news(AttemptNews::Lost("connection lost".to_owned()));
+    for _ in 0..3 {
+        let facts = chat(harness.now);
+        harness.restart(facts);
+        assert_ne!(harness.send_offer().vm.name, failed);
+    }
+}
+
+/// Budget: one workspace retries through a failure of all engines. Guards against another workspace that is left
+/// without retries.
+#[test]
+fn budgets_of_workspaces_are_apart() {
+    let mut harness = CallHarness::new(3, chat);
+    while let CallStep::Offer(_) = harness.step_after_pauses() {
+        let tables = &mut harness.fleet.tables;
+        harness.flow.note_sent(AttemptId::generate(), tables);
+        harness.news(AttemptNews::Lost("connection lost".to_owned()));
+    }
+    let facts = CallFacts {
+        workspace: "studio".parse().unwrap(),
+        ..chat(harness.now)
+    };
+    harness.restart(facts);
+    harness.send_offer();
+    harness.news(AttemptNews::Lost("connection lost".to_owned()));
+    harness.send_offer();
+}
--- a/crates/process/fescuetide_router/src/attempt.rs
+++ b/crates/process/fescuetide_router/src/attempt.rs
@@ -1,27 +1,28 @@
 //! One attempt at a request over the framed protocol, with resumption on a new connection.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread;
 
 use fescuetide_base::ClockMillis;
 use fescuetide_base::LoadCount;
 use fescuetide_base::ProcessIncarnation;
 use fescuetide_base::SpanMillis;
+use fescuetide_flow::AttemptNews;
+use fescuetide_flow::DeclineNote;
+use fescuetide_flow::DeclineReason;
 use fescuetide_members::VmEntry;
 use fescuetide_net::FrameError;
 use fescuetide_net::SideLink;
+use fescuetide_wire::api::TokenUsage;
 use fescuetide_wire::frame::AttemptEnding;
 use fescuetide_wire::frame::AttemptTag;
 use fescuetide_wire::frame::BodySeal;
 use fescuetide_wire::frame::DispatchFrame;
-use fescuetide_wire::frame::RefusalReason;
 use fescuetide_wire::frame::RouterFrame;
 use fescuetide_wire::frame::SealState;
 use fescuetide_wire::frame::SideFrame;
+use tokio::runtime::Handle;
 
 use crate::RouterShared;
-use crate::policy::AttemptCount;
 
 /// How often a response is resumed before the attempt counts as lost.
 const RESUME_LIMIT: u32 = 3;
@@ -35,29 +36,14 @@
     Chunk(Vec<u8>),
     /// Nothing new for a heartbeat interval.
     Alive,
-    /// The end, checked against length and hash.
-    End(AttemptEnding),
-    /// Refused: the attempt did not run and never will.
-    Refused {
-        /// Why.
-        reason: RefusalReason,
-        /// The side process's load.
-        load: LoadCount,
-        /// When to come back.
-        retry_after: SpanMillis,
-    },
-    /// The side process or its incarnation is gone: the attempt may have run.
-    Lost(String),
-    /// The bytes received so far are not those of the response: nothing can go on behind them.
-    Corrupt(String),
+    /// The response is complete, checked against length and hash.
+    Completed(TokenUsage),
+    /// The attempt is over without a complete response.
+    Over(AttemptNews),
     /// The deadline has passed while the attempt was in progress.
     DeadlinePassed,
 }
 
-/// Why an attempt was not started.
-#[derive(Debug)]
-pub(crate) struct NotSent(pub(crate) FrameError);
-
 /// An attempt in progress.
 pub(crate) struct LiveAttempt {
     tag: AttemptTag,
@@ -69,49 +55,11 @@
     accepted: bool,
     head_seen: bool,
     ended: bool,
-    /// Counts the attempt for the policy that measures load by attempts in progress.
-    _count: Option<AttemptCount>,
 }
 
 impl LiveAttempt {
-    /// Connects to the side process of `vm` and sends the dispatch.
-    ///
-    /// # Errors
-    ///
-    /// Fails when no connection could be made; the attempt was not sent then.
-    pub(crate) fn start(
-        shared: &RouterShared,
-        vm: &VmEntry,
-        dispatch: DispatchFrame,
-    ) -> Result<Self, NotSent> {
-        let link = shared
-            .links
-            .checkout_within(&vm.name, vm.data, ClockMillis::now(), dispatch.deadline)
-            .map_err(NotSent)?;
-        let attempt = Self::start_on(vm, link, dispatch);
-        Ok(Self {
-            _count: Some(shared.policy.count_attempt(&vm.name)),
-            ..attempt
-        })
-    }
-
-    /// Sends the dispatch over `link` to the incarnation that answered there.
-    pub(crate) fn start_on(vm: &VmEntry, link: SideLink, mut dispatch: DispatchFrame) -> Self {
-        dispatch.target = link.incarnation;
-        let tag = dispatch.tag;
-        Self::new(tag, vm, link).send_first(&RouterFrame::Dispatch(Box::new(dispatch)))
-    }
-
-    /// Asks over `link` for the response of an attempt that was admitted before.
-    pub(crate) fn join(vm: &VmEntry, link: SideLink, tag: AttemptTag) -> Self {
-        let attempt = Self {
-            accepted: true,
-            ..Self::new(tag, vm, link)
-        };
-        attempt.send_first(&RouterFrame::Resume { tag, offset: 0 })
-    }
-
-    fn new(tag: AttemptTag, vm: &VmEntry, link: SideLink) -> Self {
+    /// Prepares an attempt over a connection to the side process of `vm`.
+    pub(crate) fn new(tag: AttemptTag, vm: &VmEntry, link: SideLink) -> Self {
         Self {
             tag,
             vm: vm.clone(),
@@ -122,13 +70,31 @@
             accepted: false,
             head_seen: false,
             ended: false,
-            _count: None,
         }
     }
 
-    fn send_first(mut self, frame: &RouterFrame) -> Self {
+    /// Sends the dispatch to the incarnation that answered.
+    pub(crate) async fn send_dispatch(&mut self, mut frame: DispatchFrame) {
+        frame.target = self.incarnation;
+        self.send_first(&RouterFrame::Dispatch(Box::new(frame)))
+            .await;
+    }
+
+    /// Asks for the response of an attempt that was admitted before.
+    pub(crate) async fn join(tag: AttemptTag, vm: &VmEntry, link: SideLink) -> Self {
+        let mut attempt = Self {
+            accepted: true,
+            ..Self::new(tag, vm, link)
+        };
+        attempt
+            .send_first(&RouterFrame::Resume { tag, offset: 0 })
+            .await;
+        attempt
+    }
+
+    async fn send_first(&mut self, frame: &RouterFrame) {
         let sent = match &mut self.link {
-            Some(link) => link.stream.send(frame),
+            Some(link) => link.stream.send(frame).await,
             None => Ok(()),
         };
         if let Err(error) = sent {
@@ -136,7 +102,6 @@
             tracing::debug!(tag = %self.tag, %error, "first frame was not sent in full");
             self.link = None;
         }
-        self
     }
 
     pub(crate) fn tag(&self) -> AttemptTag {
@@ -148,10 +113,14 @@
     }
 
     /// Waits for the next event, at most until `deadline`.
-    pub(crate) fn next(&mut self, shared: &RouterShared, deadline: ClockMillis) -> AttemptEvent {
+    pub(crate) async fn next(
+        &mut self,
+        shared: &RouterShared,
+        deadline: ClockMillis,
+    ) -> AttemptEvent {
         loop {
             if self.link.is_none()
-                && let Err(event) = self.resume(shared, deadline)
+                && let Err(event) = self.resume(shared, deadline).await
             {
                 self.ended = !matches!(event, AttemptEvent::DeadlinePassed);
                 return event;
@@ -160,13 +129,13 @@
             if left.as_millis() == 0 {
                 return AttemptEvent::DeadlinePassed;
             }
-            let limit = Some(shared.settings.silence_limit().min(left));
+            let limit = shared.settings.silence_limit().min(left);
             let received = match &mut self.link {
-                Some(link) => link.stream.receive(limit),
+                Some(link) => link.stream.receive(limit).await,
                 None => continue,
             };
             let step = match received {
-                Ok(frame) => self.take_frame(shared, frame),
+                Ok(frame) => self.take_frame(shared, frame).await,
                 Err(error) => Err(error),
             };
             match step {
@@ -182,7 +151,7 @@
     }
 
     /// Takes in one frame. An error makes the connection unusable.
-    fn take_frame(
+    async fn take_frame(
         &mut self,
         shared: &RouterShared,
         frame: SideFrame,
@@ -235,14 +204,15 @@
                 if found != seal {
                     self.ended = true;
                     self.link = None;
-                    return Ok(Some(AttemptEvent::Corrupt(format!(
+                    let reason = format!(
                         "response of {} bytes does not match the length and hash of its end",
                         found.length
-                    ))));
+                    );
+                    return Ok(Some(AttemptEvent::Over(AttemptNews::Corrupt(reason))));
                 }
-                self.confirm();
+                self.confirm().await;
                 self.finish(shared);
-                Ok(Some(AttemptEvent::End(ending)))
+                Ok(Some(event_of_ending(ending)))
             }
             SideFrame::Refused {
                 tag,
@@ -252,11 +222,12 @@
             } => {
                 self.check_tag(tag)?;
                 self.finish(shared);
-                Ok(Some(AttemptEvent::Refused {
-                    reason,
+                let note = DeclineNote {
+                    reason: reason.into(),
                     load,
                     retry_after,
-                }))
+                };
+                Ok(Some(AttemptEvent::Over(AttemptNews::Declined(note))))
             }
             SideFrame::Sealed { tag, state } => {
                 self.check_tag(tag)?;
@@ -270,16 +241,16 @@
     }
 
     fn event_of_seal(&self, state: SealState) -> AttemptEvent {
-        match state {
-            SealState::Sealed if !self.accepted => AttemptEvent::Refused {
-                reason: RefusalReason::Sealed,
+        AttemptEvent::Over(match state {
+            SealState::Sealed if !self.accepted => AttemptNews::Declined(DeclineNote {
+                reason: DeclineReason::Sealed,
                 load: LoadCount::default(),
                 retry_after: SpanMillis::default(),
-            },
+            }),
             SealState::Sealed | SealState::Present(_) | SealState::Expired => {
-                AttemptEvent::Lost("side process no longer has the response".to_owned())
+                AttemptNews::Lost("side process no longer has the response".to_owned())
             }
-        }
+        })
     }
 
     fn check_tag(&self, tag: AttemptTag) -> Result<(), FrameError> {
@@ -293,10 +264,10 @@
     }
 
     /// Confirms that the whole response has arrived.
-    fn confirm(&mut self) {
+    async fn confirm(&mut self) {
         let tag = self.tag;
         let sent = match &mut self.link {
-            Some(link) => link.stream.send(&RouterFrame::Received { tag }),
+            Some(link) => link.stream.send(&RouterFrame::Received { tag }).await,
             None => Ok(()),
         };
         if let Err(error) = sent {
@@ -317,7 +288,11 @@
     }
 
     /// Asks for the rest of the response on a new connection. This also seals an attempt that never arrived.
-    fn resume(&mut self, shared: &RouterShared, deadline: ClockMillis) -> Result<(), AttemptEvent> {
+    async fn resume(
+        &mut self,
+        shared: &RouterShared,
+        deadline: ClockMillis,
+    ) -> Result<(), AttemptEvent> {
         let mut reason = "connection lost".to_owned();
         while self.resumes < RESUME_LIMIT {
             let left = deadline.since(ClockMillis::now());
@@ -326,10 +301,10 @@
             }
             self.resumes += 1;
             shared.metrics.count("resume");
-            let link = match shared
+            let connected = shared
                 .links
-                .connect_within(&self.vm.name, self.vm.data, left)
-            {
+                .connect_within(&self.vm.name, self.vm.data, left);
+            let link = match connected.await {
                 Ok(link) => link,
                 Err(error) => {
                     reason = error.to_string();
@@ -349,7 +324,7 @@
                 offset: self.body.len() as u64,
             };
             let sent = match &mut self.link {
-                Some(link) => link.stream.send(&frame),
+                Some(link) => link.stream.send(&frame).await,
                 None => continue,
             };
             match sent {
@@ -360,49 +335,66 @@
                 }
             }
         }
-        Err(AttemptEvent::Lost(reason))
+        Err(AttemptEvent::Over(AttemptNews::Lost(reason)))
     }
 
     /// Tells the side process that the response is no longer wanted. Does not wait for it: a silent side process must
     /// not hold up the final response to the caller.
-    pub(crate) fn cancel(&mut self, shared: &Arc<RouterShared>) {
+    pub(crate) fn cancel(self, shared: &Arc<RouterShared>) {
         if self.ended {
             return;
         }
-        self.ended = true;
-        self.link = None;
+        let Ok(runtime) = Handle::try_current() else {
+            tracing::debug!(tag = %self.tag, "no runtime for a cancellation");
+            return;
+        };
         let shared = Arc::clone(shared);
-        let (tag, vm) = (self.tag, self.vm.clone());
-        let spawned = thread::Builder::new()
-            .name("router-cancel".to_owned())
-            .spawn(move || {
-                if let Err(error) = send_cancel(&shared, tag, &vm.name, vm.data) {
-                    shared.metrics.count("cancel.failed");
-                    tracing::debug!(%tag, %error, "cancellation was not sent");
-                }
+        runtime.spawn(async move {
+            if let Err(error) = send_cancel(&shared, self.tag, &self.vm).await {
+                shared.metrics.count("cancel.failed");
+                tracing::debug!(tag = %self.tag, %error, "cancellation was not sent");
+            }
+        });
+    }
+}
+
+fn event_of_ending(ending: AttemptEnding) -> AttemptEvent {
+    AttemptEvent::Over(match ending {
+        AttemptEnding::Completed {
+            prompt_tokens,
+            cached_tokens,
+            completion_tokens,
+        } => {
+            return AttemptEvent::Completed(TokenUsage {
+                prompt_tokens,
+                cached_tokens,
+                completion_tokens,
             });
-        if let Err(error) = spawned {
-            tracing::debug!(tag = %self.tag, %error, "no thread for a cancellation");
         }
-    }
+        AttemptEnding::NotRun(reason) => AttemptNews::NotRun(reason),
+        AttemptEnding::Shed(retry_after) => AttemptNews::Shed(retry_after),
+        AttemptEnding::Failed(reason) => AttemptNews::Failed(reason),
+        AttemptEnding::Crashed(reason) => AttemptNews::Crashed(reason),
+        AttemptEnding::Cancelled => AttemptNews::Lost("attempt was cancelled".to_owned()),
+    })
 }
 
 fn is_refused(error: &FrameError) -> bool {
     matches!(error, FrameError::Io(cause) if cause.kind() == std::io::ErrorKind::ConnectionRefused)
 }
 
-fn send_cancel(
+async fn send_cancel(
     shared: &RouterShared,
     tag: AttemptTag,
-    vm: &fescuetide_base::VmName,
-    address: SocketAddr,
+    vm: &VmEntry,
 ) -> Result<(), FrameError> {
     // An idle connection may have gone silent, which would lose the cancellation.
-    let mut link = shared.links.connect(vm, address)?;
-    link.stream.send(&RouterFrame::Cancel { tag })?;
-    let reply: SideFrame = link.stream.receive(Some(shared.settings.silence_limit()))?;
+    let mut link = shared.links.connect(&vm.name, vm.data).await?;
+    link.stream.send(&RouterFrame::Cancel { tag }).await?;
+    let limit = shared.settings.silence_limit();
+    let reply: SideFrame = link.stream.receive(limit).await?;
     if matches!(reply, SideFrame::Cancelled { tag: found } if found == tag) {
-        shared.links.give_back(address, link, ClockMillis::now());
+        shared.links.give_back(vm.data, link, ClockMillis::now());
     }
     Ok(())
 }
--- a/crates/process/fescuetide_router/src/call.rs
+++ b/crates/process/fescuetide_router/src/call.rs
@@ -11,6 +11,9 @@
 use fescuetide_base::StableHash;
 use fescuetide_base::WorkspaceName;
 use fescuetide_classes::ClassTargets;
+use fescuetide_flow::CallFacts;
+use fescuetide_flow::CallKind;
+use fescuetide_flow::KeyFacts;
 use fescuetide_limits::CrashFingerprint;
 use fescuetide_wire::api::CallOutcome;
 use fescuetide_wire::api::TokenUsage;
@@ -57,7 +60,7 @@
 }
 
 impl CallSpec {
-    pub(crate) fn model(&self) -> Option<&ModelName> {
+    fn model(&self) -> Option<&ModelName> {
         match &self.work {
             CallWork::Chat { model, .. } => Some(model),
             CallWork::Service { .. } => None,
@@ -83,6 +86,33 @@
         })
     }
 
+    /// The request as the decisions see it.
+    pub(crate) fn facts(&self) -> CallFacts {
+        let key = self.work_key().map(|key| KeyFacts {
+            key: key.into(),
+            content: self.content_hash(),
+        });
+        CallFacts {
+            request: self.request,
+            workspace: self.workspace.clone(),
+            class: self.class.clone(),
+            pool: self.pool.clone(),
+            model: self.model().cloned(),
+            chat: self.chat.clone(),
+            turn_messages: self.chat_turn().map(|turn| turn.messages),
+            kind: match &self.work {
+                CallWork::Chat { .. } => CallKind::Chat,
+                CallWork::Service { .. } => CallKind::Service,
+            },
+            is_repeatable: self.targets.repeatable,
+            key,
+            print: self.fingerprint(),
+            received: self.received,
+            lateness: self.targets.lateness.within,
+            deadline: self.deadline,
+        }
+    }
+
     pub(crate) fn work_key(&self) -> Option<WorkKey> {
         let key = self.key?;
         Some(WorkKey {
@@ -92,7 +122,7 @@
     }
 
     /// Identifies the request among those that crash upstreams.
-    pub(crate) fn fingerprint(&self) -> CrashFingerprint {
+    fn fingerprint(&self) -> CrashFingerprint {
         match &self.work {
             CallWork::Chat { body, .. } => CrashFingerprint::of(&self.workspace, body),
             CallWork::Service {
@@ -142,9 +172,9 @@
     }
 }
 
-/// How a request ended.
+/// How a request ended for its caller.
 #[derive(Clone, Debug)]
-pub(crate) struct CallEnd {
+pub(crate) struct CallResult {
     pub(crate) outcome: CallOutcome,
     pub(crate) reason: String,
     pub(crate) retry_after: Option<SpanMillis>,
@@ -162,5 +192,5 @@
     /// Nothing new for a heartbeat interval.
     Alive,
     /// The end.
-    End(CallEnd),
+    End(CallResult),
 }
--- a/crates/process/fescuetide_router/src/claim_client.rs
+++ b/crates/process/fescuetide_router/src/claim_client.rs
@@ -5,8 +5,6 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
-use crossbeam::channel;
-use crossbeam::channel::Sender;
 use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
@@ -24,10 +22,12 @@
 use tarpc::client;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+use tokio::time;
 
 use crate::RouterShared;
-use crate::registrar::ClaimJob;
-use crate::registrar::unavailable;
+use crate::claim_job::ClaimJob;
+use crate::claim_job::unavailable;
 
 /// Longest wait for a registrar: somewhat more than three calls of the log with their timeouts of 3 s.
 const REGISTRAR_TIMEOUT_MS: u64 = 10_000;
@@ -44,7 +44,7 @@
     vm: VmEntry,
     claim: ClaimWire,
     within: SpanMillis,
-    reply: Sender<Option<ClaimReply>>,
+    reply: oneshot::Sender<Option<ClaimReply>>,
 }
 
 /// Brings claims to their registrars.
@@ -67,7 +67,7 @@
 
     /// Has `claim` appended and waits for the answer until `due`. The preferred registrar is asked first; when it does
     /// not answer in half of the time that is left, the next one is, and at last this router itself.
-    pub(crate) fn claim(
+    pub(crate) async fn claim(
         &self,
         shared: &RouterShared,
         claim: &ClaimEntry,
@@ -88,18 +88,23 @@
             }
             let half = due.since(now).as_millis().div_ceil(2);
             let within = SpanMillis::new(half.min(REGISTRAR_TIMEOUT_MS));
-            if let Some(reply) = self.ask(&vm, claim, within) {
+            if let Some(reply) = self.ask(&vm, claim, within).await {
                 return doubt(reply, passed_over);
             }
             passed_over = true;
             shared.metrics.count("registrar.failed");
             self.avoid(vm.name, ClockMillis::now());
         }
-        doubt(claim_here(shared, claim, due), passed_over)
+        doubt(claim_here(shared, claim, due).await, passed_over)
     }
 
-    fn ask(&self, vm: &VmEntry, claim: &ClaimEntry, within: SpanMillis) -> Option<ClaimReply> {
-        let (reply, receiver) = channel::bounded(1);
+    async fn ask(
+        &self,
+        vm: &VmEntry,
+        claim: &ClaimEntry,
+        within: SpanMillis,
+    ) -> Option<ClaimReply> {
+        let (reply, receiver) = oneshot::channel();
         let remote = RemoteClaim {
             vm: vm.clone(),
             claim: ClaimWire::from(claim.clone()),
@@ -109,7 +114,8 @@
         self.remote.send(remote).ok()?;
         // The control thread answers at the latest when `within` is over.
         let limit = SpanMillis::new(within.as_millis() + CONTROL_DELAY_MS);
-        receiver.recv_timeout(limit.into()).ok()?
+        let answer = time::timeout(limit.into(), receiver).await;
+        answer.ok()?.ok()?
     }
 
     fn is_avoided(&self, vm: &VmName, now: ClockMillis) -> bool {
@@ -150,8 +156,8 @@
     list
 }
 
-fn claim_here(shared: &RouterShared, claim: &ClaimEntry, due: ClockMillis) -> ClaimReply {
-    let (sender, receiver) = channel::bounded(1);
+async fn claim_here(shared: &RouterShared, claim: &ClaimEntry, due: ClockMillis) -> ClaimReply {
+    let (sender, receiver) = oneshot::channel();
     shared.registrar.submit(ClaimJob {
         claim: claim.clone(),
         due,
@@ -161,9 +167,10 @@
         }),
     });
     let left = due.since(ClockMillis::now());
-    receiver
-        .recv_timeout(left.into())
-        .unwrap_or_else(|_| shared.registrar.answer_now(claim))
+    match time::timeout(left.into(), receiver).await {
+        Ok(Ok(reply)) => reply,
+        Ok(Err(_)) | Err(_) => shared.registrar.answer_now(claim),
+    }
 }
 
 type LinkTable = Rc<RefCell<IndexMap<VmName, (VmEntry, RouterControlClient)>>>;
@@ -177,7 +184,7 @@
         let meter = ControlMeter::default();
         tokio::task::spawn_local(async move {
             let sent = send_claim(&links, meter, &remote);
-            let answer = tokio::time::timeout(remote.within.into(), sent).await;
+            let answer = time::timeout(remote.within.into(), sent).await;
             let reply = answer.ok().flatten();
             if reply.is_none() {
                 links.borrow_mut().swap_remove(&remote.vm.name);
--- a/crates/process/fescuetide_router/src/control.rs
+++ b/crates/process/fescuetide_router/src/control.rs
@@ -9,7 +9,6 @@
 use crossbeam::channel;
 use crossbeam::channel::Receiver;
 use fescuetide_base::ClockMillis;
-use fescuetide_base::PoolName;
 use fescuetide_base::RequestId;
 use fescuetide_base::SpanMillis;
 use fescuetide_classes::ClassSnapshot;
@@ -17,7 +16,6 @@
 use fescuetide_net::serve_control;
 use fescuetide_records::RequestRecord;
 use fescuetide_summary::LoadCollector;
-use fescuetide_summary::PoolSum;
 use fescuetide_summary::UpstreamReport;
 use fescuetide_wire::claim::ClaimReply;
 use fescuetide_wire::claim::ClaimWire;
@@ -29,7 +27,6 @@
 use fescuetide_wire::rpc::RouterControl;
 use fescuetide_wire::rpc::RouterStatus;
 use fescuetide_wire::rpc::SumWire;
-use indexmap::IndexMap;
 use std::cell::RefCell;
 use std::rc::Rc;
 use tarpc::context::Context;
@@ -42,9 +39,13 @@
 use crate::RouterShared;
 use crate::claim_client::RemoteClaim;
 use crate::claim_client::send_claims;
+use crate::claim_job::ClaimJob;
 use crate::class_log;
 use crate::class_log::ClassNews;
 use crate::classes::ClassControl;
+use crate::control_state::ControlState;
+use crate::control_state::SharedState;
+use crate::control_state::list_sums;
 use crate::exchange;
 use crate::exchange::exchange_loop;
 use crate::peers;
@@ -52,23 +53,10 @@
 use crate::platform::PlatformNews;
 use crate::platform::apply_list;
 use crate::records::RecordKeeper;
-use crate::registrar::ClaimJob;
-use crate::view::RouterView;
 
 /// How often news from the platform thread is taken in.
 const NEWS_INTERVAL_MS: u64 = 50;
 
-/// Control state; only the control thread touches it.
-pub(crate) struct ControlState {
-    pub(crate) shared: Arc<RouterShared>,
-    pub(crate) classes: ClassControl,
-    pub(crate) vms: VmTable,
-    pub(crate) collector: LoadCollector,
-    records: RecordKeeper,
-}
-
-pub(crate) type SharedState = Rc<RefCell<ControlState>>;
-
 /// Starts the control thread, the platform thread and the class-log thread.
 pub(crate) fn start(
     shared: &Arc<RouterShared>,
@@ -174,41 +162,6 @@
     }
 }
 
-impl ControlState {
-    fn publish_means(&self) {
-        let mut means = IndexMap::new();
-        for (pool, sum) in self.collector.total_sums() {
-            means.insert(pool, sum.mean());
-        }
-        self.shared.means.store(Arc::new(means));
-    }
-
-    /// Publishes a view of the tables as they stand.
-    pub(crate) fn publish(&mut self) {
-        let Some(classes) = self.classes.publish(&self.shared) else {
-            return;
-        };
-        let view = RouterView::new(classes, self.vms.clone(), &self.shared.settings.region);
-        self.shared.view.store(Arc::new(view));
-        let settings = &self.shared.settings;
-        let mut routers = Vec::new();
-        for entry in self.vms.live_routers() {
-            if entry.region == settings.region {
-                routers.push(entry.name.clone());
-            }
-        }
-        self.shared.registrar.prepare(&settings.vm, &routers);
-    }
-}
-
-pub(crate) fn list_sums(sums: &IndexMap<PoolName, PoolSum>) -> Vec<(PoolName, SumWire)> {
-    let mut list = Vec::with_capacity(sums.len());
-    for (pool, sum) in sums {
-        list.push((pool.clone(), SumWire::from(*sum)));
-    }
-    list
-}
-
 #[derive(Clone)]
 struct ControlServer {
     state: SharedState,
--- a/crates/process/fescuetide_router/src/exchange.rs
+++ b/crates/process/fescuetide_router/src/exchange.rs
@@ -23,9 +23,9 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::RouterShared;
-use crate::control::ControlState;
-use crate::control::SharedState;
-use crate::control::list_sums;
+use crate::control_state::ControlState;
+use crate::control_state::SharedState;
+use crate::control_state::list_sums;
 
 /// How long a router that did not answer is left out of the tree.
 const DOWN_HOLD: SpanMillis = SpanMillis::new(5_000);
@@ -82,7 +82,7 @@
 /// The collector above this one, `None` when this one is the root.
 fn find_parent(state: &ControlState, down: &IndexMap<VmName, ClockMillis>) -> Option<VmEntry> {
     let me = &state.shared.settings.vm;
-    let peers = list_peers(state);
+    let peers = state.list_peers();
     let names = peers.iter().map(|entry| entry.name.clone());
     let tree = SummaryTree::new(names.chain([me.clone()]));
     let parent = tree.parent(me, |name| down.contains_key(name))?;
@@ -140,10 +140,10 @@
 }
 
 fn learn_refused(state: &ControlState, refused: Vec<RefusedWire>, now: ClockMillis) {
-    let mut suspects = state.shared.lock_suspects();
+    let mut tables = state.shared.lock_tables();
     for refused in refused {
         let (print, left) = refused.into();
-        suspects.learn(print, left, now);
+        tables.suspects().learn(print, left, now);
     }
 }
 
@@ -152,19 +152,6 @@
     sums.map(|(pool, sum)| (pool, PoolSum::from(sum))).collect()
 }
 
-/// The other live routers of the region.
-pub(crate) fn list_peers(state: &ControlState) -> Vec<VmEntry> {
-    let settings = &state.shared.settings;
-    let mut peers = Vec::new();
-    for entry in state.vms.live_routers() {
-        if entry.name == settings.vm || entry.region != settings.region {
-            continue;
-        }
-        peers.push(entry.clone());
-    }
-    peers
-}
-
 fn own_message(state: &ControlState) -> ExchangeWire {
     ExchangeWire {
         collector: state.shared.settings.vm.clone(),
@@ -177,7 +164,8 @@
 fn list_refused(state: &ControlState) -> Vec<RefusedWire> {
     let refused = state
         .shared
-        .lock_suspects()
+        .lock_tables()
+        .suspects()
         .list_refused(ClockMillis::now());
     refused.into_iter().map(RefusedWire::from).collect()
 }
--- /dev/null
+++ b/crates/process/fescuetide_router/src/holder.rs
@@ -0,0 +1,69 @@
+//! Asks the side process that a claim names what became of the key.
+
+use fescuetide_base::AttemptId;
+use fescuetide_base::ClockMillis;
+use fescuetide_flow::AskOrder;
+use fescuetide_flow::KeyFate;
+use fescuetide_net::FrameError;
+use fescuetide_wire::frame::AttemptTag;
+use fescuetide_wire::frame::RouterFrame;
+use fescuetide_wire::frame::SealState;
+use fescuetide_wire::frame::SideFrame;
+
+use crate::RouterShared;
+use crate::attempt::LiveAttempt;
+use crate::call::CallSpec;
+
+/// Asks the side process about the key of `spec` and bars the key there if it was never seen. The attempt is there when
+/// an earlier one was found and is joined.
+///
+/// # Errors
+///
+/// Fails when the side process cannot be asked.
+pub(crate) async fn ask_holder(
+    shared: &RouterShared,
+    spec: &CallSpec,
+    order: &AskOrder,
+) -> Result<(KeyFate, Option<LiveAttempt>), FrameError> {
+    let vm = &order.vm;
+    let left = spec.deadline.since(ClockMillis::now());
+    let mut link = shared.links.connect_within(&vm.name, vm.data, left).await?;
+    if link.incarnation != order.claim.target.incarnation {
+        let reason = format!("side process on VM {} has restarted", vm.name);
+        return Ok((KeyFate::Unknown(reason), None));
+    }
+    let tag = AttemptTag {
+        request: spec.request,
+        attempt: AttemptId::generate(),
+    };
+    let seal = RouterFrame::Seal {
+        tag,
+        key: spec.work_key(),
+        wait: order.wait,
+    };
+    link.stream.send(&seal).await?;
+    let left = spec.deadline.since(ClockMillis::now());
+    if left.as_millis() == 0 {
+        return Err(FrameError::Timeout);
+    }
+    let limit = shared.settings.silence_limit().min(left);
+    let SideFrame::Sealed { tag: found, state } = link.stream.receive(limit).await? else {
+        let reason = "expected the answer to a seal".to_owned();
+        return Err(FrameError::Protocol(reason));
+    };
+    if found != tag {
+        let reason = format!("seal of {found}, expected {tag}");
+        return Err(FrameError::Protocol(reason));
+    }
+    Ok(match state {
+        SealState::Present(tag) => {
+            let attempt = LiveAttempt::join(tag, vm, link).await;
+            (KeyFate::Joined(tag.attempt), Some(attempt))
+        }
+        SealState::Sealed => (KeyFate::NeverSeen, None),
+        SealState::Expired => {
+            let reason = "side process no longer has the response".to_owned();
+            (KeyFate::Unknown(reason), None)
+        }
+    })
+}
--- a/crates/process/fescuetide_router/src/http.rs
+++ b/crates/process/fescuetide_router/src/http.rs
@@ -1,17 +1,16 @@
 //! The callers' HTTP server.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use anyhow::Context;
-use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
 use fescuetide_net::HttpRequest;
 use fescuetide_net::HttpResponse;
 use fescuetide_net::HttpSettings;
-use fescuetide_net::serve_http;
+use fescuetide_net::serve_async;
 
 use crate::RouterShared;
+use crate::active::ActiveGuard;
 use crate::call::CallSpec;
 use crate::request::RejectReason;
 use crate::request::parse_chat;
@@ -34,59 +33,38 @@
 /// When callers should come back to a router at its stream limit.
 const BUSY_RETRY: SpanMillis = SpanMillis::new(1_000);
 
-/// Counts a request as active until dropped.
-pub(crate) struct ActiveGuard {
-    shared: Arc<RouterShared>,
-    start: ClockMillis,
-}
-
-impl ActiveGuard {
-    fn new(shared: &Arc<RouterShared>) -> Self {
-        let active = shared.active.fetch_add(1, Ordering::AcqRel) + 1;
-        shared.metrics.gauge("active", u64::from(active));
-        Self {
-            shared: Arc::clone(shared),
-            start: ClockMillis::now(),
-        }
-    }
-}
-
-impl Drop for ActiveGuard {
-    fn drop(&mut self) {
-        let span = ClockMillis::now().since(self.start);
-        self.shared.metrics.time("request", span);
-        self.shared.active.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 /// Binds the callers' address and serves it on its own threads.
 pub(crate) fn start(shared: Arc<RouterShared>) -> anyhow::Result<()> {
     let address = shared.settings.listen;
     let settings = HttpSettings {
         name: "router-http".to_owned(),
-        worker_limit: shared.settings.stream_limit,
+        io_threads: shared.settings.traffic_threads,
+        request_limit: shared.settings.stream_limit,
         body_limit_bytes: shared.settings.body_limit_bytes,
         busy: |request| refuse_response(request, "router is at its stream limit", BUSY_RETRY),
         drain: shared.http_drain.clone(),
     };
-    serve_http(address, settings, move |request| handle(&shared, &request))
-        .with_context(|| format!("cannot listen on {address}"))
+    serve_async(address, settings, move |request| {
+        handle(Arc::clone(&shared), request)
+    })
+    .with_context(|| format!("cannot listen on {address}"))
 }
 
-fn handle(shared: &Arc<RouterShared>, request: &HttpRequest) -> HttpResponse {
+async fn handle(shared: Arc<RouterShared>, request: HttpRequest) -> HttpResponse {
     let path = request.uri.path().to_owned();
     match path.as_str() {
         "/healthz" => text_response(200, "ok\n"),
         "/readyz" if shared.is_ready() => text_response(200, "ready\n"),
         "/readyz" => text_response(503, "not ready\n"),
         CHAT_PATH if request.method == "POST" => {
-            serve_call(shared, request, |shared| parse_chat(shared, request))
+            serve_call(&shared, &request, |shared| parse_chat(shared, &request)).await
         }
         CHAT_PATH => error_response(405, "use POST", Some("method".to_owned())),
-        _ => match split_service_path(request) {
-            Some((pool, rest)) => serve_call(shared, request, |shared| {
-                parse_service(shared, request, &pool, rest)
-            }),
+        _ => match split_service_path(&request) {
+            Some((pool, rest)) => {
+                let parse = |shared: &RouterShared| parse_service(shared, &request, &pool, rest);
+                serve_call(&shared, &request, parse).await
+            }
             None => error_response(404, "no such path", Some("path".to_owned())),
         },
     }
@@ -100,7 +78,7 @@
     Some((pool.to_owned(), format!("/{path}")))
 }
 
-fn serve_call<F>(shared: &Arc<RouterShared>, request: &HttpRequest, parse: F) -> HttpResponse
+async fn serve_call<F>(shared: &Arc<RouterShared>, request: &HttpRequest, parse: F) -> HttpResponse
 where
     F: FnOnce(&RouterShared) -> Result<CallSpec, RejectReason>,
 {
@@ -116,11 +94,7 @@
         return refuse_response(request, message, span);
     }
     match parse(shared) {
-        Ok(spec) => respond(
-            CallRunner::new(Arc::clone(shared), spec),
-            guard,
-            &request.caller,
-        ),
+        Ok(spec) => respond(CallRunner::new(Arc::clone(shared), spec), guard).await,
         Err(reason) => {
             shared.metrics.count("request.rejected");
             reject_response(&reason)
--- a/crates/process/fescuetide_router/src/lib.rs
+++ b/crates/process/fescuetide_router/src/lib.rs
@@ -3,29 +3,28 @@
 //! A router only makes good guesses about where to send a request. A wrong guess costs one short round trip, because
 //! the side process beside each upstream keeps the promises.
 
+mod active;
 mod attempt;
 mod call;
 mod claim_client;
+mod claim_job;
 mod class_log;
 mod classes;
 mod control;
+mod control_state;
 mod evidence;
 mod exchange;
-mod history;
+mod holder;
 mod http;
-mod keyed;
+mod log_health;
 mod metrics;
 mod partition;
 mod peers;
-mod plan;
 mod platform;
-mod policy;
-mod probes;
 mod records;
 mod registrar;
 mod request;
 mod respond;
-mod retry;
 mod runner;
 mod settings;
 mod view;
@@ -46,27 +45,23 @@
 use fescuetide_base::PoolName;
 use fescuetide_base::ProcessIncarnation;
 use fescuetide_base::SpanMillis;
-use fescuetide_limits::BreakerSettings;
-use fescuetide_limits::SuspectTable;
-use fescuetide_limits::VmBreaker;
+use fescuetide_flow::CallTables;
+use fescuetide_flow::CallView;
 use fescuetide_net::ControlMeter;
 use fescuetide_net::HttpDrain;
 use fescuetide_net::LinkPool;
 use fescuetide_net::LinkSettings;
-use fescuetide_routing::DemandSettings;
-use fescuetide_routing::DemandTable;
+use fescuetide_records::RequestRecord;
 use indexmap::IndexMap;
 
 use crate::claim_client::ClaimClient;
 use crate::metrics::RouterMetrics;
-use crate::policy::PolicyState;
 use crate::records::RecordSender;
 use crate::registrar::Registrar;
-use crate::retry::RetryLedger;
 use crate::view::RouterView;
 
-pub use crate::policy::RoutingPolicy;
 pub use crate::settings::RouterSettings;
+pub use fescuetide_flow::RoutingPolicy;
 
 /// How long a draining router waits for callers to read responses that are complete.
 const SLOW_CALLER_LIMIT: SpanMillis = SpanMillis::new(60_000);
@@ -77,11 +72,8 @@
     pub(crate) incarnation: ProcessIncarnation,
     pub(crate) view: ArcSwap<RouterView>,
     pub(crate) links: LinkPool,
-    pub(crate) breaker: Mutex<VmBreaker>,
-    pub(crate) retries: RetryLedger,
-    pub(crate) suspects: Mutex<SuspectTable>,
-    pub(crate) demand: Mutex<DemandTable>,
-    pub(crate) policy: Arc<PolicyState>,
+    /// What the decisions about all requests share.
+    pub(crate) tables: Mutex<CallTables>,
     /// Mean loads of the pools as the collector knows them.
     pub(crate) means: ArcSwap<IndexMap<PoolName, f64>>,
     pub(crate) records: RecordSender,
@@ -100,16 +92,30 @@
         !self.draining.swap(true, Ordering::AcqRel)
     }
 
-    pub(crate) fn lock_breaker(&self) -> MutexGuard<'_, VmBreaker> {
-        self.breaker.lock().unwrap_or_else(PoisonError::into_inner)
+    pub(crate) fn lock_tables(&self) -> MutexGuard<'_, CallTables> {
+        self.tables.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(crate) fn lock_suspects(&self) -> MutexGuard<'_, SuspectTable> {
-        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Runs a decision on what this router knows now. It must not wait for anything.
+    pub(crate) fn decide<T>(
+        &self,
+        decision: impl FnOnce(&mut CallTables, &CallView<'_>, ClockMillis) -> T,
+    ) -> T {
+        let view = self.view.load();
+        let means = self.means.load();
+        let view = CallView {
+            vms: &view.vms,
+            routes: &view.routes,
+            means: &means,
+        };
+        decision(&mut self.lock_tables(), &view, ClockMillis::now())
     }
 
-    pub(crate) fn lock_demand(&self) -> MutexGuard<'_, DemandTable> {
-        self.demand.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Passes the record of a request that has ended on.
+    pub(crate) fn send_record(&self, record: RequestRecord) {
+        if !self.records.send(record) {
+            self.metrics.count("records.overflow");
+        }
     }
 
     pub(crate) fn is_draining(&self) -> bool {
@@ -145,14 +151,7 @@
             incarnation,
             view: ArcSwap::from_pointee(RouterView::default()),
             links,
-            breaker: Mutex::new(VmBreaker::new(BreakerSettings::default())),
-            retries: RetryLedger::default(),
-            suspects: Mutex::default(),
-            demand: Mutex::new(DemandTable::new(DemandSettings {
-                first_size: settings.shard_size,
-                ..DemandSettings::default()
-            })),
-            policy: Arc::default(),
+            tables: Mutex::new(CallTables::new(settings.decisions(incarnation))),
             means: ArcSwap::default(),
             records,
             registrar: Registrar::new(&settings),
@@ -182,18 +181,26 @@
         self.shared.start_drain();
     }
 
-    /// Whether a draining router has no request in progress and has written all responses. Closes connections once no
-    /// request is in progress.
+    /// Whether a draining router has no request in progress, has written all responses and takes no further connection.
+    /// Closes connections once no request is in progress, and then the listener.
     pub fn is_idle(&self) -> bool {
         if self.shared.active.load(Ordering::Acquire) > 0 {
             return false;
         }
         let now = ClockMillis::now();
+        let drain = &self.shared.http_drain;
         let since = self.closing_since.get_or_init(|| {
-            self.shared.http_drain.close_connections();
+            drain.close_connections();
             now
         });
-        let open = self.shared.http_drain.connection_count();
-        open == 0 || now.since(*since) > SLOW_CALLER_LIMIT
+        if now.since(*since) > SLOW_CALLER_LIMIT {
+            return true;
+        }
+        if drain.connection_count() > 0 {
+            return false;
+        }
+        // Connections that are accepted while the listener closes are served too.
+        drain.stop_listening();
+        drain.is_stopped() && drain.connection_count() == 0
     }
 }
--- a/crates/process/fescuetide_router/src/partition.rs
+++ b/crates/process/fescuetide_router/src/partition.rs
@@ -22,10 +22,10 @@
 use fescuetide_wire::log::ReadReply;
 use fescuetide_wire::log::RecordWire;
 
-use crate::registrar::ClaimJob;
-use crate::registrar::LogHealth;
-use crate::registrar::SharedLedger;
-use crate::registrar::unavailable;
+use crate::claim_job::ClaimJob;
+use crate::claim_job::SharedLedger;
+use crate::claim_job::unavailable;
+use crate::log_health::LogHealth;
 
 /// Most claims of one record. With `READ_LIMIT_RECORDS` it keeps a read below 10 MB, the limit of the HTTP client.
 const BATCH_LIMIT: usize = 64;
--- a/crates/process/fescuetide_router/src/peers.rs
+++ b/crates/process/fescuetide_router/src/peers.rs
@@ -11,8 +11,7 @@
 use tarpc::client;
 use tokio::time::MissedTickBehavior;
 
-use crate::control::SharedState;
-use crate::exchange::list_peers;
+use crate::control_state::SharedState;
 
 /// How often peers are asked.
 const ASK_INTERVAL_MS: u64 = 1_000;
@@ -33,7 +32,7 @@
         if !state.borrow().classes.wants_peer_table() {
             continue;
         }
-        let peers = list_peers(&state.borrow());
+        let peers = state.borrow().list_peers();
         if peers.is_empty() {
             continue;
         }
--- a/crates/process/fescuetide_router/src/respond.rs
+++ b/crates/process/fescuetide_router/src/respond.rs
@@ -3,8 +3,6 @@
 use fescuetide_base::FindingList;
 use fescuetide_base::RequestId;
 use fescuetide_base::SpanMillis;
-use fescuetide_net::CallerPresence;
-use fescuetide_net::EventSource;
 use fescuetide_net::HttpRequest;
 use fescuetide_net::HttpResponse;
 use fescuetide_wire::api::ATTEMPTS_HEADER;
@@ -17,42 +15,39 @@
 use fescuetide_wire::api::ErrorDetail;
 use fescuetide_wire::api::OUTCOME_HEADER;
 use fescuetide_wire::api::REQUEST_HEADER;
+use futures::StreamExt;
+use futures::stream;
 use serde::Serialize;
 use serde_json::json;
 
-use crate::call::CallEnd;
+use crate::active::ActiveGuard;
 use crate::call::CallEvent;
+use crate::call::CallResult;
 use crate::call::CallSpec;
 use crate::call::CallWork;
 use crate::evidence::outcome_before_attempts;
-use crate::http::ActiveGuard;
 use crate::request::RejectReason;
 use crate::runner::CallRunner;
 
 /// Runs a request and builds its response.
-pub(crate) fn respond(
-    mut runner: CallRunner,
-    guard: ActiveGuard,
-    caller: &CallerPresence,
-) -> HttpResponse {
+pub(crate) async fn respond(mut runner: CallRunner, guard: ActiveGuard) -> HttpResponse {
     let is_chat = matches!(runner.spec().work, CallWork::Chat { .. });
     let wants_events = matches!(runner.spec().work, CallWork::Chat { stream: true, .. });
-    let first = next_news(&mut runner, caller);
+    let first = next_news(&mut runner).await;
     match first {
         CallEvent::Head(200, _) if wants_events => stream_chat(runner, guard, None),
         CallEvent::Chunk(bytes) if wants_events => stream_chat(runner, guard, Some(bytes)),
         CallEvent::End(end) if end.outcome != CallOutcome::Completed => {
             end_response(runner.spec(), &end)
         }
-        other => collect(runner, other, is_chat, caller),
+        other => collect(runner, other, is_chat).await,
     }
 }
 
-/// The next event other than a heartbeat. A request whose caller has left is cancelled.
-fn next_news(runner: &mut CallRunner, caller: &CallerPresence) -> CallEvent {
+/// The next event other than a heartbeat.
+async fn next_news(runner: &mut CallRunner) -> CallEvent {
     loop {
-        match runner.next() {
-            CallEvent::Alive if caller.is_gone() => return CallEvent::End(runner.abandon()),
+        match runner.next().await {
             CallEvent::Alive => {}
             event => return event,
         }
@@ -60,12 +55,7 @@
 }
 
 /// Collects the whole response.
-fn collect(
-    mut runner: CallRunner,
-    first: CallEvent,
-    is_chat: bool,
-    caller: &CallerPresence,
-) -> HttpResponse {
+async fn collect(mut runner: CallRunner, first: CallEvent, is_chat: bool) -> HttpResponse {
     let mut status = 200;
     let mut content_type = "application/octet-stream".to_owned();
     let mut body = Vec::new();
@@ -80,10 +70,7 @@
             CallEvent::Alive => {}
             CallEvent::End(end) => break end,
         }
-        if caller.is_gone() {
-            break runner.abandon();
-        }
-        event = runner.next();
+        event = runner.next().await;
     };
     if end.outcome != CallOutcome::Completed {
         return end_response(runner.spec(), &end);
@@ -96,7 +83,7 @@
     label(response, runner.spec().request, end.outcome, end.attempts)
 }
 
-fn chat_json(spec: &CallSpec, end: &CallEnd, text: &[u8]) -> Vec<u8> {
+fn chat_json(spec: &CallSpec, end: &CallResult, text: &[u8]) -> Vec<u8> {
     let value = json!({
         "id": spec.request.to_string(),
         "object": "chat.completion",
@@ -113,14 +100,18 @@
 
 fn stream_chat(runner: CallRunner, guard: ActiveGuard, first: Option<Vec<u8>>) -> HttpResponse {
     let request = runner.spec().request;
-    let source = ChatEvents {
+    let events = ChatEvents {
         runner,
         first,
         undecoded: Vec::new(),
         ended: false,
         _guard: guard,
     };
-    HttpResponse::stream("text/event-stream", source)
+    let parts = stream::unfold(events, |mut events| async move {
+        let part = events.next_part().await?;
+        Some((part, events))
+    });
+    HttpResponse::parts("text/event-stream", parts.boxed())
         .with_header(REQUEST_HEADER, request)
         .with_header("cache-control", "no-store")
 }
@@ -135,8 +126,9 @@
     _guard: ActiveGuard,
 }
 
-impl EventSource for ChatEvents {
-    fn next_event(&mut self) -> Option<Vec<u8>> {
+impl ChatEvents {
+    /// Waits for the next part; `None` ends the response.
+    async fn next_part(&mut self) -> Option<Vec<u8>> {
         if self.ended {
             return None;
         }
@@ -144,7 +136,7 @@
             return Some(self.text_event(bytes));
         }
         loop {
-            match self.runner.next() {
+            match self.runner.next().await {
                 CallEvent::Head(..) => {}
                 CallEvent::Chunk(bytes) => return Some(self.text_event(bytes)),
                 // A comment, so that a caller that has left is noticed.
@@ -156,9 +148,7 @@
             }
         }
     }
-}
 
-impl ChatEvents {
     fn text_event(&mut self, bytes: Vec<u8>) -> Vec<u8> {
         self.undecoded.extend_from_slice(&bytes);
         let text = take_text(&mut self.undecoded);
@@ -175,7 +165,7 @@
         data_event(&event)
     }
 
-    fn end_event(&self, end: &CallEnd) -> Vec<u8> {
+    fn end_event(&self, end: &CallResult) -> Vec<u8> {
         let completed = end.outcome == CallOutcome::Completed;
         let choice = ChatChoice {
             finish_reason: Some(if completed { "stop" } else { "error" }.to_owned()),
@@ -231,7 +221,7 @@
 }
 
 /// The response to a request that did not complete.
-fn end_response(spec: &CallSpec, end: &CallEnd) -> HttpResponse {
+fn end_response(spec: &CallSpec, end: &CallResult) -> HttpResponse {
     let body = error_body(&end.reason, None, end.outcome);
     let response = HttpResponse::whole(status_of(end.outcome), "application/json", to_json(&body));
     let response = label(response, spec.request, end.outcome, end.attempts);
--- a/crates/process/fescuetide_router/src/runner.rs
+++ b/crates/process/fescuetide_router/src/runner.rs
@@ -1,101 +1,66 @@
-//! The way of a request through one or more attempts.
-
-mod ending;
+//! Carries out the decisions about one request.
 
 use std::sync::Arc;
-use std::thread;
 
 use fescuetide_base::AttemptId;
+use fescuetide_base::ClaimId;
 use fescuetide_base::ClockMillis;
-use fescuetide_base::LoadCount;
-use fescuetide_base::SpanMillis;
-use fescuetide_base::StableHash;
-use fescuetide_limits::CrashFingerprint;
-use fescuetide_limits::RetryBudget;
+use fescuetide_claims::ClaimEntry;
+use fescuetide_claims::ClaimHolder;
+use fescuetide_flow::AskOrder;
+use fescuetide_flow::AttemptNews;
+use fescuetide_flow::CallEnd;
+use fescuetide_flow::CallFlow;
+use fescuetide_flow::CallOffer;
+use fescuetide_flow::CallStep;
+use fescuetide_flow::CallTables;
+use fescuetide_flow::CallView;
+use fescuetide_flow::ClaimOrder;
+use fescuetide_flow::NewsStep;
 use fescuetide_members::VmEntry;
-use fescuetide_records::AttemptResult;
+use fescuetide_net::SideLink;
 use fescuetide_wire::api::CallOutcome;
 use fescuetide_wire::api::TokenUsage;
-use fescuetide_wire::frame::AdmissionRule;
-use fescuetide_wire::frame::AdmitCondition;
-use fescuetide_wire::frame::AttemptEnding;
+use fescuetide_wire::claim::ClaimReply;
 use fescuetide_wire::frame::AttemptTag;
 use fescuetide_wire::frame::DispatchFrame;
-use fescuetide_wire::frame::RefusalReason;
+use fescuetide_wire::frame::PrefixSource;
+use tokio::time;
 
 use crate::RouterShared;
 use crate::attempt::AttemptEvent;
 use crate::attempt::LiveAttempt;
-use crate::attempt::NotSent;
 use crate::call::CallEvent;
+use crate::call::CallResult;
 use crate::call::CallSpec;
-use crate::call::CallWork;
-use crate::history::CallHistory;
-use crate::keyed::KeyedCall;
-use crate::keyed::KeyedStep;
-use crate::plan::CandidatePlan;
-use crate::plan::RefusalNote;
-
-/// First wait before a retry; it doubles with each further one and is shortened by jitter.
-const RETRY_WAIT_MS: u64 = 50;
-
-/// Longest wait before a retry.
-const RETRY_WAIT_LIMIT_MS: u64 = 1_000;
-
-/// The status of an upstream that may take the request later or elsewhere. With other error statuses below 500, every
-/// upstream would answer the same.
-const TOO_MANY_REQUESTS: u16 = 429;
-
-/// Why a request was given up when its time was over.
-const DEADLINE_REASON: &str = "deadline has passed";
+use crate::holder;
 
-/// Runs a request to its end.
+/// Runs a request to its end. Dropping it cancels the request.
 pub(crate) struct CallRunner {
     shared: Arc<RouterShared>,
     spec: CallSpec,
-    print: CrashFingerprint,
-    plan: CandidatePlan,
-    lost_on: Vec<VmEntry>,
-    /// A candidate to ask once more before the next one of the plan.
-    ask_again: Option<(VmEntry, AdmissionRule)>,
-    asked_again: bool,
-    current_rule: AdmissionRule,
-    current: Option<LiveAttempt>,
-    admitted: bool,
+    flow: CallFlow,
+    attempt: Option<LiveAttempt>,
+    /// The connection that was opened for a claim.
+    opened: Option<SideLink>,
     delivered: Vec<u8>,
-    /// Status of the response's head, once it was passed on.
-    head_status: Option<u16>,
-    attempts: u32,
-    ended: bool,
-    last_reason: String,
-    history: CallHistory,
-    /// The claims of a request that is not repeatable.
-    keyed: Option<KeyedCall>,
+    usage: TokenUsage,
+    has_ended: bool,
 }
 
 impl CallRunner {
     pub(crate) fn new(shared: Arc<RouterShared>, spec: CallSpec) -> Self {
-        shared.retries.with_budget(&spec, RetryBudget::note_request);
-        let plan = CandidatePlan::new(&shared, &spec, &[]);
-        let keyed = KeyedCall::new(&spec);
+        let facts = spec.facts();
+        let flow = shared.decide(|tables, view, now| CallFlow::new(facts, tables, view, now));
         Self {
-            print: spec.fingerprint(),
-            keyed,
             shared,
             spec,
-            plan,
-            lost_on: Vec::new(),
-            ask_again: None,
-            asked_again: false,
-            current_rule: AdmissionRule::OwnCap,
-            current: None,
-            admitted: false,
+            flow,
+            attempt: None,
+            opened: None,
             delivered: Vec::new(),
-            head_status: None,
-            attempts: 0,
-            ended: false,
-            last_reason: "no upstream is available".to_owned(),
-            history: CallHistory::default(),
+            usage: TokenUsage::default(),
+            has_ended: false,
         }
     }
 
@@ -104,343 +69,236 @@
     }
 
     /// Waits for the next event. After the end it must not be called again.
-    pub(crate) fn next(&mut self) -> CallEvent {
+    pub(crate) async fn next(&mut self) -> CallEvent {
         loop {
-            if ClockMillis::now() >= self.spec.deadline {
-                return self.end_at_deadline();
-            }
-            let Some(mut attempt) = self.current.take() else {
-                let is_refused = self.refuse_crasher();
-                if is_refused && self.keyed.is_none() {
-                    return self.end_not_run();
-                }
-                if self.keyed.is_some() {
-                    if let Some(event) = self.start_keyed(!is_refused) {
-                        return event;
-                    }
-                } else if !self.start_next() && !self.wait_for_suspects() {
-                    return self.end_not_run();
-                }
-                continue;
-            };
-            let event = attempt.next(&self.shared, self.spec.deadline);
-            match event {
-                AttemptEvent::Head(status, _) if self.is_other_head(status) => {
-                    // An error response must not be appended to what the caller has received.
-                    attempt.cancel(&self.shared);
-                    let reason = format!("later attempt answered with status {status}");
-                    if status != TOO_MANY_REQUESTS {
-                        return self.end_unusable(&attempt, reason);
-                    }
-                    if let Some(event) = self.take_loss(&attempt, reason) {
-                        return event;
-                    }
-                }
-                AttemptEvent::Head(status, content_type) => {
-                    self.note_admitted(attempt);
-                    if matches!(self.spec.work, CallWork::Service { .. }) {
-                        self.history.note_part(&self.spec);
-                    }
-                    if self.head_status.replace(status).is_some() {
-                        continue;
-                    }
-                    return CallEvent::Head(status, content_type);
-                }
-                AttemptEvent::Chunk(bytes) => {
-                    self.note_admitted(attempt);
-                    self.history.note_part(&self.spec);
-                    self.delivered.extend_from_slice(&bytes);
-                    return CallEvent::Chunk(bytes);
-                }
-                AttemptEvent::Alive => {
-                    self.note_admitted(attempt);
-                    return CallEvent::Alive;
-                }
-                AttemptEvent::End(ending) => {
-                    if let Some(event) = self.take_ending(&attempt, ending) {
-                        return event;
-                    }
+            match self.decide(CallFlow::step) {
+                CallStep::Wait(until) => {
+                    let wait = until.since(ClockMillis::now());
+                    time::sleep(wait.into()).await;
                 }
-                AttemptEvent::Refused {
-                    reason,
-                    load,
-                    retry_after,
-                } => self.note_refusal(&attempt, reason, load, retry_after),
-                AttemptEvent::Lost(reason) => {
-                    if let Some(event) = self.take_loss(&attempt, reason) {
+                CallStep::Connect(vm) => self.connect(&vm).await,
+                CallStep::Claim(order) => self.claim(order).await,
+                CallStep::Ask(order) => self.ask(&order).await,
+                CallStep::Offer(offer) => self.offer(*offer).await,
+                CallStep::Listen => {
+                    if let Some(event) = self.listen().await {
                         return event;
                     }
                 }
-                AttemptEvent::Corrupt(reason) => return self.end_unusable(&attempt, reason),
-                AttemptEvent::DeadlinePassed => {
-                    self.current = Some(attempt);
-                    return self.end_at_deadline();
-                }
+                CallStep::Cancel => self.cancel(),
+                CallStep::End(end) => return CallEvent::End(self.finish(*end)),
             }
         }
     }
 
-    fn is_other_head(&self, status: u16) -> bool {
-        self.head_status.is_some_and(|first| first != status)
-    }
-
-    fn note_admitted(&mut self, attempt: LiveAttempt) {
-        self.admitted = true;
-        self.current = Some(attempt);
+    /// Lets the decisions go on.
+    fn decide<T>(
+        &mut self,
+        action: impl FnOnce(&mut CallFlow, &mut CallTables, &CallView<'_>, ClockMillis) -> T,
+    ) -> T {
+        let flow = &mut self.flow;
+        self.shared
+            .decide(|tables, view, now| action(flow, tables, view, now))
     }
 
-    fn take_ending(&mut self, attempt: &LiveAttempt, ending: AttemptEnding) -> Option<CallEvent> {
-        match ending {
-            AttemptEnding::Completed {
-                prompt_tokens,
-                cached_tokens,
-                completion_tokens,
-            } => {
-                self.shared.lock_breaker().note_success(&attempt.vm().name);
-                self.shared.lock_suspects().note_completed(self.print);
-                self.history
-                    .note_result(attempt.tag().attempt, AttemptResult::Completed);
-                let usage = TokenUsage {
-                    prompt_tokens,
-                    cached_tokens,
-                    completion_tokens,
-                };
-                let reason = String::new();
-                Some(self.end(CallOutcome::Completed, reason, None, usage))
-            }
-            AttemptEnding::NotRun(reason) => {
-                self.admitted = false;
-                self.history
-                    .note_result(attempt.tag().attempt, AttemptResult::NotRun(reason.clone()));
-                self.last_reason = reason;
-                self.plan.note_gone(&attempt.vm().name);
-                let now = ClockMillis::now();
-                // An attempt whose deadline passed in the queue says nothing about its upstream.
-                if now < self.spec.deadline {
-                    self.shared
-                        .lock_breaker()
-                        .note_failure(&attempt.vm().name, now);
-                }
-                None
+    /// Opens a connection for a claim. It is new: an idle one may lead to an incarnation that is gone.
+    async fn connect(&mut self, vm: &VmEntry) {
+        match self.shared.links.connect(&vm.name, vm.data).await {
+            Ok(link) => {
+                self.flow.note_connected(link.incarnation);
+                self.opened = Some(link);
             }
-            AttemptEnding::Shed(retry_after) => {
-                self.admitted = false;
-                let reason = RefusalReason::TooLate.to_string();
-                self.history
-                    .note_result(attempt.tag().attempt, AttemptResult::NotRun(reason.clone()));
-                self.last_reason = reason;
-                self.plan.note_shed(&attempt.vm().name, retry_after);
-                None
+            Err(error) => {
+                self.shared.metrics.count("connect.failed");
+                tracing::debug!(vm = %vm.name, %error, "VM cannot be reached");
+                self.decide(|flow, tables, _, now| flow.note_not_connected(tables, now));
             }
-            AttemptEnding::Failed(reason) => self.take_loss(attempt, reason),
-            AttemptEnding::Crashed(reason) => {
-                self.shared.metrics.count("attempt.crashed");
-                let now = ClockMillis::now();
-                self.shared.lock_suspects().note_crash(self.print, now);
-                self.take_loss(attempt, reason)
-            }
-            AttemptEnding::Cancelled => self.take_loss(attempt, "attempt was cancelled".to_owned()),
         }
     }
 
-    /// Handles an attempt that may have run. Returns the end unless the request is tried again.
-    fn take_loss(&mut self, attempt: &LiveAttempt, reason: String) -> Option<CallEvent> {
-        let vm = attempt.vm().clone();
-        tracing::debug!(tag = %attempt.tag(), vm = %vm.name, %reason, "attempt lost");
-        self.shared
-            .lock_breaker()
-            .note_failure(&vm.name, ClockMillis::now());
-        self.history
-            .note_result(attempt.tag().attempt, AttemptResult::Lost(reason.clone()));
-        self.last_reason = reason.clone();
-        self.lost_on.push(vm);
-        if !self.spec.targets.repeatable {
-            return Some(self.end_with_retry(CallOutcome::Unknown, reason));
-        }
-        if self.refuse_crasher() || !self.may_retry() {
-            let reason = self.last_reason.clone();
-            return Some(self.end_with_retry(CallOutcome::Failed, reason));
+    async fn claim(&mut self, order: ClaimOrder) {
+        let Some(key) = self.spec.work_key() else {
+            return;
+        };
+        let router = ClaimHolder {
+            vm: self.shared.settings.vm.clone(),
+            incarnation: self.shared.incarnation,
+        };
+        // Without a target, the claim is made to be refused.
+        let supersedes = match order.target {
+            Some(_) => order.replaces,
+            None => Some(ClaimId::generate()),
+        };
+        let claim = ClaimEntry {
+            id: ClaimId::generate(),
+            key: key.into(),
+            target: order.target.unwrap_or_else(|| router.clone()),
+            router,
+            content: self.spec.content_hash(),
+            supersedes,
+        };
+        let claims = &self.shared.claims;
+        let reply = claims.claim(&self.shared, &claim, order.due).await;
+        if reply != ClaimReply::Claimed {
+            self.opened = None;
         }
-        self.wait_before_retry();
-        self.plan = CandidatePlan::new(&self.shared, &self.spec, &self.lost_on);
-        None
+        self.decide(|flow, tables, _, now| flow.note_claim(claim, reply.into(), tables, now));
     }
 
-    fn is_suspect(&self) -> bool {
-        let now = ClockMillis::now();
-        self.shared.lock_suspects().is_suspect(self.print, now)
+    async fn ask(&mut self, order: &AskOrder) {
+        match holder::ask_holder(&self.shared, &self.spec, order).await {
+            Ok((fate, attempt)) => {
+                self.attempt = attempt;
+                self.decide(|flow, tables, _, now| flow.note_fate(fate, tables, now));
+            }
+            Err(error) => {
+                let reason = error.to_string();
+                self.decide(|flow, tables, _, now| flow.note_not_asked(&reason, tables, now));
+            }
+        }
     }
 
-    /// Whether the request is refused because it crashes upstreams.
-    fn refuse_crasher(&mut self) -> bool {
-        let refusal = self
-            .shared
-            .lock_suspects()
-            .refusal(self.print, ClockMillis::now());
-        let Some(left) = refusal else {
-            return false;
+    async fn offer(&mut self, offer: CallOffer) {
+        let tag = AttemptTag {
+            request: self.spec.request,
+            attempt: AttemptId::generate(),
         };
-        self.plan.note_crasher(left);
-        self.last_reason = "request crashed upstreams and is refused for a time".to_owned();
-        true
-    }
-
-    /// Waits for a while when an upstream refused only because another suspect runs there. Returns whether it did.
-    fn wait_for_suspects(&mut self) -> bool {
-        if !self.plan.is_held_by_suspect() {
-            return false;
+        let link = match self.opened.take() {
+            Some(link) => Ok(link),
+            None => {
+                let vm = &offer.vm;
+                let now = ClockMillis::now();
+                let links = &self.shared.links;
+                links
+                    .checkout_within(&vm.name, vm.data, now, offer.time_left)
+                    .await
+            }
+        };
+        match link {
+            Ok(link) => {
+                // The attempt is known before its first byte leaves, so that it is cancelled if the caller leaves then.
+                let attempt = self.attempt.insert(LiveAttempt::new(tag, &offer.vm, link));
+                let frame = dispatch_frame(&self.spec, &self.delivered, tag, offer);
+                let flow = &mut self.flow;
+                self.shared
+                    .decide(|tables, _, _| flow.note_sent(tag.attempt, tables));
+                attempt.send_dispatch(frame).await;
+            }
+            Err(error) => {
+                self.shared.metrics.count("connect.failed");
+                let reason = error.to_string();
+                self.decide(|flow, tables, _, now| {
+                    flow.note_not_sent(tag.attempt, reason, tables, now);
+                });
+            }
         }
-        self.wait_before_retry();
-        self.plan = CandidatePlan::new(&self.shared, &self.spec, &self.lost_on);
-        true
     }
 
-    fn may_retry(&self) -> bool {
-        let is_service = matches!(self.spec.work, CallWork::Service { .. });
-        if is_service && self.head_status.is_some() {
-            // Bytes of the response have reached the caller; another run's response need not match them.
-            return false;
+    /// Waits for what comes of the attempt. Returns what the caller gets of it.
+    async fn listen(&mut self) -> Option<CallEvent> {
+        let event = match &mut self.attempt {
+            Some(attempt) => attempt.next(&self.shared, self.spec.deadline).await,
+            None => AttemptEvent::Over(AttemptNews::Lost("attempt is gone".to_owned())),
+        };
+        let (news, event) = match event {
+            AttemptEvent::Head(status, content_type) => {
+                let event = CallEvent::Head(status, content_type);
+                (AttemptNews::Head(status), Some(event))
+            }
+            AttemptEvent::Chunk(bytes) => {
+                self.delivered.extend_from_slice(&bytes);
+                (AttemptNews::Chunk, Some(CallEvent::Chunk(bytes)))
+            }
+            AttemptEvent::Alive => (AttemptNews::Alive, Some(CallEvent::Alive)),
+            AttemptEvent::Completed(usage) => {
+                self.usage = usage;
+                (AttemptNews::Completed, None)
+            }
+            AttemptEvent::Over(news) => {
+                self.count_over(&news);
+                (news, None)
+            }
+            // The next step ends the request.
+            AttemptEvent::DeadlinePassed => return None,
+        };
+        match self.decide(|flow, tables, _, now| flow.note_news(news, tables, now)) {
+            NewsStep::Pass => event,
+            NewsStep::Skip | NewsStep::Over => None,
         }
-        self.shared
-            .retries
-            .with_budget(&self.spec, RetryBudget::try_retry)
-    }
-
-    fn wait_before_retry(&self) {
-        let doubled = RETRY_WAIT_MS << self.lost_on.len().min(8);
-        let limit = doubled.min(RETRY_WAIT_LIMIT_MS);
-        let left = self.spec.deadline.since(ClockMillis::now()).as_millis();
-        let jitter = StableHash::new()
-            .field(self.spec.request.as_uuid().as_bytes())
-            .field(&self.attempts.to_le_bytes())
-            .finish();
-        let wait = (limit / 2 + jitter % (limit / 2)).min(left);
-        thread::sleep(SpanMillis::new(wait).into());
     }
 
-    fn next_candidate(&mut self) -> Option<(VmEntry, AdmissionRule)> {
-        match self.ask_again.take() {
-            Some(candidate) => Some(candidate),
-            None => self.plan.next_candidate(),
+    fn count_over(&self, news: &AttemptNews) {
+        let metrics = &self.shared.metrics;
+        match news {
+            AttemptNews::Declined(_) => metrics.count("attempt.refused"),
+            AttemptNews::Crashed(_) => metrics.count("attempt.crashed"),
+            AttemptNews::Corrupt(_) => metrics.count("response.unusable"),
+            _ => {}
         }
-    }
-
-    /// Starts an attempt at the next candidate. Returns whether there was one.
-    fn start_next(&mut self) -> bool {
-        while let Some((vm, rule)) = self.next_candidate() {
-            thread::sleep(self.plan.wait().into());
-            if ClockMillis::now() >= self.spec.deadline {
-                self.last_reason = DEADLINE_REASON.to_owned();
-                return false;
+        let Some(attempt) = &self.attempt else {
+            return;
+        };
+        let (tag, vm) = (attempt.tag(), &attempt.vm().name);
+        match news {
+            AttemptNews::Corrupt(reason) => {
+                tracing::error!(%tag, %vm, %reason, "response cannot go on");
             }
-            let tag = AttemptTag {
-                request: self.spec.request,
-                attempt: AttemptId::generate(),
-            };
-            self.current_rule = rule;
-            let mut dispatch = DispatchFrame {
-                condition: self.plan.condition(),
-                prefix_source: self.plan.prefix_source(&vm),
-                ..make_dispatch(&self.spec, &self.delivered, tag, rule)
-            };
-            dispatch.suspect = self.is_suspect();
-            if !self.lost_on.is_empty() {
-                // A request that has been tried is not refused for being late: it would count as lost.
-                dispatch.slack = dispatch.deadline;
-            }
-            self.history.note_sent(tag.attempt, &vm.name);
-            match LiveAttempt::start(&self.shared, &vm, dispatch) {
-                Ok(attempt) => {
-                    self.attempts += 1;
-                    self.current = Some(attempt);
-                    return true;
-                }
-                Err(NotSent(error)) => {
-                    self.shared.metrics.count("connect.failed");
-                    self.last_reason = format!("VM {} cannot be reached: {error}", vm.name);
-                    self.history
-                        .note_result(tag.attempt, AttemptResult::NotSent(error.to_string()));
-                    self.shared
-                        .lock_breaker()
-                        .note_failure(&vm.name, ClockMillis::now());
-                }
+            AttemptNews::Failed(reason)
+            | AttemptNews::Crashed(reason)
+            | AttemptNews::Lost(reason) => {
+                tracing::debug!(%tag, %vm, %reason, "attempt lost");
             }
+            _ => {}
         }
-        false
     }
 
-    /// Claims the key and starts or joins an attempt. Returns the end when there is none.
-    fn start_keyed(&mut self, may_run: bool) -> Option<CallEvent> {
-        let suspect = self.is_suspect();
-        let keyed = self.keyed.as_mut()?;
-        keyed.set_may_run(may_run);
-        let (shared, spec) = (&self.shared, &self.spec);
-        let step = keyed.start(shared, spec, &mut self.plan, |tag, rule| DispatchFrame {
-            suspect,
-            ..make_dispatch(spec, &[], tag, rule)
-        });
-        let attempt = match step {
-            KeyedStep::Dispatched(attempt) => {
-                self.attempts += 1;
-                attempt
-            }
-            KeyedStep::Joined(attempt) => attempt,
-            KeyedStep::Ended {
-                outcome,
-                reason,
-                retry_after,
-            } => return Some(self.end(outcome, reason, retry_after, TokenUsage::default())),
-        };
-        self.history
-            .note_sent(attempt.tag().attempt, &attempt.vm().name);
-        self.current = Some(attempt);
-        None
+    fn cancel(&mut self) {
+        if let Some(attempt) = self.attempt.take() {
+            attempt.cancel(&self.shared);
+        }
     }
 
-    fn note_refusal(
-        &mut self,
-        attempt: &LiveAttempt,
-        reason: RefusalReason,
-        load: LoadCount,
-        retry_after: SpanMillis,
-    ) {
-        self.shared.metrics.count("attempt.refused");
-        self.last_reason = reason.to_string();
-        if self.plan.condition() == AdmitCondition::Always {
-            self.history.note_result(
-                attempt.tag().attempt,
-                AttemptResult::Refused(reason.to_string()),
-            );
-        } else {
-            // A declined offer on a condition is a question, not an attempt.
-            self.attempts -= 1;
-            self.history.forget(attempt.tag().attempt);
+    fn finish(&mut self, end: CallEnd) -> CallResult {
+        self.has_ended = true;
+        let outcome = CallOutcome::from(end.verdict);
+        self.shared.metrics.count(match outcome {
+            CallOutcome::Completed => "request.completed",
+            CallOutcome::NotRun => "request.not_run",
+            CallOutcome::Failed => "request.failed",
+            CallOutcome::Unknown => "request.unknown",
+        });
+        self.shared.send_record(end.record);
+        CallResult {
+            outcome,
+            reason: end.reason,
+            retry_after: end.retry_after,
+            usage: self.usage,
+            attempts: end.attempts,
         }
-        if let Some(keyed) = &mut self.keyed {
-            keyed.note_refusal(reason);
-        } else if reason == RefusalReason::Sealed && !self.asked_again {
-            // The dispatch went into a connection that had gone silent; the seal came over a new one, so the VM is well.
-            self.asked_again = true;
-            self.ask_again = Some((attempt.vm().clone(), self.current_rule));
+    }
+}
+
+impl Drop for CallRunner {
+    /// Ends a request whose caller has left.
+    fn drop(&mut self) {
+        if self.has_ended {
             return;
         }
-        self.plan.note_refusal(RefusalNote {
-            vm: attempt.vm().clone(),
-            reason,
-            load,
-            retry_after,
-        });
+        let end = self.decide(|flow, tables, _, now| flow.abandon(tables, now));
+        self.shared.metrics.count("request.abandoned");
+        self.shared.send_record(end.record);
+        if self.flow.takes_cancel() {
+            self.cancel();
+        }
     }
 }
 
-fn make_dispatch(
+fn dispatch_frame(
     spec: &CallSpec,
     delivered: &[u8],
     tag: AttemptTag,
-    admission: AdmissionRule,
+    offer: CallOffer,
 ) -> DispatchFrame {
-    let now = ClockMillis::now();
-    let late_at = spec.received + spec.targets.lateness.within;
     DispatchFrame {
         tag,
         target: Default::default(),
@@ -448,14 +306,14 @@
         class: spec.class.clone(),
         repeatable: spec.targets.repeatable,
         key: spec.work_key(),
-        slack: late_at.since(now),
-        deadline: spec.deadline.since(now),
+        slack: offer.slack,
+        deadline: offer.time_left,
         chat: spec.chat_turn(),
-        condition: AdmitCondition::Always,
-        prefix_source: None,
+        condition: offer.condition.into(),
+        prefix_source: offer.copy_from.map(PrefixSource::from),
         loss_share: spec.targets.loss_share,
-        suspect: false,
-        admission,
+        suspect: offer.is_suspect,
+        admission: offer.rule.into(),
         work: spec.work_body(delivered),
     }
 }
--- a/crates/process/fescuetide_router/src/settings.rs
+++ b/crates/process/fescuetide_router/src/settings.rs
@@ -5,15 +5,17 @@
 
 use fescuetide_base::FindingList;
 use fescuetide_base::PoolName;
+use fescuetide_base::ProcessIncarnation;
 use fescuetide_base::RegionName;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
 use fescuetide_base::ZoneName;
 use fescuetide_claims::ClaimWindow;
+use fescuetide_flow::CallSettings;
+use fescuetide_flow::RoutingPolicy;
+use fescuetide_limits::LoadBound;
 use serde::Deserialize;
 
-use crate::RoutingPolicy;
-
 /// Settings of a router.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -34,8 +36,10 @@
     pub log_url: String,
     /// The VM list's base URL.
     pub vm_list_url: String,
-    /// Connections from callers served at once. Each open one holds a thread.
+    /// Requests from callers served at once.
     pub stream_limit: usize,
+    /// Threads that serve requests.
+    pub traffic_threads: usize,
     /// The largest request body in bytes.
     pub body_limit_bytes: usize,
     /// Heartbeat interval of side processes, in ms. A connection silent for 3 of these is replaced.
@@ -86,6 +90,7 @@
             log_url: "http://127.0.0.1:7000".to_owned(),
             vm_list_url: "http://127.0.0.1:7001".to_owned(),
             stream_limit: 512,
+            traffic_threads: 2,
             body_limit_bytes: 4 * 1024 * 1024,
             heartbeat_ms: 1_000,
             default_deadline_ms: 60_000,
@@ -127,6 +132,7 @@
         list.check_url("log_url", &self.log_url);
         list.check_url("vm_list_url", &self.vm_list_url);
         list.check_range("stream_limit", self.stream_limit, 1..=65_536);
+        list.check_range("traffic_threads", self.traffic_threads, 1..=64);
         list.check_range("body_limit_bytes", self.body_limit_bytes, 1_024..=1 << 30);
         list.check_range("heartbeat_ms", self.heartbeat_ms, 50..=INTERVAL_LIMIT_MS);
         list.check_range("default_deadline_ms", self.default_deadline_ms, 1..=DAY_MS);
@@ -186,6 +192,20 @@
         }
     }
 
+    /// Settings of the decisions of a router process.
+    pub(crate) fn decisions(&self, incarnation: ProcessIncarnation) -> CallSettings {
+        CallSettings {
+            router: self.vm.clone(),
+            incarnation,
+            policy: self.policy,
+            load_bound: LoadBound {
+                multiple: self.load_multiple,
+            },
+            shard_size: self.shard_size,
+            holder_wait: SpanMillis::new(self.holder_wait_ms),
+        }
+    }
+
     /// The longest silence on a connection in use.
     pub(crate) fn silence_limit(&self) -> SpanMillis {
         SpanMillis::new(self.heartbeat_ms * 3)
--- a/crates/process/fescuetide_side/src/lib.rs
+++ b/crates/process/fescuetide_side/src/lib.rs
@@ -18,6 +18,7 @@
 
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::thread;
 
 use anyhow::Context;
@@ -27,6 +28,7 @@
 use fescuetide_limits::LoadBound;
 use fescuetide_net::LinkPool;
 use fescuetide_net::LinkSettings;
+use tokio::runtime::Handle;
 
 use crate::admission::AdmissionGate;
 use crate::attempts::AttemptRetention;
@@ -54,6 +56,8 @@
     pub(crate) upstream: UpstreamClient,
     /// Connections to other side processes, for moves of prefixes.
     pub(crate) links: LinkPool,
+    /// Runs what the links do. Set when the control thread starts.
+    pub(crate) control: OnceLock<Handle>,
     pub(crate) metrics: SideMetrics,
 }
 
@@ -78,6 +82,7 @@
         let shared = Arc::new(SideShared {
             incarnation,
             links,
+            control: OnceLock::new(),
             gate: AdmissionGate::new(LoadBound {
                 multiple: settings.load_multiple,
             }),
--- a/crates/process/fescuetide_side/src/prefix.rs
+++ b/crates/process/fescuetide_side/src/prefix.rs
@@ -42,7 +42,10 @@
     }
     let floor = SpanMillis::new(MOVE_FLOOR_MS);
     let limit = estimate.prefill_time(tokens).max(floor);
-    match request_prefix(shared, dispatch, source, body, limit) {
+    let Some(runtime) = shared.control.get() else {
+        return;
+    };
+    match runtime.block_on(request_prefix(shared, dispatch, source, body, limit)) {
         Ok(blob) if blob.is_empty() => shared.metrics.count("prefix.absent"),
         Ok(blob) => {
             let imported = shared.upstream.import_prefix(&blob, limit);
@@ -59,7 +62,7 @@
     }
 }
 
-fn request_prefix(
+async fn request_prefix(
     shared: &SideShared,
     dispatch: &DispatchFrame,
     source: &PrefixSource,
@@ -67,22 +70,21 @@
     limit: SpanMillis,
 ) -> Result<Vec<u8>, FrameError> {
     let tag = dispatch.tag;
-    let mut link = shared
-        .links
-        .checkout(&source.vm, source.data, ClockMillis::now())?;
-    link.stream.send(&RouterFrame::ExportPrefix {
+    let links = &shared.links;
+    let now = ClockMillis::now();
+    let mut link = links.checkout(&source.vm, source.data, now).await?;
+    let request = RouterFrame::ExportPrefix {
         tag,
         body: body.to_vec(),
         limit,
-    })?;
+    };
+    link.stream.send(&request).await?;
     // The answer may take the time of the export and of sending the blob.
     let patience = limit + limit;
-    let reply: SideFrame = link.stream.receive(Some(patience))?;
+    let reply: SideFrame = link.stream.receive(patience).await?;
     match reply {
         SideFrame::Prefix { tag: found, blob } if found == tag => {
-            shared
-                .links
-                .give_back(source.data, link, ClockMillis::now());
+            links.give_back(source.data, link, ClockMillis::now());
             Ok(blob)
         }
         _ => Err(FrameError::Protocol("unexpected frame".to_owned())),
--- a/crates/protocol/fescuetide_wire/src/frame.rs
+++ b/crates/protocol/fescuetide_wire/src/frame.rs
@@ -18,6 +18,7 @@
 use fescuetide_base::TargetShare;
 use fescuetide_base::VmName;
 use fescuetide_base::WorkspaceName;
+use fescuetide_flow::DeclineReason;
 use fescuetide_limits::AdmitRule;
 use serde::Deserialize;
 use serde::Serialize;
@@ -372,19 +373,7 @@
 
 impl fmt::Display for RefusalReason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::OverBound => "over the load bound",
-            Self::NotHeld => "engine did not run the chat's turn before",
-            Self::AboveMean => "load is not below the mean",
-            Self::TooLate => "queue too long for the lateness target",
-            Self::Leaving => "VM is leaving",
-            Self::Sealed => "attempt is sealed",
-            Self::OtherIncarnation => "side process has restarted",
-            Self::KeySeen => "idempotency key was seen before",
-            Self::Suspect => "request is suspected of crashing upstreams",
-            Self::UpstreamDown => "upstream does not answer",
-            Self::KeyExpired => "idempotency key is too old",
-        })
+        DeclineReason::from(*self).fmt(f)
     }
 }
 
--- a/crates/protocol/fescuetide_wire/src/lib.rs
+++ b/crates/protocol/fescuetide_wire/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod api;
 pub mod claim;
 pub mod codec;
+mod decision;
 pub mod frame;
 pub mod log;
 pub mod records;
--- a/crates/transport/fescuetide_net/src/http_drain.rs
+++ b/crates/transport/fescuetide_net/src/http_drain.rs
@@ -1,4 +1,4 @@
-//! Closing of an HTTP server's connections without cutting responses off.
+//! Closing of an HTTP server without cutting requests off.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -6,17 +6,33 @@
 
 use tokio::sync::watch;
 
-/// Closes the connections of a server: idle ones at once, all others when their response has been written in full.
+/// How far the end of a server has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum DrainStage {
+    /// All requests are served.
+    Serving,
+    /// Connections are closed after the request that they bring or brought.
+    Closing,
+    /// No further connections are accepted.
+    Stopping,
+    /// The listener is closed.
+    Stopped,
+}
+
+/// Ends a server in two steps: its connections are closed, idle ones at once, all others when their response has been
+/// written in full; then its listener is.
+///
+/// A connection that has brought no request yet may have one on its way, so it is closed after that one.
 #[derive(Clone, Debug)]
 pub struct HttpDrain {
-    closing: Arc<watch::Sender<bool>>,
+    stage: Arc<watch::Sender<DrainStage>>,
     connections: Arc<AtomicUsize>,
 }
 
 impl Default for HttpDrain {
     fn default() -> Self {
         Self {
-            closing: Arc::new(watch::Sender::new(false)),
+            stage: Arc::new(watch::Sender::new(DrainStage::Serving)),
             connections: Arc::default(),
         }
     }
@@ -25,7 +41,17 @@
 impl HttpDrain {
     /// Starts to close all connections, also those that arrive later.
     pub fn close_connections(&self) {
-        self.closing.send_replace(true);
+        self.advance(DrainStage::Closing);
+    }
+
+    /// Closes the listener once the connections that wait there are accepted, so that none of them is reset.
+    pub fn stop_listening(&self) {
+        self.advance(DrainStage::Stopping);
+    }
+
+    /// Whether the listener is closed.
+    pub fn is_stopped(&self) -> bool {
+        *self.stage.borrow() == DrainStage::Stopped
     }
 
     /// Connections that are open.
@@ -33,6 +59,16 @@
         self.connections.load(Ordering::Acquire)
     }
 
+    /// Waits until the listener is to be closed.
+    pub(crate) async fn stopping(&self) {
+        self.reached(DrainStage::Stopping).await;
+    }
+
+    /// Notes that the listener is closed.
+    pub(crate) fn note_stopped(&self) {
+        self.advance(DrainStage::Stopped);
+    }
+
     /// Counts a connection as open until the guard is dropped.
     pub(crate) fn note_connection(&self) -> ConnectionGuard {
         self.connections.fetch_add(1, Ordering::AcqRel);
@@ -40,6 +76,20 @@
             drain: self.clone(),
         }
     }
+
+    fn advance(&self, next: DrainStage) {
+        self.stage.send_if_modified(|stage| {
+            let is_later = next > *stage;
+            *stage = next.max(*stage);
+            is_later
+        });
+    }
+
+    async fn reached(&self, wanted: DrainStage) {
+        let mut receiver = self.stage.subscribe();
+        // The sender lives as long as this handle.
+        let _ = receiver.wait_for(|stage| *stage >= wanted).await;
+    }
 }
 
 /// One open connection.
@@ -50,9 +100,7 @@
 impl ConnectionGuard {
     /// Waits until the connection is to be closed.
     pub(crate) async fn closing(&self) {
-        let mut receiver = self.drain.closing.subscribe();
-        // The sender lives as long as this guard.
-        let _ = receiver.wait_for(|closing| *closing).await;
+        self.drain.reached(DrainStage::Closing).await;
     }
 }
 
--- a/crates/transport/fescuetide_net/src/http_server.rs
+++ b/crates/transport/fescuetide_net/src/http_server.rs
@@ -1,19 +1,18 @@
-//! An HTTP/1.1 server for blocking handlers.
-//!
-//! One thread does all network I/O; each request runs on a worker thread, which it keeps until its response is sent.
+//! An HTTP/1.1 server for asynchronous handlers, and for blocking ones that run on worker threads.
 
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::FutureExt;
 use futures::StreamExt;
+use futures::future::BoxFuture;
+use futures::stream::BoxStream;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -29,9 +28,12 @@
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::runtime::Runtime;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
-use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::time;
 
 use crate::http_drain::ConnectionGuard;
 use crate::http_drain::HttpDrain;
@@ -46,8 +48,9 @@
 /// Parts of a streamed response that may wait for the network.
 const STREAM_QUEUE_PARTS: usize = 16;
 
-/// Worker threads beyond the limit, which tell further callers that the server is busy.
-const SPARE_WORKERS: usize = 4;
+/// How long a connection that has brought no request is kept open for one when the server ends. It covers a request
+/// that is on its way.
+const FIRST_REQUEST_LIMIT: Duration = Duration::from_secs(1);
 
 /// How long the server waits after a connection could not be accepted, for example without free file descriptors.
 const ACCEPT_PAUSE_MS: u64 = 50;
@@ -57,8 +60,10 @@
 pub struct HttpSettings {
     /// Prefix of thread names.
     pub name: String,
-    /// Requests that run at once. Further ones are answered with [`busy`](Self::busy) at once.
-    pub worker_limit: usize,
+    /// Threads that do network I/O and run asynchronous handlers.
+    pub io_threads: usize,
+    /// Requests that are served at once. Further ones are answered with [`busy`](Self::busy) at once.
+    pub request_limit: usize,
     /// The largest request body in bytes.
     pub body_limit_bytes: usize,
     /// Makes the response to a request above the limit.
@@ -71,7 +76,8 @@
     fn default() -> Self {
         Self {
             name: "http".to_owned(),
-            worker_limit: 256,
+            io_threads: 1,
+            request_limit: 256,
             body_limit_bytes: 16 * 1024 * 1024,
             busy: |_| HttpResponse::whole(503, "text/plain", "server is busy\n"),
             drain: HttpDrain::default(),
@@ -99,21 +105,6 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Result<Vec<u8>, BodyError>,
-    /// Tells whether the caller is still connected.
-    pub caller: CallerPresence,
-}
-
-/// Tells whether a caller still waits for its response.
-#[derive(Clone, Debug, Default)]
-pub struct CallerPresence {
-    gone: Arc<AtomicBool>,
-}
-
-impl CallerPresence {
-    /// Whether the caller has closed its connection.
-    pub fn is_gone(&self) -> bool {
-        self.gone.load(Ordering::Acquire)
-    }
 }
 
 /// Yields the parts of a streamed response. Each part is sent at once.
@@ -126,8 +117,10 @@
 pub enum HttpBody {
     /// All bytes at once.
     Whole(Vec<u8>),
-    /// Parts as they come. When the caller leaves, the source is dropped.
-    Stream(Box<dyn EventSource>),
+    /// Parts as they come. When the caller leaves, the stream is dropped.
+    Parts(BoxStream<'static, Vec<u8>>),
+    /// Parts as they come from a source that blocks its thread. When the caller leaves, the source is dropped.
+    Blocking(Box<dyn EventSource>),
 }
 
 /// A response.
@@ -150,12 +143,21 @@
         }
     }
 
-    /// Creates a streamed response.
+    /// Creates a streamed response from a source that blocks its thread.
     pub fn stream(content_type: &str, source: impl EventSource) -> Self {
         Self {
             status: 200,
             headers: vec![("content-type", content_type.to_owned())],
-            body: HttpBody::Stream(Box::new(source)),
+            body: HttpBody::Blocking(Box::new(source)),
+        }
+    }
+
+    /// Creates a streamed response.
+    pub fn parts(content_type: &str, parts: BoxStream<'static, Vec<u8>>) -> Self {
+        Self {
+            status: 200,
+            headers: vec![("content-type", content_type.to_owned())],
+            body: HttpBody::Parts(parts),
         }
     }
 
@@ -168,7 +170,27 @@
 
 type WireBody = UnsyncBoxBody<Bytes, Infallible>;
 
-/// Binds `address` and serves it on its own threads until the process ends.
+type BoxedHandler = dyn Fn(HttpRequest) -> BoxFuture<'static, HttpResponse> + Send + Sync;
+
+/// Binds `address` and serves it with an asynchronous handler until the process ends. The handler's future is dropped
+/// when the caller leaves.
+///
+/// # Errors
+///
+/// Fails when the address cannot be bound or a thread cannot be started.
+pub fn serve_async<F, R>(address: SocketAddr, settings: HttpSettings, handle: F) -> io::Result<()>
+where
+    F: Fn(HttpRequest) -> R + Send + Sync + 'static,
+    R: Future<Output = HttpResponse> + Send + 'static,
+{
+    start_server(
+        address,
+        settings,
+        Box::new(move |request| handle(request).boxed()),
+    )
+}
+
+/// Binds `address` and serves it until the process ends with a handler that blocks a worker thread.
 ///
 /// # Errors
 ///
@@ -177,66 +199,131 @@
 where
     F: Fn(HttpRequest) -> HttpResponse + Send + Sync + 'static,
 {
+    let handle = Arc::new(handle);
+    start_server(
+        address,
+        settings,
+        Box::new(move |request| run_blocking(Arc::clone(&handle), request).boxed()),
+    )
+}
+
+async fn run_blocking<F>(handle: Arc<F>, request: HttpRequest) -> HttpResponse
+where
+    F: Fn(HttpRequest) -> HttpResponse + Send + Sync + 'static,
+{
+    match tokio::task::spawn_blocking(move || handle(request)).await {
+        Ok(response) => response,
+        Err(error) => {
+            tracing::error!(%error, "handler failed");
+            HttpResponse::whole(500, "text/plain", Vec::new())
+        }
+    }
+}
+
+fn start_server(
+    address: SocketAddr,
+    settings: HttpSettings,
+    handle: Box<BoxedHandler>,
+) -> io::Result<()> {
     let listener = std::net::TcpListener::bind(address)?;
     listener.set_nonblocking(true)?;
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .max_blocking_threads(settings.worker_limit + SPARE_WORKERS)
-        .thread_name(format!("{}-worker", settings.name))
-        .build()?;
+    let runtime = build_runtime(&settings)?;
     let server = Arc::new(HttpServer {
-        workers: Semaphore::new(settings.worker_limit),
+        requests: Arc::new(Semaphore::new(settings.request_limit)),
         body_limit_bytes: settings.body_limit_bytes,
         busy: settings.busy,
         drain: settings.drain,
         handle,
     });
     thread::Builder::new()
-        .name(format!("{}-io", settings.name))
+        .name(format!("{}-accept", settings.name))
         .spawn(move || {
             runtime.block_on(async {
                 match TcpListener::from_std(listener) {
-                    Ok(listener) => accept_loop(listener, server).await,
+                    Ok(listener) => accept_until_stopped(listener, server).await,
                     Err(error) => tracing::error!(%error, "HTTP is not served"),
                 }
+                // Connections that are open go on until the process ends.
+                std::future::pending::<()>().await;
             });
         })?;
     Ok(())
 }
 
-struct HttpServer<F> {
-    workers: Semaphore,
+fn build_runtime(settings: &HttpSettings) -> io::Result<Runtime> {
+    let mut builder = match settings.io_threads {
+        0 | 1 => tokio::runtime::Builder::new_current_thread(),
+        _ => tokio::runtime::Builder::new_multi_thread(),
+    };
+    if settings.io_threads > 1 {
+        builder.worker_threads(settings.io_threads);
+    }
+    builder
+        .enable_all()
+        .max_blocking_threads(settings.request_limit)
+        .thread_name(format!("{}-worker", settings.name))
+        .build()
+}
+
+struct HttpServer {
+    requests: Arc<Semaphore>,
     body_limit_bytes: usize,
     busy: fn(&HttpRequest) -> HttpResponse,
     drain: HttpDrain,
-    handle: F,
+    handle: Box<BoxedHandler>,
 }
 
-async fn accept_loop<F>(listener: TcpListener, server: Arc<HttpServer<F>>)
-where
-    F: Fn(HttpRequest) -> HttpResponse + Send + Sync + 'static,
-{
+async fn accept_until_stopped(listener: TcpListener, server: Arc<HttpServer>) {
+    tokio::select! {
+        () = accept_loop(&listener, &server) => {}
+        () = server.drain.stopping() => {}
+    }
+    if let Err(error) = accept_waiting(listener, &server) {
+        tracing::warn!(%error, "connections that waited for the server were reset");
+    }
+    server.drain.note_stopped();
+}
+
+/// Accepts all connections that wait and closes the listener, which would reset them otherwise. The socket is asked
+/// itself: what the runtime knows of it may be older.
+fn accept_waiting(listener: TcpListener, server: &Arc<HttpServer>) -> io::Result<()> {
+    let listener = listener.into_std()?;
+    loop {
+        let stream = match listener.accept() {
+            Ok((stream, _)) => stream,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(error) => return Err(error),
+        };
+        stream.set_nonblocking(true)?;
+        start_connection(TcpStream::from_std(stream)?, server);
+    }
+}
+
+async fn accept_loop(listener: &TcpListener, server: &Arc<HttpServer>) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                let guard = server.drain.note_connection();
-                tokio::spawn(serve_connection(stream, Arc::clone(&server), guard));
-            }
+            Ok((stream, _)) => start_connection(stream, server),
             Err(error) => {
                 tracing::debug!(%error, "connection was not accepted");
-                tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+                time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
             }
         }
     }
 }
 
-async fn serve_connection<F>(stream: TcpStream, server: Arc<HttpServer<F>>, guard: ConnectionGuard)
-where
-    F: Fn(HttpRequest) -> HttpResponse + Send + Sync + 'static,
-{
+fn start_connection(stream: TcpStream, server: &Arc<HttpServer>) {
+    let guard = server.drain.note_connection();
+    tokio::spawn(serve_connection(stream, Arc::clone(server), guard));
+}
+
+async fn serve_connection(stream: TcpStream, server: Arc<HttpServer>, guard: ConnectionGuard) {
     // Tokens are small and each is to leave at once.
-    let _ = stream.set_nodelay(true);
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(%error, "small parts of responses may be delayed");
+    }
+    let (first, first_seen) = watch::channel(false);
     let service = service_fn(|request| {
+        first.send_replace(true);
         let server = Arc::clone(&server);
         async move { Ok::<_, Infallible>(serve_request(request, server).await) }
     });
@@ -247,7 +334,7 @@
     let mut connection = pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = guard.closing() => {
+        () = may_close(&guard, first_seen) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -257,85 +344,43 @@
     }
 }
 
-async fn serve_request<F>(
-    request: Request<Incoming>,
-    server: Arc<HttpServer<F>>,
-) -> Response<WireBody>
-where
-    F: Fn(HttpRequest) -> HttpResponse + Send + Sync + 'static,
-{
+/// Waits until the server closes its connections and this one has brought its first request, or had the time for it.
+async fn may_close(guard: &ConnectionGuard, mut first_seen: watch::Receiver<bool>) {
+    guard.closing().await;
+    let first = first_seen.wait_for(|seen| *seen);
+    if time::timeout(FIRST_REQUEST_LIMIT, first).await.is_err() {
+        tracing::debug!("connection without a request is closed");
+    }
+}
+
+async fn serve_request(request: Request<Incoming>, server: Arc<HttpServer>) -> Response<WireBody> {
     let (head, body) = request.into_parts();
     let body = match Limited::new(body, server.body_limit_bytes).collect().await {
         Ok(collected) => Ok(collected.to_bytes().to_vec()),
         Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(BodyError::TooLarge),
         Err(_) => Err(BodyError::Broken),
     };
-    let caller = CallerPresence::default();
     let request = HttpRequest {
         method: head.method,
         uri: head.uri,
         headers: head.headers,
         body,
-        caller: caller.clone(),
     };
-    let (head_sender, head_receiver) = oneshot::channel();
-    let watch = PresenceWatch {
-        caller,
-        done: false,
-    };
-    let runner = Arc::clone(&server);
-    tokio::task::spawn_blocking(move || {
-        // The worker thread is taken until the whole response is sent.
-        let response = match runner.workers.try_acquire() {
-            Ok(_permit) => return run_handler(&runner.handle, request, head_sender),
-            Err(_) => (runner.busy)(&request),
-        };
-        send_response(response, head_sender);
-    });
-    let response = head_receiver.await;
-    watch.finish();
-    // The handler is gone only when it panicked.
-    response.unwrap_or_else(|_| empty_response(500))
-}
-
-/// Marks the caller as gone when the request is dropped before its response began.
-struct PresenceWatch {
-    caller: CallerPresence,
-    done: bool,
-}
-
-impl PresenceWatch {
-    fn finish(mut self) {
-        self.done = true;
-    }
-}
-
-impl Drop for PresenceWatch {
-    fn drop(&mut self) {
-        if !self.done {
-            self.caller.gone.store(true, Ordering::Release);
-        }
+    match Arc::clone(&server.requests).try_acquire_owned() {
+        Ok(permit) => wire_response((server.handle)(request).await, Some(permit)),
+        Err(_) => wire_response((server.busy)(&request), None),
     }
 }
 
-fn run_handler<F>(
-    handle: &F,
-    request: HttpRequest,
-    head_sender: oneshot::Sender<Response<WireBody>>,
-) where
-    F: Fn(HttpRequest) -> HttpResponse,
-{
-    send_response(handle(request), head_sender);
-}
-
-/// Sends the head, and then the parts of a streamed body as they come.
-fn send_response(response: HttpResponse, head_sender: oneshot::Sender<Response<WireBody>>) {
-    let (body, stream) = match response.body {
-        HttpBody::Whole(bytes) => (Full::new(Bytes::from(bytes)).boxed_unsync(), None),
-        HttpBody::Stream(source) => {
-            let (sender, receiver) = mpsc::channel(STREAM_QUEUE_PARTS);
-            (stream_body(receiver), Some((source, sender)))
-        }
+/// Builds the response. The permit is held until the last part is sent.
+fn wire_response(
+    response: HttpResponse,
+    permit: Option<OwnedSemaphorePermit>,
+) -> Response<WireBody> {
+    let body = match response.body {
+        HttpBody::Whole(bytes) => Full::new(Bytes::from(bytes)).boxed_unsync(),
+        HttpBody::Parts(parts) => stream_body(parts, permit),
+        HttpBody::Blocking(source) => stream_body(pump_source(source), permit),
     };
     let mut builder = Response::builder().status(response.status);
     for (name, value) in response.headers {
@@ -344,27 +389,36 @@
         }
         builder = builder.header(name, value);
     }
-    let head = builder.body(body).unwrap_or_else(|_| empty_response(500));
-    if head_sender.send(head).is_err() {
-        return;
-    }
-    let Some((mut source, sender)) = stream else {
-        return;
-    };
-    while let Some(part) = source.next_event() {
-        if sender.blocking_send(Bytes::from(part)).is_err() {
-            // The caller has left.
-            return;
-        }
-    }
+    builder.body(body).unwrap_or_else(|_| empty_response(500))
 }
 
-fn stream_body(receiver: mpsc::Receiver<Bytes>) -> WireBody {
-    let parts = futures::stream::unfold(receiver, |mut receiver| async move {
-        let part = receiver.recv().await?;
-        Some((Ok(Frame::data(part)), receiver))
+fn stream_body(
+    parts: BoxStream<'static, Vec<u8>>,
+    permit: Option<OwnedSemaphorePermit>,
+) -> WireBody {
+    let frames = parts.map(move |part| {
+        let _held = &permit;
+        Ok(Frame::data(Bytes::from(part)))
     });
-    StreamBody::new(parts.boxed()).boxed_unsync()
+    StreamBody::new(frames.boxed()).boxed_unsync()
+}
+
+/// Runs a blocking source on a worker thread.
+fn pump_source(mut source: Box<dyn EventSource>) -> BoxStream<'static, Vec<u8>> {
+    let (sender, receiver) = mpsc::channel(STREAM_QUEUE_PARTS);
+    tokio::task::spawn_blocking(move || {
+        while let Some(part) = source.next_event() {
+            if sender.blocking_send(part).is_err() {
+                // The caller has left.
+                return;
+            }
+        }
+    });
+    futures::stream::unfold(receiver, |mut receiver| async move {
+        let part = receiver.recv().await?;
+        Some((part, receiver))
+    })
+    .boxed()
 }
 
 fn empty_response(status: u16) -> Response<WireBody> {
--- a/crates/transport/fescuetide_net/src/lib.rs
+++ b/crates/transport/fescuetide_net/src/lib.rs
@@ -11,11 +11,11 @@
 mod pool;
 mod rpc;
 
+pub use framed::FrameChannel;
 pub use framed::FrameError;
 pub use framed::FramedStream;
 pub use http_drain::HttpDrain;
 pub use http_server::BodyError;
-pub use http_server::CallerPresence;
 pub use http_server::EventSource;
 pub use http_server::HeaderMap;
 pub use http_server::HttpBody;
@@ -24,6 +24,7 @@
 pub use http_server::HttpSettings;
 pub use http_server::Method;
 pub use http_server::Uri;
+pub use http_server::serve_async;
 pub use http_server::serve_http;
 pub use meter::ControlMeter;
 pub use platform::LogClient;
@@ -43,6 +44,7 @@
 /// The types most users need.
 pub mod prelude {
     pub use crate::ControlMeter;
+    pub use crate::FrameChannel;
     pub use crate::FrameError;
     pub use crate::FramedStream;
     pub use crate::LinkPool;
--- a/crates/transport/fescuetide_net/src/pool.rs
+++ b/crates/transport/fescuetide_net/src/pool.rs
@@ -13,8 +13,8 @@
 use fescuetide_wire::frame::SideFrame;
 use indexmap::IndexMap;
 
+use crate::FrameChannel;
 use crate::FrameError;
-use crate::FramedStream;
 
 /// Settings of a pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,7 +41,7 @@
 #[derive(Debug)]
 pub struct SideLink {
     /// The connection.
-    pub stream: FramedStream,
+    pub stream: FrameChannel,
     /// The VM that answered.
     pub vm: VmName,
     /// The incarnation that answered.
@@ -79,13 +79,14 @@
     /// # Errors
     ///
     /// Fails when no connection to `vm` can be made.
-    pub fn checkout(
+    pub async fn checkout(
         &self,
         vm: &VmName,
         address: SocketAddr,
         now: ClockMillis,
     ) -> Result<SideLink, FrameError> {
         self.checkout_within(vm, address, now, self.settings.connect_timeout)
+            .await
     }
 
     /// Like [`checkout`](Self::checkout), but connects for at most `limit`.
@@ -93,7 +94,7 @@
     /// # Errors
     ///
     /// Fails when no connection to `vm` can be made.
-    pub fn checkout_within(
+    pub async fn checkout_within(
         &self,
         vm: &VmName,
         address: SocketAddr,
@@ -103,7 +104,7 @@
         if let Some(link) = self.take_idle(vm, address, now) {
             return Ok(link);
         }
-        self.connect_within(vm, address, limit)
+        self.connect_within(vm, address, limit).await
     }
 
     /// Opens a new connection, also when an idle one is there.
@@ -111,8 +112,9 @@
     /// # Errors
     ///
     /// Fails when no connection can be made or another VM answers.
-    pub fn connect(&self, vm: &VmName, address: SocketAddr) -> Result<SideLink, FrameError> {
+    pub async fn connect(&self, vm: &VmName, address: SocketAddr) -> Result<SideLink, FrameError> {
         self.connect_within(vm, address, self.settings.connect_timeout)
+            .await
     }
 
     /// Like [`connect`](Self::connect), but for at most `limit`.
@@ -120,7 +122,7 @@
     /// # Errors
     ///
     /// Fails when no connection can be made or another VM answers.
-    pub fn connect_within(
+    pub async fn connect_within(
         &self,
         vm: &VmName,
         address: SocketAddr,
@@ -130,13 +132,14 @@
         if timeout.as_millis() == 0 {
             return Err(FrameError::Timeout);
         }
-        let mut stream = FramedStream::connect(address, timeout)?;
-        stream.send(&RouterFrame::Hello {
+        let mut stream = FrameChannel::connect(address, timeout).await?;
+        let hello = RouterFrame::Hello {
             version: PROTOCOL_VERSION,
             router: self.router.clone(),
             incarnation: self.incarnation,
-        })?;
-        let frame: SideFrame = stream.receive(Some(timeout))?;
+        };
+        stream.send(&hello).await?;
+        let frame: SideFrame = stream.receive(timeout).await?;
         let SideFrame::Welcome {
             vm: found,
             incarnation,
