Break the import circle of the command line tool

arguments, commands and context imported each other. Arguments know neither commands nor the context now, a command is described in command.rs, and command_line.rs reads the command line.

--- a/crates/process/fescuetide_cli/src/arguments.rs
+++ b/crates/process/fescuetide_cli/src/arguments.rs
@@ -1,65 +1,15 @@
-//! The command line.
+//! The arguments of a command.
 
-use std::fmt::Write;
-use std::ops::RangeInclusive;
 use std::str::FromStr;
 
-use lexopt::Arg;
-use lexopt::Parser;
-use lexopt::ValueExt;
-
-use crate::commands::COMMANDS;
-use crate::context::ToolContext;
-use crate::report::CommandReport;
 use crate::report::ToolError;
 
-/// Options with a value that every command takes.
-const COMMON_OPTIONS: [&str; 3] = ["config", "log-url", "vm-list-url"];
-
-/// Options without a value that every command takes.
-const COMMON_FLAGS: [&str; 1] = ["json"];
-
-const COMMON_HELP: &str = "
-Options of all commands:
-  --config FILE       TOML file with log_url, vm_list_url and author
-                      (default fescuetide.toml, when there is one)
-  --log-url URL       The log service
-  --vm-list-url URL   The VM list
-  --json              Print JSON
-  -h, --help          Print help
-  -V, --version       Print the version
-
-Exit codes: 0 done, 1 failed, 2 wrong usage or findings
-";
-
-/// One command of the tool.
-#[derive(Debug)]
-pub(crate) struct CommandSpec {
-    /// Its words.
-    pub(crate) name: &'static str,
-    /// One line for the list of commands.
-    pub(crate) summary: &'static str,
-    /// What follows the name in the usage line.
-    pub(crate) usage: &'static str,
-    /// Details, each line indented by two spaces.
-    pub(crate) help: &'static str,
-    /// How many arguments it takes.
-    pub(crate) values: RangeInclusive<usize>,
-    /// Options without a value.
-    pub(crate) flags: &'static [&'static str],
-    /// Options with a value.
-    pub(crate) options: &'static [&'static str],
-    /// Runs the command.
-    pub(crate) run: fn(&ToolContext, &CommandArguments) -> Result<CommandReport, ToolError>,
-}
-
 /// The arguments of one command.
 #[derive(Debug)]
 pub(crate) struct CommandArguments {
-    pub(crate) spec: &'static CommandSpec,
     pub(crate) values: Vec<String>,
-    flags: Vec<String>,
-    options: Vec<(String, String)>,
+    pub(crate) flags: Vec<String>,
+    pub(crate) options: Vec<(String, String)>,
 }
 
 impl CommandArguments {
@@ -100,117 +50,3 @@
             .map_err(|error: T::Err| ToolError::finding(name, error.to_string()))
     }
 }
-
-/// What the command line asks for.
-#[derive(Debug)]
-pub(crate) enum ToolRequest {
-    /// Print a help text.
-    Help(String),
-    /// Print the version.
-    Version,
-    /// Run a command.
-    Run(CommandArguments),
-}
-
-/// Reads the process's command line.
-pub(crate) fn parse_request() -> Result<ToolRequest, lexopt::Error> {
-    let mut parser = Parser::from_env();
-    let mut words = Vec::new();
-    let mut flags = Vec::new();
-    let mut options = Vec::new();
-    let mut help = false;
-    while let Some(argument) = parser.next()? {
-        match argument {
-            Arg::Short('h') | Arg::Long("help") => help = true,
-            Arg::Short('V') | Arg::Long("version") => return Ok(ToolRequest::Version),
-            Arg::Value(value) => words.push(value.string()?),
-            Arg::Long(name) if is_option(name) => {
-                let name = name.to_owned();
-                options.push((name, parser.value()?.string()?));
-            }
-            Arg::Long(name) if is_flag(name) => flags.push(name.to_owned()),
-            other => return Err(other.unexpected()),
-        }
-    }
-    let Some((spec, count)) = find_command(&words) else {
-        return match words.first() {
-            Some(word) if !help || word != "class" => {
-                Err(format!("{:?} is not a command", words.join(" ")).into())
-            }
-            None if !help => Err("the command is missing".into()),
-            _ => Ok(ToolRequest::Help(list_help())),
-        };
-    };
-    if help {
-        return Ok(ToolRequest::Help(command_help(spec)));
-    }
-    let arguments = CommandArguments {
-        spec,
-        values: words.split_off(count),
-        flags,
-        options,
-    };
-    check_arguments(&arguments)?;
-    Ok(ToolRequest::Run(arguments))
-}
-
-fn is_option(name: &str) -> bool {
-    COMMON_OPTIONS.contains(&name) || COMMANDS.iter().any(|spec| spec.options.contains(&name))
-}
-
-fn is_flag(name: &str) -> bool {
-    COMMON_FLAGS.contains(&name) || COMMANDS.iter().any(|spec| spec.flags.contains(&name))
-}
-
-/// The command that the words start with, and how many words its name has.
-fn find_command(words: &[String]) -> Option<(&'static CommandSpec, usize)> {
-    for spec in COMMANDS {
-        let name: Vec<&str> = spec.name.split(' ').collect();
-        if words.len() >= name.len() && words.iter().zip(&name).all(|(word, part)| word == part) {
-            return Some((spec, name.len()));
-        }
-    }
-    None
-}
-
-fn check_arguments(arguments: &CommandArguments) -> Result<(), lexopt::Error> {
-    let spec = arguments.spec;
-    if !spec.values.contains(&arguments.values.len()) {
-        let usage = format!("usage: fescuetide {} {}", spec.name, spec.usage);
-        return Err(usage.trim_end().into());
-    }
-    for flag in &arguments.flags {
-        let flag = flag.as_str();
-        if !spec.flags.contains(&flag) && !COMMON_FLAGS.contains(&flag) {
-            return Err(format!("{} does not take --{flag}", spec.name).into());
-        }
-    }
-    for (option, _) in &arguments.options {
-        let option = option.as_str();
-        if !spec.options.contains(&option) && !COMMON_OPTIONS.contains(&option) {
-            return Err(format!("{} does not take --{option}", spec.name).into());
-        }
-    }
-    Ok(())
-}
-
-fn list_help() -> String {
-    let mut text = String::from(
-        "Publishes classes of work, shows the fleet and drains VMs.\n\nUsage: fescuetide COMMAND [OPTIONS]\n\nCommands:\n",
-    );
-    for spec in COMMANDS {
-        let _ = writeln!(text, "  {:<16}{}", spec.name, spec.summary);
-    }
-    text.push_str(COMMON_HELP);
-    text
-}
-
-fn command_help(spec: &CommandSpec) -> String {
-    let usage = format!("{} {}", spec.name, spec.usage);
-    format!(
-        "{}.\n\nUsage: fescuetide {}\n{}{COMMON_HELP}",
-        spec.summary,
-        usage.trim_end(),
-        spec.help
-    )
-}
--- a/crates/process/fescuetide_cli/src/commands/burn.rs
+++ b/crates/process/fescuetide_cli/src/commands/burn.rs
@@ -12,7 +12,7 @@
 use serde_json::json;
 
 use crate::arguments::CommandArguments;
-use crate::arguments::CommandSpec;
+use crate::command::CommandSpec;
 use crate::context::ToolContext;
 use crate::fleet;
 use crate::report::CommandReport;
--- a/crates/process/fescuetide_cli/src/commands/class_history.rs
+++ b/crates/process/fescuetide_cli/src/commands/class_history.rs
@@ -7,9 +7,9 @@
 use serde_json::json;
 
 use crate::arguments::CommandArguments;
-use crate::arguments::CommandSpec;
 use crate::class_file::targets_json;
 use crate::class_stream::ClassStream;
+use crate::command::CommandSpec;
 use crate::commands::class_publish::describe_verdict;
 use crate::context::ToolContext;
 use crate::report::CommandReport;
--- a/crates/process/fescuetide_cli/src/commands/class_publish.rs
+++ b/crates/process/fescuetide_cli/src/commands/class_publish.rs
@@ -12,10 +12,10 @@
 use serde_json::json;
 
 use crate::arguments::CommandArguments;
-use crate::arguments::CommandSpec;
 use crate::class_file::read_classes;
 use crate::class_stream::ClassStream;
 use crate::class_stream::FoldedChange;
+use crate::command::CommandSpec;
 use crate::context::ToolContext;
 use crate::report::CommandReport;
 use crate::report::ToolError;
--- a/crates/process/fescuetide_cli/src/commands/class_revise.rs
+++ b/crates/process/fescuetide_cli/src/commands/class_revise.rs
@@ -7,9 +7,9 @@
 use fescuetide_classes::ChangeAction;
 
 use crate::arguments::CommandArguments;
-use crate::arguments::CommandSpec;
 use crate::class_file::revise_targets;
 use crate::class_stream::ClassStream;
+use crate::command::CommandSpec;
 use crate::commands::class_publish::ChangeOutcomes;
 use crate::context::ToolContext;
 use crate::report::CommandReport;
--- a/crates/process/fescuetide_cli/src/commands/class_show.rs
+++ b/crates/process/fescuetide_cli/src/commands/class_show.rs
@@ -6,9 +6,9 @@
 use serde_json::json;
 
 use crate::arguments::CommandArguments;
-use crate::arguments::CommandSpec;
 use crate::class_file::targets_json;
 use crate::class_stream::ClassStream;
+use crate::command::CommandSpec;
 use crate::context::ToolContext;
 use crate::fleet;
 use crate::report::CommandReport;
--- a/crates/process/fescuetide_cli/src/commands/drain.rs
+++ b/crates/process/fescuetide_cli/src/commands/drain.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 
 use crate::arguments::CommandArguments;
-use crate::arguments::CommandSpec;
+use crate::command::CommandSpec;
 use crate::context::ToolContext;
 use crate::fleet;
 use crate::report::CommandReport;
--- a/crates/process/fescuetide_cli/src/commands/explain.rs
+++ b/crates/process/fescuetide_cli/src/commands/explain.rs
@@ -9,7 +9,7 @@
 use serde_json::json;
 
 use crate::arguments::CommandArguments;
-use crate::arguments::CommandSpec;
+use crate::command::CommandSpec;
 use crate::context::ToolContext;
 use crate::report::CommandReport;
 use crate::report::ToolError;
--- a/crates/process/fescuetide_cli/src/commands/mod.rs
+++ b/crates/process/fescuetide_cli/src/commands/mod.rs
@@ -11,7 +11,7 @@
 mod status;
 mod trace;
 
-use crate::arguments::CommandSpec;
+use crate::command::CommandSpec;
 
 /// All commands.
 pub(crate) const COMMANDS: &[CommandSpec] = &[
--- a/crates/process/fescuetide_cli/src/commands/status.rs
+++ b/crates/process/fescuetide_cli/src/commands/status.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 
 use crate::arguments::CommandArguments;
-use crate::arguments::CommandSpec;
+use crate::command::CommandSpec;
 use crate::context::ToolContext;
 use crate::fleet::ask_all;
 use crate::fleet::router_status;
--- a/crates/process/fescuetide_cli/src/commands/trace.rs
+++ b/crates/process/fescuetide_cli/src/commands/trace.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 
 use crate::arguments::CommandArguments;
-use crate::arguments::CommandSpec;
+use crate::command::CommandSpec;
 use crate::context::ToolContext;
 use crate::fleet;
 use crate::report::CommandReport;
--- a/crates/process/fescuetide_cli/src/main.rs
+++ b/crates/process/fescuetide_cli/src/main.rs
@@ -3,6 +3,8 @@
 mod arguments;
 mod class_file;
 mod class_stream;
+mod command;
+mod command_line;
 mod commands;
 mod context;
 mod fleet;
@@ -13,13 +15,14 @@
 use std::process::ExitCode;
 
 use crate::arguments::CommandArguments;
-use crate::arguments::ToolRequest;
+use crate::command::CommandSpec;
+use crate::command_line::ToolRequest;
 use crate::context::ToolContext;
 use crate::report::CommandReport;
 use crate::report::ToolError;
 
 fn main() -> ExitCode {
-    let request = match arguments::parse_request() {
+    let request = match command_line::parse_request() {
         Ok(request) => request,
         Err(error) => {
             eprintln!("fescuetide: {error}; see fescuetide --help");
@@ -35,14 +38,17 @@
             println!("fescuetide {}", env!("CARGO_PKG_VERSION"));
             ExitCode::SUCCESS
         }
-        ToolRequest::Run(arguments) => {
-            let result = run_command(&arguments);
+        ToolRequest::Run(spec, arguments) => {
+            let result = run_command(spec, &arguments);
             report::print_result(&result, arguments.has_flag("json"))
         }
     }
 }
 
-fn run_command(arguments: &CommandArguments) -> Result<CommandReport, ToolError> {
+fn run_command(
+    spec: &CommandSpec,
+    arguments: &CommandArguments,
+) -> Result<CommandReport, ToolError> {
     let context = ToolContext::new(arguments)?;
-    (arguments.spec.run)(&context, arguments)
+    (spec.run)(&context, arguments)
 }
