Refuse requests that crash one upstream after the other in a gateway

Cause: a request that crashes each upstream that begins to run it came again and again, and every gateway sent it on as often as its route and budget allow.

Change: CrashWatch, a module of the decisions. An attempt that breaks off is part of a crash when its upstream refuses connections, loses its entry or begins a new life within 10 s. A request that was part of three crashes in a row, without a whole answer between, is refused with the evidence of its attempts. Upstreams that go down together count once, as do two connections to one of them. Seven replays in tests/flow/crash.rs.

--- a/crates/coordination/fescuetide_flow/src/core.rs
+++ b/crates/coordination/fescuetide_flow/src/core.rs
@@ -13,6 +13,7 @@
 use fescuetide_base::ZoneName;
 use fescuetide_fleet::UpstreamEntry;
 use fescuetide_limits::BudgetSettings;
+use fescuetide_limits::CrashFingerprint;
 use indexmap::IndexMap;
 
 use crate::AttemptEvent;
@@ -21,7 +22,9 @@
 use crate::FlowKey;
 use crate::FlowSettings;
 use crate::LoadReport;
+use crate::RefusalCause;
 use crate::WorkRequest;
+use crate::crash::CrashWatch;
 use crate::directory::PrefixDirectory;
 use crate::flow::RequestFlow;
 use crate::health::OutcomeTable;
@@ -43,6 +46,7 @@
     zone: ZoneName,
     pools: IndexMap<PoolName, PoolState>,
     outcomes: OutcomeTable,
+    crashes: CrashWatch,
     directory: PrefixDirectory,
     share: TrafficShare,
     flows: IndexMap<FlowKey, RequestFlow>,
@@ -59,6 +63,7 @@
             zone,
             pools: IndexMap::new(),
             outcomes: OutcomeTable::new(settings.breaker),
+            crashes: CrashWatch::default(),
             directory: PrefixDirectory::default(),
             share: TrafficShare::default(),
             flows: IndexMap::new(),
@@ -94,6 +99,7 @@
             if pool.insert(entry.clone(), now) {
                 self.outcomes.forget(&entry.name);
                 self.directory.forget(&entry.name);
+                self.crashes.note_gone(&entry.name, now);
             }
         }
         for (name, pool) in &mut self.pools {
@@ -105,6 +111,7 @@
             for vm in pool.retain(is_listed) {
                 self.outcomes.forget(&vm);
                 self.directory.forget(&vm);
+                self.crashes.note_gone(&vm, now);
             }
         }
         self.start_waiting(now);
@@ -115,14 +122,37 @@
         self.next_key += 1;
         let key = FlowKey(self.next_key);
         let pool = self.choose_pool(&request);
+        let print = request.print;
         if let Some(pool) = self.pools.get_mut(&pool) {
             pool.budget.note_request();
         }
         self.flows.insert(key, RequestFlow::new(request, pool));
-        self.place(key, now);
+        match self.crashes.refusal(print, now) {
+            Some(left) => self.end(key, RefusalCause::CrashesUpstreams, left, now),
+            None => self.place(key, now),
+        }
         key
     }
 
+    /// Takes in requests that other routers refuse because they crash upstreams, and for how long.
+    pub fn learn_refused(
+        &mut self,
+        refused: impl IntoIterator<Item = (CrashFingerprint, SpanMillis)>,
+        now: ClockMillis,
+    ) {
+        for (print, left) in refused {
+            self.crashes.learn(print, left, now);
+        }
+    }
+
+    /// The requests that are refused because they crash upstreams, if there are new ones to tell other routers.
+    pub fn take_refused(
+        &mut self,
+        now: ClockMillis,
+    ) -> Option<Vec<(CrashFingerprint, SpanMillis)>> {
+        self.crashes.take_news(now)
+    }
+
     /// The caller of a request has left. Its attempt must be stopped by the process.
     pub fn caller_left(&mut self, key: FlowKey, now: ClockMillis) {
         self.forget(key, now);
--- a/crates/coordination/fescuetide_flow/src/core/retrying.rs
+++ b/crates/coordination/fescuetide_flow/src/core/retrying.rs
@@ -8,6 +8,7 @@
 use crate::BreakCause;
 use crate::DeclineCause;
 use crate::FlowAction;
+use crate::FlowFailure;
 use crate::FlowKey;
 use crate::RefusalCause;
 use crate::flow::FlowState;
@@ -24,6 +25,7 @@
         }
         let flow = &mut self.flows[&key];
         flow.may_have_run = true;
+        self.crashes.note_completed(flow.request.print);
         // A stream that the caller has the head of cannot be replaced by a failure.
         let retries = is_failure && flow.request.kind.is_repeatable() && !flow.is_relayed;
         if retries && self.take_retry(key) {
@@ -59,14 +61,28 @@
         now: ClockMillis,
     ) {
         match cause {
-            BreakCause::NotConnected => self.outcomes.note_unreachable(vm, now),
+            BreakCause::NotConnected => {
+                self.outcomes.note_unreachable(vm, now);
+                self.crashes.note_down(vm, now);
+            }
             BreakCause::Closed | BreakCause::Garbled => {
                 self.outcomes.note_failure(vm);
             }
         }
         let flow = &mut self.flows[&key];
-        let is_sent = flow.attempt().is_some_and(|attempt| attempt.is_sent);
+        let attempt = flow.attempt();
+        let is_sent = attempt.is_some_and(|attempt| attempt.is_sent);
+        let began = attempt.map_or(now, |attempt| attempt.ordered_at);
         flow.may_have_run |= is_sent;
+        let print = flow.request.print;
+        if is_sent && cause == BreakCause::Closed {
+            self.crashes.note_broken(vm, print, began, now);
+        }
+        if let Some(left) = self.crashes.refusal(print, now) {
+            let failure = FlowFailure::UpstreamBroke(cause);
+            self.fail_or_refuse(key, failure, RefusalCause::CrashesUpstreams, left, now);
+            return;
+        }
         if !is_sent || self.take_retry(key) {
             self.resend(key, now);
             return;
--- a/crates/coordination/fescuetide_flow/src/request.rs
+++ b/crates/coordination/fescuetide_flow/src/request.rs
@@ -5,6 +5,7 @@
 use fescuetide_fleet::PoolShare;
 use fescuetide_fleet::RouteEntry;
 use fescuetide_fleet::WorkKind;
+use fescuetide_limits::CrashFingerprint;
 
 use crate::PromptShape;
 
@@ -33,6 +34,8 @@
     pub prompt: PromptShape,
     /// A number that spreads requests over the pools of a route.
     pub spread: u64,
+    /// Identifies the request among those that crash upstreams.
+    pub print: CrashFingerprint,
 }
 
 /// The longest pause between events where a route does not say.
@@ -58,6 +61,7 @@
             pause_limit: route.pause_limit.unwrap_or(DEFAULT_PAUSE_LIMIT),
             prompt: PromptShape::default(),
             spread: 0,
+            print: CrashFingerprint::default(),
         }
     }
 
--- /dev/null
+++ b/crates/coordination/fescuetide_flow/tests/flow/crash.rs
@@ -0,0 +1,200 @@
+//! Requests that crash the upstreams that run them.
+
+use fescuetide_base::prelude::*;
+use fescuetide_fleet::WorkKind;
+use fescuetide_flow::AttemptEvent;
+use fescuetide_flow::BreakCause;
+use fescuetide_flow::FlowAction;
+use fescuetide_flow::FlowKey;
+use fescuetide_flow::RefusalCause;
+use fescuetide_flow::WorkRequest;
+use fescuetide_limits::CrashFingerprint;
+
+use crate::harness::CoreHarness;
+use crate::harness::route;
+
+fn print(content: &[u8]) -> CrashFingerprint {
+    CrashFingerprint::of_parts(&[content])
+}
+
+impl CoreHarness {
+    fn arrive_with(&mut self, content: &[u8]) -> FlowKey {
+        let route = route(WorkKind::Repeatable, 1);
+        let request = WorkRequest {
+            print: print(content),
+            ..WorkRequest::of_route(&route, self.now, None)
+        };
+        self.core.arrive(request, self.now)
+    }
+
+    /// Lets a request break off at its upstream, and fail. Returns the upstream.
+    fn break_one(&mut self, key: FlowKey) -> VmName {
+        let upstream = self.expect_send(key).upstream;
+        self.note(key, AttemptEvent::Sent);
+        self.now = self.now + SpanMillis::new(10);
+        self.note(key, AttemptEvent::Broken(BreakCause::Closed));
+        self.now = self.now + SpanMillis::new(10);
+        assert!(matches!(self.next(), Some(FlowAction::Fail(failed, _)) if failed == key));
+        upstream
+    }
+
+    /// Lets other requests find out that an upstream refuses connections.
+    fn find_down(&mut self, down: &VmName) {
+        for number in 0..100_u32 {
+            let key = self.arrive_with(&number.to_le_bytes());
+            let order = self.expect_send(key);
+            if order.upstream == *down {
+                self.note(key, AttemptEvent::Broken(BreakCause::NotConnected));
+                self.expect_send(key);
+                self.complete(key);
+                return;
+            }
+            self.complete(key);
+        }
+        panic!("no request was sent to {down}");
+    }
+
+    fn complete(&mut self, key: FlowKey) {
+        self.note(key, AttemptEvent::Sent);
+        self.note(
+            key,
+            AttemptEvent::Completed {
+                status: 200,
+                load: None,
+            },
+        );
+        assert_eq!(self.next(), Some(FlowAction::Relay(key)));
+    }
+
+    fn expect_refused(&mut self, key: FlowKey) {
+        match self.next() {
+            Some(FlowAction::Refuse(refused, refusal)) if refused == key => {
+                assert_eq!(refusal.cause, RefusalCause::CrashesUpstreams);
+            }
+            other => panic!("expected a refusal, not {other:?}"),
+        }
+    }
+}
+
+/// Guards against a request that takes one upstream after the other down.
+#[test]
+fn request_that_crashed_three_upstreams_is_refused() {
+    let mut harness = CoreHarness::with_upstreams(6);
+    for _ in 0..3 {
+        let key = harness.arrive_with(b"killer");
+        let upstream = harness.break_one(key);
+        harness.find_down(&upstream);
+    }
+    let key = harness.arrive_with(b"killer");
+    harness.expect_refused(key);
+    let other = harness.arrive_with(b"other");
+    harness.expect_send(other);
+}
+
+/// Guards against callers that are refused because answers to them were cut off by upstreams that go on.
+#[test]
+fn breaks_without_a_crash_make_no_suspects() {
+    let mut harness = CoreHarness::with_upstreams(6);
+    for _ in 0..10 {
+        let key = harness.arrive_with(b"cut");
+        harness.break_one(key);
+    }
+    let key = harness.arrive_with(b"cut");
+    harness.expect_send(key);
+}
+
+/// Guards against a request that many callers send and that is refused because it ran beside one crash several times.
+#[test]
+fn one_crash_counts_once_for_a_request() {
+    let mut harness = CoreHarness::with_upstreams(1);
+    let keys: Vec<FlowKey> = (0..4).map(|_| harness.arrive_with(b"popular")).collect();
+    for key in &keys {
+        harness.expect_send(*key);
+        harness.note(*key, AttemptEvent::Sent);
+    }
+    for key in &keys {
+        harness.note(*key, AttemptEvent::Broken(BreakCause::Closed));
+        assert!(matches!(harness.next(), Some(FlowAction::Fail(..))));
+    }
+    harness.core.set_upstreams(&[], harness.now);
+    harness
+        .core
+        .set_upstreams(&[crate::harness::upstream("vm-0", 8)], harness.now);
+    let key = harness.arrive_with(b"popular");
+    harness.expect_send(key);
+}
+
+/// Guards against a request that many callers send and that is refused because three upstreams went down together.
+#[test]
+fn upstreams_that_go_down_together_count_once() {
+    let mut harness = CoreHarness::with_upstreams(3);
+    let keys: Vec<FlowKey> = (0..9).map(|_| harness.arrive_with(b"popular")).collect();
+    for key in &keys {
+        harness.expect_send(*key);
+        harness.note(*key, AttemptEvent::Sent);
+    }
+    harness.now = harness.now + SpanMillis::new(100);
+    for key in &keys {
+        harness.note(*key, AttemptEvent::Broken(BreakCause::Closed));
+        assert!(matches!(harness.next(), Some(FlowAction::Fail(..))));
+    }
+    harness.core.set_upstreams(&[], harness.now);
+    harness
+        .core
+        .set_upstreams(&[crate::harness::upstream("vm-9", 8)], harness.now);
+    let key = harness.arrive_with(b"popular");
+    harness.expect_send(key);
+}
+
+/// Guards against a request that is refused because it was beside three crashes, although it completed between them.
+#[test]
+fn completed_request_is_cleared() {
+    let mut harness = CoreHarness::with_upstreams(6);
+    for _ in 0..5 {
+        let key = harness.arrive_with(b"innocent");
+        let upstream = harness.break_one(key);
+        harness.find_down(&upstream);
+        let key = harness.arrive_with(b"innocent");
+        harness.expect_send(key);
+        harness.complete(key);
+    }
+}
+
+/// Guards against a crash that is not noticed because nobody connects before the upstream is back with a new life.
+#[test]
+fn new_life_of_an_upstream_shows_its_crash() {
+    let mut harness = CoreHarness::with_upstreams(1);
+    for life in 2..5 {
+        let key = harness.arrive_with(b"killer");
+        harness.break_one(key);
+        let entry = fescuetide_fleet::UpstreamEntry {
+            incarnation: ProcessIncarnation::new(life),
+            ..crate::harness::upstream("vm-0", 8)
+        };
+        harness.core.set_upstreams(&[entry], harness.now);
+    }
+    let key = harness.arrive_with(b"killer");
+    harness.expect_refused(key);
+}
+
+/// Guards against a request that starts anew at each router: what one refuses, the others learn.
+#[test]
+fn refusals_are_told_to_other_routers() {
+    let mut harness = CoreHarness::with_upstreams(6);
+    assert_eq!(harness.core.take_refused(harness.now), None);
+    for _ in 0..3 {
+        let key = harness.arrive_with(b"killer");
+        let upstream = harness.break_one(key);
+        harness.find_down(&upstream);
+    }
+    let refused = harness.core.take_refused(harness.now).expect("news");
+    assert_eq!(refused.len(), 1);
+    assert_eq!(refused[0].0, print(b"killer"));
+    assert_eq!(harness.core.take_refused(harness.now), None);
+
+    let mut other = CoreHarness::with_upstreams(6);
+    other.core.learn_refused(refused, other.now);
+    let key = other.arrive_with(b"killer");
+    other.expect_refused(key);
+    assert_eq!(other.core.take_refused(other.now), None);
+}
--- a/crates/coordination/fescuetide_limits/src/suspects.rs
+++ b/crates/coordination/fescuetide_limits/src/suspects.rs
@@ -9,20 +9,24 @@
 use indexmap::IndexMap;
 
 /// Identifies a request by its workspace and body in 16 bytes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CrashFingerprint([u8; 16]);
 
 impl CrashFingerprint {
     /// Computes the fingerprint of a request.
     pub fn of(workspace: &WorkspaceName, body: &[u8]) -> Self {
+        Self::of_parts(&[workspace.as_str().as_bytes(), body])
+    }
+
+    /// Computes the fingerprint of a request from all that tells it from others.
+    pub fn of_parts(parts: &[&[u8]]) -> Self {
         let mut bytes = [0; 16];
-        for (half, part) in bytes.chunks_exact_mut(8).enumerate() {
-            let hash = StableHash::new()
-                .field(&[half as u8])
-                .field(workspace.as_str().as_bytes())
-                .field(body)
-                .finish();
-            part.copy_from_slice(&hash.to_le_bytes());
+        for (half, place) in bytes.chunks_exact_mut(8).enumerate() {
+            let mut hash = StableHash::new().field(&[half as u8]);
+            for part in parts {
+                hash = hash.field(part);
+            }
+            place.copy_from_slice(&hash.finish().to_le_bytes());
         }
         Self(bytes)
     }
--- a/crates/process/fescuetide_gateway/src/admission.rs
+++ b/crates/process/fescuetide_gateway/src/admission.rs
@@ -6,6 +6,7 @@
 use fescuetide_base::StableHash;
 use fescuetide_fleet::FleetConfig;
 use fescuetide_flow::WorkRequest;
+use fescuetide_limits::CrashFingerprint;
 
 use crate::exchange::Exchange;
 
@@ -46,8 +47,26 @@
     let mut request = WorkRequest::of_route(route, now, exchange.fields.time_limit);
     request.rank = holder.and_then(|holder| holder.rank).unwrap_or(route.rank);
     request.spread = StableHash::of_bytes(id.as_bytes());
+    request.print = fingerprint(exchange);
     if route.shares_prompts {
         request.prompt = exchange.fields.prompt.clone();
     }
     Ok(request)
 }
+
+/// Identifies a request among those that crash upstreams: one that comes again has its path, caller and body. Requests
+/// without a body cannot be told from others of their path, so each counts as a request of its own.
+fn fingerprint(exchange: &Exchange) -> CrashFingerprint {
+    let workspace = exchange.workspace.as_ref();
+    let content = match exchange.body.is_empty() {
+        true => exchange.request_id().as_bytes(),
+        false => &exchange.body,
+    };
+    CrashFingerprint::of_parts(&[
+        workspace
+            .map_or("", |workspace| workspace.as_str())
+            .as_bytes(),
+        exchange.head.target().as_bytes(),
+        content,
+    ])
+}
