Let gateways tell each other the fleet and what crashes upstreams

Cause: a gateway that started while the log was away served nobody until it was back, although its neighbours knew routes, keys and upstreams; and each gateway counted a request's crashes anew.

Change: gateways answer each other at the address `peers` (short connections, postcard frames, two blocking threads; no periodic traffic but one question each 10 s). ViewLedger orders the news: a configuration gives way only to a newer one, a peer's upstreams count until the log lists them. PeerTable keeps who is there, from the seeds on.

The fuzz tests of recovery (recovery_fuzz, budget) found two holes in the table of upstreams: entries that had lapsed in an outage were dropped by a second listing soon after it, and by a second outage that took the time in which live upstreams write them again. Both have a test of their own.

--- a/crates/process/fescuetide_gateway/src/counters.rs
+++ b/crates/process/fescuetide_gateway/src/counters.rs
@@ -92,6 +92,10 @@
     log_failures => "fescuetide_log_failures_total",
     /// Records that could not be read.
     unreadable_records => "fescuetide_unreadable_records_total",
+    /// Questions to other gateways.
+    peer_asks => "fescuetide_peer_asks_total",
+    /// Exchanges with other gateways that failed.
+    peer_failures => "fescuetide_peer_failures_total",
     /// The version of the configuration in force.
     config_version => "fescuetide_config_version",
 }
--- a/crates/process/fescuetide_gateway/src/follower.rs
+++ b/crates/process/fescuetide_gateway/src/follower.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -12,6 +11,7 @@
 use fescuetide_base::SpanMillis;
 use fescuetide_fleet::ConfigVersion;
 use fescuetide_fleet::FleetView;
+use fescuetide_fleet::OutageEnd;
 use fescuetide_fleet::OutageWatch;
 use fescuetide_fleet::UpstreamChange;
 use fescuetide_fleet::UpstreamTable;
@@ -22,8 +22,10 @@
 use crate::dialect::FleetStream;
 use crate::dialect::LogRecord;
 use crate::dialect::RecordDialect;
+use crate::peer_shelf::PeerShelf;
 use crate::store_client::CallError;
 use crate::store_client::StoreClient;
+use crate::traffic::LoopNews;
 
 /// How often streams of the log are read.
 #[derive(Clone, Copy, Debug)]
@@ -43,14 +45,23 @@
 /// Where followers publish what changed.
 #[derive(Clone, Debug)]
 pub(crate) struct FleetFeed {
-    pub(crate) sender: Sender<FleetView>,
+    pub(crate) sender: Sender<LoopNews>,
     pub(crate) waker: Arc<Waker>,
     pub(crate) counters: Arc<GatewayCounters>,
+    /// What peers are told.
+    pub(crate) shelf: Arc<PeerShelf>,
 }
 
 impl FleetFeed {
-    fn publish(&self, view: FleetView) {
-        if self.sender.send(view).is_err() {
+    /// Publishes what changed in the fleet.
+    pub(crate) fn publish(&self, view: FleetView) {
+        self.shelf.note_view(&view, ClockMillis::now());
+        self.send(LoopNews::Fleet(view));
+    }
+
+    /// Sends news to the traffic thread.
+    pub(crate) fn send(&self, news: LoopNews) {
+        if self.sender.send(news).is_err() {
             // The traffic thread has ended, and the process with it.
             return;
         }
@@ -97,8 +108,8 @@
     /// The offset to read from, `None` when the newest records have to be listed first.
     next: Option<LogOffset>,
     outage: OutageWatch,
-    /// Whether entries may be missing from what was read last because of an outage.
-    may_have_lapsed: bool,
+    /// The outage that the last step ended.
+    ended: Option<OutageEnd>,
 }
 
 impl<D: RecordDialect> StreamFollower<D> {
@@ -110,12 +121,13 @@
             feed: feed.clone(),
             next: None,
             outage: OutageWatch::new(ClockMillis::now()),
-            may_have_lapsed: false,
+            ended: None,
         }
     }
 
     /// Reads what is new, waiting for it for `wait` at most.
     fn step(&mut self, wait: SpanMillis) -> FollowStep {
+        self.ended = None;
         let wait = self.outage.read_wait(wait);
         let result = match self.next {
             None => self.list().map(FollowStep::Listing),
@@ -140,9 +152,8 @@
     }
 
     fn note_answer(&mut self) {
-        let end = self.outage.note_answer(ClockMillis::now());
-        self.may_have_lapsed = end.is_some_and(|end| end.may_have_lapsed);
-        if let Some(end) = end {
+        self.ended = self.outage.note_answer(ClockMillis::now());
+        if let Some(end) = self.ended {
             tracing::info!(stream = %self.stream, away_ms = end.span.as_millis(), "log service is back");
             self.feed.publish(FleetView::LogAway(false));
         }
@@ -220,14 +231,6 @@
                 continue;
             }
             version = Some(config.version);
-            let counter = &follower.feed.counters.config_version;
-            counter.store(config.version.get(), Ordering::Relaxed);
-            tracing::info!(
-                version = config.version.get(),
-                routes = config.routes.route_count(),
-                keys = config.keys.len(),
-                "configuration in force"
-            );
             follower.feed.publish(FleetView::Config(Arc::new(config)));
         }
     }
@@ -239,7 +242,10 @@
     loop {
         let step = follower.step(SpanMillis::default());
         let now = ClockMillis::now();
-        let after_outage = follower.may_have_lapsed;
+        let after_outage = follower.ended.is_some_and(|end| end.may_have_lapsed);
+        if follower.ended.is_some() {
+            table.note_return(now);
+        }
         let before: Vec<_> = table.iter().cloned().collect();
         let is_first = match step {
             FollowStep::Listing(records) => {
@@ -268,7 +274,9 @@
         if is_first || !table.iter().eq(before.iter()) {
             log_changes(&before, &table);
             let upstreams = table.iter().cloned().collect();
-            follower.feed.publish(FleetView::Upstreams(upstreams));
+            follower
+                .feed
+                .publish(FleetView::Upstreams(Arc::new(upstreams)));
         }
         if !follower.outage.is_away() {
             thread::sleep(pause.into());
--- a/crates/process/fescuetide_gateway/src/lib.rs
+++ b/crates/process/fescuetide_gateway/src/lib.rs
@@ -17,6 +17,8 @@
 mod follower;
 mod idle;
 mod line_budget;
+mod peer_shelf;
+mod peers;
 mod probes;
 mod process;
 mod relay;
--- a/crates/process/fescuetide_gateway/src/process.rs
+++ b/crates/process/fescuetide_gateway/src/process.rs
@@ -1,10 +1,13 @@
 //! The gateway process.
 
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::sync::Arc;
 
 use anyhow::Context;
 use crossbeam::channel;
+use fescuetide_base::ClockMillis;
+use fescuetide_fleet::PeerTable;
 use fescuetide_flow::FlowCore;
 use mio::Poll;
 use mio::Waker;
@@ -16,6 +19,8 @@
 use crate::follower;
 use crate::follower::FleetFeed;
 use crate::follower::FollowPace;
+use crate::peer_shelf::PeerShelf;
+use crate::peers;
 use crate::sockets;
 use crate::traffic::LoopListeners;
 use crate::traffic::LoopSignals;
@@ -41,19 +46,27 @@
         let poll = Poll::new().context("cannot create the event loop")?;
         let waker = Waker::new(poll.registry(), WAKER_TOKEN).context("cannot create the waker")?;
         let listeners = open_listeners(settings)?;
-        let (sender, views) = channel::unbounded();
+        let (sender, news) = channel::unbounded();
         let counters = Arc::<GatewayCounters>::default();
         let zone = settings.zone.parse().context("zone")?;
         let core = FlowCore::new(settings.flow_settings(), zone);
-        let mut traffic = TrafficLoop::new(poll, listeners, core, views, edge, settings)
+        let mut traffic = TrafficLoop::new(poll, listeners, core, news, edge, settings)
             .context("cannot watch the listeners")?;
         traffic.counters = Arc::clone(&counters);
         traffic.signals = watch_signals().context("cannot handle signals")?;
-        let feed = FleetFeed {
+        let mut feed = FleetFeed {
             sender,
             waker: Arc::new(waker),
             counters,
+            shelf: Arc::default(),
         };
+        if let Some(listener) = open_peers(settings)? {
+            let own = listener.local_addr()?;
+            let table = PeerTable::new(own, &settings.seed_addresses(), ClockMillis::now());
+            feed.shelf = Arc::new(PeerShelf::new(table));
+            let refused = peers::start(listener, &feed).context("cannot start a peer thread")?;
+            traffic.refused = Some(refused);
+        }
         let log_service = parse_address("log_service", &settings.log_service)?;
         let pace = FollowPace {
             config_wait: settings.config_wait(),
@@ -101,6 +114,16 @@
     })
 }
 
+fn open_peers(settings: &GatewaySettings) -> anyhow::Result<Option<TcpListener>> {
+    if settings.peers.is_empty() {
+        return Ok(None);
+    }
+    let address = parse_address("peers", &settings.peers)?;
+    let listener = TcpListener::bind(address);
+    let listener = listener.with_context(|| format!("peers: cannot listen on {address}"))?;
+    Ok(Some(listener))
+}
+
 fn watch_signals() -> std::io::Result<LoopSignals> {
     let signals = LoopSignals::default();
     for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
--- a/crates/process/fescuetide_gateway/src/settings.rs
+++ b/crates/process/fescuetide_gateway/src/settings.rs
@@ -25,6 +25,10 @@
     pub ready: String,
     /// Where metrics are served, empty for nowhere.
     pub metrics: String,
+    /// Where other gateways are answered, empty for nowhere.
+    pub peers: String,
+    /// Addresses of other gateways to ask first. They may be out of date.
+    pub seeds: Vec<String>,
     /// The platform's log.
     pub log_service: String,
     /// The time between a termination signal and the kill that follows it.
@@ -49,6 +53,8 @@
             callers: String::new(),
             ready: String::new(),
             metrics: String::new(),
+            peers: String::new(),
+            seeds: Vec::new(),
             log_service: String::new(),
             grace_ms: 8_000,
             retry_ratio: 0.2,
@@ -82,8 +88,11 @@
             ("callers", &self.callers, true),
             ("ready", &self.ready, true),
             ("metrics", &self.metrics, false),
+            ("peers", &self.peers, false),
             ("log_service", &self.log_service, true),
         ];
+        let seeds = self.seeds.iter().map(|seed| ("seeds", seed, true));
+        let addresses = addresses.into_iter().chain(seeds);
         for (key, value, is_needed) in addresses {
             let is_missing = value.is_empty() && !is_needed;
             if !is_missing && value.parse::<SocketAddr>().is_err() {
@@ -110,6 +119,12 @@
         list
     }
 
+    /// The seeds as addresses; [`check`](Self::check) reports those that are none.
+    pub(crate) fn seed_addresses(&self) -> Vec<SocketAddr> {
+        let seeds = self.seeds.iter();
+        seeds.filter_map(|seed| seed.parse().ok()).collect()
+    }
+
     /// The time for shutting down.
     pub fn grace(&self) -> SpanMillis {
         SpanMillis::new(self.grace_ms)
--- a/crates/process/fescuetide_gateway/src/traffic.rs
+++ b/crates/process/fescuetide_gateway/src/traffic.rs
@@ -7,12 +7,15 @@
 use std::time::Duration;
 
 use crossbeam::channel::Receiver;
+use crossbeam::channel::Sender;
 use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
 use fescuetide_fleet::FleetConfig;
+use fescuetide_fleet::FleetSnapshot;
 use fescuetide_fleet::FleetView;
 use fescuetide_fleet::UpstreamEntry;
+use fescuetide_fleet::ViewLedger;
 use fescuetide_flow::FlowCore;
 use fescuetide_flow::FlowKey;
 use fescuetide_limits::WindowQuota;
@@ -35,6 +38,7 @@
 use crate::idle::IdleTable;
 use crate::line_budget;
 use crate::line_budget::LineKind;
+use crate::peer_shelf::RefusedList;
 use crate::shutdown::DrainState;
 
 /// The token of the waker.
@@ -61,6 +65,15 @@
 /// A loop that stood still for this long was suspended.
 const SUSPENSION_LIMIT: SpanMillis = SpanMillis::new(1_000);
 
+/// What control threads tell the loop.
+#[derive(Clone, Debug)]
+pub(crate) enum LoopNews {
+    /// A change of the fleet.
+    Fleet(FleetView),
+    /// Requests that other gateways refuse, since they crash upstreams.
+    Refused(RefusedList),
+}
+
 /// What the process tells the loop.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LoopSignals {
@@ -93,7 +106,11 @@
     pub(crate) started: ClockMillis,
     /// Whether connections wait that could not be accepted, for want of descriptors.
     has_unaccepted: bool,
-    pub(crate) views: Receiver<FleetView>,
+    pub(crate) news: Receiver<LoopNews>,
+    /// Which news about the fleet count.
+    ledger: ViewLedger,
+    /// Where requests that crash upstreams are told to peers, `None` without peers.
+    pub(crate) refused: Option<Sender<RefusedList>>,
     pub(crate) signals: LoopSignals,
     pub(crate) counters: Arc<GatewayCounters>,
     pub(crate) dialect: D,
@@ -112,7 +129,7 @@
         poll: Poll,
         mut listeners: LoopListeners,
         core: FlowCore,
-        views: Receiver<FleetView>,
+        news: Receiver<LoopNews>,
         dialect: D,
         settings: &GatewaySettings,
     ) -> io::Result<Self> {
@@ -138,7 +155,9 @@
             is_log_away: false,
             started: ClockMillis::now(),
             has_unaccepted: false,
-            views,
+            news,
+            ledger: ViewLedger::default(),
+            refused: None,
             signals: LoopSignals::default(),
             counters: Arc::default(),
             dialect,
@@ -174,11 +193,12 @@
             for event in &events {
                 self.dispatch(event);
             }
-            self.take_views();
+            self.take_news();
             if self.now.since(last_tick) >= BUSY_TICK {
                 last_tick = self.now;
                 self.core.tick(self.now);
                 self.perform();
+                self.tell_refused();
                 self.sweep();
             }
             if self.step_shutdown() {
@@ -275,23 +295,67 @@
         }
     }
 
-    /// Takes over what the control threads published.
-    fn take_views(&mut self) {
-        while let Ok(view) = self.views.try_recv() {
-            match view {
-                FleetView::Config(config) => self.config = Some(config),
-                FleetView::Upstreams(entries) => self.set_upstreams(entries),
-                FleetView::LogAway(is_away) => self.is_log_away = is_away,
+    /// Takes over what the control threads sent.
+    fn take_news(&mut self) {
+        while let Ok(news) = self.news.try_recv() {
+            match news {
+                LoopNews::Fleet(FleetView::Config(config)) => self.take_config(config),
+                LoopNews::Fleet(FleetView::Upstreams(entries)) => {
+                    self.ledger.note_listing();
+                    self.set_upstreams(&entries);
+                }
+                LoopNews::Fleet(FleetView::Peer(snapshot)) => self.take_snapshot(snapshot),
+                LoopNews::Fleet(FleetView::LogAway(is_away)) => self.is_log_away = is_away,
+                LoopNews::Refused(refused) => self.core.learn_refused(refused, self.now),
             }
             self.perform();
         }
     }
 
-    fn set_upstreams(&mut self, entries: Vec<UpstreamEntry>) {
-        self.core.set_upstreams(&entries, self.now);
+    fn take_config(&mut self, config: Arc<FleetConfig>) {
+        if !self.ledger.takes_config(config.version) {
+            return;
+        }
+        let version = config.version.get();
+        let counter = &self.counters.config_version;
+        counter.store(version, Ordering::Relaxed);
+        tracing::info!(
+            version,
+            routes = config.routes.route_count(),
+            keys = config.keys.len(),
+            "configuration in force"
+        );
+        self.config = Some(config);
+    }
+
+    fn take_snapshot(&mut self, snapshot: FleetSnapshot) {
+        if let Some(config) = snapshot.config {
+            self.take_config(config);
+        }
+        let is_empty = snapshot.upstreams.is_empty();
+        if !is_empty && self.ledger.takes_peer_upstreams(snapshot.read_at) {
+            self.set_upstreams(&snapshot.upstreams);
+        }
+    }
+
+    /// Tells peers which requests crash upstreams, when there are new ones.
+    fn tell_refused(&mut self) {
+        let Some(list) = self.core.take_refused(self.now) else {
+            return;
+        };
+        let Some(sender) = &self.refused else {
+            return;
+        };
+        if sender.send(list).is_err() {
+            tracing::error!("peers cannot be told which requests crash upstreams");
+        }
+    }
+
+    fn set_upstreams(&mut self, entries: &[UpstreamEntry]) {
+        self.core.set_upstreams(entries, self.now);
         let mut table = IndexMap::with_capacity(entries.len());
         for entry in entries {
-            table.insert(entry.name.clone(), entry);
+            table.insert(entry.name.clone(), entry.clone());
         }
         let before = self.upstreams.replace(table).unwrap_or_default();
         for (name, old) in before {
--- a/crates/protocol/fescuetide_wire/src/lib.rs
+++ b/crates/protocol/fescuetide_wire/src/lib.rs
@@ -9,6 +9,7 @@
 mod decision;
 pub mod frame;
 pub mod log;
+pub mod peer;
 pub mod records;
 pub mod rpc;
 pub mod vms;
--- /dev/null
+++ b/crates/protocol/fescuetide_wire/src/peer.rs
@@ -0,0 +1,361 @@
+//! Messages between gateways: who is there, which requests crash upstreams, and what one knows of the fleet.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use fescuetide_base::ByteCount;
+use fescuetide_base::ClockMillis;
+use fescuetide_base::PoolName;
+use fescuetide_base::ProcessIncarnation;
+use fescuetide_base::SpanMillis;
+use fescuetide_base::VmName;
+use fescuetide_base::WorkspaceName;
+use fescuetide_base::ZoneName;
+use fescuetide_fleet::CallerLimits;
+use fescuetide_fleet::ConfigVersion;
+use fescuetide_fleet::FleetConfig;
+use fescuetide_fleet::FleetSnapshot;
+use fescuetide_fleet::PoolEntry;
+use fescuetide_fleet::PoolShare;
+use fescuetide_fleet::RouteEntry;
+use fescuetide_fleet::RouteTable;
+use fescuetide_fleet::UpstreamEntry;
+use fescuetide_fleet::UpstreamState;
+use fescuetide_fleet::WorkKind;
+use fescuetide_fleet::WorkspaceEntry;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::rpc::RefusedWire;
+
+/// What a gateway tells a peer, and asks for.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PeerAsk {
+    /// Where the sender answers peers.
+    pub sender: SocketAddr,
+    /// Peers that the sender has heard of lately.
+    pub known: Vec<SocketAddr>,
+    /// Requests that the sender refuses because they crash upstreams.
+    pub refused: Vec<RefusedWire>,
+    /// Whether the sender wants to know the fleet, since it cannot read the log.
+    pub wants_fleet: bool,
+}
+
+/// A peer's answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PeerReply {
+    /// Peers that it has heard of lately.
+    pub known: Vec<SocketAddr>,
+    /// Requests that it refuses because they crash upstreams.
+    pub refused: Vec<RefusedWire>,
+    /// What it knows of the fleet, if that was asked for and it has a configuration.
+    pub fleet: Option<FleetWire>,
+}
+
+/// A configuration and the upstreams.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct FleetWire {
+    /// The configuration's version.
+    pub version: u64,
+    /// Routes with their hosts.
+    pub routes: Vec<RouteWire>,
+    /// Pools.
+    pub pools: Vec<PoolWire>,
+    /// Bounds on callers.
+    pub limits: LimitsWire,
+    /// Whether requests need a key.
+    pub needs_keys: bool,
+    /// Workspaces with their ranks.
+    pub workspaces: Vec<(WorkspaceName, Option<u8>)>,
+    /// Keys with the place of their holder in `workspaces`.
+    pub keys: Vec<(String, u32)>,
+    /// Upstreams.
+    pub upstreams: Vec<UpstreamWire>,
+    /// How long ago the upstreams were read from the log, in ms.
+    pub age_ms: u64,
+}
+
+/// A route.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RouteWire {
+    /// Its host.
+    pub host: String,
+    /// Its name.
+    pub name: String,
+    /// The start of the paths that it takes.
+    pub prefix: String,
+    /// What may be repeated.
+    pub kind: WorkKindWire,
+    /// The longest time that a request is kept waiting, in ms.
+    pub time_limit_ms: u64,
+    /// The latency target in ms.
+    pub late_after_ms: u64,
+    /// The longest pause between events in ms.
+    pub pause_limit_ms: Option<u64>,
+    /// The rank.
+    pub rank: u8,
+    /// Most upstreams that one request is sent to.
+    pub attempt_limit: u32,
+    /// Whether requests need no key.
+    pub is_public: bool,
+    /// Whether requests share parts of prompts.
+    pub shares_prompts: bool,
+    /// Pools with their weights.
+    pub pools: Vec<(PoolName, u32)>,
+}
+
+/// What may be repeated of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WorkKindWire {
+    /// See [`WorkKind::Repeatable`].
+    Repeatable,
+    /// See [`WorkKind::Once`].
+    Once,
+    /// See [`WorkKind::ResumableStream`].
+    ResumableStream,
+    /// See [`WorkKind::OnceStream`].
+    OnceStream,
+}
+
+/// A pool.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PoolWire {
+    /// Its name.
+    pub name: PoolName,
+    /// Most connections that one upstream takes.
+    pub connection_limit: u32,
+    /// Whether an upstream can copy parts of prompts from another one.
+    pub copies_prompts: bool,
+}
+
+/// Bounds on callers.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct LimitsWire {
+    /// Longest head in bytes.
+    pub head_bytes: u64,
+    /// Longest body in bytes.
+    pub body_bytes: u64,
+    /// Longest time for a head in ms.
+    pub head_time_ms: u64,
+    /// Longest idle time in ms.
+    pub idle_time_ms: u64,
+}
+
+/// An upstream.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct UpstreamWire {
+    /// The name of its VM.
+    pub name: VmName,
+    /// Its incarnation.
+    pub incarnation: ProcessIncarnation,
+    /// Its pool.
+    pub pool: PoolName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it leaves.
+    pub is_leaving: bool,
+}
+
+impl FleetWire {
+    /// Describes what a gateway knows at `now`, `None` before its first configuration.
+    pub fn of_snapshot(snapshot: &FleetSnapshot, now: ClockMillis) -> Option<Self> {
+        let config = snapshot.config.as_ref()?;
+        let mut routes = Vec::with_capacity(config.routes.route_count());
+        for (host, route) in config.routes.routes() {
+            routes.push(RouteWire::of_route(host, route));
+        }
+        let mut pools = Vec::new();
+        for (name, pool) in config.routes.pools() {
+            pools.push(PoolWire {
+                name: name.clone(),
+                connection_limit: pool.connection_limit,
+                copies_prompts: pool.copies_prompts,
+            });
+        }
+        let mut workspaces = Vec::with_capacity(config.workspaces.len());
+        for workspace in &config.workspaces {
+            workspaces.push((workspace.name.clone(), workspace.rank));
+        }
+        let mut keys = Vec::with_capacity(config.keys.len());
+        for (key, place) in &config.keys {
+            keys.push((key.clone(), u32::try_from(*place).ok()?));
+        }
+        let upstreams = snapshot.upstreams.iter().map(UpstreamWire::from).collect();
+        Some(Self {
+            version: config.version.get(),
+            routes,
+            pools,
+            limits: config.limits.into(),
+            needs_keys: config.needs_keys,
+            workspaces,
+            keys,
+            upstreams,
+            age_ms: now.since(snapshot.read_at).as_millis(),
+        })
+    }
+
+    /// Restores what the peer knew. `now` is the time at which the message came.
+    pub fn into_snapshot(self, now: ClockMillis) -> FleetSnapshot {
+        let mut routes = RouteTable::default();
+        for route in self.routes {
+            let (host, entry) = route.into();
+            routes.add_route(&host, entry);
+        }
+        for pool in self.pools {
+            let entry = PoolEntry {
+                connection_limit: pool.connection_limit,
+                copies_prompts: pool.copies_prompts,
+            };
+            routes.add_pool(pool.name, entry);
+        }
+        let mut workspaces = Vec::with_capacity(self.workspaces.len());
+        for (name, rank) in self.workspaces {
+            workspaces.push(WorkspaceEntry { name, rank });
+        }
+        let keys = self
+            .keys
+            .into_iter()
+            .map(|(key, place)| (key, place as usize))
+            .collect();
+        let config = FleetConfig {
+            version: ConfigVersion::new(self.version),
+            routes,
+            limits: self.limits.into(),
+            needs_keys: self.needs_keys,
+            workspaces,
+            keys,
+        };
+        let upstreams = self.upstreams.into_iter().map(Into::into).collect();
+        let read_at = now.as_millis().saturating_sub(self.age_ms);
+        FleetSnapshot {
+            config: Some(Arc::new(config)),
+            upstreams: Arc::new(upstreams),
+            read_at: ClockMillis::new(read_at),
+        }
+    }
+}
+
+impl RouteWire {
+    fn of_route(host: &str, route: &RouteEntry) -> Self {
+        let mut pools = Vec::with_capacity(route.pools.len());
+        for share in &route.pools {
+            pools.push((share.pool.clone(), share.weight));
+        }
+        Self {
+            host: host.to_owned(),
+            name: route.name.clone(),
+            prefix: route.prefix.clone(),
+            kind: route.kind.into(),
+            time_limit_ms: route.time_limit.as_millis(),
+            late_after_ms: route.late_after.as_millis(),
+            pause_limit_ms: route.pause_limit.map(SpanMillis::as_millis),
+            rank: route.rank,
+            attempt_limit: route.attempt_limit,
+            is_public: route.is_public,
+            shares_prompts: route.shares_prompts,
+            pools,
+        }
+    }
+}
+
+impl From<RouteWire> for (String, RouteEntry) {
+    fn from(wire: RouteWire) -> Self {
+        let mut pools = Vec::with_capacity(wire.pools.len());
+        for (pool, weight) in wire.pools {
+            pools.push(PoolShare { pool, weight });
+        }
+        let entry = RouteEntry {
+            name: wire.name,
+            prefix: wire.prefix,
+            kind: wire.kind.into(),
+            time_limit: SpanMillis::new(wire.time_limit_ms),
+            late_after: SpanMillis::new(wire.late_after_ms),
+            pause_limit: wire.pause_limit_ms.map(SpanMillis::new),
+            rank: wire.rank,
+            attempt_limit: wire.attempt_limit,
+            is_public: wire.is_public,
+            shares_prompts: wire.shares_prompts,
+            pools,
+        };
+        (wire.host, entry)
+    }
+}
+
+impl From<WorkKind> for WorkKindWire {
+    fn from(kind: WorkKind) -> Self {
+        match kind {
+            WorkKind::Repeatable => Self::Repeatable,
+            WorkKind::Once => Self::Once,
+            WorkKind::ResumableStream => Self::ResumableStream,
+            WorkKind::OnceStream => Self::OnceStream,
+        }
+    }
+}
+
+impl From<WorkKindWire> for WorkKind {
+    fn from(wire: WorkKindWire) -> Self {
+        match wire {
+            WorkKindWire::Repeatable => Self::Repeatable,
+            WorkKindWire::Once => Self::Once,
+            WorkKindWire::ResumableStream => Self::ResumableStream,
+            WorkKindWire::OnceStream => Self::OnceStream,
+        }
+    }
+}
+
+impl From<CallerLimits> for LimitsWire {
+    fn from(limits: CallerLimits) -> Self {
+        Self {
+            head_bytes: limits.head_bytes.get(),
+            body_bytes: limits.body_bytes.get(),
+            head_time_ms: limits.head_time.as_millis(),
+            idle_time_ms: limits.idle_time.as_millis(),
+        }
+    }
+}
+
+impl From<LimitsWire> for CallerLimits {
+    fn from(wire: LimitsWire) -> Self {
+        Self {
+            head_bytes: ByteCount::new(wire.head_bytes),
+            body_bytes: ByteCount::new(wire.body_bytes),
+            head_time: SpanMillis::new(wire.head_time_ms),
+            idle_time: SpanMillis::new(wire.idle_time_ms),
+        }
+    }
+}
+
+impl From<&UpstreamEntry> for UpstreamWire {
+    fn from(entry: &UpstreamEntry) -> Self {
+        Self {
+            name: entry.name.clone(),
+            incarnation: entry.incarnation,
+            pool: entry.pool.clone(),
+            address: entry.address,
+            zone: entry.zone.clone(),
+            slots: entry.slots,
+            is_leaving: entry.state == UpstreamState::Leaving,
+        }
+    }
+}
+
+impl From<UpstreamWire> for UpstreamEntry {
+    fn from(wire: UpstreamWire) -> Self {
+        Self {
+            name: wire.name,
+            incarnation: wire.incarnation,
+            pool: wire.pool,
+            address: wire.address,
+            zone: wire.zone,
+            slots: wire.slots,
+            state: match wire.is_leaving {
+                true => UpstreamState::Leaving,
+                false => UpstreamState::Ready,
+            },
+        }
+    }
+}
--- a/crates/state/fescuetide_fleet/src/lib.rs
+++ b/crates/state/fescuetide_fleet/src/lib.rs
@@ -4,7 +4,9 @@
 //! an upstream is an incarnation of its own.
 
 mod config;
+mod ledger;
 mod outage;
+mod peer;
 mod route;
 mod upstream;
 mod view;
@@ -13,8 +15,10 @@
 pub use config::ConfigVersion;
 pub use config::FleetConfig;
 pub use config::WorkspaceEntry;
+pub use ledger::ViewLedger;
 pub use outage::OutageEnd;
 pub use outage::OutageWatch;
+pub use peer::PeerTable;
 pub use route::PoolEntry;
 pub use route::PoolShare;
 pub use route::RouteEntry;
@@ -24,4 +28,5 @@
 pub use upstream::UpstreamEntry;
 pub use upstream::UpstreamState;
 pub use upstream::UpstreamTable;
+pub use view::FleetSnapshot;
 pub use view::FleetView;
--- a/crates/state/fescuetide_fleet/src/route.rs
+++ b/crates/state/fescuetide_fleet/src/route.rs
@@ -109,6 +109,18 @@
         self.pools.get(name)
     }
 
+    /// All routes with their hosts.
+    pub fn routes(&self) -> impl Iterator<Item = (&str, &RouteEntry)> {
+        self.hosts
+            .iter()
+            .flat_map(|(host, routes)| routes.iter().map(move |route| (host.as_str(), route)))
+    }
+
+    /// All pools.
+    pub fn pools(&self) -> impl Iterator<Item = (&PoolName, &PoolEntry)> {
+        self.pools.iter()
+    }
+
     /// The number of routes.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/crates/state/fescuetide_fleet/src/upstream.rs
+++ b/crates/state/fescuetide_fleet/src/upstream.rs
@@ -103,10 +103,16 @@
         known.gone_at.get_or_insert(now + LAPSE_HOLD);
     }
 
-    /// Replaces all entries by those of a full listing. Entries that it lacks were removed.
+    /// Replaces all entries by those of a full listing. Entries that it lacks were removed; those that lapsed in an outage
+    /// before may still come back.
     pub fn replace(&mut self, entries: Vec<UpstreamEntry>, after_outage: bool, now: ClockMillis) {
-        let mut missing: Vec<VmName> = self.upstreams.keys().cloned().collect();
-        missing.retain(|name| !entries.iter().any(|entry| entry.name == *name));
+        let mut missing = Vec::new();
+        for (name, known) in &self.upstreams {
+            let is_listed = entries.iter().any(|entry| entry.name == *name);
+            if !is_listed && known.gone_at.is_none() {
+                missing.push(name.clone());
+            }
+        }
         for name in missing {
             self.remove(&name, after_outage, now);
         }
@@ -115,6 +121,15 @@
         }
     }
 
+    /// Notes the end of an outage. Upstreams whose entries lapsed in an earlier one had no time to write them again.
+    pub fn note_return(&mut self, now: ClockMillis) {
+        for known in self.upstreams.values_mut() {
+            if known.gone_at.is_some() {
+                known.gone_at = Some(now + LAPSE_HOLD);
+            }
+        }
+    }
+
     /// Drops upstreams whose entries did not come back after an outage. Returns whether there were any.
     pub fn expire(&mut self, now: ClockMillis) -> bool {
         let before = self.upstreams.len();
--- a/crates/state/fescuetide_fleet/tests/fleet.rs
+++ b/crates/state/fescuetide_fleet/tests/fleet.rs
@@ -115,3 +115,33 @@
     watch.note_answer(ClockMillis::new(100));
     assert_eq!(watch.read_wait(steady), steady);
 }
+
+/// Guards against a pool that is emptied because the log is listed twice soon after an outage in which entries lapsed.
+/// The fuzz test of recovery found it.
+#[test]
+fn second_listing_after_an_outage_keeps_entries_that_lapsed() {
+    let mut table = UpstreamTable::default();
+    let now = ClockMillis::new(10_000);
+    table.replace(vec![upstream("vm-1", UpstreamState::Ready)], false, now);
+    table.replace(Vec::new(), true, now);
+    table.replace(Vec::new(), false, now + SpanMillis::new(100));
+    assert_eq!(table.iter().count(), 1);
+    table.expire(now + SpanMillis::new(2_000));
+    assert_eq!(table.iter().count(), 0);
+}
+
+/// Guards against upstreams that are dropped because a second outage took the time in which they would have written
+/// their entries again. The fuzz test of recovery found it.
+#[test]
+fn second_outage_gives_lapsed_entries_more_time() {
+    let mut table = UpstreamTable::default();
+    let now = ClockMillis::new(10_000);
+    table.replace(vec![upstream("vm-1", UpstreamState::Ready)], false, now);
+    table.replace(Vec::new(), true, now);
+    let back = now + SpanMillis::new(3_000);
+    table.note_return(back);
+    table.expire(back);
+    assert_eq!(table.iter().count(), 1);
+    table.expire(back + SpanMillis::new(2_000));
+    assert_eq!(table.iter().count(), 0);
+}
--- /dev/null
+++ b/crates/state/fescuetide_fleet/tests/recovery_fuzz.rs
@@ -0,0 +1,466 @@
+//! Stateful fuzz tests of recovery: which news count, and which upstreams are known, through outages of the log.
+//!
+//! A run has a fixed seed and case count. `FESCUETIDE_FUZZ_CASES=N` runs N cases with a new seed, which is printed;
+//! `FESCUETIDE_FUZZ_SEED=S` repeats one.
+
+use std::collections::HashMap;
+use std::sync::OnceLock;
+
+use fescuetide_base::prelude::*;
+use fescuetide_fleet::ConfigVersion;
+use fescuetide_fleet::OutageWatch;
+use fescuetide_fleet::UpstreamChange;
+use fescuetide_fleet::UpstreamEntry;
+use fescuetide_fleet::UpstreamState;
+use fescuetide_fleet::UpstreamTable;
+use fescuetide_fleet::ViewLedger;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+use proptest_state_machine::prop_state_machine;
+
+/// Cases of up to 100 steps: with both tests about 10^5 steps.
+const CASE_COUNT: u32 = 1_000;
+const SEED: u64 = 0x5eed_0f1e;
+
+/// When an upstream whose entry lapsed must be used again, or not any more.
+const RETURN_LIMIT_MS: u64 = 2_000;
+
+fn config() -> Config {
+    static CONFIG: OnceLock<Config> = OnceLock::new();
+    CONFIG.get_or_init(make_config).clone()
+}
+
+fn make_config() -> Config {
+    let number = |name: &str| {
+        let text = std::env::var(name).ok()?;
+        Some(text.parse::<u64>().expect("a number"))
+    };
+    let cases = number("FESCUETIDE_FUZZ_CASES");
+    let seed = match (number("FESCUETIDE_FUZZ_SEED"), cases) {
+        (Some(seed), _) => seed,
+        (None, Some(_)) => ClockMillis::now().as_millis(),
+        (None, None) => SEED,
+    };
+    println!("FESCUETIDE_FUZZ_SEED={seed}");
+    Config {
+        cases: cases.map_or(CASE_COUNT, |cases| cases as u32),
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+const GATEWAYS: usize = 3;
+
+#[derive(Clone, Debug)]
+enum NewsStep {
+    /// The operators publish a version so much above the last.
+    Publish(u64),
+    /// A gateway reads configurations, perhaps so many versions behind.
+    ReadConfig(usize, usize),
+    /// A gateway lists the upstreams.
+    List(usize),
+    /// A gateway asks another one.
+    Ask(usize, usize),
+    Restart(usize),
+    Pass(u64),
+}
+
+struct NewsSource;
+
+impl ReferenceStateMachine for NewsSource {
+    type State = ();
+    type Transition = NewsStep;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<NewsStep> {
+        prop_oneof![
+            2 => (1..9_u64).prop_map(NewsStep::Publish),
+            4 => (0..GATEWAYS, 0..3_usize).prop_map(|(who, behind)| NewsStep::ReadConfig(who, behind)),
+            2 => (0..GATEWAYS).prop_map(NewsStep::List),
+            4 => (0..GATEWAYS, 0..GATEWAYS).prop_map(|(who, peer)| NewsStep::Ask(who, peer)),
+            2 => (0..GATEWAYS).prop_map(NewsStep::Restart),
+            2 => (1..500_u64).prop_map(NewsStep::Pass),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &NewsStep) {}
+}
+
+#[derive(Clone, Debug, Default)]
+struct GatewayModel {
+    ledger: ViewLedger,
+    /// The version in force.
+    version: Option<u64>,
+    /// When the upstreams in use were read from the log, by whomever.
+    read_at: Option<u64>,
+    /// The newest version and the newest listing of peers that it heard of in this life.
+    heard_version: Option<u64>,
+    heard_listing: Option<u64>,
+    has_listed: bool,
+}
+
+struct NewsWorld {
+    now: u64,
+    versions: Vec<u64>,
+    gateways: Vec<GatewayModel>,
+}
+
+struct NewsTest;
+
+impl NewsWorld {
+    fn take_config(&mut self, who: usize, version: u64) {
+        let gateway = &mut self.gateways[who];
+        gateway.heard_version = gateway.heard_version.max(Some(version));
+        if gateway.ledger.takes_config(ConfigVersion::new(version)) {
+            assert!(
+                gateway.version < Some(version),
+                "an older version took over"
+            );
+            gateway.version = Some(version);
+        }
+    }
+
+    fn ask(&mut self, who: usize, peer: usize) {
+        let told = self.gateways[peer].clone();
+        if who == peer {
+            return;
+        }
+        if let Some(version) = told.version {
+            self.take_config(who, version);
+        }
+        let Some(read_at) = told.read_at else {
+            return;
+        };
+        let gateway = &mut self.gateways[who];
+        gateway.heard_listing = gateway.heard_listing.max(Some(read_at));
+        if gateway
+            .ledger
+            .takes_peer_upstreams(ClockMillis::new(read_at))
+        {
+            assert!(!gateway.has_listed, "a peer's listing replaced the log's");
+            gateway.read_at = Some(read_at);
+        }
+    }
+}
+
+impl StateMachineTest for NewsTest {
+    type SystemUnderTest = NewsWorld;
+    type Reference = NewsSource;
+
+    fn init_test((): &()) -> NewsWorld {
+        NewsWorld {
+            now: 1_000,
+            versions: vec![1],
+            gateways: vec![GatewayModel::default(); GATEWAYS],
+        }
+    }
+
+    fn apply(mut world: NewsWorld, (): &(), step: NewsStep) -> NewsWorld {
+        match step {
+            NewsStep::Publish(above) => {
+                let last = world.versions.last().copied().unwrap_or_default();
+                world.versions.push(last + above);
+            }
+            NewsStep::ReadConfig(who, behind) => {
+                let place = world.versions.len().saturating_sub(1 + behind);
+                let version = world.versions[place];
+                world.take_config(who, version);
+            }
+            NewsStep::List(who) => {
+                let gateway = &mut world.gateways[who];
+                gateway.ledger.note_listing();
+                gateway.has_listed = true;
+                gateway.read_at = Some(world.now);
+            }
+            NewsStep::Ask(who, peer) => world.ask(who, peer),
+            NewsStep::Restart(who) => world.gateways[who] = GatewayModel::default(),
+            NewsStep::Pass(millis) => world.now += millis,
+        }
+        world
+    }
+
+    fn check_invariants(world: &NewsWorld, (): &()) {
+        for gateway in &world.gateways {
+            assert_eq!(
+                gateway.version, gateway.heard_version,
+                "not the newest version"
+            );
+            if !gateway.has_listed {
+                assert_eq!(
+                    gateway.read_at, gateway.heard_listing,
+                    "not the newest listing"
+                );
+            }
+        }
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(config())]
+
+    /// Guards against an older configuration that takes over, one that is heard of and not taken, and upstreams of a peer
+    /// that replace those of the log.
+    #[test]
+    fn newest_news_count_whoever_tells_them(sequential 20..60 => NewsTest);
+}
+
+const UPSTREAMS: usize = 3;
+
+#[derive(Clone, Debug)]
+enum EntryStep {
+    /// An upstream starts, perhaps anew.
+    Start(usize),
+    /// It says that it leaves.
+    Leave(usize),
+    /// It is gone for good.
+    Die(usize),
+    /// The log goes away, and the entries of these upstreams lapse meanwhile.
+    Away(Vec<usize>),
+    /// The log is back, and live upstreams write their entries again.
+    Back,
+    Pass(u64),
+}
+
+struct EntrySource;
+
+impl ReferenceStateMachine for EntrySource {
+    type State = ();
+    type Transition = EntryStep;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<EntryStep> {
+        let lapsed = prop::collection::vec(0..UPSTREAMS, 0..4);
+        prop_oneof![
+            3 => (0..UPSTREAMS).prop_map(EntryStep::Start),
+            1 => (0..UPSTREAMS).prop_map(EntryStep::Leave),
+            1 => (0..UPSTREAMS).prop_map(EntryStep::Die),
+            2 => lapsed.prop_map(EntryStep::Away),
+            3 => Just(EntryStep::Back),
+            4 => (50..2_500_u64).prop_map(EntryStep::Pass),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &EntryStep) {}
+}
+
+#[derive(Clone, Copy, Debug)]
+struct UpstreamModel {
+    incarnation: u64,
+    is_leaving: bool,
+    is_alive: bool,
+    has_entry: bool,
+    /// Whether the log has told its entry in this life.
+    was_told: bool,
+    /// When it died, or its log said that it is gone.
+    gone_at: Option<u64>,
+}
+
+struct EntryWorld {
+    now: u64,
+    is_away: bool,
+    back_at: u64,
+    upstreams: HashMap<usize, UpstreamModel>,
+    table: UpstreamTable,
+    outage: OutageWatch,
+}
+
+struct EntryTest;
+
+fn name_of(upstream: usize) -> VmName {
+    format!("vm-{upstream}").parse().expect("name")
+}
+
+fn entry_of(upstream: usize, model: &UpstreamModel) -> UpstreamEntry {
+    UpstreamEntry {
+        name: name_of(upstream),
+        incarnation: ProcessIncarnation::new(model.incarnation),
+        pool: "engines".parse().expect("name"),
+        address: "127.0.0.1:1".parse().expect("address"),
+        zone: "a".parse().expect("name"),
+        slots: 4,
+        state: match model.is_leaving {
+            true => UpstreamState::Leaving,
+            false => UpstreamState::Ready,
+        },
+    }
+}
+
+impl EntryWorld {
+    /// The reader's call: a full listing while the log answers.
+    fn read(&mut self) {
+        let now = ClockMillis::new(self.now);
+        if self.is_away {
+            self.outage.note_failure();
+            return;
+        }
+        let end = self.outage.note_answer(now);
+        let after_outage = end.is_some_and(|end| end.may_have_lapsed);
+        if end.is_some() {
+            self.table.note_return(now);
+        }
+        let mut entries = Vec::new();
+        for (upstream, model) in &self.upstreams {
+            if model.has_entry {
+                entries.push(entry_of(*upstream, model));
+            }
+        }
+        self.table.replace(entries, after_outage, now);
+        self.table.expire(now);
+    }
+
+    /// Lets time pass with a read each 50 ms.
+    fn pass(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.now = end.min(self.now + 50);
+            if !self.is_away && self.now >= self.back_at + 1_500 {
+                self.write_again();
+            }
+            self.read();
+        }
+    }
+
+    /// Live upstreams whose entries lapsed write them again.
+    fn write_again(&mut self) {
+        for model in self.upstreams.values_mut() {
+            model.has_entry |= model.is_alive;
+            model.was_told |= model.is_alive;
+        }
+    }
+
+    fn write(&mut self, upstream: usize) {
+        if self.is_away {
+            return;
+        }
+        let model = &self.upstreams[&upstream];
+        let change = UpstreamChange::Written(entry_of(upstream, model));
+        self.table.apply(change, false, ClockMillis::new(self.now));
+    }
+}
+
+impl StateMachineTest for EntryTest {
+    type SystemUnderTest = EntryWorld;
+    type Reference = EntrySource;
+
+    fn init_test((): &()) -> EntryWorld {
+        let now = 100_000;
+        EntryWorld {
+            now,
+            is_away: false,
+            back_at: 0,
+            upstreams: HashMap::new(),
+            table: UpstreamTable::default(),
+            outage: OutageWatch::new(ClockMillis::new(now)),
+        }
+    }
+
+    fn apply(mut world: EntryWorld, (): &(), step: EntryStep) -> EntryWorld {
+        match step {
+            EntryStep::Start(upstream) => {
+                let incarnation = world
+                    .upstreams
+                    .get(&upstream)
+                    .map_or(0, |old| old.incarnation);
+                let model = UpstreamModel {
+                    incarnation: incarnation + 1,
+                    is_leaving: false,
+                    is_alive: true,
+                    has_entry: !world.is_away,
+                    was_told: !world.is_away,
+                    gone_at: None,
+                };
+                world.upstreams.insert(upstream, model);
+                world.write(upstream);
+            }
+            EntryStep::Leave(upstream) => {
+                if let Some(model) = world.upstreams.get_mut(&upstream)
+                    && model.is_alive
+                    && !world.is_away
+                {
+                    model.is_leaving = true;
+                    world.write(upstream);
+                }
+            }
+            EntryStep::Die(upstream) => {
+                let now = world.now;
+                if let Some(model) = world.upstreams.get_mut(&upstream) {
+                    model.is_alive = false;
+                    model.has_entry = false;
+                    model.gone_at.get_or_insert(now);
+                }
+            }
+            EntryStep::Away(lapsed) => {
+                world.is_away = true;
+                for upstream in lapsed {
+                    if let Some(model) = world.upstreams.get_mut(&upstream) {
+                        model.has_entry = false;
+                    }
+                }
+                world.read();
+                // Shorter outages make no entry lapse.
+                world.pass(2_000);
+            }
+            EntryStep::Back => {
+                if world.is_away {
+                    world.is_away = false;
+                    world.back_at = world.now;
+                }
+                world.read();
+            }
+            EntryStep::Pass(millis) => world.pass(millis),
+        }
+        world
+    }
+
+    fn check_invariants(world: &EntryWorld, (): &()) {
+        let known: HashMap<VmName, &UpstreamEntry> = world
+            .table
+            .iter()
+            .map(|entry| (entry.name.clone(), entry))
+            .collect();
+        for (upstream, model) in &world.upstreams {
+            let entry = known.get(&name_of(*upstream));
+            if let (Some(entry), false, true) = (entry, world.is_away, model.has_entry) {
+                assert_eq!(
+                    entry.incarnation.get(),
+                    model.incarnation,
+                    "an old life is in use"
+                );
+            }
+            let gone_for = model.gone_at.map(|at| world.now - at.max(world.back_at));
+            let is_overdue = gone_for.is_some_and(|span| span > RETURN_LIMIT_MS);
+            assert!(
+                !(is_overdue && !world.is_away && entry.is_some()),
+                "vm-{upstream} is gone and still in use"
+            );
+        }
+        for (upstream, model) in &world.upstreams {
+            let is_known = known.contains_key(&name_of(*upstream));
+            // Also while its entry is missing, since it lapsed in an outage.
+            if model.is_alive && model.was_told && !model.is_leaving {
+                assert!(is_known, "vm-{upstream} is alive and not in use");
+            }
+        }
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(config())]
+
+    /// Guards against upstreams that are lost because the log forgot them in an outage, those that are used although they
+    /// are gone, and entries of an earlier life.
+    #[test]
+    fn upstreams_come_back_after_an_outage_or_go(sequential 20..60 => EntryTest);
+}
--- a/crates/transport/fescuetide_net/src/framed.rs
+++ b/crates/transport/fescuetide_net/src/framed.rs
@@ -101,6 +101,15 @@
 }
 
 impl FramedStream {
+    /// Connects to `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no connection is made within `limit`.
+    pub fn connect(address: SocketAddr, limit: SpanMillis) -> Result<Self, FrameError> {
+        Self::accept(TcpStream::connect_timeout(&address, limit.into())?)
+    }
+
     /// Takes over an accepted connection.
     ///
     /// # Errors
