--- a/crates/tools/fescuetide_bench/src/lib.rs
+++ b/crates/tools/fescuetide_bench/src/lib.rs
@@ -33,3 +33,4 @@
 pub mod trace;
 pub mod usage;
 pub mod workload;
+pub mod worth;
--- a/crates/tools/fescuetide_bench/src/main.rs
+++ b/crates/tools/fescuetide_bench/src/main.rs
@@ -12,6 +12,7 @@
 use fescuetide_bench::scale;
 use fescuetide_bench::scale::ScaleSettings;
 use fescuetide_bench::signals::watch_signals;
+use fescuetide_bench::worth;
 use lexopt::Arg;
 use lexopt::Parser;
 use lexopt::ValueExt;
@@ -31,6 +32,8 @@
   surge             3 of 10 workspaces at 8 times their usual rate
   faults            Named faults, each alone and then in pairs
   scale             Control cost per router at three fleet sizes
+  worth REPORT...   Where the worth of days goes, from reports of the users'
+                    bench; with --plot also over time, in one picture
 
 Options:
   --seed N          Seed of the load (default 1)
@@ -42,7 +45,7 @@
   --only NAMES      Faults to run, such as pause,kill
   --seeds N         Faults: so many seeds, from --seed on (default 1)
   --json            Print one JSON object as the last line
-  --plot FOLDER     Write SVG plots of churn or surge
+  --plot FOLDER     Write SVG plots of churn, surge or worth
   -h, --help        Print this help
 
 The exit code is 1 when a guarantee was broken or a run failed, and 2 for a
@@ -63,6 +66,7 @@
     sizes: Option<Vec<usize>>,
     json: bool,
     plots: Option<PathBuf>,
+    reports: Vec<PathBuf>,
 }
 
 fn main() -> ExitCode {
@@ -96,6 +100,7 @@
         "surge" => run_surge(&run.options, plots)?,
         "faults" => return run_fault_seeds(run),
         "scale" => return run_scale(run),
+        "worth" => return worth::run(&run.reports, plots).map(|()| 0),
         _ => return demo::run(&run.options),
     };
     if run.json {
@@ -176,11 +181,12 @@
                 }
             }
             Arg::Value(value) if run.name.is_empty() => run.name = value.string()?,
+            Arg::Value(value) if run.name == "worth" => run.reports.push(value.into()),
             other => return Err(other.unexpected()),
         }
     }
     match run.name.as_str() {
-        "demo" | "churn" | "surge" | "faults" | "scale" => Ok(BenchCommand::Run(run)),
+        "demo" | "churn" | "surge" | "faults" | "scale" | "worth" => Ok(BenchCommand::Run(run)),
         "" => Err("the name is missing".into()),
         other => Err(format!("{other:?} is not an experiment").into()),
     }
--- a/crates/tools/fescuetide_bench/src/plot.rs
+++ b/crates/tools/fescuetide_bench/src/plot.rs
@@ -1,4 +1,4 @@
-//! SVG plots of reuse and skew over time.
+//! SVG plots of reuse, skew and worth over time.
 
 use std::path::Path;
 
@@ -85,6 +85,20 @@
     )
 }
 
+/// Writes `worth.svg`: the worth in each window of some days, by name.
+///
+/// # Errors
+///
+/// Fails when the file cannot be written.
+pub fn plot_worth(folder: &Path, days: Vec<(String, Vec<(f64, f64)>)>) -> anyhow::Result<()> {
+    let lines: Vec<PlotLine> = days
+        .into_iter()
+        .map(|(label, points)| PlotLine { label, points })
+        .collect();
+    let axis = ("Worth over the day", "earned ÷ owed", 1.05);
+    draw(&folder.join("worth.svg"), axis, &lines)
+}
+
 fn draw(
     path: &Path,
     (title, value, height): (&str, &str, f64),
--- /dev/null
+++ b/crates/tools/fescuetide_bench/src/worth.rs
@@ -0,0 +1,104 @@
+//! Tables and plots of where a day's worth goes, from the reports of the users' bench.
+
+use std::fmt::Write;
+use std::path::Path;
+use std::path::PathBuf;
+
+use anyhow::Context;
+use fescuetide_platform_report::DayWorth;
+
+use crate::plot;
+
+/// Prices below this part of the worth are left out.
+const LEAST_COST: f64 = 0.000_5;
+
+/// A report with the name of its file.
+struct NamedDay {
+    name: String,
+    day: DayWorth,
+}
+
+/// Prints the table of each report and, with a folder, draws the worth of all of them over time in one picture.
+///
+/// # Errors
+///
+/// Fails when a report cannot be read or the plot cannot be written.
+pub fn run(reports: &[PathBuf], folder: Option<&Path>) -> anyhow::Result<()> {
+    anyhow::ensure!(!reports.is_empty(), "no report is given");
+    let mut days = Vec::with_capacity(reports.len());
+    for path in reports {
+        let name = path.file_stem().context("report without a name")?;
+        days.push(NamedDay {
+            name: name.to_string_lossy().into_owned(),
+            day: DayWorth::load(path)?,
+        });
+    }
+    for named in &days {
+        print!("{}", render(&named.name, &named.day));
+    }
+    let Some(folder) = folder else {
+        return Ok(());
+    };
+    let lines = days.iter().map(|named| {
+        let points = named.day.windows.iter().filter_map(|row| {
+            let second: f64 = row.name.parse().ok()?;
+            Some((second, row.worth))
+        });
+        (named.name.clone(), points.collect())
+    });
+    plot::plot_worth(folder, lines.collect())
+}
+
+/// The table of one day as Markdown.
+pub fn render(name: &str, day: &DayWorth) -> String {
+    let mut text = format!("## {name}: worth {:.3}\n\n", day.worth);
+    text.push_str(
+        "| kind | requests | in time | late | refused | failed | not owed | worth | p50 ms | p99 ms |\n\
+         | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
+    );
+    for row in &day.kinds {
+        let _ = writeln!(
+            text,
+            "| {} | {} | {} | {} | {} | {} | {} | {:.3} | {:.0} | {:.0} |",
+            row.name,
+            row.requests,
+            row.in_time,
+            row.late,
+            row.refused,
+            row.failed,
+            row.not_owed,
+            row.worth,
+            row.median_ms,
+            row.tail_ms
+        );
+    }
+    text.push_str("\n| part or price | weight or amount | of the worth |\n| --- | --- | --- |\n");
+    for part in &day.parts {
+        let value = part.weight * part.value;
+        let _ = writeln!(text, "| {} | {} | +{value:.3} |", part.name, part.weight);
+    }
+    for price in &day.prices {
+        if price.cost < LEAST_COST {
+            continue;
+        }
+        let _ = writeln!(
+            text,
+            "| {} | {:.1} | -{:.4} |",
+            price.name, price.amount, price.cost
+        );
+    }
+    if let Some(window) = worst_window(day) {
+        let _ = writeln!(text, "\nWorst window: {window}");
+    }
+    text.push('\n');
+    text
+}
+
+fn worst_window(day: &DayWorth) -> Option<String> {
+    let owed = day.windows.iter().filter(|row| row.requests > row.not_owed);
+    let worst = owed.min_by(|one, other| one.worth.total_cmp(&other.worth))?;
+    Some(format!(
+        "from second {}, worth {:.3}: {} of {} requests late, {} refused, {} failed",
+        worst.name, worst.worth, worst.late, worst.requests, worst.refused, worst.failed
+    ))
+}
--- /dev/null
+++ b/crates/tools/fescuetide_bench/tests/worth.rs
@@ -0,0 +1,51 @@
+//! Tables of where a day's worth goes.
+
+use fescuetide_bench::worth::render;
+use fescuetide_platform_report::DayWorth;
+use fescuetide_platform_report::WorthPart;
+use fescuetide_platform_report::WorthPrice;
+use fescuetide_platform_report::WorthRow;
+
+/// Guards against a table that hides a price, or that names a window in which nobody was owed anything as the worst.
+#[test]
+fn table_shows_kinds_prices_and_the_worst_window() {
+    let row = |name: &str, requests, not_owed, worth| WorthRow {
+        name: name.to_owned(),
+        requests,
+        not_owed,
+        worth,
+        ..WorthRow::default()
+    };
+    let day = DayWorth {
+        worth: 0.8,
+        parts: vec![WorthPart {
+            name: "whole day".to_owned(),
+            weight: 0.7,
+            value: 0.9,
+        }],
+        prices: vec![
+            WorthPrice {
+                name: "store calls".to_owned(),
+                amount: 844.0,
+                cost: 0.0086,
+            },
+            WorthPrice {
+                name: "exits".to_owned(),
+                amount: 0.0,
+                cost: 0.0,
+            },
+        ],
+        kinds: vec![row("hint", 10, 0, 0.95)],
+        windows: vec![
+            row("0", 5, 0, 0.9),
+            row("2", 5, 0, 0.4),
+            row("4", 5, 5, 0.0),
+        ],
+    };
+    let text = render("day", &day);
+    assert!(text.contains("| hint | 10 |"));
+    assert!(text.contains("| whole day | 0.7 | +0.630 |"));
+    assert!(text.contains("| store calls | 844.0 | -0.0086 |"));
+    assert!(!text.contains("exits"));
+    assert!(text.contains("from second 2, worth 0.400"));
+}
