--- a/crates/tools/fescuetide_bench/src/main.rs
+++ b/crates/tools/fescuetide_bench/src/main.rs
@@ -86,7 +86,7 @@
             print!("{HELP_TEXT}");
             return ExitCode::SUCCESS;
         }
-        Ok(BenchCommand::Run(Box::new(run))) => run,
+        Ok(BenchCommand::Run(run)) => run,
         Err(error) => {
             eprintln!("fescuetide_bench: {error}; see fescuetide_bench --help");
             return ExitCode::from(USAGE_EXIT_CODE);
