--- a/crates/coordination/fescuetide_flow/src/call.rs
+++ b/crates/coordination/fescuetide_flow/src/call.rs
@@ -4,6 +4,7 @@
 //! [`CallFlow`] walks over the candidates, claims the key of a request that may run once, and decides what follows from
 //! each answer. The process carries out each [`CallStep`] and notes its result.
 
+mod claims;
 mod ending;
 mod facts;
 mod history;
--- a/crates/coordination/fescuetide_flow/src/call/life.rs
+++ b/crates/coordination/fescuetide_flow/src/call/life.rs
@@ -11,9 +11,9 @@
 use super::CallStep;
 use super::CallTables;
 use super::CallView;
+use super::claims::KeyClaims;
+use super::claims::KeyState;
 use super::history::CallHistory;
-use super::keyed::KeyClaims;
-use super::keyed::KeyState;
 use super::plan::CandidatePlan;
 
 /// A side process that the request was offered to.
--- a/crates/process/fescuetide_gateway/src/follower.rs
+++ b/crates/process/fescuetide_gateway/src/follower.rs
@@ -22,10 +22,10 @@
 use crate::dialect::FleetStream;
 use crate::dialect::LogRecord;
 use crate::dialect::RecordDialect;
+use crate::news::LoopNews;
 use crate::peer_shelf::PeerShelf;
 use crate::store_client::CallError;
 use crate::store_client::StoreClient;
-use crate::traffic::LoopNews;
 
 /// How often streams of the log are read.
 #[derive(Clone, Copy, Debug)]
--- a/crates/process/fescuetide_gateway/src/lib.rs
+++ b/crates/process/fescuetide_gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod follower;
 mod idle;
 mod line_budget;
+mod news;
 mod peer_shelf;
 mod peers;
 mod probes;
--- a/crates/process/fescuetide_gateway/src/peers.rs
+++ b/crates/process/fescuetide_gateway/src/peers.rs
@@ -27,8 +27,8 @@
 
 use crate::counters::count;
 use crate::follower::FleetFeed;
+use crate::news::LoopNews;
 use crate::peer_shelf::RefusedList;
-use crate::traffic::LoopNews;
 
 /// How long opening a connection to a peer may take.
 const CONNECT_LIMIT: SpanMillis = SpanMillis::new(400);
--- a/crates/process/fescuetide_gateway/src/traffic.rs
+++ b/crates/process/fescuetide_gateway/src/traffic.rs
@@ -12,8 +12,6 @@
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
 use fescuetide_fleet::FleetConfig;
-use fescuetide_fleet::FleetSnapshot;
-use fescuetide_fleet::FleetView;
 use fescuetide_fleet::UpstreamEntry;
 use fescuetide_fleet::ViewLedger;
 use fescuetide_flow::FlowCore;
@@ -38,6 +36,7 @@
 use crate::idle::IdleTable;
 use crate::line_budget;
 use crate::line_budget::LineKind;
+use crate::news::LoopNews;
 use crate::peer_shelf::RefusedList;
 use crate::shutdown::DrainState;
 
@@ -65,15 +64,6 @@
 /// A loop that stood still for this long was suspended.
 const SUSPENSION_LIMIT: SpanMillis = SpanMillis::new(1_000);
 
-/// What control threads tell the loop.
-#[derive(Clone, Debug)]
-pub(crate) enum LoopNews {
-    /// A change of the fleet.
-    Fleet(FleetView),
-    /// Requests that other gateways refuse, since they crash upstreams.
-    Refused(RefusedList),
-}
-
 /// What the process tells the loop.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LoopSignals {
@@ -108,7 +98,7 @@
     has_unaccepted: bool,
     pub(crate) news: Receiver<LoopNews>,
     /// Which news about the fleet count.
-    ledger: ViewLedger,
+    pub(crate) ledger: ViewLedger,
     /// Where requests that crash upstreams are told to peers, `None` without peers.
     pub(crate) refused: Option<Sender<RefusedList>>,
     pub(crate) signals: LoopSignals,
@@ -295,83 +285,6 @@
         }
     }
 
-    /// Takes over what the control threads sent.
-    fn take_news(&mut self) {
-        while let Ok(news) = self.news.try_recv() {
-            match news {
-                LoopNews::Fleet(FleetView::Config(config)) => self.take_config(config),
-                LoopNews::Fleet(FleetView::Upstreams(entries)) => {
-                    self.ledger.note_listing();
-                    self.set_upstreams(&entries);
-                }
-                LoopNews::Fleet(FleetView::Peer(snapshot)) => self.take_snapshot(snapshot),
-                LoopNews::Fleet(FleetView::LogAway(is_away)) => self.is_log_away = is_away,
-                LoopNews::Refused(refused) => self.core.learn_refused(refused, self.now),
-            }
-            self.perform();
-        }
-    }
-
-    fn take_config(&mut self, config: Arc<FleetConfig>) {
-        if !self.ledger.takes_config(config.version) {
-            return;
-        }
-        let version = config.version.get();
-        let counter = &self.counters.config_version;
-        counter.store(version, Ordering::Relaxed);
-        tracing::info!(
-            version,
-            routes = config.routes.route_count(),
-            keys = config.keys.len(),
-            "configuration in force"
-        );
-        self.config = Some(config);
-    }
-
-    fn take_snapshot(&mut self, snapshot: FleetSnapshot) {
-        if let Some(config) = snapshot.config {
-            self.take_config(config);
-        }
-        let is_empty = snapshot.upstreams.is_empty();
-        if !is_empty && self.ledger.takes_peer_upstreams(snapshot.read_at) {
-            self.set_upstreams(&snapshot.upstreams);
-        }
-    }
-
-    /// Tells peers which requests crash upstreams, when there are new ones.
-    fn tell_refused(&mut self) {
-        let Some(list) = self.core.take_refused(self.now) else {
-            return;
-        };
-        let Some(sender) = &self.refused else {
-            return;
-        };
-        if sender.send(list).is_err() {
-            tracing::error!("peers cannot be told which requests crash upstreams");
-        }
-    }
-
-    fn set_upstreams(&mut self, entries: &[UpstreamEntry]) {
-        self.core.set_upstreams(entries, self.now);
-        let mut table = IndexMap::with_capacity(entries.len());
-        for entry in entries {
-            table.insert(entry.name.clone(), entry.clone());
-        }
-        let before = self.upstreams.replace(table).unwrap_or_default();
-        for (name, old) in before {
-            let table = self.upstreams.as_ref().and_then(|table| table.get(&name));
-            let is_same = table.is_some_and(|entry| {
-                entry.incarnation == old.incarnation && entry.address == old.address
-            });
-            if is_same {
-                continue;
-            }
-            for token in self.idle.remove_all(&name) {
-                self.remove(token);
-            }
-        }
-    }
-
     /// Drops what may have died while this process stood still. Callers and attempts are judged by the time that has
     /// passed, since the clock counts it.
     fn resume_after_suspension(&mut self, span: SpanMillis) {
--- a/crates/tools/fescuetide_model/src/router.rs
+++ b/crates/tools/fescuetide_model/src/router.rs
@@ -25,7 +25,7 @@
 use fescuetide_flow::WorkRequest;
 use indexmap::IndexMap;
 
-use crate::baseline::BaselineRouter;
+use crate::baseline::BaselineState;
 use crate::engine::RunKey;
 use crate::engine::SLOTS;
 use crate::pattern::RequestKind;
@@ -34,10 +34,7 @@
 const POOL: &str = "engines";
 
 /// Most engines that a request is sent to.
-const ATTEMPT_LIMIT: u32 = 2;
-
-/// When a baseline tells a caller to come again.
-const BASELINE_RETRY: SpanMillis = SpanMillis::new(500);
+pub(crate) const ATTEMPT_LIMIT: u32 = 2;
 
 /// How engines are chosen.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -143,11 +140,7 @@
     pub(crate) fn new(policy: PlacePolicy, settings: FlowSettings, number: usize) -> Self {
         match policy {
             PlacePolicy::Ours => Self::Core(Box::new(CoreRouter::new(settings, number))),
-            _ => Self::Baseline(BaselineState {
-                router: BaselineRouter::new(policy, number as u64 + 1),
-                runs: IndexMap::new(),
-                orders: Vec::new(),
-            }),
+            _ => Self::Baseline(BaselineState::new(policy, number as u64 + 1)),
         }
     }
 
@@ -178,7 +171,7 @@
                 let ready = engines.iter().filter(|(_, is_leaving)| !is_leaving);
                 let names: Vec<(VmName, usize)> =
                     ready.map(|(index, _)| (name_of(*index), *index)).collect();
-                state.router.set_engines(&names);
+                state.set_engines(&names);
             }
         }
     }
@@ -186,7 +179,7 @@
     pub(crate) fn take_orders(&mut self) -> Vec<RouterOrder> {
         match self {
             Self::Core(core) => core.take_orders(),
-            Self::Baseline(state) => std::mem::take(&mut state.orders),
+            Self::Baseline(state) => state.take_orders(),
         }
     }
 }
@@ -350,72 +343,3 @@
         Some(RouterOrder::End(run, end))
     }
 }
-
-#[derive(Clone, Copy, Debug)]
-struct BaselineRun {
-    shared: u64,
-    engine: usize,
-    attempts: u32,
-    is_resumable: bool,
-}
-
-/// A baseline with its requests.
-pub(crate) struct BaselineState {
-    router: BaselineRouter,
-    runs: IndexMap<RunKey, BaselineRun>,
-    orders: Vec<RouterOrder>,
-}
-
-impl BaselineState {
-    fn arrive(&mut self, request: &RouterRequest) {
-        let Some(engine) = self.router.choose(request.shared, None) else {
-            let end = RunEnd::Refused(BASELINE_RETRY);
-            self.orders.push(RouterOrder::End(request.run, end));
-            return;
-        };
-        let run = BaselineRun {
-            shared: request.shared,
-            engine,
-            attempts: 1,
-            is_resumable: request.kind.is_resumable,
-        };
-        self.runs.insert(request.run, run);
-        self.send(request.run, engine);
-    }
-
-    fn send(&mut self, run: RunKey, engine: usize) {
-        self.orders.push(RouterOrder::Send {
-            run,
-            engine,
-            copy_from: None,
-        });
-    }
-
-    fn note(&mut self, run: RunKey, news: SendNews) {
-        let Some(state) = self.runs.get(&run).copied() else {
-            return;
-        };
-        let (may_retry, end) = match news {
-            SendNews::Began(_) | SendNews::Event => return,
-            SendNews::Done(_) => (false, RunEnd::Served),
-            SendNews::NotConnected | SendNews::Full(_) => (true, RunEnd::Refused(BASELINE_RETRY)),
-            SendNews::Lost => (state.is_resumable, RunEnd::Failed),
-        };
-        self.router.note_over(state.engine);
-        if may_retry
-            && state.attempts < ATTEMPT_LIMIT
-            && let Some(engine) = self.router.choose(state.shared, Some(state.engine))
-        {
-            let next = BaselineRun {
-                engine,
-                attempts: state.attempts + 1,
-                ..state
-            };
-            self.runs.insert(run, next);
-            self.send(run, engine);
-            return;
-        }
-        self.runs.swap_remove(&run);
-        self.orders.push(RouterOrder::End(run, end));
-    }
-}
--- /dev/null
+++ b/crates/tools/fescuetide_model/src/simulation/callers.rs
@@ -0,0 +1,169 @@
+//! Callers: what they ask, when they try again, and what becomes of it.
+
+use fescuetide_base::SpanMillis;
+use fescuetide_base::StableHash;
+
+use super::CallerRequest;
+use super::ModelEvent;
+use super::ModelRun;
+use super::WORKSPACES;
+use crate::engine::RunKey;
+use crate::pattern::KINDS;
+use crate::pattern::LoadPattern;
+use crate::router::RouterRequest;
+use crate::router::RunEnd;
+
+/// Shared parts of each workspace and kind.
+const PARTS: usize = 3;
+
+/// Times that a caller tries again.
+const RETRY_LIMIT: u32 = 1;
+
+/// Further times that an impatient caller tries again, at once.
+const ABUSE_LIMIT: u32 = 3;
+
+/// Time on links, and before an engine begins with a prompt, as the users' bench shows it on calm days.
+const OVERHEAD_US: u64 = 27_000;
+
+impl ModelRun {
+    pub(super) fn arrive(&mut self, kind: usize) {
+        let elapsed = self.elapsed_ms();
+        if elapsed >= self.settings.seconds * 1_000 {
+            return;
+        }
+        let pattern = self.settings.pattern;
+        let factor = pattern.rate_factor(kind, elapsed) * self.settings.load;
+        let gap = self.random.gap_us(KINDS[kind].rate * factor);
+        self.plan(gap, ModelEvent::Arrive(kind));
+        let workspace = self.draw_workspace(elapsed);
+        let mut place = (workspace, self.random.below(PARTS));
+        let unit = self.random.unit();
+        if pattern.is_hot_part(kind, unit, elapsed) {
+            place = (0, 0);
+        }
+        let shared = StableHash::new()
+            .field(&[kind as u8, place.0 as u8, place.1 as u8])
+            .finish();
+        let is_impatient = pattern == LoadPattern::RetryAbuse && self.random.unit() < 0.5;
+        self.kinds[kind].asked += 1;
+        self.workspaces[workspace].0 += 1;
+        self.requests.push(CallerRequest {
+            kind,
+            workspace,
+            shared,
+            arrived_us: self.now_us,
+            tries: 0,
+            is_impatient,
+            router: 0,
+            run: RunKey(0),
+            engine: None,
+            events: 0,
+            has_begun: false,
+            first_us: None,
+            last_us: self.now_us,
+            longest_us: 0,
+        });
+        self.try_request(self.requests.len() - 1);
+    }
+
+    /// A workspace by weight: the first ones are larger.
+    pub(super) fn draw_workspace(&mut self, elapsed_ms: u64) -> usize {
+        let first = self.settings.pattern.first_workspace_weight(elapsed_ms);
+        let weight = |workspace: usize| {
+            let base = 1.0 / (workspace + 1) as f64;
+            if workspace == 0 { base * first } else { base }
+        };
+        let total: f64 = (0..WORKSPACES).map(weight).sum();
+        let mut point = self.random.unit() * total;
+        for workspace in 0..WORKSPACES {
+            point -= weight(workspace);
+            if point < 0.0 {
+                return workspace;
+            }
+        }
+        WORKSPACES - 1
+    }
+
+    /// Sends a caller's request to a router that lives.
+    pub(super) fn try_request(&mut self, index: usize) {
+        let alive: Vec<usize> = (0..self.routers.len())
+            .filter(|router| self.alive[*router])
+            .collect();
+        let router = alive[self.random.below(alive.len())];
+        self.next_run += 1;
+        let run = RunKey(self.next_run);
+        let now = self.now();
+        let request = &mut self.requests[index];
+        request.tries += 1;
+        request.router = router;
+        request.run = run;
+        let kind = KINDS[request.kind];
+        let spent = (self.now_us - request.arrived_us) / 1_000;
+        let arrival = RouterRequest {
+            run,
+            kind,
+            shared: request.shared,
+            limit: SpanMillis::new(kind.limit_ms.saturating_sub(spent)),
+        };
+        self.runs.insert(run, index);
+        self.routers[router].arrive(&arrival, now);
+    }
+
+    pub(super) fn end_run(&mut self, run: RunKey, end: RunEnd) {
+        let Some(index) = self.runs.swap_remove(&run) else {
+            return;
+        };
+        match end {
+            RunEnd::Served => self.count_served(index),
+            RunEnd::Refused(retry_after) => self.come_again(index, retry_after, true),
+            RunEnd::Failed => {
+                let is_resumable = KINDS[self.requests[index].kind].is_resumable;
+                self.come_again(index, SpanMillis::default(), is_resumable);
+            }
+        }
+    }
+
+    pub(super) fn count_served(&mut self, index: usize) {
+        let request = &self.requests[index];
+        let kind = &KINDS[request.kind];
+        let figures = &mut self.kinds[request.kind];
+        let first = request.first_us.unwrap_or(self.now_us) - request.arrived_us + OVERHEAD_US;
+        // Values beyond the histogram's bound count as the bound.
+        figures.first_ms.saturating_record(first / 1_000);
+        figures
+            .pause_ms
+            .saturating_record(request.longest_us / 1_000);
+        if first / 1_000 <= kind.target_ms {
+            figures.in_time += 1;
+            self.workspaces[request.workspace].1 += 1;
+        } else {
+            figures.late += 1;
+        }
+    }
+
+    /// Lets a caller try again, or counts its request as not served.
+    pub(super) fn come_again(&mut self, index: usize, wait: SpanMillis, may_retry: bool) {
+        let request = &self.requests[index];
+        let limit = match request.is_impatient {
+            true => ABUSE_LIMIT,
+            false => RETRY_LIMIT,
+        };
+        let wait_us = match request.is_impatient {
+            true => 0,
+            false => wait.as_millis() * 1_000,
+        };
+        let kind = &KINDS[request.kind];
+        let spent = self.now_us + wait_us - request.arrived_us;
+        let has_time = spent < kind.limit_ms * 1_000;
+        let has_events = request.events > 0;
+        if may_retry && has_time && !has_events && request.tries <= limit {
+            self.plan(wait_us.max(1_000), ModelEvent::Retry(index));
+            return;
+        }
+        let figures = &mut self.kinds[request.kind];
+        match wait == SpanMillis::default() {
+            true => figures.failed += 1,
+            false => figures.refused += 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/tools/fescuetide_model/src/simulation/engines.rs
@@ -0,0 +1,86 @@
+//! Engines: their load, their steps, and what comes of these.
+
+use super::ModelEvent;
+use super::ModelRun;
+use crate::engine::EngineState;
+use crate::engine::StepNews;
+use crate::router::SendNews;
+
+/// An engine should hold no more than this multiple of the mean load, and this many requests.
+const CAP_FACTOR: f64 = 2.0;
+const CAP_ALLOWANCE: f64 = 3.0;
+
+impl ModelRun {
+    /// Counts a send, and whether its engine holds more than the operators allow.
+    pub(super) fn count_send(&mut self, engine: usize) {
+        let (mean, _) = self.load_of_ready();
+        self.sends += 1;
+        let cap = CAP_FACTOR * mean + CAP_ALLOWANCE;
+        self.sends_over_cap += u64::from(f64::from(self.engines[engine].load()) > cap);
+    }
+
+    /// The mean and the highest load of the engines that take work.
+    pub(super) fn load_of_ready(&self) -> (f64, u32) {
+        let (mut sum, mut count, mut most) = (0, 0, 0);
+        for engine in &self.engines {
+            if engine.state != EngineState::Ready {
+                continue;
+            }
+            sum += engine.load();
+            count += 1;
+            most = most.max(engine.load());
+        }
+        (f64::from(sum) / f64::from(count.max(1)), most)
+    }
+
+    pub(super) fn plan_step(&mut self, engine: usize) {
+        let model = &mut self.engines[engine];
+        if model.is_stepping || !model.is_busy() {
+            return;
+        }
+        model.is_stepping = true;
+        let span = model.step_us();
+        self.plan(span, ModelEvent::Step(engine));
+    }
+
+    pub(super) fn step_engine(&mut self, engine: usize) {
+        self.engines[engine].is_stepping = false;
+        if self.engines[engine].state == EngineState::Down {
+            return;
+        }
+        for news in self.engines[engine].step() {
+            let report = self.engines[engine].report();
+            let (run, is_done) = match news {
+                StepNews::Event(run) => (run, false),
+                StepNews::Done(run) => (run, true),
+            };
+            let Some(index) = self.runs.get(&run).copied() else {
+                continue;
+            };
+            let is_first = self.note_event(index);
+            let (router, now) = (self.requests[index].router, self.now());
+            if is_first {
+                self.routers[router].note(run, SendNews::Began(report), now);
+            } else if !is_done {
+                self.routers[router].note(run, SendNews::Event, now);
+            }
+            if is_done {
+                self.routers[router].note(run, SendNews::Done(report), now);
+            }
+        }
+        self.plan_step(engine);
+    }
+
+    /// Notes an event of a stream. Returns whether it is the first of the attempt.
+    pub(super) fn note_event(&mut self, index: usize) -> bool {
+        let now = self.now_us;
+        let request = &mut self.requests[index];
+        request.events += 1;
+        if request.first_us.is_some() {
+            request.longest_us = request.longest_us.max(now - request.last_us);
+        }
+        request.first_us.get_or_insert(now);
+        request.last_us = now;
+        !std::mem::replace(&mut request.has_begun, true)
+    }
+}
--- a/crates/transport/fescuetide_http1/src/head.rs
+++ b/crates/transport/fescuetide_http1/src/head.rs
@@ -138,6 +138,38 @@
     start..start + part.len() as u32
 }
 
+/// Adds the access to the fields that heads of requests and responses have in common.
+macro_rules! field_access {
+    ($head:ident) => {
+        impl $head {
+            /// All fields in order.
+            pub fn fields(&self) -> impl Iterator<Item = (&str, &[u8])> {
+                self.fields.iter()
+            }
+
+            /// The first value of a field.
+            pub fn field(&self, name: &str) -> Option<&str> {
+                self.fields.get(name)
+            }
+
+            /// How often a field occurs.
+            pub fn count(&self, name: &str) -> usize {
+                self.fields.get_all(name).count()
+            }
+
+            /// Whether a list field has a token.
+            pub fn has_token(&self, name: &str, token: &str) -> bool {
+                self.fields.has_token(name, token)
+            }
+
+            /// Whether the connection stays open after this message.
+            pub fn keeps_alive(&self) -> bool {
+                self.fields.keeps_alive(self.minor)
+            }
+        }
+    };
+}
+
 /// The head of a request.
 #[derive(Clone, Debug)]
 pub struct RequestHead {
@@ -190,31 +222,6 @@
         target.split('?').next().unwrap_or(target)
     }
 
-    /// All fields in order.
-    pub fn fields(&self) -> impl Iterator<Item = (&str, &[u8])> {
-        self.fields.iter()
-    }
-
-    /// The first value of a field.
-    pub fn field(&self, name: &str) -> Option<&str> {
-        self.fields.get(name)
-    }
-
-    /// How often a field occurs.
-    pub fn count(&self, name: &str) -> usize {
-        self.fields.get_all(name).count()
-    }
-
-    /// Whether a list field has a token.
-    pub fn has_token(&self, name: &str, token: &str) -> bool {
-        self.fields.has_token(name, token)
-    }
-
-    /// Whether the connection stays open after this request.
-    pub fn keeps_alive(&self) -> bool {
-        self.fields.keeps_alive(self.minor)
-    }
-
     /// Whether the client waits for `100 Continue` before it sends the body.
     pub fn expects_continue(&self) -> bool {
         self.has_token("expect", "100-continue")
@@ -266,29 +273,7 @@
     pub fn is_success(&self) -> bool {
         (200..300).contains(&self.status)
     }
-
-    /// All fields in order.
-    pub fn fields(&self) -> impl Iterator<Item = (&str, &[u8])> {
-        self.fields.iter()
-    }
-
-    /// The first value of a field.
-    pub fn field(&self, name: &str) -> Option<&str> {
-        self.fields.get(name)
-    }
-
-    /// How often a field occurs.
-    pub fn count(&self, name: &str) -> usize {
-        self.fields.get_all(name).count()
-    }
-
-    /// Whether a list field has a token.
-    pub fn has_token(&self, name: &str, token: &str) -> bool {
-        self.fields.has_token(name, token)
-    }
-
-    /// Whether the connection stays open after this response.
-    pub fn keeps_alive(&self) -> bool {
-        self.fields.keeps_alive(self.minor)
-    }
 }
+
+field_access!(RequestHead);
+field_access!(ResponseHead);
