Look at the fleet again after a suspension, and share the retry burst from the start

Cause: a gateway that was suspended served what waited in its sockets by the configuration from before, although the news waited there too. Its reads of the log failed with EINTR when it was resumed (sockets with a time limit), which counted as an outage of the log and cost 200 ms. And a gateway that had just started took an eighth of the retry burst that all share: of 60 that start together with failing upstreams, 360 retries where 130 are allowed.

Change: after a suspension the upstreams are read at once and no request is taken in for 150 ms. Interrupted reads go on. Gateways count each other and take an equal part of the burst until loads tell more; exchanges after a start come after pauses that double from 0.5 to 10 s. Each has a test that failed first.

--- a/crates/coordination/fescuetide_flow/src/core.rs
+++ b/crates/coordination/fescuetide_flow/src/core.rs
@@ -231,6 +231,13 @@
         self.start_waiting(now);
     }
 
+    /// Learns how many routers there are, this one included. Each takes an equal part of the shared retry budget until the
+    /// loads that upstreams tell say more.
+    pub fn set_router_count(&mut self, routers: usize) {
+        self.share.assume_equal(routers);
+        self.set_budgets();
+    }
+
     /// The part of the shared retry budget that this router may use.
     pub fn own_budget(&self) -> BudgetSettings {
         let retries = self.settings.retries;
@@ -249,6 +256,10 @@
         if let Some((own, all)) = totals.max_by_key(|(_, all)| *all) {
             self.share.sample(own, all, now);
         }
+        self.set_budgets();
+    }
+
+    fn set_budgets(&mut self) {
         let budget = self.own_budget();
         for pool in self.pools.values_mut() {
             pool.budget.set(budget);
--- a/crates/coordination/fescuetide_flow/src/share.rs
+++ b/crates/coordination/fescuetide_flow/src/share.rs
@@ -3,7 +3,7 @@
 use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
 
-/// The share that is assumed before loads tell more.
+/// The share that is assumed before loads tell more and no peer is known.
 const FIRST_SHARE: f64 = 1.0 / 8.0;
 
 /// Bounds on the share, so that a few odd samples neither stop retries nor take all of them.
@@ -27,6 +27,8 @@
 pub(crate) struct TrafficShare {
     share: f64,
     sampled_at: ClockMillis,
+    /// Whether loads have told something.
+    has_samples: bool,
 }
 
 impl Default for TrafficShare {
@@ -34,11 +36,21 @@
         Self {
             share: FIRST_SHARE,
             sampled_at: ClockMillis::default(),
+            has_samples: false,
         }
     }
 }
 
 impl TrafficShare {
+    /// Assumes an equal share of so many routers until loads tell more.
+    ///
+    /// Answers failures just after many routers have started, when each knows nothing of the others' work.
+    pub(crate) fn assume_equal(&mut self, routers: usize) {
+        if !self.has_samples {
+            self.share = FIRST_SHARE.min(1.0 / routers.max(1) as f64);
+        }
+    }
+
     /// Whether a sample is due.
     pub(crate) fn is_due(&self, now: ClockMillis) -> bool {
         now.since(self.sampled_at) >= SAMPLE_SPAN
@@ -50,6 +62,7 @@
         if all < LEAST_LOAD {
             return;
         }
+        self.has_samples = true;
         let sample = (f64::from(own) / f64::from(all)).min(1.0);
         self.share += (sample - self.share) * SAMPLE_WEIGHT;
     }
--- a/crates/coordination/fescuetide_flow/tests/flow/placement.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/placement.rs
@@ -11,6 +11,8 @@
 use fescuetide_fleet::UpstreamState;
 use fescuetide_fleet::WorkKind;
 use fescuetide_flow::AttemptEvent;
+use fescuetide_flow::BreakCause;
+use fescuetide_flow::FlowAction;
 use fescuetide_flow::FlowKey;
 use fescuetide_flow::FlowSettings;
 use fescuetide_flow::LoadReport;
@@ -219,3 +221,33 @@
     assert!(sum <= whole * 1.25, "{sum} of {whole}");
     assert!(sum >= whole * 0.5, "{sum} of {whole}");
 }
+
+/// Guards against many routers that have just started and use the shared burst of retries several times over, since none
+/// knows of the others' work yet.
+#[test]
+fn routers_that_have_just_started_share_the_burst() {
+    const ROUTERS: usize = 60;
+    let burst = FlowSettings::default().retries.burst;
+    let mut retries = 0;
+    for _ in 0..ROUTERS {
+        let mut harness = CoreHarness::with_upstreams(3);
+        harness.core.set_router_count(ROUTERS);
+        for _ in 0..10 {
+            let key = harness.arrive(WorkKind::Repeatable, 2);
+            harness.expect_send(key);
+            harness.note(key, AttemptEvent::Sent);
+            harness.note(key, AttemptEvent::Broken(BreakCause::Closed));
+            match harness.next() {
+                Some(FlowAction::Send(_)) => retries += 1,
+                Some(FlowAction::Fail(..)) => {}
+                other => panic!("unexpected {other:?}"),
+            }
+        }
+    }
+    let ratio = FlowSettings::default().retries.ratio;
+    let allowed = burst + ratio * f64::from(ROUTERS as u32 * 10);
+    assert!(
+        f64::from(retries) <= allowed,
+        "{retries} retries, {allowed} allowed"
+    );
+}
--- a/crates/process/fescuetide_gateway/src/callers.rs
+++ b/crates/process/fescuetide_gateway/src/callers.rs
@@ -48,6 +48,9 @@
     /// Reads what a caller sent. `is_closed` says that the end of the connection was announced; without it, a read that
     /// does not fill the buffer took everything, and the next bytes announce themselves.
     pub(crate) fn read_caller(&mut self, token: usize, is_closed: bool) {
+        if self.leaves_unread(token) {
+            return;
+        }
         let mut scratch = std::mem::take(&mut self.scratch);
         while let Some(Connection::Caller(caller)) = self.connections.get_mut(token) {
             match caller.stream.read(&mut scratch) {
--- a/crates/process/fescuetide_gateway/src/follower.rs
+++ b/crates/process/fescuetide_gateway/src/follower.rs
@@ -5,6 +5,8 @@
 use std::thread;
 use std::time::Duration;
 
+use crossbeam::channel::Receiver;
+use crossbeam::channel::RecvTimeoutError;
 use crossbeam::channel::Sender;
 use fescuetide_base::ClockMillis;
 use fescuetide_base::LogOffset;
@@ -71,12 +73,13 @@
     }
 }
 
-/// Starts the threads that follow configurations and upstreams.
+/// Starts the threads that follow configurations and upstreams. Each order in `reads` lets the upstreams be read at once.
 pub(crate) fn start<D: RecordDialect>(
     address: SocketAddr,
     dialect: &D,
     feed: &FleetFeed,
     pace: FollowPace,
+    reads: Receiver<()>,
 ) -> std::io::Result<()> {
     let configs = StreamFollower::new(FleetStream::Configs, address, dialect.clone(), feed);
     let upstreams = StreamFollower::new(FleetStream::Upstreams, address, dialect.clone(), feed);
@@ -85,7 +88,7 @@
         .spawn(move || follow_configs(configs, pace.config_wait))?;
     thread::Builder::new()
         .name("upstreams".to_owned())
-        .spawn(move || follow_upstreams(upstreams, pace.upstream_pause))?;
+        .spawn(move || follow_upstreams(upstreams, pace.upstream_pause, &reads))?;
     Ok(())
 }
 
@@ -237,7 +240,11 @@
 }
 
 /// Publishes the upstreams whenever one changed.
-fn follow_upstreams<D: RecordDialect>(mut follower: StreamFollower<D>, pause: SpanMillis) {
+fn follow_upstreams<D: RecordDialect>(
+    mut follower: StreamFollower<D>,
+    pause: SpanMillis,
+    reads: &Receiver<()>,
+) {
     let mut table = UpstreamTable::default();
     loop {
         let step = follower.step(SpanMillis::default());
@@ -278,12 +285,21 @@
                 .feed
                 .publish(FleetView::Upstreams(Arc::new(upstreams)));
         }
-        if !follower.outage.is_away() {
-            thread::sleep(pause.into());
+        if !follower.outage.is_away() && wait_for_read(reads, pause).is_err() {
+            // The traffic thread has ended, and the process with it.
+            return;
         }
     }
 }
 
+/// Waits for an order to read, for `pause` at most.
+fn wait_for_read(reads: &Receiver<()>, pause: SpanMillis) -> Result<(), RecvTimeoutError> {
+    match reads.recv_timeout(pause.into()) {
+        Ok(()) | Err(RecvTimeoutError::Timeout) => Ok(()),
+        Err(error) => Err(error),
+    }
+}
+
 fn decode_upstreams<D: RecordDialect>(
     follower: &StreamFollower<D>,
     records: &[LogRecord],
--- a/crates/process/fescuetide_gateway/src/news.rs
+++ b/crates/process/fescuetide_gateway/src/news.rs
@@ -20,6 +20,8 @@
     Fleet(FleetView),
     /// Requests that other gateways refuse, since they crash upstreams.
     Refused(RefusedList),
+    /// How many gateways there are, this one included.
+    GatewayCount(usize),
 }
 
 impl<D: EdgeDialect> TrafficLoop<D> {
@@ -35,6 +37,7 @@
                 LoopNews::Fleet(FleetView::Peer(snapshot)) => self.take_snapshot(snapshot),
                 LoopNews::Fleet(FleetView::LogAway(is_away)) => self.is_log_away = is_away,
                 LoopNews::Refused(refused) => self.core.learn_refused(refused, self.now),
+                LoopNews::GatewayCount(count) => self.core.set_router_count(count),
             }
             self.perform();
         }
--- a/crates/process/fescuetide_gateway/src/peers.rs
+++ b/crates/process/fescuetide_gateway/src/peers.rs
@@ -45,7 +45,10 @@
 /// The pause between two questions of a gateway that a peer has told a configuration and the log nothing.
 const AWAY_PAUSE: SpanMillis = SpanMillis::new(1_000);
 
-/// The pause between two exchanges that only keep peers known.
+/// The first pause between two exchanges that only keep peers known. It doubles, so that all are known soon after a start.
+const FIRST_PAUSE: SpanMillis = SpanMillis::new(500);
+
+/// The longest pause between two such exchanges.
 const STEADY_PAUSE: SpanMillis = SpanMillis::new(10_000);
 
 /// The pause after a connection that could not be accepted.
@@ -113,13 +116,22 @@
 impl PeerAsker {
     fn run(self, refused: &Receiver<RefusedList>) {
         let mut due = self.started + LOG_HEAD_START;
+        let mut steady = FIRST_PAUSE;
+        let mut known = 0;
         loop {
             let wait = due.since(ClockMillis::now());
             match refused.recv_timeout(wait.into()) {
                 Ok(list) => self.tell_all(list),
                 Err(RecvTimeoutError::Timeout) => {
                     self.ask_next();
-                    due = ClockMillis::now() + self.pause();
+                    let now = ClockMillis::now();
+                    due = now + self.pause(steady);
+                    steady = (steady + steady).min(STEADY_PAUSE);
+                    let count = self.feed.shelf.peers_heard(now).len() + 1;
+                    if count != known {
+                        known = count;
+                        self.feed.send(LoopNews::GatewayCount(count));
+                    }
                 }
                 // The traffic thread has ended, and the process with it.
                 Err(RecvTimeoutError::Disconnected) => return,
@@ -127,12 +139,12 @@
         }
     }
 
-    fn pause(&self) -> SpanMillis {
+    fn pause(&self, steady: SpanMillis) -> SpanMillis {
         let shelf = &self.feed.shelf;
         match (shelf.has_config(), shelf.wants_fleet()) {
             (false, _) => URGENT_PAUSE,
             (true, true) => AWAY_PAUSE,
-            (true, false) => STEADY_PAUSE,
+            (true, false) => steady,
         }
     }
 
--- a/crates/process/fescuetide_gateway/src/process.rs
+++ b/crates/process/fescuetide_gateway/src/process.rs
@@ -72,7 +72,9 @@
             config_wait: settings.config_wait(),
             upstream_pause: settings.upstream_pause(),
         };
-        follower::start(log_service, records, &feed, pace)
+        let (read_upstreams, reads) = channel::unbounded();
+        traffic.read_upstreams = Some(read_upstreams);
+        follower::start(log_service, records, &feed, pace, reads)
             .context("cannot start a control thread")?;
         tracing::info!(
             vm = settings.vm,
--- a/crates/process/fescuetide_gateway/src/store_client.rs
+++ b/crates/process/fescuetide_gateway/src/store_client.rs
@@ -136,8 +136,13 @@
 }
 
 fn read_part(stream: &mut TcpStream, part: &mut [u8]) -> Result<usize, CallError> {
-    match stream.read(part)? {
-        0 => Err(CallError::Io(io::ErrorKind::UnexpectedEof.into())),
-        count => Ok(count),
+    loop {
+        match stream.read(part) {
+            Ok(0) => return Err(CallError::Io(io::ErrorKind::UnexpectedEof.into())),
+            Ok(count) => return Ok(count),
+            // A process that is resumed finds its reads interrupted.
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) => return Err(error.into()),
+        }
     }
 }
--- a/crates/process/fescuetide_gateway/src/traffic.rs
+++ b/crates/process/fescuetide_gateway/src/traffic.rs
@@ -18,6 +18,7 @@
 use fescuetide_flow::FlowKey;
 use fescuetide_limits::WindowQuota;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use mio::Events;
 use mio::Interest;
 use mio::Poll;
@@ -64,6 +65,10 @@
 /// A loop that stood still for this long was suspended.
 const SUSPENSION_LIMIT: SpanMillis = SpanMillis::new(1_000);
 
+/// How long no request is taken in after a suspension. News that came meanwhile lie in the followers' sockets, and
+/// upstreams are read at once.
+const RECHECK_SPAN: SpanMillis = SpanMillis::new(150);
+
 /// What the process tells the loop.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LoopSignals {
@@ -99,6 +104,12 @@
     pub(crate) news: Receiver<LoopNews>,
     /// Which news about the fleet count.
     pub(crate) ledger: ViewLedger,
+    /// Until when no request is taken in, since the fleet may have changed while this process stood still.
+    recheck_until: Option<ClockMillis>,
+    /// Connections of callers that have something to read then.
+    unread: IndexSet<usize>,
+    /// Makes the follower of upstreams read at once.
+    pub(crate) read_upstreams: Option<Sender<()>>,
     /// Where requests that crash upstreams are told to peers, `None` without peers.
     pub(crate) refused: Option<Sender<RefusedList>>,
     pub(crate) signals: LoopSignals,
@@ -147,6 +158,9 @@
             has_unaccepted: false,
             news,
             ledger: ViewLedger::default(),
+            recheck_until: None,
+            unread: IndexSet::new(),
+            read_upstreams: None,
             refused: None,
             signals: LoopSignals::default(),
             counters: Arc::default(),
@@ -165,11 +179,8 @@
         let mut events = Events::with_capacity(EVENT_LIMIT);
         let mut last_tick = ClockMillis::now();
         loop {
-            let tick = if self.exchanges.is_empty() {
-                IDLE_TICK
-            } else {
-                BUSY_TICK
-            };
+            let is_calm = self.exchanges.is_empty() && self.recheck_until.is_none();
+            let tick = if is_calm { IDLE_TICK } else { BUSY_TICK };
             match self.poll.poll(&mut events, Some(Duration::from(tick))) {
                 Ok(()) => {}
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => events.clear(),
@@ -184,6 +195,7 @@
                 self.dispatch(event);
             }
             self.take_news();
+            self.end_recheck();
             if self.now.since(last_tick) >= BUSY_TICK {
                 last_tick = self.now;
                 self.core.tick(self.now);
@@ -295,6 +307,35 @@
         for token in self.idle.tokens() {
             self.drop_idle(token);
         }
+        self.recheck_until = Some(self.now + RECHECK_SPAN);
+        if let Some(sender) = &self.read_upstreams
+            && sender.send(()).is_err()
+        {
+            tracing::error!("the upstreams cannot be read again");
+        }
+    }
+
+    /// Whether a caller's bytes are left unread for now; they are read when the fleet was looked at again.
+    pub(crate) fn leaves_unread(&mut self, token: usize) -> bool {
+        let is_rechecking = self.recheck_until.is_some();
+        if is_rechecking {
+            self.unread.insert(token);
+        }
+        is_rechecking
+    }
+
+    /// Takes requests in again when the time for news has passed.
+    fn end_recheck(&mut self) {
+        if self.recheck_until.is_none_or(|until| self.now < until) {
+            return;
+        }
+        self.recheck_until = None;
+        for token in std::mem::take(&mut self.unread) {
+            if let Some(Connection::Caller(_)) = self.connections.get(token) {
+                self.read_caller(token, true);
+                self.perform();
+            }
+        }
     }
 
     /// Looks after connections that wait.
