--- a/crates/tools/fescuetide_standin/src/engine.rs
+++ b/crates/tools/fescuetide_standin/src/engine.rs
@@ -1,6 +1,9 @@
 //! Stand-in of a model engine: continuous batching, priorities, a limited prefix cache, cancellation, continuation,
 //! cache events, export and import of cached prefixes, and orders.
 
+mod events;
+mod steps;
+
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -8,25 +11,20 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::mpsc;
-use std::sync::mpsc::Receiver;
 use std::sync::mpsc::Sender;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
-use fescuetide_net::EventSource;
 use fescuetide_net::HttpRequest;
 use fescuetide_net::HttpResponse;
-use fescuetide_wire::api::ChatChoice;
-use fescuetide_wire::api::ChatDelta;
-use fescuetide_wire::api::ChatEvent;
 use fescuetide_wire::api::ChatRequest;
 use fescuetide_wire::api::TokenUsage;
 use serde::Deserialize;
 use serde::Serialize;
 
+use self::events::stream_response;
 use crate::answer::DEFAULT_ANSWER_TOKENS;
-use crate::answer::answer_token;
 use crate::answer::prompt_hash;
 use crate::answer::prompt_tokens;
 use crate::answer::push_words;
@@ -47,7 +45,6 @@
 use crate::orders::EngineReport;
 use crate::prefix::CacheDelta;
 use crate::prefix::PrefixCache;
-use crate::service::CRASH_EXIT_CODE;
 use crate::service::contains_marker;
 
 /// Path prefix of requests in progress.
@@ -300,100 +297,6 @@
         }
     }
 
-    fn run_steps(&self) {
-        loop {
-            thread::sleep(Duration::from_millis(self.settings.step_ms));
-            self.run_step();
-        }
-    }
-
-    fn run_step(&self) {
-        let mut state = self.lock();
-        let load = state.load();
-        state.loads.push_back((Instant::now(), load));
-        if state.loads.len() > LOAD_SAMPLES {
-            state.loads.pop_front();
-        }
-        if self.faults.get().paused {
-            return;
-        }
-        self.fill_batch(&mut state);
-        let EngineState {
-            running,
-            cache,
-            events,
-            ..
-        } = &mut *state;
-        let mut budget = self.settings.prefill_tokens;
-        let mut index = 0;
-        while index < running.len() {
-            if self.step_sequence(&mut running[index], cache, events, &mut budget) {
-                running.remove(index);
-            } else {
-                index += 1;
-            }
-        }
-    }
-
-    /// Moves the waiting requests of lowest priority number into the batch.
-    fn fill_batch(&self, state: &mut EngineState) {
-        state.waiting.sort_by_key(|sequence| sequence.priority);
-        while state.running.len() < self.settings.batch_limit && !state.waiting.is_empty() {
-            let mut sequence = state.waiting.remove(0);
-            sequence.cached = state.cache.cached_tokens(&sequence.tokens);
-            sequence.prefill_left = Some(sequence.tokens.len() - sequence.cached);
-            self.write_line(JournalEvent::Start, &sequence);
-            if sequence.crashes {
-                std::process::exit(CRASH_EXIT_CODE);
-            }
-            state.running.push(sequence);
-        }
-    }
-
-    /// Advances one request. Returns whether it has ended.
-    fn step_sequence(
-        &self,
-        sequence: &mut EngineSequence,
-        cache: &mut PrefixCache,
-        events: &mut CacheEventLog,
-        budget: &mut usize,
-    ) -> bool {
-        if let Some(left) = sequence.prefill_left {
-            let taken = left.min(*budget);
-            *budget -= taken;
-            if taken < left {
-                sequence.prefill_left = Some(left - taken);
-                return false;
-            }
-            sequence.prefill_left = None;
-            note_delta(events, cache.store(&sequence.tokens));
-            self.write_line(JournalEvent::Cached, sequence);
-        }
-        if sequence.next_index < sequence.length {
-            let text = answer_token(sequence.prompt, sequence.next_index);
-            push_words(&mut sequence.tokens, &text);
-            sequence.next_index += 1;
-            if sequence.news.send(EngineNews::Token(text)).is_err() {
-                // The reader is gone.
-                self.write_line(JournalEvent::Cancelled, sequence);
-                return true;
-            }
-        }
-        if sequence.next_index < sequence.length {
-            return false;
-        }
-        note_delta(events, cache.store(&sequence.tokens));
-        self.write_line(JournalEvent::Done, sequence);
-        let generated = u64::from(sequence.length);
-        let prompt_tokens = (sequence.tokens.len() as u64).saturating_sub(generated);
-        let _ = sequence.news.send(EngineNews::Done(TokenUsage {
-            prompt_tokens,
-            cached_tokens: sequence.cached as u64,
-            completion_tokens: generated,
-        }));
-        true
-    }
-
     fn write_line(&self, event: JournalEvent, sequence: &EngineSequence) {
         self.journal.write(JournalLine {
             at_ms: 0,
@@ -446,51 +349,3 @@
     events.push(CacheChange::Stored(delta.stored));
     events.push(CacheChange::Evicted(delta.evicted));
 }
-
-fn stream_response(receiver: Receiver<EngineNews>) -> HttpResponse {
-    let source = EngineEvents {
-        receiver,
-        ended: false,
-    };
-    HttpResponse::stream("text/event-stream", source)
-}
-
-struct EngineEvents {
-    receiver: Receiver<EngineNews>,
-    ended: bool,
-}
-
-impl EventSource for EngineEvents {
-    fn next_event(&mut self) -> Option<Vec<u8>> {
-        if self.ended {
-            return None;
-        }
-        match self.receiver.recv() {
-            Ok(EngineNews::Token(text)) => Some(event_text(&ChatEvent {
-                choices: vec![ChatChoice {
-                    delta: ChatDelta {
-                        content: Some(text),
-                    },
-                    ..ChatChoice::default()
-                }],
-                ..ChatEvent::default()
-            })),
-            Ok(EngineNews::Done(usage)) => {
-                self.ended = true;
-                let mut text = event_text(&ChatEvent {
-                    usage: Some(usage),
-                    ..ChatEvent::default()
-                });
-                text.extend_from_slice(b"data: [DONE]\n\n");
-                Some(text)
-            }
-            // The request was cancelled; the stream ends without its last event.
-            Err(_) => None,
-        }
-    }
-}
-
-fn event_text(event: &ChatEvent) -> Vec<u8> {
-    let json = serde_json::to_string(event).unwrap_or_default();
-    format!("data: {json}\n\n").into_bytes()
-}
