Let workspaces take turns among the requests that wait

Cause: within a rank, requests waited by their time left. A workspace that sends many times its usual while all upstreams are full was served before the single request of another one that came after its flood.

--- a/crates/coordination/fescuetide_flow/src/core/placing.rs
+++ b/crates/coordination/fescuetide_flow/src/core/placing.rs
@@ -71,6 +71,7 @@
         let wait = WaitingEntry {
             key,
             rank: flow.request.rank,
+            workspace: flow.request.workspace,
             late_at: flow.request.late_at,
             until: wait_limit(&flow.request, now),
         };
--- a/crates/coordination/fescuetide_flow/src/request.rs
+++ b/crates/coordination/fescuetide_flow/src/request.rs
@@ -36,6 +36,8 @@
     pub spread: u64,
     /// Identifies the request among those that crash upstreams.
     pub print: CrashFingerprint,
+    /// Identifies the workspace that it belongs to, for fair turns.
+    pub workspace: u64,
 }
 
 /// The longest pause between events where a route does not say.
@@ -62,6 +64,7 @@
             prompt: PromptShape::default(),
             spread: 0,
             print: CrashFingerprint::default(),
+            workspace: 0,
         }
     }
 
--- a/crates/coordination/fescuetide_flow/tests/flow/harness.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/harness.rs
@@ -80,6 +80,16 @@
         self.core.arrive(request, self.now)
     }
 
+    /// Lets a request of a workspace arrive.
+    pub(crate) fn arrive_for(&mut self, workspace: u64) -> FlowKey {
+        let route = route(WorkKind::Repeatable, 2);
+        let request = WorkRequest {
+            workspace,
+            ..WorkRequest::of_route(&route, self.now, None)
+        };
+        self.core.arrive(request, self.now)
+    }
+
     pub(crate) fn note(&mut self, key: FlowKey, event: AttemptEvent) {
         self.core.note_attempt(key, event, self.now);
     }
--- a/crates/coordination/fescuetide_flow/tests/flow/life.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/life.rs
@@ -173,3 +173,39 @@
     assert_eq!(refused, key);
     assert_eq!(refusal.evidence.to_string(), "never_sent");
 }
+
+/// Guards against a workspace that sends many requests while all upstreams are full and is served before all others.
+#[test]
+fn waiting_requests_of_workspaces_take_turns() {
+    let mut harness = CoreHarness::with_upstreams(1);
+    let mut running = Vec::new();
+    while harness.core.waiting_count() == 0 {
+        let key = harness.arrive_for(9);
+        running.push(key);
+        if let Some(FlowAction::Send(_)) = harness.next() {
+            harness.note(key, AttemptEvent::Sent);
+        }
+    }
+    running.pop();
+    let flood: Vec<_> = (0..8).map(|_| harness.arrive_for(1)).collect();
+    let other = harness.arrive_for(2);
+    // The first request of each workspace goes before the second one of any.
+    let mut served = Vec::new();
+    for key in running {
+        harness.note(
+            key,
+            AttemptEvent::Completed {
+                status: 200,
+                load: None,
+            },
+        );
+        while let Some(action) = harness.next() {
+            if let FlowAction::Send(order) = action {
+                served.push(order.key);
+            }
+        }
+    }
+    let place = |wanted| served.iter().position(|key| *key == wanted);
+    assert!(place(other) < place(flood[1]), "{served:?}");
+    assert!(place(flood[0]) < place(flood[1]), "{served:?}");
+}
--- a/crates/tools/fescuetide_model/src/router.rs
+++ b/crates/tools/fescuetide_model/src/router.rs
@@ -126,6 +126,7 @@
     pub(crate) run: RunKey,
     pub(crate) kind: RequestKind,
     pub(crate) shared: u64,
+    pub(crate) workspace: u64,
     /// What is left of the time that its caller waits.
     pub(crate) limit: SpanMillis,
 }
@@ -240,6 +241,7 @@
         };
         let part = |id, tokens| PromptPart { id, tokens };
         let work = WorkRequest {
+            workspace: request.workspace,
             prompt: PromptShape {
                 parts: vec![
                     part(request.shared, kind.shared_tokens),
--- a/crates/tools/fescuetide_model/src/simulation/callers.rs
+++ b/crates/tools/fescuetide_model/src/simulation/callers.rs
@@ -103,6 +103,7 @@
             run,
             kind,
             shared: request.shared,
+            workspace: request.workspace as u64,
             limit: SpanMillis::new(kind.limit_ms.saturating_sub(spent)),
         };
         self.runs.insert(run, index);
