Call a router ready only when its registrar has read the claims

The registrars waited 250 ms before they read their partitions for the first time, and the router called itself ready meanwhile; when the log failed in that time, it could tell of no key that it is free.

Change: partitions are read at once, and /readyz and the status say ready when they were read, the log fails, or 5 s have passed. Requests that come before are taken all the same.

--- a/crates/process/fescuetide_router/src/control.rs
+++ b/crates/process/fescuetide_router/src/control.rs
@@ -218,7 +218,7 @@
         let shared = &state.shared;
         RouterStatus {
             vm: shared.settings.vm.clone(),
-            ready: shared.is_ready(),
+            ready: shared.is_announced(),
             draining: shared.is_draining(),
             class_offset: state.classes.next_offset().get(),
             vm_list_age_ms: state.vms.age(ClockMillis::now()).as_millis(),
--- a/crates/process/fescuetide_router/src/lib.rs
+++ b/crates/process/fescuetide_router/src/lib.rs
@@ -122,6 +122,11 @@
         self.draining.load(Ordering::Acquire)
     }
 
+    /// Whether callers may be sent here: requests are taken, and the registrar can tell which keys are free.
+    pub(crate) fn is_announced(&self) -> bool {
+        self.is_ready() && self.registrar.is_prepared(ClockMillis::now())
+    }
+
     /// Whether requests are taken: the classes and the VM list are known, and the router does not drain.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_draining() && self.view.load().is_complete()
--- a/crates/process/fescuetide_router/src/partition.rs
+++ b/crates/process/fescuetide_router/src/partition.rs
@@ -80,6 +80,7 @@
 
     /// Serves claims until the registrar is gone.
     pub(crate) fn run(mut self, jobs: &Receiver<ClaimJob>) {
+        self.probe();
         loop {
             let first = match jobs.recv_timeout(Duration::from_millis(PROBE_INTERVAL_MS)) {
                 Ok(job) => job,
--- a/crates/process/fescuetide_router/src/registrar.rs
+++ b/crates/process/fescuetide_router/src/registrar.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::thread;
 
@@ -29,6 +30,9 @@
 /// Longest time of a call of the log.
 const CALL_TIMEOUT_MS: u64 = 3_000;
 
+/// How long a router waits for its partitions before it calls itself ready: the log may be silent.
+const PREPARE_LIMIT: SpanMillis = SpanMillis::new(5_000);
+
 /// Calls of the log that a claim takes: catch up, append, read back.
 const CALLS_PER_CLAIM: u64 = 3;
 
@@ -45,6 +49,8 @@
     gap: SpanMillis,
     health: Arc<LogHealth>,
     slots: Mutex<IndexMap<ClaimPartition, PartitionSlot>>,
+    /// When the first partitions were prepared.
+    prepared_at: OnceLock<ClockMillis>,
 }
 
 impl Registrar {
@@ -58,6 +64,7 @@
             gap: SpanMillis::new(settings.claim_gap_ms),
             health: Arc::default(),
             slots: Mutex::default(),
+            prepared_at: OnceLock::new(),
         }
     }
 
@@ -84,6 +91,7 @@
     /// Reads the partitions that this router is the preferred registrar of, before a claim comes. A registrar that has
     /// not read its partition before the log fails cannot tell whether a key was claimed.
     pub(crate) fn prepare(&self, own: &VmName, routers: &[VmName]) {
+        self.prepared_at.get_or_init(ClockMillis::now);
         for partition in ClaimPartition::all() {
             let mut names = routers.to_vec();
             rank_registrars(partition, &mut names);
@@ -93,6 +101,18 @@
         }
     }
 
+    /// Whether the partitions have been read, or cannot be read now. A router that calls itself ready before refuses
+    /// keys as unknown when the log fails then.
+    pub(crate) fn is_prepared(&self, now: ClockMillis) -> bool {
+        let Some(prepared_at) = self.prepared_at.get() else {
+            return false;
+        };
+        let slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_read = slots.values().all(|slot| slot.ledger.is_started());
+        let is_away = self.health.expected(now).is_none();
+        is_read || is_away || now.since(*prepared_at) >= PREPARE_LIMIT
+    }
+
     /// Answers a claim from what was read before, when its worker does not answer in time.
     pub(crate) fn answer_now(&self, claim: &ClaimEntry) -> ClaimReply {
         match self.slot(ClaimPartition::of(&claim.key)) {
--- a/crates/tools/fescuetide_bench/tests/once_failures.rs
+++ b/crates/tools/fescuetide_bench/tests/once_failures.rs
@@ -426,3 +426,25 @@
     fleet.set_faults(LogFaults::default());
     pause();
 }
+
+/// Guards against a router that takes requests before its registrar has read the claims: when the log fails then, it can
+/// tell of no key that it is free. A CI run on a busy machine showed it.
+#[test]
+fn router_is_ready_only_when_it_can_tell_free_keys() {
+    let mut fleet = OnceFleet::start(1, 2, 5);
+    let caller = fleet.caller("slow");
+    fleet.signal_router(0, SignalKind::Kill);
+    fleet.set_faults(LogFaults {
+        stream: "claims-".to_owned(),
+        slow_ms: 600,
+        ..LogFaults::default()
+    });
+    fleet.fleet.start_router(0).expect("router starts");
+    wait_for("router", SOON, || is_ready(fleet.router(0))).expect("router is ready");
+    fleet.set_faults(LogFaults {
+        down: true,
+        ..LogFaults::default()
+    });
+    let told = caller.send(fleet.router(0), &OnceCall::new());
+    assert_eq!(told.outcome, NOT_RUN, "{}", told.body);
+}
