Give lapsed entries more time only after outages in which entries can lapse

A log that flaps would keep upstreams that are gone for as long as it does, beyond the 2 s after which they count as gone. Found by reading.

The fuzz test of recovery calls it under the same condition and passes.

--- a/crates/process/fescuetide_gateway/src/follower.rs
+++ b/crates/process/fescuetide_gateway/src/follower.rs
@@ -250,7 +250,7 @@
         let step = follower.step(SpanMillis::default());
         let now = ClockMillis::now();
         let after_outage = follower.ended.is_some_and(|end| end.may_have_lapsed);
-        if follower.ended.is_some() {
+        if after_outage {
             table.note_return(now);
         }
         let before: Vec<_> = table.iter().cloned().collect();
--- a/crates/state/fescuetide_fleet/src/upstream.rs
+++ b/crates/state/fescuetide_fleet/src/upstream.rs
@@ -121,7 +121,8 @@
         }
     }
 
-    /// Notes the end of an outage. Upstreams whose entries lapsed in an earlier one had no time to write them again.
+    /// Notes the end of an outage that was long enough for entries to lapse. Upstreams whose entries lapsed in an earlier
+    /// one had no time to write them again. Short failures of a log that flaps must not keep upstreams that are gone.
     pub fn note_return(&mut self, now: ClockMillis) {
         for known in self.upstreams.values_mut() {
             if known.gone_at.is_some() {
--- a/crates/state/fescuetide_fleet/tests/recovery_fuzz.rs
+++ b/crates/state/fescuetide_fleet/tests/recovery_fuzz.rs
@@ -307,7 +307,7 @@
         }
         let end = self.outage.note_answer(now);
         let after_outage = end.is_some_and(|end| end.may_have_lapsed);
-        if end.is_some() {
+        if after_outage {
             self.table.note_return(now);
         }
         let mut entries = Vec::new();
