Share seed and case count of the fuzz tests

Three stateful fuzz tests held the same code that reads FESCUETIDE_FUZZ_CASES and FESCUETIDE_FUZZ_SEED, and a fourth a variant of it that ignored a value that is not a number. The code is now fescuetide_fuzz::fuzz_config, which all four call. Default seeds, case counts and assertions are unchanged; each run prints the same seed as before. A value that is not a number fails the class stream test too.

--- a/crates/coordination/fescuetide_flow/tests/call/keyed_fuzz.rs
+++ b/crates/coordination/fescuetide_flow/tests/call/keyed_fuzz.rs
@@ -1,14 +1,12 @@
 //! Stateful fuzz test of keys: claims, seals, kills, restarts and lost replies against what really ran.
 //!
-//! A run has a fixed seed and case count. `FESCUETIDE_FUZZ_CASES=N` runs N cases with a new seed, which is printed;
-//! `FESCUETIDE_FUZZ_SEED=S` repeats one.
+//! `fescuetide_fuzz` says how to run it longer and how to repeat a run.
 
-use std::sync::OnceLock;
+use std::sync::LazyLock;
 
-use fescuetide_base::ClockMillis;
+use fescuetide_fuzz::fuzz_config;
 use proptest::prelude::*;
 use proptest::test_runner::Config;
-use proptest::test_runner::RngSeed;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 use proptest_state_machine::prop_state_machine;
@@ -21,31 +19,10 @@
 const CASE_COUNT: u32 = 2_000;
 const SEED: u64 = 0x5eed_11ee;
 
-fn config() -> Config {
-    static CONFIG: OnceLock<Config> = OnceLock::new();
-    CONFIG.get_or_init(make_config).clone()
-}
-
-fn make_config() -> Config {
-    let number = |name: &str| {
-        let text = std::env::var(name).ok()?;
-        Some(text.parse::<u64>().expect("a number"))
-    };
-    let cases = number("FESCUETIDE_FUZZ_CASES");
-    let seed = match (number("FESCUETIDE_FUZZ_SEED"), cases) {
-        (Some(seed), _) => seed,
-        (None, Some(_)) => ClockMillis::now().as_millis(),
-        (None, None) => SEED,
-    };
-    println!("FESCUETIDE_FUZZ_SEED={seed}");
-    Config {
-        cases: cases.map_or(CASE_COUNT, |cases| cases as u32),
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        max_shrink_iters: 20_000,
-        ..Config::default()
-    }
-}
+static CONFIG: LazyLock<Config> = LazyLock::new(|| Config {
+    max_shrink_iters: 20_000,
+    ..fuzz_config(CASE_COUNT, SEED)
+});
 
 #[derive(Clone, Debug)]
 enum WorldStep {
@@ -134,7 +111,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(CONFIG.clone())]
 
     /// Guards against a key that runs twice, and "not run" for one that ran.
     #[test]
--- a/crates/state/fescuetide_claims/tests/fuzz.rs
+++ b/crates/state/fescuetide_claims/tests/fuzz.rs
@@ -1,17 +1,16 @@
 //! Stateful fuzz test of the ledger against an oracle that keeps the whole log.
 //!
-//! A run has a fixed seed and case count. `FESCUETIDE_FUZZ_CASES=N` runs N cases with a new seed, which is printed;
-//! `FESCUETIDE_FUZZ_SEED=S` repeats one.
+//! `fescuetide_fuzz` says how to run it longer and how to repeat a run.
 
 use std::collections::HashSet;
-use std::sync::OnceLock;
+use std::sync::LazyLock;
 
 use fescuetide_base::prelude::*;
 use fescuetide_claims::FoldError;
 use fescuetide_claims::prelude::*;
+use fescuetide_fuzz::fuzz_config;
 use proptest::prelude::*;
 use proptest::test_runner::Config;
-use proptest::test_runner::RngSeed;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 use proptest_state_machine::prop_state_machine;
@@ -25,31 +24,7 @@
     skew: SpanMillis::new(100),
 };
 
-/// Called once per case, so the seed is chosen only once.
-fn config() -> Config {
-    static CONFIG: OnceLock<Config> = OnceLock::new();
-    CONFIG.get_or_init(make_config).clone()
-}
-
-fn make_config() -> Config {
-    let number = |name: &str| {
-        let text = std::env::var(name).ok()?;
-        Some(text.parse::<u64>().expect("a number"))
-    };
-    let cases = number("FESCUETIDE_FUZZ_CASES");
-    let seed = match (number("FESCUETIDE_FUZZ_SEED"), cases) {
-        (Some(seed), _) => seed,
-        (None, Some(_)) => ClockMillis::now().as_millis(),
-        (None, None) => SEED,
-    };
-    println!("FESCUETIDE_FUZZ_SEED={seed}");
-    Config {
-        cases: cases.map_or(CASE_COUNT, |cases| cases as u32),
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
+static CONFIG: LazyLock<Config> = LazyLock::new(|| fuzz_config(CASE_COUNT, SEED));
 
 fn key_of(number: u64) -> ClaimKey {
     let created = 1_000 + number * KEY_STEP_MS;
@@ -261,7 +236,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(CONFIG.clone())]
 
     /// Guards against two readers of the same log naming different holders of a key, which lets a request run twice.
     #[test]
--- a/crates/state/fescuetide_classes/tests/stream_fuzz.rs
+++ b/crates/state/fescuetide_classes/tests/stream_fuzz.rs
@@ -1,7 +1,6 @@
 //! Random histories of the class stream, compared with a simple fold over the whole history.
 //!
-//! CI runs a fixed seed. `FESCUETIDE_FUZZ_CASES=N` runs N cases with a seed that is printed, or with
-//! `FESCUETIDE_FUZZ_SEED`.
+//! `fescuetide_fuzz` says how to run it longer and how to repeat a run.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -12,16 +11,19 @@
 use fescuetide_classes::StreamEntry;
 use fescuetide_classes::StreamPage;
 use fescuetide_classes::prelude::*;
+use fescuetide_fuzz::fuzz_config;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
+use proptest::test_runner::Config;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 use proptest_state_machine::prop_state_machine;
 
 const READERS: usize = 3;
-const CASES: u64 = 400;
+const CASE_COUNT: u32 = 400;
 const SEED: u64 = 5_600;
 
+static CONFIG: LazyLock<Config> = LazyLock::new(|| fuzz_config(CASE_COUNT, SEED));
+
 #[derive(Clone, Debug)]
 enum Step {
     /// A change based on an older version by `lag`; a writer that lost the reply appends it `copies` times.
@@ -371,31 +373,8 @@
     }
 }
 
-/// The seed and the number of cases. proptest evaluates the configuration before each case, so they are chosen once.
-static SEED_AND_CASES: LazyLock<(u64, u64)> = LazyLock::new(|| {
-    let number = |name: &str| std::env::var(name).ok()?.parse::<u64>().ok();
-    let cases = number("FESCUETIDE_FUZZ_CASES");
-    let fallback = match cases {
-        Some(_) => ClockMillis::now().as_millis(),
-        None => SEED,
-    };
-    let seed = number("FESCUETIDE_FUZZ_SEED").unwrap_or(fallback);
-    println!("FESCUETIDE_FUZZ_SEED={seed}");
-    (seed, cases.unwrap_or(CASES))
-});
-
-fn fuzz_config() -> ProptestConfig {
-    let (seed, cases) = *SEED_AND_CASES;
-    ProptestConfig {
-        cases: cases as u32,
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 prop_state_machine! {
-    #![proptest_config(fuzz_config())]
+    #![proptest_config(CONFIG.clone())]
 
     /// Guards against readers that disagree, an accepted change that reverts, a race with no or several winners, and
     /// a snapshot that hides a change.
--- a/crates/state/fescuetide_fleet/tests/recovery_fuzz.rs
+++ b/crates/state/fescuetide_fleet/tests/recovery_fuzz.rs
@@ -1,10 +1,9 @@
 //! Stateful fuzz tests of recovery: which news count, and which upstreams are known, through outages of the log.
 //!
-//! A run has a fixed seed and case count. `FESCUETIDE_FUZZ_CASES=N` runs N cases with a new seed, which is printed;
-//! `FESCUETIDE_FUZZ_SEED=S` repeats one.
+//! `fescuetide_fuzz` says how to run them longer and how to repeat a run.
 
 use std::collections::HashMap;
-use std::sync::OnceLock;
+use std::sync::LazyLock;
 
 use fescuetide_base::prelude::*;
 use fescuetide_fleet::ConfigVersion;
@@ -14,9 +13,9 @@
 use fescuetide_fleet::UpstreamState;
 use fescuetide_fleet::UpstreamTable;
 use fescuetide_fleet::ViewLedger;
+use fescuetide_fuzz::fuzz_config;
 use proptest::prelude::*;
 use proptest::test_runner::Config;
-use proptest::test_runner::RngSeed;
 use proptest_state_machine::ReferenceStateMachine;
 use proptest_state_machine::StateMachineTest;
 use proptest_state_machine::prop_state_machine;
@@ -28,30 +27,7 @@
 /// When an upstream whose entry lapsed must be used again, or not any more.
 const RETURN_LIMIT_MS: u64 = 2_000;
 
-fn config() -> Config {
-    static CONFIG: OnceLock<Config> = OnceLock::new();
-    CONFIG.get_or_init(make_config).clone()
-}
-
-fn make_config() -> Config {
-    let number = |name: &str| {
-        let text = std::env::var(name).ok()?;
-        Some(text.parse::<u64>().expect("a number"))
-    };
-    let cases = number("FESCUETIDE_FUZZ_CASES");
-    let seed = match (number("FESCUETIDE_FUZZ_SEED"), cases) {
-        (Some(seed), _) => seed,
-        (None, Some(_)) => ClockMillis::now().as_millis(),
-        (None, None) => SEED,
-    };
-    println!("FESCUETIDE_FUZZ_SEED={seed}");
-    Config {
-        cases: cases.map_or(CASE_COUNT, |cases| cases as u32),
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
+static CONFIG: LazyLock<Config> = LazyLock::new(|| fuzz_config(CASE_COUNT, SEED));
 
 const GATEWAYS: usize = 3;
 
@@ -204,7 +180,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(CONFIG.clone())]
 
     /// Guards against an older configuration that takes over, one that is heard of and not taken, and upstreams of a peer
     /// that replace those of the log.
@@ -457,7 +433,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(CONFIG.clone())]
 
     /// Guards against upstreams that are lost because the log forgot them in an outage, those that are used although they
     /// are gone, and entries of an earlier life.
