Reset the connections of attempts that are given up

An attempt went to an engine that was cut off, was given up after 1 s and answered by another engine. The gateway closed the connection, and TCP went on sending its unconfirmed bytes: the attempt reached the engine after 5.2 s, 3.4 s after the engine had said that it leaves.

Change: an upstream connection that is closed while it carries an attempt is reset, in the one function that closes connections. end_attempt calls that function now.

--- a/crates/process/fescuetide_gateway/src/answers.rs
+++ b/crates/process/fescuetide_gateway/src/answers.rs
@@ -291,7 +291,7 @@
 
     /// Ends an attempt and its connection.
     pub(crate) fn end_attempt(&mut self, token: usize, event: AttemptEvent) {
-        let Some(Connection::Upstream(upstream)) = self.connections.try_remove(token) else {
+        let Some(Connection::Upstream(upstream)) = self.remove(token) else {
             return;
         };
         self.report_end(upstream.work, event);
--- a/crates/process/fescuetide_gateway/src/sockets.rs
+++ b/crates/process/fescuetide_gateway/src/sockets.rs
@@ -56,3 +56,9 @@
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(PEER_TIMEOUT))
 }
+
+/// Makes the close of a connection a reset. After an ordinary close the system goes on sending what the peer has not
+/// confirmed, so an attempt that was given up while its upstream was cut off arrives there seconds later.
+pub(crate) fn discard_unsent(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
--- a/crates/process/fescuetide_gateway/src/traffic.rs
+++ b/crates/process/fescuetide_gateway/src/traffic.rs
@@ -31,6 +31,7 @@
 use crate::GatewaySettings;
 use crate::connection::CallerConnection;
 use crate::connection::Connection;
+use crate::connection::UpstreamWork;
 use crate::counters::count;
 use crate::dialect::EdgeDialect;
 use crate::exchange::Exchange;
@@ -40,6 +41,7 @@
 use crate::news::LoopNews;
 use crate::peer_shelf::RefusedList;
 use crate::shutdown::DrainState;
+use crate::sockets;
 
 /// The token of the waker.
 pub(crate) const WAKER_TOKEN: Token = Token(0);
@@ -359,10 +361,17 @@
         self.lines.allows(kind as usize, self.now)
     }
 
-    /// Closes a connection.
-    pub(crate) fn remove(&mut self, token: usize) {
+    /// Closes a connection and returns what it did.
+    pub(crate) fn remove(&mut self, token: usize) -> Option<Connection> {
+        let connection = self.connections.try_remove(token)?;
+        if let Connection::Upstream(upstream) = &connection
+            && let UpstreamWork::Busy { .. } = upstream.work
+            && let Err(error) = sockets::discard_unsent(&upstream.stream)
+        {
+            tracing::debug!(upstream = %upstream.vm, %error, "bytes of an attempt may arrive late");
+        }
         // Closing the socket takes it out of the poll as well.
-        self.connections.try_remove(token);
+        Some(connection)
     }
 
     /// Whether callers may be sent here.
