Log and count what gateways know about requests that crash upstreams

Change: the scheduler reports these as events; the gateway counts them and logs a line for each, and "attempt broke" has the fingerprint of its request. No decision changes.

--- a/crates/coordination/fescuetide_flow/src/crash.rs
+++ b/crates/coordination/fescuetide_flow/src/crash.rs
@@ -22,6 +22,27 @@
 /// Maximum number of broken attempts and of last crash times that are kept.
 const BROKEN_LIMIT: usize = 1_024;
 
+/// Maximum number of events that are kept until [`CrashTracker::take_events`] is called.
+const EVENT_LIMIT: usize = 256;
+
+/// A change of what is known about a request that may crash upstreams, for logs and counters.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CrashEvent {
+    /// The request was running on an upstream that went down.
+    Counted {
+        /// Identifies the request.
+        fingerprint: CrashFingerprint,
+        /// The upstream.
+        upstream: VmName,
+        /// Whether the request is refused from now on.
+        is_refused: bool,
+    },
+    /// The request completed, so that its earlier crashes no longer count.
+    Cleared(CrashFingerprint),
+    /// Another gateway refuses the request.
+    Learned(CrashFingerprint),
+}
+
 /// An attempt that broke and whose upstream may be down.
 #[derive(Clone, Debug)]
 struct BrokenAttempt {
@@ -50,6 +71,7 @@
     /// Whether a request that is now refused crashed an upstream since
     /// [`take_new_refusals`](Self::take_new_refusals) was last called.
     has_new_refusals: bool,
+    events: Vec<CrashEvent>,
 }
 
 impl Default for CrashTracker {
@@ -63,6 +85,7 @@
             broken: VecDeque::new(),
             last_crashes: IndexMap::new(),
             has_new_refusals: false,
+            events: Vec::new(),
         }
     }
 }
@@ -121,12 +144,26 @@
             }
             self.last_crashes.insert(attempt.fingerprint, attempt.at);
             self.suspects.note_crash(attempt.fingerprint, now);
-            self.has_new_refusals |= self.suspects.refusal(attempt.fingerprint, now).is_some();
+            let is_refused = self.suspects.refusal(attempt.fingerprint, now).is_some();
+            self.has_new_refusals |= is_refused;
+            push_event(
+                &mut self.events,
+                CrashEvent::Counted {
+                    fingerprint: attempt.fingerprint,
+                    upstream: vm.clone(),
+                    is_refused,
+                },
+            );
         }
     }
 
     /// Records that an upstream completed a request, which clears the request of suspicion.
-    pub(crate) fn note_completed(&mut self, fingerprint: CrashFingerprint) {
+    pub(crate) fn note_completed(&mut self, fingerprint: CrashFingerprint, now: ClockMillis) {
+        let is_cleared = self.suspects.is_suspect(fingerprint, now)
+            && self.suspects.refusal(fingerprint, now).is_none();
+        if is_cleared {
+            push_event(&mut self.events, CrashEvent::Cleared(fingerprint));
+        }
         self.suspects.note_completed(fingerprint);
     }
 
@@ -146,9 +183,17 @@
         left: SpanMillis,
         now: ClockMillis,
     ) {
+        if self.suspects.refusal(fingerprint, now).is_none() {
+            push_event(&mut self.events, CrashEvent::Learned(fingerprint));
+        }
         self.suspects.learn(fingerprint, left, now);
     }
 
+    /// Returns the events since the last call. If there were more than [`EVENT_LIMIT`], the newest are missing.
+    pub(crate) fn take_events(&mut self) -> Vec<CrashEvent> {
+        std::mem::take(&mut self.events)
+    }
+
     /// Returns all refused requests if there are new ones since the last call.
     pub(crate) fn take_new_refusals(
         &mut self,
@@ -157,3 +202,9 @@
         std::mem::take(&mut self.has_new_refusals).then(|| self.suspects.list_refused(now))
     }
 }
+
+fn push_event(events: &mut Vec<CrashEvent>, event: CrashEvent) {
+    if events.len() < EVENT_LIMIT {
+        events.push(event);
+    }
+}
--- a/crates/coordination/fescuetide_flow/src/lib.rs
+++ b/crates/coordination/fescuetide_flow/src/lib.rs
@@ -56,6 +56,7 @@
 pub use call::OfferCondition;
 pub use call::RoutingPolicy;
 pub use call::UpdateAction;
+pub use crash::CrashEvent;
 pub use evidence::FlowRefusal;
 pub use evidence::NotRunEvidence;
 pub use evidence::RefusalCause;
--- a/crates/coordination/fescuetide_flow/src/scheduler.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler.rs
@@ -24,6 +24,7 @@
 use crate::LoadReport;
 use crate::RefusalCause;
 use crate::WorkRequest;
+use crate::crash::CrashEvent;
 use crate::crash::CrashTracker;
 use crate::directory::PrefixDirectory;
 use crate::flow::RequestFlow;
@@ -155,6 +156,11 @@
         self.crashes.take_new_refusals(now)
     }
 
+    /// Returns what has changed, since the last call, in what is known about requests that crash upstreams.
+    pub fn take_crash_events(&mut self) -> Vec<CrashEvent> {
+        self.crashes.take_events()
+    }
+
     /// Removes a request whose caller has disconnected. The process must abort the attempt itself.
     pub fn caller_left(&mut self, key: FlowKey, now: ClockMillis) {
         self.remove(key, now);
--- a/crates/process/fescuetide_gateway/src/admission.rs
+++ b/crates/process/fescuetide_gateway/src/admission.rs
@@ -54,6 +54,7 @@
         StableHash::hash_bytes(owner.name.as_str().as_bytes())
     });
     request.fingerprint = fingerprint(exchange);
+    exchange.fingerprint = request.fingerprint;
     if route.has_common_prefixes {
         request.prompt = exchange.fields.prompt.clone();
     }
--- a/crates/process/fescuetide_gateway/src/callers.rs
+++ b/crates/process/fescuetide_gateway/src/callers.rs
@@ -14,6 +14,7 @@
 use fescuetide_http1::EventSplitter;
 use fescuetide_http1::HeadError;
 use fescuetide_http1::RequestHead;
+use fescuetide_limits::CrashFingerprint;
 
 use crate::admission::Denial;
 use crate::admission::admit;
@@ -247,6 +248,7 @@
             has_body: incoming.has_body,
             body: incoming.body.into(),
             workspace: None,
+            fingerprint: CrashFingerprint::default(),
             route: Arc::from(""),
             config: config.version,
             arrived: self.now,
--- a/crates/process/fescuetide_gateway/src/counters.rs
+++ b/crates/process/fescuetide_gateway/src/counters.rs
@@ -86,6 +86,12 @@
     caller_connections => "fescuetide_caller_connections_total",
     /// Stream events relayed.
     events => "fescuetide_events_total",
+    /// Crashes of upstreams that were counted for requests that ran there.
+    crashes_counted => "fescuetide_crashes_counted_total",
+    /// Requests whose crashes no longer count since they completed.
+    crashes_cleared => "fescuetide_crashes_cleared_total",
+    /// Requests about whose crashes other gateways reported something new.
+    crashes_learned => "fescuetide_crashes_learned_total",
     /// Calls to the platform's log service.
     log_calls => "fescuetide_log_calls_total",
     /// Failed calls to the platform's log service.
--- a/crates/process/fescuetide_gateway/src/exchange.rs
+++ b/crates/process/fescuetide_gateway/src/exchange.rs
@@ -7,6 +7,7 @@
 use fescuetide_fleet::ConfigVersion;
 use fescuetide_http1::EventSplitter;
 use fescuetide_http1::RequestHead;
+use fescuetide_limits::CrashFingerprint;
 
 use crate::codec::RequestFields;
 use crate::connection::BufferedResponse;
@@ -24,6 +25,8 @@
     pub(crate) body: Arc<[u8]>,
     pub(crate) workspace: Option<WorkspaceName>,
     pub(crate) route: Arc<str>,
+    /// Identifies the request among those that crash upstreams.
+    pub(crate) fingerprint: CrashFingerprint,
     pub(crate) config: ConfigVersion,
     pub(crate) arrived: ClockMillis,
     pub(crate) keeps_alive: bool,
--- a/crates/process/fescuetide_gateway/src/log_line_limit.rs
+++ b/crates/process/fescuetide_gateway/src/log_line_limit.rs
@@ -22,9 +22,11 @@
     /// A request was refused, failed or denied, its caller disconnected, or a response with a status of 500 or more was
     /// relayed.
     NotServed,
+    /// What is known about a request that may crash upstreams has changed.
+    CrashEvidence,
 }
 
-const KIND_COUNT: usize = 4;
+const KIND_COUNT: usize = 5;
 
 /// Creates the quota for all kinds of lines.
 pub(crate) fn new_quota() -> FixedWindowLimiter {
@@ -39,6 +41,7 @@
             attempt_ended = counts[LogLineKind::AttemptEnded as usize],
             served = counts[LogLineKind::Served as usize],
             not_served = counts[LogLineKind::NotServed as usize],
+            crash_evidence = counts[LogLineKind::CrashEvidence as usize],
             "log lines suppressed by the rate limit"
         );
     }
--- a/crates/process/fescuetide_gateway/src/messages.rs
+++ b/crates/process/fescuetide_gateway/src/messages.rs
@@ -7,9 +7,12 @@
 use fescuetide_fleet::FleetSnapshot;
 use fescuetide_fleet::FleetUpdate;
 use fescuetide_fleet::UpstreamEntry;
+use fescuetide_flow::CrashEvent;
 use indexmap::IndexMap;
 
 use crate::codec::HttpCodec;
+use crate::counters::count;
+use crate::log_line_limit::LogLineKind;
 use crate::peer_state::BlockedFingerprints;
 use crate::traffic::TrafficLoop;
 
@@ -87,6 +90,32 @@
         }
     }
 
+    /// Counts and logs what has changed about requests that crash upstreams.
+    pub(crate) fn log_crash_events(&mut self) {
+        for event in self.scheduler.take_crash_events() {
+            let counter = match &event {
+                CrashEvent::Counted { .. } => &self.counters.crashes_counted,
+                CrashEvent::Cleared(_) => &self.counters.crashes_cleared,
+                CrashEvent::Learned(_) => &self.counters.crashes_learned,
+            };
+            count(counter);
+            if !self.may_log(LogLineKind::CrashEvidence) {
+                continue;
+            }
+            match event {
+                CrashEvent::Counted {
+                    fingerprint,
+                    upstream,
+                    is_refused,
+                } => {
+                    tracing::info!(%fingerprint, %upstream, is_refused, "crash counted");
+                }
+                CrashEvent::Cleared(fingerprint) => tracing::info!(%fingerprint, "crashes cleared"),
+                CrashEvent::Learned(fingerprint) => tracing::info!(%fingerprint, "crashes learned"),
+            }
+        }
+    }
+
     fn set_upstreams(&mut self, entries: &[UpstreamEntry]) {
         self.scheduler.set_upstreams(entries, self.now);
         let mut table = IndexMap::with_capacity(entries.len());
--- a/crates/process/fescuetide_gateway/src/traffic.rs
+++ b/crates/process/fescuetide_gateway/src/traffic.rs
@@ -203,6 +203,7 @@
                 last_tick = self.now;
                 self.scheduler.tick(self.now);
                 self.run_actions();
+                self.log_crash_events();
                 self.publish_blocked();
                 self.sweep();
             }
--- a/crates/process/fescuetide_gateway/src/upstream_responses.rs
+++ b/crates/process/fescuetide_gateway/src/upstream_responses.rs
@@ -335,9 +335,10 @@
             return;
         };
         let request = exchange.request_id();
+        let fingerprint = exchange.fingerprint;
         match event {
             AttemptEvent::Broken(cause) => {
-                tracing::info!(request, cause = cause.as_str(), "attempt broke");
+                tracing::info!(request, cause = cause.as_str(), %fingerprint, "attempt broke");
             }
             AttemptEvent::Declined(cause, load) => {
                 tracing::info!(request, ?cause, ?load, "attempt declined");
