--- a/crates/coordination/fescuetide_flow/src/call/keyed.rs
+++ b/crates/coordination/fescuetide_flow/src/call/keyed.rs
@@ -181,11 +181,13 @@
             KeyStatus::Joined(attempt) => {
                 claims.current = Some(claim);
                 self.history.note_sent(attempt, &vm.name, now);
+                let fingerprint = self.metadata.fingerprint;
                 self.state = CallState::Running(RunningAttempt {
                     vm,
                     rule: AdmitRule::OwnCap,
                     attempt,
                     is_counted: false,
+                    known_crashes: tables.suspects().crashes(fingerprint, now),
                 });
             }
             KeyStatus::NeverSeen => {
--- a/crates/coordination/fescuetide_flow/src/call/offering.rs
+++ b/crates/coordination/fescuetide_flow/src/call/offering.rs
@@ -41,6 +41,7 @@
             rule: target.rule,
             attempt,
             is_counted: true,
+            known_crashes: target.known_crashes,
         });
     }
 
@@ -98,7 +99,9 @@
         tables: &mut CallTables,
         now: ClockMillis,
     ) -> CallStep {
-        let is_suspect = tables.suspects().is_suspect(self.metadata.fingerprint, now);
+        let fingerprint = self.metadata.fingerprint;
+        let is_suspect = tables.suspects().is_suspect(fingerprint, now);
+        let known_crashes = tables.suspects().crashes(fingerprint, now);
         let time_left = self.metadata.deadline.since(now);
         // After a lost attempt, the request may have run and can no longer be refused as not run. Declining it for
         // lateness would only turn it into a failure, so it may wait until the caller times out.
@@ -115,7 +118,12 @@
             time_left,
             vm: vm.clone(),
         };
-        self.state = CallState::Offering(OfferTarget { vm, rule, at: now });
+        self.state = CallState::Offering(OfferTarget {
+            vm,
+            rule,
+            at: now,
+            known_crashes,
+        });
         CallStep::Offer(Box::new(offer))
     }
 
--- a/crates/coordination/fescuetide_flow/src/call/state.rs
+++ b/crates/coordination/fescuetide_flow/src/call/state.rs
@@ -4,6 +4,7 @@
 use fescuetide_base::ClockMillis;
 use fescuetide_base::VmName;
 use fescuetide_limits::AdmitRule;
+use fescuetide_limits::CrashCount;
 use fescuetide_members::VmEntry;
 
 use super::CallEnd;
@@ -22,6 +23,8 @@
     pub(crate) vm: VmEntry,
     pub(crate) rule: AdmitRule,
     pub(crate) at: ClockMillis,
+    /// The crashes of the request that were known when the offer was made.
+    pub(crate) known_crashes: CrashCount,
 }
 
 /// An attempt in progress.
@@ -33,6 +36,8 @@
     /// Whether it is counted as outstanding at its upstream. An attempt that another request with the same key started,
     /// and whose response this request receives, is not.
     pub(crate) is_counted: bool,
+    /// The crashes of the request that were known when it was offered.
+    pub(crate) known_crashes: CrashCount,
 }
 
 /// What happens after a pause.
--- a/crates/coordination/fescuetide_flow/src/call/update.rs
+++ b/crates/coordination/fescuetide_flow/src/call/update.rs
@@ -142,7 +142,10 @@
                 }
             }
             AttemptUpdate::Crashed(reason) => {
-                tables.suspects().note_crash(self.metadata.fingerprint, now);
+                let fingerprint = self.metadata.fingerprint;
+                tables
+                    .suspects()
+                    .note_crash(fingerprint, attempt.known_crashes, now);
                 self.handle_loss(attempt, reason, tables, now);
             }
             AttemptUpdate::Failed(reason) | AttemptUpdate::Lost(reason) => {
--- a/crates/coordination/fescuetide_flow/src/crash.rs
+++ b/crates/coordination/fescuetide_flow/src/crash.rs
@@ -5,10 +5,13 @@
 use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
+use fescuetide_limits::CrashCount;
+use fescuetide_limits::CrashEvidence;
 use fescuetide_limits::CrashFingerprint;
 use fescuetide_limits::SuspectSettings;
 use fescuetide_limits::SuspectTable;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 /// Number of crashes after which a request is refused. One more than the default of [`SuspectSettings`]: without side
 /// processes, which run at most one suspect at a time, suspects run concurrently, so a request can be involved in a
@@ -19,7 +22,7 @@
 /// the list of upstreams only expires after several seconds.
 const CRASH_WINDOW: SpanMillis = SpanMillis::new(10_000);
 
-/// Maximum number of broken attempts and of last crash times that are kept.
+/// Maximum number of broken attempts and of last crashes that are kept.
 const BROKEN_LIMIT: usize = 1_024;
 
 /// Maximum number of events that are kept until [`CrashTracker::take_events`] is called.
@@ -30,47 +33,61 @@
 pub enum CrashEvent {
     /// The request was running on an upstream that went down.
     Counted {
-        /// Identifies the request.
-        fingerprint: CrashFingerprint,
+        /// What is known now.
+        evidence: CrashEvidence,
         /// The upstream.
         upstream: VmName,
         /// Whether the request is refused from now on.
         is_refused: bool,
     },
     /// The request completed, so that its earlier crashes no longer count.
-    Cleared(CrashFingerprint),
-    /// Another gateway refuses the request.
-    Learned(CrashFingerprint),
+    Cleared(CrashEvidence),
+    /// Another gateway reported crashes of the request, or that it completed.
+    Learned(CrashEvidence),
+}
+
+/// An attempt as far as it matters for the detection.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CrashRun {
+    pub(crate) fingerprint: CrashFingerprint,
+    /// The crashes of the request that were known when the attempt started.
+    pub(crate) known: CrashCount,
+    pub(crate) started_at: ClockMillis,
 }
 
 /// An attempt that broke and whose upstream may be down.
 #[derive(Clone, Debug)]
 struct BrokenAttempt {
     vm: VmName,
-    fingerprint: CrashFingerprint,
-    started_at: ClockMillis,
+    run: CrashRun,
     at: ClockMillis,
     /// Whether the crash of its upstream has been handled.
     is_handled: bool,
 }
 
+/// The last crash of a request that this gateway counted.
+#[derive(Clone, Copy, Debug)]
+struct LastCrash {
+    at: ClockMillis,
+    count: CrashCount,
+}
+
 /// Distinguishes requests that crash upstreams from those that merely ran concurrently.
 ///
 /// Limits the damage of a request that is retried repeatedly and crashes one upstream after another. A broken attempt
 /// counts as part of a crash if its upstream refuses connections, changes its incarnation or leaves the list at about
 /// the same time. All requests that ran there become suspects; those that complete elsewhere are cleared.
 ///
-/// Many callers may send the same request. Of its runs, one only counts if it started after the last counted one broke.
-/// Otherwise, several upstreams that go down together for another reason would count as several crashes of the request.
+/// Many callers may send the same request. A run only adds to the crashes that were known when it started, and to those
+/// at this gateway that broke before. Otherwise, several upstreams that go down together for another reason would count
+/// as several crashes of the request.
 #[derive(Debug)]
 pub(crate) struct CrashTracker {
     suspects: SuspectTable,
     broken: VecDeque<BrokenAttempt>,
-    /// For each suspect, when its last run that was counted as a crash broke.
-    last_crashes: IndexMap<CrashFingerprint, ClockMillis>,
-    /// Whether a request that is now refused crashed an upstream since
-    /// [`take_new_refusals`](Self::take_new_refusals) was last called.
-    has_new_refusals: bool,
+    last_crashes: IndexMap<CrashFingerprint, LastCrash>,
+    /// Requests about which this gateway knows something that it has not reported to the other gateways.
+    unreported: IndexSet<CrashFingerprint>,
     events: Vec<CrashEvent>,
 }
 
@@ -84,21 +101,20 @@
             suspects: SuspectTable::new(settings),
             broken: VecDeque::new(),
             last_crashes: IndexMap::new(),
-            has_new_refusals: false,
+            unreported: IndexSet::new(),
             events: Vec::new(),
         }
     }
 }
 
 impl CrashTracker {
-    /// Records an attempt, started at `started_at`, that broke after the upstream may have started to run it.
-    pub(crate) fn note_broken(
-        &mut self,
-        vm: &VmName,
-        fingerprint: CrashFingerprint,
-        started_at: ClockMillis,
-        now: ClockMillis,
-    ) {
+    /// Returns the crashes of a request that are known.
+    pub(crate) fn known(&self, fingerprint: CrashFingerprint, now: ClockMillis) -> CrashCount {
+        self.suspects.crashes(fingerprint, now)
+    }
+
+    /// Records an attempt that broke after the upstream may have started to run it.
+    pub(crate) fn note_broken(&mut self, vm: &VmName, run: CrashRun, now: ClockMillis) {
         self.broken
             .retain(|attempt| now.since(attempt.at) <= CRASH_WINDOW);
         if self.broken.len() >= BROKEN_LIMIT {
@@ -107,15 +123,14 @@
         let is_known = self
             .broken
             .iter()
-            .any(|attempt| attempt.vm == *vm && attempt.fingerprint == fingerprint);
+            .any(|attempt| attempt.vm == *vm && attempt.run.fingerprint == run.fingerprint);
         if is_known {
             // Several broken connections to the same upstream are one crash.
             return;
         }
         self.broken.push_back(BrokenAttempt {
             vm: vm.clone(),
-            fingerprint,
-            started_at,
+            run,
             at: now,
             is_handled: false,
         });
@@ -130,41 +145,60 @@
 
     /// Records that an upstream refuses connections.
     pub(crate) fn note_down(&mut self, vm: &VmName, now: ClockMillis) {
-        for attempt in &mut self.broken {
+        for index in 0..self.broken.len() {
+            let attempt = &mut self.broken[index];
             if attempt.vm != *vm || attempt.is_handled || now.since(attempt.at) > CRASH_WINDOW {
                 continue;
             }
             attempt.is_handled = true;
-            let last = self.last_crashes.get(&attempt.fingerprint);
-            if last.is_some_and(|last| attempt.started_at <= *last) {
-                continue;
-            }
-            if self.last_crashes.len() >= BROKEN_LIMIT {
-                self.last_crashes.shift_remove_index(0);
-            }
-            self.last_crashes.insert(attempt.fingerprint, attempt.at);
-            self.suspects.note_crash(attempt.fingerprint, now);
-            let is_refused = self.suspects.refusal(attempt.fingerprint, now).is_some();
-            self.has_new_refusals |= is_refused;
-            push_event(
-                &mut self.events,
-                CrashEvent::Counted {
-                    fingerprint: attempt.fingerprint,
-                    upstream: vm.clone(),
-                    is_refused,
-                },
-            );
+            let (run, at) = (attempt.run, attempt.at);
+            self.count_crash(vm, run, at, now);
+        }
+    }
+
+    /// Counts the crash of an upstream on which `run` broke at `at`.
+    fn count_crash(&mut self, vm: &VmName, run: CrashRun, at: ClockMillis, now: ClockMillis) {
+        let fingerprint = run.fingerprint;
+        let mut known = run.known;
+        if let Some(last) = self.last_crashes.get(&fingerprint)
+            && run.started_at > last.at
+        {
+            // The last crash broke before this run started, but its upstream may have been found down only later.
+            known = known.max(last.count);
+        }
+        if !self.suspects.note_crash(fingerprint, known, now) {
+            return;
+        }
+        if self.last_crashes.len() >= BROKEN_LIMIT {
+            self.last_crashes.shift_remove_index(0);
+        }
+        let count = known.next();
+        self.last_crashes
+            .insert(fingerprint, LastCrash { at, count });
+        self.unreported.insert(fingerprint);
+        let is_refused = self.suspects.refusal(fingerprint, now).is_some();
+        if let Some(evidence) = self.suspects.evidence(fingerprint, now) {
+            self.push_event(CrashEvent::Counted {
+                evidence,
+                upstream: vm.clone(),
+                is_refused,
+            });
         }
     }
 
     /// Records that an upstream completed a request, which clears the request of suspicion.
     pub(crate) fn note_completed(&mut self, fingerprint: CrashFingerprint, now: ClockMillis) {
-        let is_cleared = self.suspects.is_suspect(fingerprint, now)
-            && self.suspects.refusal(fingerprint, now).is_none();
-        if is_cleared {
-            push_event(&mut self.events, CrashEvent::Cleared(fingerprint));
+        let cleared = self.suspects.note_completed(fingerprint);
+        if cleared == 0 {
+            return;
+        }
+        // Other gateways only need to know if one more crash would make them refuse the request.
+        if cleared + 1 >= CRASH_LIMIT {
+            self.unreported.insert(fingerprint);
+        }
+        if let Some(evidence) = self.suspects.evidence(fingerprint, now) {
+            self.push_event(CrashEvent::Cleared(evidence));
         }
-        self.suspects.note_completed(fingerprint);
     }
 
     /// The time for which a request is still refused, or `None` if it is not.
@@ -176,17 +210,28 @@
         self.suspects.refusal(fingerprint, now)
     }
 
-    /// Adds a request that another gateway still refuses, for the remaining time `left`.
-    pub(crate) fn learn(
-        &mut self,
-        fingerprint: CrashFingerprint,
-        left: SpanMillis,
-        now: ClockMillis,
-    ) {
-        if self.suspects.refusal(fingerprint, now).is_none() {
-            push_event(&mut self.events, CrashEvent::Learned(fingerprint));
+    /// Adds what another gateway knows.
+    pub(crate) fn merge(&mut self, evidence: CrashEvidence, now: ClockMillis) {
+        if !self.suspects.merge(evidence, now) {
+            return;
+        }
+        if let Some(evidence) = self.suspects.evidence(evidence.fingerprint, now) {
+            self.push_event(CrashEvent::Learned(evidence));
+        }
+    }
+
+    /// Returns what this gateway has found since the last call.
+    pub(crate) fn take_unreported(&mut self, now: ClockMillis) -> Vec<CrashEvidence> {
+        let mut reports = Vec::new();
+        for fingerprint in std::mem::take(&mut self.unreported) {
+            reports.extend(self.suspects.evidence(fingerprint, now));
         }
-        self.suspects.learn(fingerprint, left, now);
+        reports
+    }
+
+    /// Returns what is known about the requests that are most suspect, including what other gateways have found.
+    pub(crate) fn list_evidence(&self, now: ClockMillis) -> Vec<CrashEvidence> {
+        self.suspects.list_evidence(now)
     }
 
     /// Returns the events since the last call. If there were more than [`EVENT_LIMIT`], the newest are missing.
@@ -194,17 +239,9 @@
         std::mem::take(&mut self.events)
     }
 
-    /// Returns all refused requests if there are new ones since the last call.
-    pub(crate) fn take_new_refusals(
-        &mut self,
-        now: ClockMillis,
-    ) -> Option<Vec<(CrashFingerprint, SpanMillis)>> {
-        std::mem::take(&mut self.has_new_refusals).then(|| self.suspects.list_refused(now))
-    }
-}
-
-fn push_event(events: &mut Vec<CrashEvent>, event: CrashEvent) {
-    if events.len() < EVENT_LIMIT {
-        events.push(event);
+    fn push_event(&mut self, event: CrashEvent) {
+        if self.events.len() < EVENT_LIMIT {
+            self.events.push(event);
+        }
     }
 }
--- a/crates/coordination/fescuetide_flow/src/flow.rs
+++ b/crates/coordination/fescuetide_flow/src/flow.rs
@@ -3,9 +3,12 @@
 use fescuetide_base::ClockMillis;
 use fescuetide_base::PoolName;
 use fescuetide_base::VmName;
+use fescuetide_limits::CrashCount;
+use fescuetide_limits::CrashFingerprint;
 
 use crate::NotRunEvidence;
 use crate::WorkRequest;
+use crate::crash::CrashRun;
 
 /// An attempt in progress.
 #[derive(Clone, Debug)]
@@ -13,12 +16,25 @@
     pub(crate) pool: PoolName,
     pub(crate) vm: VmName,
     pub(crate) started_at: ClockMillis,
+    /// The crashes of the request that were known when the attempt started.
+    pub(crate) known_crashes: CrashCount,
     /// Whether the first byte of the request was written.
     pub(crate) is_sent: bool,
     /// When the last data of the stream arrived, `None` before its head.
     pub(crate) last_data_at: Option<ClockMillis>,
 }
 
+impl FlowAttempt {
+    /// The attempt as far as it matters for the detection of requests that crash upstreams.
+    pub(crate) fn crash_run(&self, fingerprint: CrashFingerprint) -> CrashRun {
+        CrashRun {
+            fingerprint,
+            known: self.known_crashes,
+            started_at: self.started_at,
+        }
+    }
+}
+
 /// The current state of a request.
 #[derive(Clone, Debug)]
 pub(crate) enum FlowState {
--- a/crates/coordination/fescuetide_flow/src/scheduler/placing.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/placing.rs
@@ -86,13 +86,20 @@
         pool.waiting.push(wait);
     }
 
-    /// Sends a request if an upstream of the pool has capacity. Returns whether it was sent.
+    /// Sends a request if an upstream of the pool has capacity, and refuses it if it crashes upstreams. Returns whether it
+    /// was sent or refused.
     pub(super) fn try_send(
         &mut self,
         key: FlowKey,
         pool_name: &PoolName,
         now: ClockMillis,
     ) -> bool {
+        let fingerprint = self.flows[&key].request.fingerprint;
+        // The crashes may have become known while the request was queued.
+        if let Some(left) = self.crashes.refusal(fingerprint, now) {
+            self.refuse_or_fail(key, RefusalCause::CrashesUpstreams, left, now);
+            return true;
+        }
         let Some(pool) = self.pools.get_mut(pool_name) else {
             return false;
         };
@@ -138,6 +145,7 @@
             pool: pool_name.clone(),
             vm,
             started_at: now,
+            known_crashes: self.crashes.known(fingerprint, now),
             is_sent: false,
             last_data_at: None,
         });
--- a/crates/coordination/fescuetide_flow/src/scheduler/retrying.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/retrying.rs
@@ -72,11 +72,14 @@
         let flow = &mut self.flows[&key];
         let attempt = flow.attempt();
         let is_sent = attempt.is_some_and(|attempt| attempt.is_sent);
-        let started_at = attempt.map_or(now, |attempt| attempt.started_at);
-        flow.may_have_run |= is_sent;
         let fingerprint = flow.request.fingerprint;
-        if is_sent && cause == BreakCause::Closed {
-            self.crashes.note_broken(vm, fingerprint, started_at, now);
+        let run = attempt.map(|attempt| attempt.crash_run(fingerprint));
+        flow.may_have_run |= is_sent;
+        if let Some(run) = run
+            && is_sent
+            && cause == BreakCause::Closed
+        {
+            self.crashes.note_broken(vm, run, now);
         }
         if let Some(left) = self.crashes.refusal(fingerprint, now) {
             let failure = FlowFailure::AttemptBroken(cause);
--- a/crates/coordination/fescuetide_limits/src/suspects.rs
+++ b/crates/coordination/fescuetide_limits/src/suspects.rs
@@ -1,53 +1,68 @@
 //! Detection of requests that crash upstreams.
 
 use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
 
 use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
-use fescuetide_base::StableHash;
-use fescuetide_base::WorkspaceName;
 use indexmap::IndexMap;
 
-/// 128-bit hash that identifies a request by its workspace and body.
+use crate::CrashFingerprint;
+
+/// Number of crashes of a request, one after the other.
+///
+/// A run that crashes its upstream has a count of one more than what its router knew when the run started. Upstreams that
+/// go down together are therefore one crash, however many routers had the request running there, and no clocks are
+/// compared. Counts from different routers are merged by taking the larger one, as with logical clocks (Leslie Lamport,
+/// "Time, Clocks, and the Ordering of Events in a Distributed System", 1978).
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct CrashFingerprint([u8; 16]);
+pub struct CrashCount(u32);
 
-impl CrashFingerprint {
-    /// Computes the fingerprint of a request from its workspace and body.
-    pub fn of(workspace: &WorkspaceName, body: &[u8]) -> Self {
-        Self::of_parts(&[workspace.as_str().as_bytes(), body])
+impl CrashCount {
+    /// Creates a count.
+    pub const fn new(count: u32) -> Self {
+        Self(count)
     }
 
-    /// Computes the fingerprint of a request from all the parts that distinguish it.
-    pub fn of_parts(parts: &[&[u8]]) -> Self {
-        let mut bytes = [0; 16];
-        for (half, bytes_of_half) in bytes.chunks_exact_mut(8).enumerate() {
-            let mut hash = StableHash::new().field(&[half as u8]);
-            for part in parts {
-                hash = hash.field(part);
-            }
-            bytes_of_half.copy_from_slice(&hash.finish().to_le_bytes());
-        }
-        Self(bytes)
+    /// Returns the number of crashes.
+    pub const fn get(self) -> u32 {
+        self.0
     }
 
-    /// Creates a fingerprint from its bytes.
-    pub const fn from_bytes(bytes: [u8; 16]) -> Self {
-        Self(bytes)
+    /// Returns the count of a crash of a run that started when `self` crashes were known.
+    pub const fn next(self) -> Self {
+        Self(self.0.saturating_add(1))
     }
+}
 
-    /// Returns the bytes of the fingerprint.
-    pub const fn to_bytes(self) -> [u8; 16] {
-        self.0
+impl fmt::Display for CrashCount {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
     }
 }
 
-impl fmt::Display for CrashFingerprint {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:032x}", u128::from_be_bytes(self.0))
+impl FromStr for CrashCount {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
     }
 }
 
+/// What one router knows about a request that was running on upstreams that crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CrashEvidence {
+    /// Identifies the request.
+    pub fingerprint: CrashFingerprint,
+    /// The crashes so far.
+    pub crashes: CrashCount,
+    /// How many of the crashes do not count, because the request completed after them.
+    pub cleared: CrashCount,
+    /// Remaining time for which the evidence is kept.
+    pub left: SpanMillis,
+}
+
 /// Settings of a suspect table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SuspectSettings {
@@ -55,9 +70,9 @@
     pub crash_limit: u32,
     /// Time after the last crash for which an entry is kept: the request remains refused or a suspect for this long.
     pub retention: SpanMillis,
-    /// Maximum number of entries. Suspects that are not refused are evicted first, oldest first.
+    /// Maximum number of entries. Requests that are not refused are evicted first, oldest first.
     pub entry_limit: usize,
-    /// Maximum number of refused fingerprints in one message to a peer. Each takes 20 bytes with its remaining time.
+    /// Maximum number of entries in one message to a peer. Each takes 28 bytes or less.
     pub exchange_limit: usize,
 }
 
@@ -72,30 +87,43 @@
     }
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct SuspectEntry {
-    crashes: u32,
-    is_refused: bool,
+    crashes: CrashCount,
+    cleared: CrashCount,
     until: ClockMillis,
 }
 
+impl SuspectEntry {
+    /// Number of crashes that count.
+    fn level(&self) -> u32 {
+        self.crashes.get().saturating_sub(self.cleared.get())
+    }
+}
+
 /// Counts upstream crashes per request in order to find the request that causes them.
 ///
 /// Every request in flight on a crashing upstream becomes a suspect. At most one suspect runs on an upstream at a time
 /// (see [`LoadLimiter`](crate::LoadLimiter)), so the next crash implicates a single suspect. After 2 crashes, all
-/// routers refuse the request for 10 minutes.
+/// routers refuse the request for 10 minutes. Routers exchange what they know, so that crashes add up that different
+/// routers have seen.
 ///
 /// ```
 /// use fescuetide_base::ClockMillis;
 /// use fescuetide_limits::prelude::*;
 ///
+/// let now = ClockMillis::new(0);
 /// let mut table = SuspectTable::default();
 /// let fingerprint = CrashFingerprint::of(&"atelier".parse().unwrap(), b"{}");
-/// table.note_crash(fingerprint, ClockMillis::new(0));
-/// assert!(table.is_suspect(fingerprint, ClockMillis::new(0)));
-/// assert_eq!(table.refusal(fingerprint, ClockMillis::new(0)), None);
-/// table.note_crash(fingerprint, ClockMillis::new(0));
-/// assert!(table.refusal(fingerprint, ClockMillis::new(0)).is_some());
+/// let known = table.crashes(fingerprint, now);
+/// table.note_crash(fingerprint, known, now);
+/// assert!(table.is_suspect(fingerprint, now));
+/// assert_eq!(table.refusal(fingerprint, now), None);
+/// let mut other = SuspectTable::default();
+/// other.merge(table.list_evidence(now)[0], now);
+/// let known = other.crashes(fingerprint, now);
+/// other.note_crash(fingerprint, known, now);
+/// assert!(other.refusal(fingerprint, now).is_some());
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct SuspectTable {
@@ -112,83 +140,125 @@
         }
     }
 
-    /// Records that an upstream crashed while it was running the request.
-    pub fn note_crash(&mut self, fingerprint: CrashFingerprint, now: ClockMillis) {
-        self.evict_if_full(now);
-        let entry = self.entries.entry(fingerprint).or_insert(SuspectEntry {
-            crashes: 0,
-            is_refused: false,
-            until: now,
-        });
-        if now >= entry.until {
-            entry.crashes = 0;
-            entry.is_refused = false;
-        }
-        entry.crashes += 1;
-        entry.is_refused |= entry.crashes >= self.settings.crash_limit;
-        entry.until = now + self.settings.retention;
-    }
-
-    /// Records that the request completed, which clears the suspicion unless the request is refused.
-    pub fn note_completed(&mut self, fingerprint: CrashFingerprint) {
-        if self
-            .entries
-            .get(&fingerprint)
-            .is_some_and(|entry| !entry.is_refused)
-        {
-            self.entries.shift_remove(&fingerprint);
-        }
+    /// Returns the crashes of a request that are known, including those that were cleared.
+    pub fn crashes(&self, fingerprint: CrashFingerprint, now: ClockMillis) -> CrashCount {
+        self.live(fingerprint, now)
+            .map_or_else(CrashCount::default, |entry| entry.crashes)
     }
 
-    /// Adds a fingerprint that another router refuses for the time `remaining`.
-    pub fn learn(
+    /// Records that an upstream crashed while it was running the request. `known` is what [`crashes`](Self::crashes)
+    /// returned when the run started. Returns whether the count has changed.
+    pub fn note_crash(
         &mut self,
         fingerprint: CrashFingerprint,
-        remaining: SpanMillis,
+        known: CrashCount,
         now: ClockMillis,
-    ) {
-        // Keep the expiry that is already known, so that routers cannot extend a refusal by gossiping it back and
-        // forth.
-        if self.refusal(fingerprint, now).is_some() {
-            return;
+    ) -> bool {
+        // The entry may have expired while the request was running, and with it what was cleared.
+        let known = known.min(self.crashes(fingerprint, now));
+        let evidence = CrashEvidence {
+            fingerprint,
+            crashes: known.next(),
+            cleared: CrashCount::default(),
+            left: self.settings.retention,
+        };
+        self.merge(evidence, now)
+    }
+
+    /// Records that the request completed, so that its earlier crashes no longer count, unless it is refused. Returns
+    /// how many crashes were cleared.
+    pub fn note_completed(&mut self, fingerprint: CrashFingerprint) -> u32 {
+        let limit = self.settings.crash_limit;
+        let Some(entry) = self.entries.get_mut(&fingerprint) else {
+            return 0;
+        };
+        let level = entry.level();
+        if level >= limit {
+            return 0;
+        }
+        entry.cleared = entry.crashes;
+        level
+    }
+
+    /// Adds what another router knows. Returns whether any of it is new.
+    pub fn merge(&mut self, evidence: CrashEvidence, now: ClockMillis) -> bool {
+        let left = evidence.left.min(self.settings.retention);
+        let is_valid = evidence.cleared <= evidence.crashes;
+        if left == SpanMillis::default() || !is_valid {
+            return false;
         }
-        self.evict_if_full(now);
-        let entry = SuspectEntry {
-            crashes: self.settings.crash_limit,
-            is_refused: true,
-            until: now
-                + SpanMillis::new(
-                    remaining
-                        .as_millis()
-                        .min(self.settings.retention.as_millis()),
-                ),
+        let known = self.live(evidence.fingerprint, now).copied();
+        let entry = known.unwrap_or_default();
+        let merged = SuspectEntry {
+            crashes: entry.crashes.max(evidence.crashes),
+            cleared: entry.cleared.max(evidence.cleared),
+            // Without a new crash the expiry stays, so that routers cannot extend a refusal by exchanging it.
+            until: match evidence.crashes > entry.crashes {
+                true => entry.until.max(now + left),
+                false => entry.until,
+            },
         };
-        self.entries.insert(fingerprint, entry);
+        let is_new = merged.crashes != entry.crashes || merged.cleared != entry.cleared;
+        if !is_new {
+            return false;
+        }
+        if known.is_none() {
+            self.evict_if_full(now);
+        }
+        self.entries.insert(evidence.fingerprint, merged);
+        true
     }
 
-    /// Returns whether the request was in flight during a recent crash.
+    /// Returns whether the request was in flight during a recent crash and has not completed since.
     pub fn is_suspect(&self, fingerprint: CrashFingerprint, now: ClockMillis) -> bool {
-        self.entries
-            .get(&fingerprint)
-            .is_some_and(|entry| now < entry.until)
+        self.live(fingerprint, now)
+            .is_some_and(|entry| entry.level() > 0)
     }
 
     /// Returns the remaining time for which the request is refused, or `None` if it is not refused.
     pub fn refusal(&self, fingerprint: CrashFingerprint, now: ClockMillis) -> Option<SpanMillis> {
-        let entry = self.entries.get(&fingerprint)?;
-        (entry.is_refused && now < entry.until).then(|| entry.until.since(now))
+        let entry = self.live(fingerprint, now)?;
+        (entry.level() >= self.settings.crash_limit).then(|| entry.until.since(now))
     }
 
-    /// Returns the refused fingerprints to send to peers with their remaining times, newest first.
-    pub fn list_refused(&self, now: ClockMillis) -> Vec<(CrashFingerprint, SpanMillis)> {
-        let fingerprints = self.entries.keys().rev();
-        fingerprints
-            .filter_map(|fingerprint| Some((*fingerprint, self.refusal(*fingerprint, now)?)))
-            .take(self.settings.exchange_limit)
+    /// Returns what is known about a request.
+    pub fn evidence(
+        &self,
+        fingerprint: CrashFingerprint,
+        now: ClockMillis,
+    ) -> Option<CrashEvidence> {
+        let entry = self.live(fingerprint, now)?;
+        Some(CrashEvidence {
+            fingerprint,
+            crashes: entry.crashes,
+            cleared: entry.cleared,
+            left: entry.until.since(now),
+        })
+    }
+
+    /// Returns the evidence to send to peers: that with the most crashes that count first, then the newest.
+    pub fn list_evidence(&self, now: ClockMillis) -> Vec<CrashEvidence> {
+        let mut suspects = Vec::new();
+        for (fingerprint, entry) in self.entries.iter().rev() {
+            if entry.level() > 0 && now < entry.until {
+                suspects.push((entry.level(), *fingerprint));
+            }
+        }
+        suspects.sort_by_key(|(level, _)| std::cmp::Reverse(*level));
+        suspects.truncate(self.settings.exchange_limit);
+        let suspects = suspects.into_iter();
+        suspects
+            .filter_map(|(_, fingerprint)| self.evidence(fingerprint, now))
             .collect()
     }
 
-    /// Frees an entry at the size limit: drops expired entries or, if there are none, evicts the oldest suspect.
+    fn live(&self, fingerprint: CrashFingerprint, now: ClockMillis) -> Option<&SuspectEntry> {
+        let entry = self.entries.get(&fingerprint)?;
+        (now < entry.until).then_some(entry)
+    }
+
+    /// Frees an entry at the size limit: drops expired entries or, if there are none, evicts the oldest one that is not
+    /// refused.
     fn evict_if_full(&mut self, now: ClockMillis) {
         if self.entries.len() < self.settings.entry_limit {
             return;
@@ -197,7 +267,9 @@
         if self.entries.len() < self.settings.entry_limit {
             return;
         }
-        let position = self.entries.values().position(|entry| !entry.is_refused);
+        let limit = self.settings.crash_limit;
+        let mut entries = self.entries.values();
+        let position = entries.position(|entry| entry.level() < limit);
         self.entries.shift_remove_index(position.unwrap_or(0));
     }
 }
--- a/crates/process/fescuetide_gateway/src/codec.rs
+++ b/crates/process/fescuetide_gateway/src/codec.rs
@@ -95,6 +95,8 @@
     Configs,
     /// Registrations of upstreams.
     Upstreams,
+    /// Reports of gateways about requests that crash upstreams.
+    CrashReports,
 }
 
 impl fmt::Display for FleetStream {
@@ -102,6 +104,7 @@
         f.write_str(match self {
             Self::Configs => "configs",
             Self::Upstreams => "upstreams",
+            Self::CrashReports => "crash-reports",
         })
     }
 }
@@ -154,6 +157,12 @@
     /// `wait`.
     fn read_target(&self, stream: FleetStream, from: LogOffset, wait: SpanMillis) -> String;
 
+    /// Path and query of a call that appends records.
+    fn append_target(&self, stream: FleetStream) -> String;
+
+    /// Encodes records as the body of a call that appends them.
+    fn encode_records(&self, records: &[LogRecord]) -> Vec<u8>;
+
     /// Decodes a page of a listing.
     ///
     /// # Errors
--- a/crates/process/fescuetide_gateway/src/counters.rs
+++ b/crates/process/fescuetide_gateway/src/counters.rs
@@ -92,6 +92,8 @@
     crashes_cleared => "fescuetide_crashes_cleared_total",
     /// Requests about whose crashes other gateways reported something new.
     crashes_learned => "fescuetide_crashes_learned_total",
+    /// Appends of crash reports to the platform's log service.
+    crash_reports => "fescuetide_crash_reports_total",
     /// Calls to the platform's log service.
     log_calls => "fescuetide_log_calls_total",
     /// Failed calls to the platform's log service.
--- /dev/null
+++ b/crates/process/fescuetide_gateway/src/crash_reports.rs
@@ -0,0 +1,247 @@
+//! Exchange of crash evidence through the platform's log.
+//!
+//! One control thread appends what this gateway finds, another one follows what all gateways have found. Evidence in the
+//! log outlives the gateways that found it, and reaches gateways that are cut off from their peers.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam::channel;
+use crossbeam::channel::Receiver;
+use crossbeam::channel::RecvTimeoutError;
+use crossbeam::channel::Sender;
+use fescuetide_base::ClockMillis;
+use fescuetide_base::SpanMillis;
+use fescuetide_limits::CrashEvidence;
+use fescuetide_wire::codec;
+use fescuetide_wire::crash::CrashRecord;
+use indexmap::IndexMap;
+
+use crate::codec::FleetStream;
+use crate::codec::LogRecord;
+use crate::codec::RecordCodec;
+use crate::counters::count;
+use crate::follower::FleetPublisher;
+use crate::follower::FollowStep;
+use crate::follower::StreamFollower;
+use crate::log_client::CallError;
+use crate::log_client::PlatformLogClient;
+use crate::messages::LoopMessage;
+use crate::peers::PeerCommand;
+
+/// How long a read of reports waits for a new one (long polling).
+const REPORT_WAIT: SpanMillis = SpanMillis::new(5_000);
+
+/// Delay after a failed call. While the log is unavailable, peers tell each other what they find.
+const RETRY_DELAY: Duration = Duration::from_millis(1_000);
+
+/// Interval between checks for own reports that have expired.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(60);
+
+/// Maximum number of records in one call, which keeps its body below 100 KB.
+const APPEND_LIMIT: usize = 1_000;
+
+/// A message to the thread that appends reports.
+#[derive(Clone, Debug)]
+pub(crate) enum ReportCommand {
+    /// Append what this gateway has found.
+    Append(Vec<CrashEvidence>),
+    /// Remove the records with these keys, which have expired.
+    Remove(Vec<String>),
+}
+
+/// Starts the threads. `peers` takes what cannot be appended. The returned sender takes what is to be appended.
+pub(crate) fn start<C: RecordCodec>(
+    address: SocketAddr,
+    gateway: &str,
+    codec: &C,
+    publisher: &FleetPublisher,
+    peers: Option<Sender<PeerCommand>>,
+) -> std::io::Result<Sender<ReportCommand>> {
+    let (sender, commands) = channel::unbounded();
+    let mut follower =
+        StreamFollower::new(FleetStream::CrashReports, address, codec.clone(), publisher);
+    follower.retry_delay = RETRY_DELAY;
+    let expired = sender.clone();
+    thread::Builder::new()
+        .name("crash-follow".to_owned())
+        .spawn(move || follow_reports(follower, &expired))?;
+    let appender = ReportAppender {
+        gateway: gateway.to_owned(),
+        client: PlatformLogClient::new(address),
+        codec: codec.clone(),
+        publisher: publisher.clone(),
+        peers,
+        pending: IndexMap::new(),
+        appended: IndexMap::new(),
+        is_failing: false,
+    };
+    thread::Builder::new()
+        .name("crash-append".to_owned())
+        .spawn(move || appender.run(&commands))?;
+    Ok(sender)
+}
+
+/// Publishes the reports of all gateways to the event loop. Requests the removal of those that had expired when this
+/// gateway started, since the gateway that wrote them may be gone.
+fn follow_reports<C: RecordCodec>(
+    mut follower: StreamFollower<C>,
+    commands: &Sender<ReportCommand>,
+) {
+    loop {
+        let (records, is_listing) = match follower.step(REPORT_WAIT) {
+            FollowStep::Listing(records) => (records, true),
+            FollowStep::Records(records) => (records, false),
+            FollowStep::Failed => (Vec::new(), false),
+        };
+        let now = ClockMillis::now();
+        let mut evidence = Vec::new();
+        let mut expired = Vec::new();
+        for record in &records {
+            // A removed report has expired here as well.
+            let Some(value) = &record.value else {
+                continue;
+            };
+            match decode_report(&record.key, value, now) {
+                Ok(Some(report)) => evidence.push(report),
+                Ok(None) => expired.push(record.key.clone()),
+                Err(error) => follower.report_unreadable(record, &error),
+            }
+        }
+        follower.publisher.send(LoopMessage::CrashReports(evidence));
+        let removes = is_listing && !expired.is_empty();
+        if removes && commands.send(ReportCommand::Remove(expired)).is_err() {
+            // The appending thread only ends when the process is exiting.
+            return;
+        }
+    }
+}
+
+fn decode_report(
+    key: &str,
+    value: &[u8],
+    now: ClockMillis,
+) -> Result<Option<CrashEvidence>, String> {
+    let fingerprint = CrashRecord::fingerprint(key).ok_or("the key has no fingerprint")?;
+    let record: CrashRecord = codec::decode(value).map_err(|error| error.to_string())?;
+    Ok(record.evidence(fingerprint, now))
+}
+
+/// Appends the reports of this gateway, and removes them when they expire.
+struct ReportAppender<C> {
+    gateway: String,
+    client: PlatformLogClient,
+    codec: C,
+    publisher: FleetPublisher,
+    peers: Option<Sender<PeerCommand>>,
+    /// Records that have not been appended yet, by key.
+    pending: IndexMap<String, Option<CrashRecord>>,
+    /// The expiry of this gateway's own records in the log, by key.
+    appended: IndexMap<String, ClockMillis>,
+    is_failing: bool,
+}
+
+impl<C: RecordCodec> ReportAppender<C> {
+    fn run(mut self, commands: &Receiver<ReportCommand>) {
+        loop {
+            let wait = match self.pending.is_empty() {
+                true => EXPIRY_INTERVAL,
+                false => RETRY_DELAY,
+            };
+            match commands.recv_timeout(wait) {
+                Ok(ReportCommand::Append(list)) => {
+                    self.add_reports(list);
+                    if self.is_failing {
+                        self.send_to_peers();
+                    }
+                }
+                Ok(ReportCommand::Remove(keys)) => {
+                    for key in keys {
+                        self.pending.entry(key).or_insert(None);
+                    }
+                }
+                Err(RecvTimeoutError::Timeout) => self.remove_expired(),
+                // The traffic thread has ended, so the process is exiting.
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            if self.pending.is_empty() {
+                continue;
+            }
+            match self.append() {
+                Ok(()) => self.is_failing = false,
+                Err(error) => self.handle_failure(&error),
+            }
+        }
+    }
+
+    fn add_reports(&mut self, list: Vec<CrashEvidence>) {
+        let now = ClockMillis::now();
+        for evidence in list {
+            let key = CrashRecord::key(evidence.fingerprint, &self.gateway);
+            let record = CrashRecord::new(&evidence, now);
+            self.pending.insert(key, Some(record));
+        }
+    }
+
+    fn remove_expired(&mut self) {
+        let now = ClockMillis::now();
+        for (key, until) in &self.appended {
+            if now >= *until {
+                self.pending.entry(key.clone()).or_insert(None);
+            }
+        }
+    }
+
+    /// Appends pending records. An append whose response is lost is repeated, which changes nothing: the records say the
+    /// same.
+    fn append(&mut self) -> Result<(), CallError> {
+        while !self.pending.is_empty() {
+            let mut records = Vec::new();
+            for (key, record) in self.pending.iter().take(APPEND_LIMIT) {
+                let value = record.map(|record| codec::encode(&record)).transpose();
+                let value = value.map_err(CallError::Unencodable)?;
+                let key = key.clone();
+                records.push(LogRecord { key, value });
+            }
+            let target = self.codec.append_target(FleetStream::CrashReports);
+            let body = self.codec.encode_records(&records);
+            count(&self.publisher.counters.log_calls);
+            self.client.post(&target, &body)?;
+            count(&self.publisher.counters.crash_reports);
+            for (key, record) in self.pending.drain(..records.len()) {
+                match record {
+                    Some(record) => {
+                        let until = ClockMillis::new(record.until_ms);
+                        self.appended.insert(key, until);
+                    }
+                    None => {
+                        self.appended.swap_remove(&key);
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Tells the peers what cannot be appended. The append is tried again later, and what is found until then is sent to
+    /// the peers at once.
+    fn handle_failure(&mut self, error: &CallError) {
+        count(&self.publisher.counters.log_failures);
+        if self.is_failing {
+            return;
+        }
+        self.is_failing = true;
+        tracing::warn!(%error, reports = self.pending.len(), "cannot append crash reports, sending them to peers");
+        self.send_to_peers();
+    }
+
+    fn send_to_peers(&self) {
+        let Some(peers) = &self.peers else {
+            return;
+        };
+        if peers.send(PeerCommand::Broadcast).is_err() {
+            tracing::error!("cannot send crash evidence to peers: the peer thread has ended");
+        }
+    }
+}
--- a/crates/process/fescuetide_gateway/src/follower.rs
+++ b/crates/process/fescuetide_gateway/src/follower.rs
@@ -94,7 +94,7 @@
 }
 
 /// Result of reading a log stream.
-enum FollowStep {
+pub(crate) enum FollowStep {
     /// The newest record of each key.
     Listing(Vec<LogRecord>),
     /// Newly appended records.
@@ -105,20 +105,27 @@
 }
 
 /// Reads one log stream in order.
-struct StreamFollower<C> {
+pub(crate) struct StreamFollower<C> {
     stream: FleetStream,
     client: PlatformLogClient,
     codec: C,
-    publisher: FleetPublisher,
+    pub(crate) publisher: FleetPublisher,
     /// The offset to read next, `None` if the newest records must be listed first.
     next: Option<LogOffset>,
     outage: OutageDetector,
     /// The outage that ended with the last step.
     ended_outage: Option<OutageEnd>,
+    /// Delay after a failed call.
+    pub(crate) retry_delay: Duration,
 }
 
 impl<C: RecordCodec> StreamFollower<C> {
-    fn new(stream: FleetStream, address: SocketAddr, codec: C, publisher: &FleetPublisher) -> Self {
+    pub(crate) fn new(
+        stream: FleetStream,
+        address: SocketAddr,
+        codec: C,
+        publisher: &FleetPublisher,
+    ) -> Self {
         Self {
             stream,
             client: PlatformLogClient::new(address),
@@ -127,11 +134,12 @@
             next: None,
             outage: OutageDetector::new(ClockMillis::now()),
             ended_outage: None,
+            retry_delay: RETRY_DELAY,
         }
     }
 
     /// Reads new records, waiting for up to `wait` if there are none.
-    fn step(&mut self, wait: SpanMillis) -> FollowStep {
+    pub(crate) fn step(&mut self, wait: SpanMillis) -> FollowStep {
         self.ended_outage = None;
         let wait = self.outage.read_wait(wait);
         let result = match self.next {
@@ -150,7 +158,7 @@
             }
             Err(error) => {
                 self.note_failure(&error);
-                thread::sleep(RETRY_DELAY);
+                thread::sleep(self.retry_delay);
                 FollowStep::Failed
             }
         }
@@ -160,7 +168,7 @@
         self.ended_outage = self.outage.note_success(ClockMillis::now());
         if let Some(end) = self.ended_outage {
             tracing::info!(stream = %self.stream, away_ms = end.duration.as_millis(), "log service is back");
-            self.publisher.publish(FleetUpdate::LogUnavailable(false));
+            self.publish_unavailable(false);
         }
     }
 
@@ -168,7 +176,18 @@
         count(&self.publisher.counters.log_failures);
         if self.outage.note_failure() {
             tracing::warn!(stream = %self.stream, %error, "log service is away");
-            self.publisher.publish(FleetUpdate::LogUnavailable(true));
+            self.publish_unavailable(true);
+        }
+    }
+
+    fn publish_unavailable(&self, is_unavailable: bool) {
+        match self.stream {
+            FleetStream::Configs | FleetStream::Upstreams => {
+                let update = FleetUpdate::LogUnavailable(is_unavailable);
+                self.publisher.publish(update);
+            }
+            // Not a part of the fleet. The other followers notice an outage at least as soon.
+            FleetStream::CrashReports => {}
         }
     }
 
@@ -214,7 +233,7 @@
         self.client.get(target, wait.into())
     }
 
-    fn report_unreadable(&self, record: &LogRecord, error: &dyn std::fmt::Display) {
+    pub(crate) fn report_unreadable(&self, record: &LogRecord, error: &dyn std::fmt::Display) {
         count(&self.publisher.counters.unreadable_records);
         tracing::warn!(stream = %self.stream, key = record.key, %error, "skipped a record that cannot be decoded");
     }
--- a/crates/process/fescuetide_gateway/src/lib.rs
+++ b/crates/process/fescuetide_gateway/src/lib.rs
@@ -22,8 +22,9 @@
 //!   thread*, as do the queries to peers.
 //! * An *event stream* is a response that consists of server-sent events. An *event* is one of these.
 //! * A *peer* is another gateway.
-//! * A *blocked fingerprint* identifies a request that has crashed upstreams. The scheduler refuses repeated requests
-//!   with the same fingerprint for some time, and peers share their blocked fingerprints.
+//! * *Crash evidence* says how many upstreams crashed under a request, which its *fingerprint* identifies. The scheduler
+//!   refuses repeated requests after three crashes. Gateways share their evidence through the platform's log as *crash
+//!   reports*, and with their peers.
 //!
 //! A request that is not answered with the response of an upstream has one of these outcomes:
 //!
@@ -46,6 +47,7 @@
 mod codec;
 mod connection;
 mod counters;
+mod crash_reports;
 mod exchange;
 mod follower;
 mod idle;
--- a/crates/process/fescuetide_gateway/src/log_client.rs
+++ b/crates/process/fescuetide_gateway/src/log_client.rs
@@ -12,6 +12,7 @@
 use fescuetide_http1::BodyFraming;
 use fescuetide_http1::HeadError;
 use fescuetide_http1::ResponseHead;
+use fescuetide_wire::codec::CodecError;
 use socket2::SockRef;
 
 use crate::codec::RecordError;
@@ -40,6 +41,8 @@
     TooLarge,
     /// The response is valid HTTP, but the codec cannot decode the page in its body.
     Undecodable(RecordError),
+    /// A record cannot be encoded, so that nothing was sent.
+    Unencodable(CodecError),
     /// The response status is not 200.
     Status(u16),
 }
@@ -51,6 +54,7 @@
             Self::Malformed => write!(f, "malformed HTTP response"),
             Self::TooLarge => write!(f, "response exceeds the size limit"),
             Self::Undecodable(error) => write!(f, "page cannot be decoded: {error}"),
+            Self::Unencodable(error) => write!(f, "record cannot be encoded: {error}"),
             Self::Status(status) => write!(f, "unexpected status {status}"),
         }
     }
@@ -79,16 +83,32 @@
 
     /// Calls the log, which may delay its response by up to `wait`, and returns the response body.
     pub(crate) fn get(&mut self, target: &str, wait: Duration) -> Result<Vec<u8>, CallError> {
+        let head = format!(
+            "GET {target} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
+            self.address
+        );
+        self.call(head.as_bytes(), wait)
+    }
+
+    /// Sends `body` to the log.
+    pub(crate) fn post(&mut self, target: &str, body: &[u8]) -> Result<(), CallError> {
+        let head = format!(
+            "POST {target} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\n\r\n",
+            self.address,
+            body.len()
+        );
+        let mut message = head.into_bytes();
+        message.extend_from_slice(body);
+        self.call(&message, Duration::ZERO).map(drop)
+    }
+
+    fn call(&mut self, message: &[u8], wait: Duration) -> Result<Vec<u8>, CallError> {
         let mut stream = match self.stream.take() {
             Some(stream) => stream,
             None => self.connect()?,
         };
         stream.set_read_timeout(Some(wait + RESPONSE_TIMEOUT))?;
-        let call = format!(
-            "GET {target} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
-            self.address
-        );
-        stream.write_all(call.as_bytes())?;
+        stream.write_all(message)?;
         let (head, body) = read_response(&mut stream)?;
         if head.keeps_alive() {
             self.stream = Some(stream);
--- a/crates/process/fescuetide_gateway/src/messages.rs
+++ b/crates/process/fescuetide_gateway/src/messages.rs
@@ -8,12 +8,14 @@
 use fescuetide_fleet::FleetUpdate;
 use fescuetide_fleet::UpstreamEntry;
 use fescuetide_flow::CrashEvent;
+use fescuetide_limits::CrashEvidence;
 use indexmap::IndexMap;
 
 use crate::codec::HttpCodec;
 use crate::counters::count;
+use crate::crash_reports::ReportCommand;
 use crate::log_line_limit::LogLineKind;
-use crate::peer_state::BlockedFingerprints;
+use crate::peers::PeerCommand;
 use crate::traffic::TrafficLoop;
 
 /// A message from a control thread to the event loop.
@@ -21,8 +23,10 @@
 pub(crate) enum LoopMessage {
     /// A change of the fleet or of the availability of the log.
     Fleet(FleetUpdate),
-    /// Fingerprints that a peer has blocked, since requests with them crash upstreams.
-    BlockedFingerprints(BlockedFingerprints),
+    /// What a peer knows about requests that crash upstreams.
+    PeerEvidence(Vec<CrashEvidence>),
+    /// What is new in the crash reports in the log; empty if they cannot be read.
+    CrashReports(Vec<CrashEvidence>),
     /// Number of gateways, including this one.
     GatewayCount(usize),
 }
@@ -42,8 +46,12 @@
                 LoopMessage::Fleet(FleetUpdate::LogUnavailable(is_unavailable)) => {
                     self.is_log_unavailable = is_unavailable
                 }
-                LoopMessage::BlockedFingerprints(blocked) => {
-                    self.scheduler.learn_refused(blocked, self.now)
+                LoopMessage::PeerEvidence(evidence) => {
+                    self.scheduler.merge_crash_evidence(evidence, self.now)
+                }
+                LoopMessage::CrashReports(evidence) => {
+                    self.has_crash_reports = true;
+                    self.scheduler.merge_crash_evidence(evidence, self.now);
                 }
                 LoopMessage::GatewayCount(count) => self.scheduler.set_gateway_count(count),
             }
@@ -68,6 +76,8 @@
     }
 
     fn apply_snapshot(&mut self, snapshot: FleetSnapshot) {
+        // The peer has also sent its crash evidence.
+        self.has_crash_reports = true;
         if let Some(config) = snapshot.config {
             self.apply_config(config);
         }
@@ -77,42 +87,78 @@
         }
     }
 
-    /// Sends the blocked fingerprints to the peer client, if there are new ones.
-    pub(crate) fn publish_blocked(&mut self) {
-        let Some(list) = self.scheduler.take_new_refusals(self.now) else {
-            return;
-        };
-        let Some(sender) = &self.blocked_sender else {
+    /// Counts and logs what has changed about requests that crash upstreams, and shares it with the other gateways.
+    pub(crate) fn share_crash_evidence(&mut self) {
+        let events = self.scheduler.take_crash_events();
+        if events.is_empty() {
             return;
-        };
-        if sender.send(list).is_err() {
-            tracing::error!("cannot send blocked fingerprints to peers: the peer thread has ended");
         }
-    }
-
-    /// Counts and logs what has changed about requests that crash upstreams.
-    pub(crate) fn log_crash_events(&mut self) {
-        for event in self.scheduler.take_crash_events() {
-            let counter = match &event {
-                CrashEvent::Counted { .. } => &self.counters.crashes_counted,
-                CrashEvent::Cleared(_) => &self.counters.crashes_cleared,
-                CrashEvent::Learned(_) => &self.counters.crashes_learned,
-            };
-            count(counter);
-            if !self.may_log(LogLineKind::CrashEvidence) {
-                continue;
-            }
-            match event {
+        let mut has_new_refusal = false;
+        for event in events {
+            has_new_refusal |= matches!(
+                event,
                 CrashEvent::Counted {
-                    fingerprint,
-                    upstream,
-                    is_refused,
-                } => {
-                    tracing::info!(%fingerprint, %upstream, is_refused, "crash counted");
+                    is_refused: true,
+                    ..
                 }
-                CrashEvent::Cleared(fingerprint) => tracing::info!(%fingerprint, "crashes cleared"),
-                CrashEvent::Learned(fingerprint) => tracing::info!(%fingerprint, "crashes learned"),
+            );
+            self.log_crash_event(event);
+        }
+        if let Some(peers) = &self.peer_sender {
+            let list = self.scheduler.list_crash_evidence(self.now);
+            let mut is_sent = peers.send(PeerCommand::Evidence(list)).is_ok();
+            if has_new_refusal {
+                is_sent &= peers.send(PeerCommand::Broadcast).is_ok();
             }
+            if !is_sent {
+                tracing::error!(
+                    "cannot share crash evidence with peers: the peer thread has ended"
+                );
+            }
+        }
+        let reports = self.scheduler.take_crash_evidence(self.now);
+        if let Some(appender) = &self.report_sender
+            && !reports.is_empty()
+            && appender.send(ReportCommand::Append(reports)).is_err()
+        {
+            tracing::error!("cannot append crash reports: the appending thread has ended");
+        }
+    }
+
+    fn log_crash_event(&mut self, event: CrashEvent) {
+        let counter = match &event {
+            CrashEvent::Counted { .. } => &self.counters.crashes_counted,
+            CrashEvent::Cleared(_) => &self.counters.crashes_cleared,
+            CrashEvent::Learned(_) => &self.counters.crashes_learned,
+        };
+        count(counter);
+        if !self.may_log(LogLineKind::CrashEvidence) {
+            return;
+        }
+        match event {
+            CrashEvent::Counted {
+                evidence,
+                upstream,
+                is_refused,
+            } => tracing::info!(
+                fingerprint = %evidence.fingerprint,
+                crashes = evidence.crashes.get(),
+                cleared = evidence.cleared.get(),
+                %upstream,
+                is_refused,
+                "crash counted"
+            ),
+            CrashEvent::Cleared(evidence) => tracing::info!(
+                fingerprint = %evidence.fingerprint,
+                crashes = evidence.crashes.get(),
+                "crashes cleared"
+            ),
+            CrashEvent::Learned(evidence) => tracing::info!(
+                fingerprint = %evidence.fingerprint,
+                crashes = evidence.crashes.get(),
+                cleared = evidence.cleared.get(),
+                "crashes learned"
+            ),
         }
     }
 
--- a/crates/process/fescuetide_gateway/src/peer_state.rs
+++ b/crates/process/fescuetide_gateway/src/peer_state.rs
@@ -13,18 +13,15 @@
 use fescuetide_fleet::FleetUpdate;
 use fescuetide_fleet::PeerTable;
 use fescuetide_fleet::UpstreamEntry;
-use fescuetide_limits::CrashFingerprint;
-
-/// Fingerprints of requests that crashed upstreams, each with the time for which such requests are still refused.
-pub(crate) type BlockedFingerprints = Vec<(CrashFingerprint, SpanMillis)>;
+use fescuetide_limits::CrashEvidence;
 
 #[derive(Debug, Default)]
 struct PeerStateInner {
     fleet: FleetSnapshot,
     has_log_config: bool,
     has_log_upstreams: bool,
-    blocked: BlockedFingerprints,
-    blocked_at: ClockMillis,
+    evidence: Vec<CrashEvidence>,
+    evidence_at: ClockMillis,
     peers: PeerTable,
 }
 
@@ -84,22 +81,25 @@
         self.lock().fleet.clone()
     }
 
-    /// Records the fingerprints that this gateway has blocked.
-    pub(crate) fn record_blocked(&self, blocked: BlockedFingerprints, now: ClockMillis) {
+    /// Records what is known about requests that crash upstreams.
+    pub(crate) fn record_evidence(&self, evidence: Vec<CrashEvidence>, now: ClockMillis) {
         let mut state = self.lock();
-        state.blocked = blocked;
-        state.blocked_at = now;
+        state.evidence = evidence;
+        state.evidence_at = now;
     }
 
-    /// The fingerprints that this gateway has blocked, with the time left for each.
-    pub(crate) fn blocked(&self, now: ClockMillis) -> BlockedFingerprints {
+    /// What is known about requests that crash upstreams, without what has expired.
+    pub(crate) fn evidence(&self, now: ClockMillis) -> Vec<CrashEvidence> {
         let state = self.lock();
-        let age = now.since(state.blocked_at).as_millis();
-        let mut list = Vec::with_capacity(state.blocked.len());
-        for (fingerprint, left) in &state.blocked {
-            let left = left.as_millis().saturating_sub(age);
+        let age = now.since(state.evidence_at).as_millis();
+        let mut list = Vec::with_capacity(state.evidence.len());
+        for evidence in &state.evidence {
+            let left = evidence.left.as_millis().saturating_sub(age);
             if left > 0 {
-                list.push((*fingerprint, SpanMillis::new(left)));
+                list.push(CrashEvidence {
+                    left: SpanMillis::new(left),
+                    ..*evidence
+                });
             }
         }
         list
--- a/crates/process/fescuetide_gateway/src/peers.rs
+++ b/crates/process/fescuetide_gateway/src/peers.rs
@@ -1,5 +1,5 @@
-//! Queries to and from other gateways. Peers share the fingerprints of requests that crash upstreams and the addresses
-//! of known gateways. A gateway takes the fleet from peers until it has read it from the log itself.
+//! Queries to and from other gateways. Peers share what they know about requests that crash upstreams and the addresses of
+//! known gateways. A gateway takes the fleet from peers until it has read it from the log itself.
 //!
 //! Each query opens a connection and is answered by one reply. Two blocking threads handle this, since an async runtime
 //! would cost more memory.
@@ -18,17 +18,17 @@
 use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
 use fescuetide_fleet::FleetUpdate;
+use fescuetide_limits::CrashEvidence;
 use fescuetide_net::FrameError;
 use fescuetide_net::FramedStream;
 use fescuetide_wire::peer::FleetWire;
 use fescuetide_wire::peer::PeerAsk;
 use fescuetide_wire::peer::PeerReply;
-use fescuetide_wire::rpc::RefusedWire;
+use fescuetide_wire::rpc::EvidenceWire;
 
 use crate::counters::count;
 use crate::follower::FleetPublisher;
 use crate::messages::LoopMessage;
-use crate::peer_state::BlockedFingerprints;
 
 /// Timeout for connecting to a peer.
 const CONNECT_TIMEOUT: SpanMillis = SpanMillis::new(400);
@@ -56,14 +56,22 @@
 /// Delay before the next accept after a failed one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Starts the thread that answers peers at `listener` and the thread that queries them. The returned sender takes the
-/// fingerprints that this gateway has blocked.
+/// A message to the thread that queries peers.
+#[derive(Clone, Debug)]
+pub(crate) enum PeerCommand {
+    /// Replace what is sent to peers about requests that crash upstreams.
+    Evidence(Vec<CrashEvidence>),
+    /// Send the evidence to all peers now.
+    Broadcast,
+}
+
+/// Starts the thread that answers peers at `listener` and the thread that queries them.
 pub(crate) fn start(
     listener: TcpListener,
     publisher: &FleetPublisher,
-) -> io::Result<Sender<BlockedFingerprints>> {
+) -> io::Result<Sender<PeerCommand>> {
     let own = listener.local_addr()?;
-    let (sender, blocked) = channel::unbounded();
+    let (sender, commands) = channel::unbounded();
     let responder_publisher = publisher.clone();
     thread::Builder::new()
         .name("peers-answer".to_owned())
@@ -75,7 +83,7 @@
     };
     thread::Builder::new()
         .name("peers-ask".to_owned())
-        .spawn(move || client.run(&blocked))?;
+        .spawn(move || client.run(&commands))?;
     Ok(sender)
 }
 
@@ -102,14 +110,14 @@
     publisher
         .peer_state
         .record_peer(query.sender, &query.known, now);
-    publisher.publish_peer_blocked(query.refused);
+    publisher.publish_peer_evidence(query.suspects);
     let fleet = match query.wants_fleet {
         true => FleetWire::from_snapshot(&publisher.peer_state.fleet(), now),
         false => None,
     };
     stream.send(&PeerReply {
         known: publisher.peer_state.live_peers(now),
-        refused: list_blocked(publisher, now),
+        suspects: list_evidence(publisher, now),
         fleet,
     })
 }
@@ -121,14 +129,18 @@
 }
 
 impl PeerClient {
-    fn run(self, blocked: &Receiver<BlockedFingerprints>) {
+    fn run(self, commands: &Receiver<PeerCommand>) {
         let mut next_query_at = self.started + PEER_QUERY_DELAY;
         let mut interval = INITIAL_INTERVAL;
         let mut known = 0;
         loop {
             let wait = next_query_at.since(ClockMillis::now());
-            match blocked.recv_timeout(wait.into()) {
-                Ok(list) => self.broadcast_blocked(list),
+            match commands.recv_timeout(wait.into()) {
+                Ok(PeerCommand::Evidence(list)) => {
+                    let peer_state = &self.publisher.peer_state;
+                    peer_state.record_evidence(list, ClockMillis::now());
+                }
+                Ok(PeerCommand::Broadcast) => self.broadcast_evidence(),
                 Err(RecvTimeoutError::Timeout) => {
                     self.query_next();
                     let now = ClockMillis::now();
@@ -155,16 +167,21 @@
         }
     }
 
-    /// Sends the blocked fingerprints to all peers.
-    fn broadcast_blocked(&self, list: BlockedFingerprints) {
+    /// Sends the evidence to all peers, those with recent contact first, since each one that is down takes time.
+    fn broadcast_evidence(&self) {
+        let peer_state = &self.publisher.peer_state;
+        let now = ClockMillis::now();
         tracing::warn!(
-            refused = list.len(),
-            "sending fingerprints of requests that crash upstreams to peers"
+            suspects = peer_state.evidence(now).len(),
+            "sending evidence about requests that crash upstreams to peers"
         );
-        self.publisher
-            .peer_state
-            .record_blocked(list, ClockMillis::now());
-        for peer in self.publisher.peer_state.all_peers() {
+        let mut peers = peer_state.live_peers(now);
+        for peer in peer_state.all_peers() {
+            if !peers.contains(&peer) {
+                peers.push(peer);
+            }
+        }
+        for peer in peers {
             self.query(peer, false);
         }
     }
@@ -193,7 +210,7 @@
         stream.send(&PeerAsk {
             sender: self.own,
             known: self.publisher.peer_state.live_peers(now),
-            refused: list_blocked(&self.publisher, now),
+            suspects: list_evidence(&self.publisher, now),
             wants_fleet,
         })?;
         stream.receive(Some(READ_TIMEOUT))
@@ -204,7 +221,7 @@
         self.publisher
             .peer_state
             .record_peer(peer, &reply.known, now);
-        self.publisher.publish_peer_blocked(reply.refused);
+        self.publisher.publish_peer_evidence(reply.suspects);
         let Some(fleet) = reply.fleet else {
             return;
         };
@@ -222,18 +239,18 @@
     }
 }
 
-fn list_blocked(publisher: &FleetPublisher, now: ClockMillis) -> Vec<RefusedWire> {
-    let blocked = publisher.peer_state.blocked(now);
-    blocked.into_iter().map(RefusedWire::from).collect()
+fn list_evidence(publisher: &FleetPublisher, now: ClockMillis) -> Vec<EvidenceWire> {
+    let evidence = publisher.peer_state.evidence(now);
+    evidence.into_iter().map(EvidenceWire::from).collect()
 }
 
 impl FleetPublisher {
-    /// Tells the event loop which fingerprints a peer has blocked.
-    fn publish_peer_blocked(&self, blocked: Vec<RefusedWire>) {
-        if blocked.is_empty() {
+    /// Tells the event loop what a peer knows about requests that crash upstreams.
+    fn publish_peer_evidence(&self, suspects: Vec<EvidenceWire>) {
+        if suspects.is_empty() {
             return;
         }
-        let list = blocked.into_iter().map(Into::into).collect();
-        self.send(LoopMessage::BlockedFingerprints(list));
+        let list = suspects.into_iter().map(Into::into).collect();
+        self.send(LoopMessage::PeerEvidence(list));
     }
 }
--- a/crates/process/fescuetide_gateway/src/process.rs
+++ b/crates/process/fescuetide_gateway/src/process.rs
@@ -16,6 +16,7 @@
 use crate::GatewaySettings;
 use crate::codec::HttpCodec;
 use crate::codec::RecordCodec;
+use crate::crash_reports;
 use crate::follower;
 use crate::follower::FleetPublisher;
 use crate::follower::FollowIntervals;
@@ -64,9 +65,9 @@
             let own = listener.local_addr()?;
             let table = PeerTable::new(own, &settings.seed_addresses(), ClockMillis::now());
             publisher.peer_state = Arc::new(PeerState::new(table));
-            let blocked_sender =
+            let peer_sender =
                 peers::start(listener, &publisher).context("cannot start a peer thread")?;
-            traffic.blocked_sender = Some(blocked_sender);
+            traffic.peer_sender = Some(peer_sender);
         }
         let log_service = parse_address("log_service", &settings.log_service)?;
         let intervals = FollowIntervals {
@@ -83,6 +84,15 @@
             refresh_requests,
         )
         .context("cannot start a control thread")?;
+        let report_sender = crash_reports::start(
+            log_service,
+            &settings.vm,
+            records,
+            &publisher,
+            traffic.peer_sender.clone(),
+        )
+        .context("cannot start a control thread")?;
+        traffic.report_sender = Some(report_sender);
         tracing::info!(
             vm = settings.vm,
             zone = settings.zone,
--- a/crates/process/fescuetide_gateway/src/traffic.rs
+++ b/crates/process/fescuetide_gateway/src/traffic.rs
@@ -34,13 +34,14 @@
 use crate::connection::Connection;
 use crate::connection::UpstreamConnectionState;
 use crate::counters::count;
+use crate::crash_reports::ReportCommand;
 use crate::exchange::Exchange;
 use crate::idle::IdleTable;
 use crate::log_line_limit;
 use crate::log_line_limit::LogLineKind;
 use crate::messages::LoopMessage;
 use crate::monitoring::MonitoringListener;
-use crate::peer_state::BlockedFingerprints;
+use crate::peers::PeerCommand;
 use crate::shutdown::DrainState;
 use crate::sockets;
 
@@ -113,8 +114,12 @@
     deferred_reads: IndexSet<usize>,
     /// Makes the follower of upstreams read their registrations at once.
     pub(crate) refresh_sender: Option<Sender<()>>,
-    /// Sends blocked fingerprints to the peer client, `None` if peers are disabled.
-    pub(crate) blocked_sender: Option<Sender<BlockedFingerprints>>,
+    /// Whether the crash reports were read, or whether there was an attempt to.
+    pub(crate) has_crash_reports: bool,
+    /// Takes crash evidence for peers, `None` if peers are disabled.
+    pub(crate) peer_sender: Option<Sender<PeerCommand>>,
+    /// Takes crash evidence for the platform's log.
+    pub(crate) report_sender: Option<Sender<ReportCommand>>,
     pub(crate) signals: LoopSignals,
     pub(crate) counters: Arc<GatewayCounters>,
     pub(crate) codec: C,
@@ -164,7 +169,9 @@
             input_paused_until: None,
             deferred_reads: IndexSet::new(),
             refresh_sender: None,
-            blocked_sender: None,
+            has_crash_reports: false,
+            peer_sender: None,
+            report_sender: None,
             signals: LoopSignals::default(),
             counters: Arc::default(),
             codec,
@@ -198,13 +205,12 @@
                 self.dispatch(event);
             }
             self.handle_messages();
+            self.share_crash_evidence();
             self.resume_input();
             if self.now.since(last_tick) >= BUSY_TICK {
                 last_tick = self.now;
                 self.scheduler.tick(self.now);
                 self.run_actions();
-                self.log_crash_events();
-                self.publish_blocked();
                 self.sweep();
             }
             if self.advance_shutdown() {
@@ -392,7 +398,9 @@
             .upstreams
             .as_ref()
             .is_some_and(|table| !table.is_empty());
-        self.config.is_some() && has_upstreams && self.drain.is_none()
+        // Without the crash reports, a request that the other gateways refuse would be sent on.
+        let has_fleet = self.config.is_some() && has_upstreams && self.has_crash_reports;
+        has_fleet && self.drain.is_none()
     }
 
     /// Whether a termination signal was received.
--- a/crates/process/fescuetide_router/src/exchange.rs
+++ b/crates/process/fescuetide_router/src/exchange.rs
@@ -1,7 +1,7 @@
-//! Exchange of load sums and blocked fingerprints between collectors, along a tree of routers.
+//! Exchange of load sums and crash evidence between collectors, along a tree of routers.
 //!
-//! The fingerprint of a request that crashed an upstream is suspect. After further crashes it is blocked: the request
-//! is refused for some time. Only blocked fingerprints are exchanged; the wire format names them `refused`.
+//! A request that was running on an upstream that crashed is suspect, and is refused for some time after further crashes.
+//! What is known about all suspects is exchanged, so that crashes add up that different routers have seen.
 //!
 //! Messages also carry the class offset of the sender, so that a router whose classes are behind reads the class log
 //! immediately.
@@ -19,9 +19,9 @@
 use fescuetide_summary::CollectorSettings;
 use fescuetide_summary::PoolSum;
 use fescuetide_summary::SummaryTree;
+use fescuetide_wire::rpc::EvidenceWire;
 use fescuetide_wire::rpc::ExchangeReply;
 use fescuetide_wire::rpc::ExchangeWire;
-use fescuetide_wire::rpc::RefusedWire;
 use fescuetide_wire::rpc::RouterControlClient;
 use fescuetide_wire::rpc::SumWire;
 use indexmap::IndexMap;
@@ -126,7 +126,7 @@
 fn apply_reply(state: &mut ControlState, reply: ExchangeReply) {
     let now = ClockMillis::now();
     state.collector.note_total(sums_from_wire(reply.total), now);
-    add_blocked_fingerprints(state, reply.refused, now);
+    merge_evidence(state, reply.suspects, now);
     state.classes.observe_peer_offset(reply.class_offset);
 }
 
@@ -135,20 +135,19 @@
     let now = ClockMillis::now();
     let received = sums_from_wire(sums.sums);
     state.collector.note_child(sums.collector, received, now);
-    add_blocked_fingerprints(state, sums.refused, now);
+    merge_evidence(state, sums.suspects, now);
     state.classes.observe_peer_offset(sums.class_offset);
     ExchangeReply {
         total: sums_to_wire(&state.collector.total_sums()),
-        refused: list_blocked_fingerprints(state),
+        suspects: list_evidence(state),
         class_offset: state.classes.next_offset().get(),
     }
 }
 
-fn add_blocked_fingerprints(state: &ControlState, blocked: Vec<RefusedWire>, now: ClockMillis) {
+fn merge_evidence(state: &ControlState, suspects: Vec<EvidenceWire>, now: ClockMillis) {
     let mut tables = state.shared.lock_tables();
-    for entry in blocked {
-        let (fingerprint, block_time_left) = entry.into();
-        tables.suspects().learn(fingerprint, block_time_left, now);
+    for evidence in suspects {
+        tables.suspects().merge(evidence.into(), now);
     }
 }
 
@@ -161,16 +160,13 @@
     ExchangeWire {
         collector: state.shared.settings.vm.clone(),
         sums: sums_to_wire(&state.collector.subtree_sums()),
-        refused: list_blocked_fingerprints(state),
+        suspects: list_evidence(state),
         class_offset: state.classes.next_offset().get(),
     }
 }
 
-fn list_blocked_fingerprints(state: &ControlState) -> Vec<RefusedWire> {
-    let blocked = state
-        .shared
-        .lock_tables()
-        .suspects()
-        .list_refused(ClockMillis::now());
-    blocked.into_iter().map(RefusedWire::from).collect()
+fn list_evidence(state: &ControlState) -> Vec<EvidenceWire> {
+    let now = ClockMillis::now();
+    let evidence = state.shared.lock_tables().suspects().list_evidence(now);
+    evidence.into_iter().map(EvidenceWire::from).collect()
 }
--- a/crates/protocol/fescuetide_wire/src/lib.rs
+++ b/crates/protocol/fescuetide_wire/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod claim;
 pub mod codec;
 mod conversion;
+pub mod crash;
 pub mod frame;
 pub mod log;
 pub mod peer;
--- a/crates/protocol/fescuetide_wire/src/peer.rs
+++ b/crates/protocol/fescuetide_wire/src/peer.rs
@@ -31,7 +31,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::rpc::RefusedWire;
+use crate::rpc::EvidenceWire;
 
 /// A request that a gateway sends to a peer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -40,8 +40,8 @@
     pub sender: SocketAddr,
     /// The addresses of peers that the sender recently exchanged messages with, or recently learned of.
     pub known: Vec<SocketAddr>,
-    /// The requests that the sender refuses because they crashed upstreams.
-    pub refused: Vec<RefusedWire>,
+    /// The requests that the sender suspects of crashing upstreams.
+    pub suspects: Vec<EvidenceWire>,
     /// Whether the sender requests the configuration and the upstreams, because it has not read them from the log yet.
     pub wants_fleet: bool,
 }
@@ -51,8 +51,8 @@
 pub struct PeerReply {
     /// The addresses of peers that the responder recently exchanged messages with, or recently learned of.
     pub known: Vec<SocketAddr>,
-    /// The requests that the responder refuses because they crashed upstreams.
-    pub refused: Vec<RefusedWire>,
+    /// The requests that the responder suspects of crashing upstreams.
+    pub suspects: Vec<EvidenceWire>,
     /// The configuration and the upstreams, if they were requested and the responder has them.
     pub fleet: Option<FleetWire>,
 }
--- a/crates/protocol/fescuetide_wire/src/rpc.rs
+++ b/crates/protocol/fescuetide_wire/src/rpc.rs
@@ -10,6 +10,8 @@
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
 use fescuetide_classes::ClassSnapshot;
+use fescuetide_limits::CrashCount;
+use fescuetide_limits::CrashEvidence;
 use fescuetide_limits::CrashFingerprint;
 use fescuetide_summary::PoolSum;
 use fescuetide_summary::UpstreamReport;
@@ -83,31 +85,38 @@
     }
 }
 
-/// A request that is refused because it crashed upstreams.
+/// What a router or gateway knows about a request that was running on upstreams that crashed.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub struct RefusedWire {
+pub struct EvidenceWire {
     /// The fingerprint (hash) of the workspace and the request body.
     pub print: [u8; 16],
-    /// The remaining time for which the request is refused, in milliseconds. Relative, because clocks differ between
-    /// VMs.
+    /// The crashes so far, counted as [`CrashCount`] says.
+    pub crashes: u32,
+    /// How many of the crashes do not count, because the request completed after them.
+    pub cleared: u32,
+    /// The remaining time for which this is kept, in milliseconds. Relative, because clocks differ between VMs.
     pub left_ms: u32,
 }
 
-impl From<(CrashFingerprint, SpanMillis)> for RefusedWire {
-    fn from((fingerprint, left): (CrashFingerprint, SpanMillis)) -> Self {
+impl From<CrashEvidence> for EvidenceWire {
+    fn from(evidence: CrashEvidence) -> Self {
         Self {
-            print: fingerprint.to_bytes(),
-            left_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+            print: evidence.fingerprint.to_bytes(),
+            crashes: evidence.crashes.get(),
+            cleared: evidence.cleared.get(),
+            left_ms: u32::try_from(evidence.left.as_millis()).unwrap_or(u32::MAX),
         }
     }
 }
 
-impl From<RefusedWire> for (CrashFingerprint, SpanMillis) {
-    fn from(wire: RefusedWire) -> Self {
-        (
-            CrashFingerprint::from_bytes(wire.print),
-            SpanMillis::new(wire.left_ms.into()),
-        )
+impl From<EvidenceWire> for CrashEvidence {
+    fn from(wire: EvidenceWire) -> Self {
+        Self {
+            fingerprint: CrashFingerprint::from_bytes(wire.print),
+            crashes: CrashCount::new(wire.crashes),
+            cleared: CrashCount::new(wire.cleared),
+            left: SpanMillis::new(wire.left_ms.into()),
+        }
     }
 }
 
@@ -116,8 +125,8 @@
 pub struct ExchangeReply {
     /// The load per pool over the whole collector tree, as far as the parent knows it.
     pub total: Vec<(PoolName, SumWire)>,
-    /// The requests that the parent refuses because they crashed upstreams.
-    pub refused: Vec<RefusedWire>,
+    /// The requests that the parent suspects of crashing upstreams.
+    pub suspects: Vec<EvidenceWire>,
     /// The offset of the next record of the class stream that the parent will apply. It has applied all changes at
     /// lower offsets.
     pub class_offset: u64,
@@ -130,8 +139,8 @@
     pub collector: VmName,
     /// The load per pool.
     pub sums: Vec<(PoolName, SumWire)>,
-    /// The requests that the sender refuses because they crashed upstreams.
-    pub refused: Vec<RefusedWire>,
+    /// The requests that the sender suspects of crashing upstreams.
+    pub suspects: Vec<EvidenceWire>,
     /// The offset of the next record of the class stream that the sender will apply. It has applied all changes at
     /// lower offsets.
     pub class_offset: u64,
