Count the crashes of upstreams that nothing else happens to show

What callers saw: a request that crashes upstreams was not refused, since its crashes were not counted. Cause: a broken attempt was part of a crash only if it ended as closed and if, by chance, another request of the same gateway found that the upstream refuses connections, or its entry left the list, within 10 s. An attempt that ended as malformed or was given up as silent, and a successor that was already up at the address, counted as nothing. Change: the scheduler asks for a probe, one connection, when an attempt ended in doubt. A refused probe or attempt, and another upstream at the address, is a crash. An unanswered one is a crash only if data from other upstreams has arrived since, so that a gateway that is cut off blames no request. Malformed, silent and timed-out attempts count like closed ones, and an upstream that is back under the same name can crash again. An established probe is kept as an idle connection, in place of the broken one.

--- a/crates/coordination/fescuetide_flow/src/action.rs
+++ b/crates/coordination/fescuetide_flow/src/action.rs
@@ -51,6 +51,8 @@
     Relay(FlowKey),
     /// Refuse the request, which has not run. Its state is dropped.
     Refuse(FlowKey, FlowRefusal),
+    /// Open a connection to the upstream, to find out whether it is down.
+    Probe(VmName),
     /// Report to the caller that the request failed and may have run. Its state is dropped.
     Fail(FlowKey, FlowFailure),
 }
@@ -86,6 +88,17 @@
     Broken(BreakCause),
 }
 
+/// The result of a [`FlowAction::Probe`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeOutcome {
+    /// The connection was established.
+    Connected,
+    /// The upstream refused the connection.
+    Refused,
+    /// The connection could not be established, for example since there was no answer in time.
+    NotConnected,
+}
+
 /// Why an upstream did not run a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DeclineCause {
@@ -98,7 +111,9 @@
 /// Why an attempt ended without a complete response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BreakCause {
-    /// The connection could not be established.
+    /// The upstream refused the connection.
+    Refused,
+    /// The connection could not be established, for example since there was no answer in time.
     NotConnected,
     /// The connection was closed or reset.
     Closed,
@@ -110,6 +125,7 @@
     /// The label used in logs and metrics.
     pub const fn as_str(self) -> &'static str {
         match self {
+            Self::Refused => "refused",
             Self::NotConnected => "not_connected",
             Self::Closed => "closed",
             Self::Garbled => "garbled",
--- a/crates/coordination/fescuetide_flow/src/crash.rs
+++ b/crates/coordination/fescuetide_flow/src/crash.rs
@@ -75,8 +75,9 @@
 /// Distinguishes requests that crash upstreams from those that merely ran concurrently.
 ///
 /// Limits the damage of a request that is retried repeatedly and crashes one upstream after another. A broken attempt
-/// counts as part of a crash if its upstream refuses connections, changes its incarnation or leaves the list at about
-/// the same time. All requests that ran there become suspects; those that complete elsewhere are cleared.
+/// counts as part of a crash if its upstream refuses or does not answer connections, is replaced at its address, changes
+/// its incarnation or leaves the list at about the same time. Gateways probe the upstream, so that this does not depend on
+/// other requests or on the log. All requests that ran there become suspects; those that complete elsewhere are cleared.
 ///
 /// Many callers may send the same request. A run only adds to the crashes that were known when it started, and to those
 /// at this gateway that broke before. Otherwise, several upstreams that go down together for another reason would count
@@ -113,20 +114,25 @@
         self.suspects.crashes(fingerprint, now)
     }
 
-    /// Records an attempt that broke after the upstream may have started to run it.
-    pub(crate) fn note_broken(&mut self, vm: &VmName, run: CrashRun, now: ClockMillis) {
+    /// Records an attempt that broke after the upstream may have started to run it. Returns whether this is new, so that
+    /// the upstream may have gone down just now.
+    pub(crate) fn note_broken(&mut self, vm: &VmName, run: CrashRun, now: ClockMillis) -> bool {
         self.broken
             .retain(|attempt| now.since(attempt.at) <= CRASH_WINDOW);
         if self.broken.len() >= BROKEN_LIMIT {
             self.broken.pop_front();
         }
-        let is_known = self
-            .broken
-            .iter()
-            .any(|attempt| attempt.vm == *vm && attempt.run.fingerprint == run.fingerprint);
-        if is_known {
-            // Several broken connections to the same upstream are one crash.
-            return;
+        let mut broken = self.broken.iter();
+        let known = broken
+            .position(|attempt| attempt.vm == *vm && attempt.run.fingerprint == run.fingerprint);
+        if let Some(index) = known {
+            let attempt = &self.broken[index];
+            if !attempt.is_handled || run.started_at <= attempt.at {
+                // Several broken connections to the same upstream are one crash.
+                return false;
+            }
+            // The upstream was back under the same name and incarnation.
+            self.broken.remove(index);
         }
         self.broken.push_back(BrokenAttempt {
             vm: vm.clone(),
@@ -134,6 +140,7 @@
             at: now,
             is_handled: false,
         });
+        true
     }
 
     /// Records that an upstream left the list or has a new incarnation. Later broken attempts there belong to
@@ -145,11 +152,25 @@
 
     /// Records that an upstream refuses connections.
     pub(crate) fn note_down(&mut self, vm: &VmName, now: ClockMillis) {
+        self.count_crashes(vm, None, now);
+    }
+
+    /// Records that an upstream does not answer. `heard_at` is when this gateway last received data from another one.
+    /// Attempts that broke later do not count, since it may be the gateway that is cut off.
+    pub(crate) fn note_unanswered(&mut self, vm: &VmName, heard_at: ClockMillis, now: ClockMillis) {
+        self.count_crashes(vm, Some(heard_at), now);
+    }
+
+    /// Counts the crash of an upstream for the attempts that broke there, up to `before` if there is such a limit.
+    fn count_crashes(&mut self, vm: &VmName, before: Option<ClockMillis>, now: ClockMillis) {
         for index in 0..self.broken.len() {
             let attempt = &mut self.broken[index];
             if attempt.vm != *vm || attempt.is_handled || now.since(attempt.at) > CRASH_WINDOW {
                 continue;
             }
+            if before.is_some_and(|before| attempt.at >= before) {
+                continue;
+            }
             attempt.is_handled = true;
             let (run, at) = (attempt.run, attempt.at);
             self.count_crash(vm, run, at, now);
--- a/crates/coordination/fescuetide_flow/src/lib.rs
+++ b/crates/coordination/fescuetide_flow/src/lib.rs
@@ -34,6 +34,7 @@
 pub use action::FlowAction;
 pub use action::FlowFailure;
 pub use action::FlowKey;
+pub use action::ProbeOutcome;
 pub use action::SendCommand;
 pub use call::AttemptUpdate;
 pub use call::CallEnd;
--- a/crates/coordination/fescuetide_flow/src/pool.rs
+++ b/crates/coordination/fescuetide_flow/src/pool.rs
@@ -145,6 +145,13 @@
         }
     }
 
+    /// When data last arrived from any upstream but `vm`.
+    pub(crate) fn last_data_at_others(&self, vm: &VmName) -> ClockMillis {
+        let others = self.upstreams.iter().filter(|(name, _)| *name != vm);
+        let times = others.map(|(_, upstream)| upstream.last_data_at);
+        times.max().unwrap_or_default()
+    }
+
     /// Whether any data arrived from an upstream after `since`.
     pub(crate) fn is_responsive(&self, vm: &VmName, since: ClockMillis) -> bool {
         self.upstreams
--- a/crates/coordination/fescuetide_flow/src/scheduler.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler.rs
@@ -1,5 +1,6 @@
 //! State machine for all requests of one gateway.
 
+mod crashes;
 mod ending;
 mod placing;
 mod retrying;
@@ -15,6 +16,7 @@
 use fescuetide_limits::BudgetSettings;
 use fescuetide_limits::CrashEvidence;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use crate::AttemptEvent;
 use crate::BreakCause;
@@ -54,6 +56,8 @@
     next_key: u64,
     tie_break_seed: u64,
     actions: VecDeque<FlowAction>,
+    /// Upstreams with a probe in progress.
+    probing: IndexSet<VmName>,
 }
 
 impl RequestScheduler {
@@ -71,6 +75,7 @@
             next_key: 0,
             tie_break_seed: 0,
             actions: VecDeque::new(),
+            probing: IndexSet::new(),
         }
     }
 
@@ -161,6 +166,11 @@
 
     /// Removes a request whose caller has disconnected. The process must abort the attempt itself.
     pub fn caller_left(&mut self, key: FlowKey, now: ClockMillis) {
+        let attempt = self.flows.get(&key).and_then(RequestFlow::attempt);
+        if attempt.is_some_and(|attempt| self.is_unresponsive(attempt)) {
+            // Callers often leave, so the upstream is not probed. Other requests there show whether it is down.
+            self.note_broken(key, now);
+        }
         self.remove(key, now);
     }
 
--- a/crates/coordination/fescuetide_flow/src/scheduler/retrying.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/retrying.rs
@@ -45,6 +45,8 @@
     ) {
         if cause == DeclineCause::Misdirected {
             self.outcomes.note_unreachable(vm, now);
+            // The upstream has ended: another one listens at its address.
+            self.crashes.note_restart(vm, now);
         }
         if self.take_retry(key) {
             self.resend(key, now);
@@ -61,26 +63,17 @@
         now: ClockMillis,
     ) {
         match cause {
-            BreakCause::NotConnected => {
-                self.outcomes.note_unreachable(vm, now);
-                self.crashes.note_down(vm, now);
-            }
+            BreakCause::Refused => self.note_down(vm, now),
+            BreakCause::NotConnected => self.note_unanswered(vm, now),
             BreakCause::Closed | BreakCause::Garbled => {
                 self.outcomes.note_failure(vm);
             }
         }
         let flow = &mut self.flows[&key];
-        let attempt = flow.attempt();
-        let is_sent = attempt.is_some_and(|attempt| attempt.is_sent);
-        let fingerprint = flow.request.fingerprint;
-        let run = attempt.map(|attempt| attempt.crash_run(fingerprint));
+        let is_sent = flow.attempt().is_some_and(|attempt| attempt.is_sent);
         flow.may_have_run |= is_sent;
-        if let Some(run) = run
-            && is_sent
-            && cause == BreakCause::Closed
-        {
-            self.crashes.note_broken(vm, run, now);
-        }
+        let fingerprint = flow.request.fingerprint;
+        self.note_lost(key, now);
         if let Some(left) = self.crashes.refusal(fingerprint, now) {
             let failure = FlowFailure::AttemptBroken(cause);
             self.refuse_or_fail_with(key, failure, RefusalCause::CrashesUpstreams, left, now);
@@ -171,10 +164,9 @@
         let flow = &mut self.flows[&key];
         flow.may_have_run |= attempt.is_sent;
         self.outcomes.note_failure(&attempt.vm);
-        let since = attempt.last_data_at.unwrap_or(attempt.started_at);
-        let pool = self.pools.get(&attempt.pool);
-        if !pool.is_some_and(|pool| pool.is_responsive(&attempt.vm, since)) {
+        if self.is_unresponsive(&attempt) {
             self.outcomes.note_unreachable(&attempt.vm, now);
+            self.note_lost(key, now);
         }
         self.actions.push_back(FlowAction::Cancel(key));
         self.resend(key, now);
--- a/crates/coordination/fescuetide_flow/tests/flow/crash.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/crash.rs
@@ -6,6 +6,7 @@
 use fescuetide_flow::BreakCause;
 use fescuetide_flow::FlowAction;
 use fescuetide_flow::FlowKey;
+use fescuetide_flow::ProbeOutcome;
 use fescuetide_flow::RefusalCause;
 use fescuetide_flow::WorkRequest;
 use fescuetide_limits::CrashFingerprint;
@@ -38,13 +39,50 @@
         upstream
     }
 
+    /// Expects that the last request has ended and that its upstream is to be probed.
+    fn expect_probe(&mut self, upstream: &VmName) {
+        while self.next().is_some() {}
+        assert_eq!(self.probes.pop_front().as_ref(), Some(upstream));
+    }
+
+    /// Sends a request that ends as `event` says, and ends the probe of its upstream with `outcome`. Returns the upstream.
+    fn crash_with(&mut self, event: AttemptEvent, outcome: ProbeOutcome) -> VmName {
+        let key = self.arrive_with(b"crashing");
+        let upstream = self.expect_send(key).upstream;
+        self.note(key, AttemptEvent::Sent);
+        self.note(key, event);
+        self.expect_probe(&upstream);
+        self.now = self.now + SpanMillis::new(10);
+        self.scheduler.note_probe(&upstream, outcome, self.now);
+        upstream
+    }
+
+    /// Completes another request at an upstream that is not `except`.
+    fn hear_from_other(&mut self, except: &VmName) {
+        for number in 0..100_u32 {
+            let key = self.arrive_with(&number.to_le_bytes());
+            let is_other = self.expect_send(key).upstream != *except;
+            self.now = self.now + SpanMillis::new(10);
+            self.complete(key);
+            if is_other {
+                return;
+            }
+        }
+        panic!("all requests were sent to {except}");
+    }
+
+    fn expect_sent(&mut self) {
+        let key = self.arrive_with(b"crashing");
+        self.expect_send(key);
+    }
+
     /// Sends other requests until one finds that the upstream refuses connections.
     fn detect_down(&mut self, down: &VmName) {
         for number in 0..100_u32 {
             let key = self.arrive_with(&number.to_le_bytes());
             let command = self.expect_send(key);
             if command.upstream == *down {
-                self.note(key, AttemptEvent::Broken(BreakCause::NotConnected));
+                self.note(key, AttemptEvent::Broken(BreakCause::Refused));
                 self.expect_send(key);
                 self.complete(key);
                 return;
@@ -299,3 +337,107 @@
     }
     assert!(refused);
 }
+
+/// Guards against crashes that only count if other requests or the log show that the upstream is down.
+#[test]
+fn refused_probe_counts_as_a_crash() {
+    let mut harness = SchedulerHarness::with_upstreams(6);
+    for _ in 0..3 {
+        let event = AttemptEvent::Broken(BreakCause::Closed);
+        harness.crash_with(event, ProbeOutcome::Refused);
+    }
+    let key = harness.arrive_with(b"crashing");
+    harness.expect_refused(key);
+}
+
+/// Guards against crashes that do not count because the response broke off in a malformed way.
+#[test]
+fn malformed_response_of_an_upstream_that_is_down_counts_as_a_crash() {
+    let mut harness = SchedulerHarness::with_upstreams(6);
+    for _ in 0..3 {
+        let event = AttemptEvent::Broken(BreakCause::Garbled);
+        harness.crash_with(event, ProbeOutcome::Refused);
+    }
+    let key = harness.arrive_with(b"crashing");
+    harness.expect_refused(key);
+}
+
+/// Guards against refusing a request whose attempts broke at upstreams that are not down.
+#[test]
+fn connected_probe_counts_as_no_crash() {
+    let mut harness = SchedulerHarness::with_upstreams(6);
+    for _ in 0..4 {
+        let event = AttemptEvent::Broken(BreakCause::Closed);
+        harness.crash_with(event, ProbeOutcome::Connected);
+        harness.now = harness.now + SpanMillis::new(11_000);
+    }
+    harness.expect_sent();
+}
+
+/// Guards against crashes that do not count because the upstream went silent and its connections hang.
+#[test]
+fn upstreams_that_do_not_answer_count_as_crashed() {
+    let mut harness = SchedulerHarness::with_upstreams(6);
+    for _ in 0..3 {
+        let key = harness.arrive_with(b"crashing");
+        let upstream = harness.expect_send(key).upstream;
+        harness.note(key, AttemptEvent::Sent);
+        harness.note(key, AttemptEvent::Broken(BreakCause::Closed));
+        harness.expect_probe(&upstream);
+        harness.hear_from_other(&upstream);
+        let outcome = ProbeOutcome::NotConnected;
+        let now = harness.now;
+        harness.scheduler.note_probe(&upstream, outcome, now);
+    }
+    let key = harness.arrive_with(b"crashing");
+    harness.expect_refused(key);
+}
+
+/// Guards against counting crashes at a gateway that is itself cut off from the upstreams.
+#[test]
+fn upstreams_that_a_cut_off_gateway_cannot_reach_count_as_no_crash() {
+    let mut harness = SchedulerHarness::with_upstreams(6);
+    for _ in 0..4 {
+        let event = AttemptEvent::Broken(BreakCause::Closed);
+        harness.crash_with(event, ProbeOutcome::NotConnected);
+    }
+    harness.expect_sent();
+}
+
+/// Guards against crashes that do not count because the upstream's successor at the same address is up before anyone
+/// notices that the upstream is down, and the log cannot say so.
+#[test]
+fn misdirected_request_shows_that_the_upstream_has_ended() {
+    let mut harness = SchedulerHarness::with_upstreams(1);
+    for _ in 0..3 {
+        let event = AttemptEvent::Broken(BreakCause::Closed);
+        harness.crash_with(event, ProbeOutcome::Connected);
+        let key = harness.arrive_with(b"other");
+        harness.expect_send(key);
+        harness.note(key, AttemptEvent::Sent);
+        let cause = fescuetide_flow::DeclineCause::Misdirected;
+        harness.note(key, AttemptEvent::Declined(cause, None));
+        while harness.next().is_some() {}
+    }
+    let key = harness.arrive_with(b"crashing");
+    harness.expect_refused(key);
+}
+
+/// Guards against crashes that do not count because the gateway gave the silent attempt up first.
+#[test]
+fn silent_attempt_is_part_of_a_crash() {
+    let mut harness = SchedulerHarness::with_upstreams(6);
+    for _ in 0..3 {
+        let key = harness.arrive_with(b"crashing");
+        let upstream = harness.expect_send(key).upstream;
+        harness.note(key, AttemptEvent::Sent);
+        harness.now = harness.now + SpanMillis::new(11_000);
+        harness.scheduler.tick(harness.now);
+        harness.expect_probe(&upstream);
+        let outcome = ProbeOutcome::Refused;
+        let now = harness.now;
+        harness.scheduler.note_probe(&upstream, outcome, now);
+    }
+    let key = harness.arrive_with(b"crashing");
+    harness.expect_refused(key);
+}
--- a/crates/coordination/fescuetide_flow/tests/flow/harness.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/harness.rs
@@ -1,8 +1,11 @@
 //! Test harness for a gateway's state machine with a manual clock.
 
+use std::collections::VecDeque;
+
 use fescuetide_base::ClockMillis;
 use fescuetide_base::ProcessIncarnation;
 use fescuetide_base::SpanMillis;
+use fescuetide_base::VmName;
 use fescuetide_fleet::PoolShare;
 use fescuetide_fleet::RouteEntry;
 use fescuetide_fleet::UpstreamEntry;
@@ -59,6 +62,8 @@
 pub(crate) struct SchedulerHarness {
     pub(crate) scheduler: RequestScheduler,
     pub(crate) now: ClockMillis,
+    /// Upstreams that the scheduler wants probed.
+    pub(crate) probes: VecDeque<VmName>,
 }
 
 impl SchedulerHarness {
@@ -71,7 +76,11 @@
             entries.push(upstream(&format!("vm-{index}"), 8));
         }
         scheduler.set_upstreams(&entries, now);
-        Self { scheduler, now }
+        Self {
+            scheduler,
+            now,
+            probes: VecDeque::new(),
+        }
     }
 
     pub(crate) fn arrive(&mut self, kind: WorkKind, attempt_limit: u32) -> FlowKey {
@@ -94,12 +103,18 @@
         self.scheduler.note_attempt(key, event, self.now);
     }
 
+    /// Returns the next action that concerns a request. Probes of upstreams are kept in `probes`.
     pub(crate) fn next(&mut self) -> Option<FlowAction> {
-        self.scheduler.next_action()
+        loop {
+            match self.scheduler.next_action() {
+                Some(FlowAction::Probe(vm)) => self.probes.push_back(vm),
+                other => return other,
+            }
+        }
     }
 
     pub(crate) fn expect_send(&mut self, key: FlowKey) -> SendCommand {
-        match self.scheduler.next_action() {
+        match self.next() {
             Some(FlowAction::Send(command)) if command.key == key => command,
             other => panic!("expected the request to be sent, not {other:?}"),
         }
--- a/crates/process/fescuetide_gateway/src/attempts.rs
+++ b/crates/process/fescuetide_gateway/src/attempts.rs
@@ -11,6 +11,7 @@
 use fescuetide_flow::BreakCause;
 use fescuetide_flow::FlowAction;
 use fescuetide_flow::FlowKey;
+use fescuetide_flow::ProbeOutcome;
 use fescuetide_flow::SendCommand;
 
 use crate::buffer::OutputBuffer;
@@ -21,6 +22,7 @@
 use crate::connection::UpstreamConnection;
 use crate::connection::UpstreamConnectionState;
 use crate::counters::count;
+use crate::idle;
 use crate::log_line_limit::LogLineKind;
 use crate::sockets;
 use crate::traffic::TrafficLoop;
@@ -38,6 +40,7 @@
                 FlowAction::Relay(key) => self.relay(key),
                 FlowAction::Refuse(key, refusal) => self.refuse(key, &refusal),
                 FlowAction::Fail(key, failure) => self.fail(key, failure),
+                FlowAction::Probe(vm) => self.start_probe(&vm),
             }
         }
     }
@@ -134,7 +137,7 @@
             };
             let is_kept = match upstream.state {
                 UpstreamConnectionState::Idle { deadline } => self.now < deadline,
-                UpstreamConnectionState::Busy { .. } => false,
+                UpstreamConnectionState::Probing | UpstreamConnectionState::Busy { .. } => false,
             };
             let peeked = upstream.stream.peek(&mut [0]);
             let is_silent = peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock);
@@ -146,6 +149,43 @@
         None
     }
 
+    /// Opens a connection to an upstream. If it can be established, it is kept for a later attempt.
+    fn start_probe(&mut self, vm: &VmName) {
+        count(&self.counters.probes);
+        let entry = self.upstreams.as_ref().and_then(|table| table.get(vm));
+        let token = entry.cloned().and_then(|entry| self.connect(&entry));
+        match token.and_then(|token| self.connections.get_mut(token)) {
+            Some(Connection::Upstream(upstream)) => {
+                upstream.state = UpstreamConnectionState::Probing;
+            }
+            _ => self.end_probe(vm, ProbeOutcome::NotConnected),
+        }
+    }
+
+    fn end_probe(&mut self, vm: &VmName, outcome: ProbeOutcome) {
+        self.scheduler.note_probe(vm, outcome, self.now);
+    }
+
+    /// Keeps the established connection of a probe as an idle one.
+    fn finish_probe(&mut self, token: usize) {
+        let Some(Connection::Upstream(upstream)) = self.connections.get_mut(token) else {
+            return;
+        };
+        if upstream.stream.peer_addr().is_err() {
+            return;
+        }
+        upstream.connect_deadline = None;
+        upstream.state = UpstreamConnectionState::Idle {
+            deadline: idle::idle_deadline(None, self.now),
+        };
+        let vm = upstream.vm.clone();
+        let limit = self.max_idle_connections_to(&vm);
+        if !self.idle.put(&vm, token, limit) {
+            self.remove(token);
+        }
+        self.end_probe(&vm, ProbeOutcome::Connected);
+    }
+
     fn connect(&mut self, entry: &UpstreamEntry) -> Option<usize> {
         count(&self.counters.upstream_connections);
         let stream = match sockets::connect(entry.address) {
@@ -180,8 +220,13 @@
         let Some(Connection::Upstream(upstream)) = self.connections.get_mut(token) else {
             return;
         };
-        let UpstreamConnectionState::Busy { key, .. } = upstream.state else {
-            return;
+        let key = match upstream.state {
+            UpstreamConnectionState::Busy { key, .. } => key,
+            UpstreamConnectionState::Probing => {
+                self.finish_probe(token);
+                return;
+            }
+            UpstreamConnectionState::Idle { .. } => return,
         };
         if upstream.is_written {
             return;
@@ -239,7 +284,25 @@
         self.remove(token);
     }
 
-    /// Ends attempts whose connection could not be established in time, and closes expired idle connections.
+    /// Ends the attempt or probe of a connection that could not be established.
+    pub(crate) fn end_unconnected(&mut self, token: usize, cause: BreakCause) {
+        let Some(Connection::Upstream(upstream)) = self.connections.get(token) else {
+            return;
+        };
+        if !matches!(upstream.state, UpstreamConnectionState::Probing) {
+            self.end_attempt(token, AttemptEvent::Broken(cause));
+            return;
+        }
+        let vm = upstream.vm.clone();
+        self.remove(token);
+        let outcome = match cause {
+            BreakCause::Refused => ProbeOutcome::Refused,
+            _ => ProbeOutcome::NotConnected,
+        };
+        self.end_probe(&vm, outcome);
+    }
+
+    /// Ends attempts and probes whose connection could not be established in time, and closes expired idle connections.
     pub(crate) fn sweep_upstreams(&mut self) {
         let mut unopened = Vec::new();
         let mut stale = Vec::new();
@@ -256,14 +319,14 @@
             }
             let is_stale = match upstream.state {
                 UpstreamConnectionState::Idle { deadline } => self.now >= deadline,
-                UpstreamConnectionState::Busy { .. } => false,
+                UpstreamConnectionState::Probing | UpstreamConnectionState::Busy { .. } => false,
             };
             if is_stale {
                 stale.push(token);
             }
         }
         for token in unopened {
-            self.end_attempt(token, AttemptEvent::Broken(BreakCause::NotConnected));
+            self.end_unconnected(token, BreakCause::NotConnected);
         }
         for token in stale {
             self.drop_idle(token);
--- a/crates/process/fescuetide_gateway/src/connection.rs
+++ b/crates/process/fescuetide_gateway/src/connection.rs
@@ -98,6 +98,8 @@
 pub(crate) enum UpstreamConnectionState {
     /// In the idle pool until `deadline`.
     Idle { deadline: ClockMillis },
+    /// Being opened only to find out whether the upstream is down.
+    Probing,
     /// Carrying an attempt.
     Busy {
         key: FlowKey,
--- a/crates/process/fescuetide_gateway/src/counters.rs
+++ b/crates/process/fescuetide_gateway/src/counters.rs
@@ -86,6 +86,8 @@
     caller_connections => "fescuetide_caller_connections_total",
     /// Stream events relayed.
     events => "fescuetide_events_total",
+    /// Connections opened to find out whether an upstream is down.
+    probes => "fescuetide_probes_total",
     /// Crashes of upstreams that were counted for requests that ran there.
     crashes_counted => "fescuetide_crashes_counted_total",
     /// Requests whose crashes no longer count since they completed.
--- a/crates/process/fescuetide_gateway/src/upstream_responses.rs
+++ b/crates/process/fescuetide_gateway/src/upstream_responses.rs
@@ -48,7 +48,7 @@
         while let Some(Connection::Upstream(upstream)) = self.connections.get_mut(token) {
             match upstream.stream.read(&mut scratch) {
                 Ok(0) => {
-                    self.handle_upstream_close(token, false);
+                    self.handle_upstream_close(token, None);
                     break;
                 }
                 Ok(read) => {
@@ -59,8 +59,8 @@
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
-                Err(_) => {
-                    self.handle_upstream_close(token, true);
+                Err(error) => {
+                    self.handle_upstream_close(token, Some(error.kind()));
                     break;
                 }
             }
@@ -68,11 +68,19 @@
         self.scratch = scratch;
     }
 
-    /// Handles a connection that the upstream closed or reset.
-    fn handle_upstream_close(&mut self, token: usize, is_reset: bool) {
+    /// Handles a connection that the upstream closed, or that has failed with `error`.
+    fn handle_upstream_close(&mut self, token: usize, error: Option<io::ErrorKind>) {
         let Some(Connection::Upstream(upstream)) = self.connections.get_mut(token) else {
             return;
         };
+        if upstream.connect_deadline.is_some() {
+            let cause = match error {
+                Some(io::ErrorKind::ConnectionRefused) => BreakCause::Refused,
+                _ => BreakCause::NotConnected,
+            };
+            self.end_unconnected(token, cause);
+            return;
+        }
         let UpstreamConnectionState::Busy { key, response } = &mut upstream.state else {
             self.drop_idle(token);
             return;
@@ -82,11 +90,7 @@
             .exchanges
             .get(key)
             .is_some_and(|exchange| exchange.event_splitter.has_partial());
-        if upstream.connect_deadline.is_some() {
-            self.end_attempt(token, AttemptEvent::Broken(BreakCause::NotConnected));
-            return;
-        }
-        let ends = |decoder: &BodyDecoder| decoder.ends_with_close() && !is_reset;
+        let ends = |decoder: &BodyDecoder| decoder.ends_with_close() && error.is_none();
         let event = match response {
             ResponseState::Buffering(buffered) if ends(&buffered.decoder) => {
                 validation::classify_response(&buffered.head, &buffered.fields)
@@ -288,7 +292,7 @@
     }
 
     /// Maximum number of idle connections to an upstream.
-    fn max_idle_connections_to(&self, vm: &VmName) -> usize {
+    pub(crate) fn max_idle_connections_to(&self, vm: &VmName) -> usize {
         let entry = self.upstreams.as_ref().and_then(|table| table.get(vm));
         let pool = entry
             .zip(self.config.as_ref())
--- a/crates/tools/fescuetide_model/src/router.rs
+++ b/crates/tools/fescuetide_model/src/router.rs
@@ -19,10 +19,12 @@
 use fescuetide_flow::FlowKey;
 use fescuetide_flow::FlowSettings;
 use fescuetide_flow::LoadReport;
+use fescuetide_flow::ProbeOutcome;
 use fescuetide_flow::PromptPart;
 use fescuetide_flow::PromptShape;
 use fescuetide_flow::RequestScheduler;
 use fescuetide_flow::WorkRequest;
+use fescuetide_limits::CrashFingerprint;
 use indexmap::IndexMap;
 
 use crate::baseline::BaselineRouter;
@@ -109,6 +111,8 @@
         copy_from: Option<usize>,
     },
     Cancel(SubmissionKey),
+    /// Find out whether the engine is down.
+    Probe(usize),
     Finish(SubmissionKey, RequestOutcome),
 }
 
@@ -173,6 +177,17 @@
         }
     }
 
+    pub(crate) fn handle_probe(&mut self, engine: usize, is_down: bool, now: ClockMillis) {
+        if let Self::Scheduler(router) = self {
+            let outcome = match is_down {
+                true => ProbeOutcome::Refused,
+                false => ProbeOutcome::Connected,
+            };
+            let vm = engine_vm_name(engine);
+            router.scheduler.note_probe(&vm, outcome, now);
+        }
+    }
+
     pub(crate) fn tick(&mut self, now: ClockMillis) {
         if let Self::Scheduler(router) = self {
             router.scheduler.tick(now);
@@ -259,6 +274,7 @@
         let part = |id, tokens| PromptPart { id, tokens };
         let work = WorkRequest {
             workspace: request.workspace,
+            fingerprint: CrashFingerprint::of_parts(&[&request.submission.0.to_le_bytes()]),
             prompt: PromptShape {
                 parts: vec![
                     part(request.prefix_id, kind.prefix_tokens),
@@ -287,7 +303,7 @@
             self.scheduler.note_attempt(key, AttemptEvent::Sent, now);
         }
         let event = match response {
-            EngineResponse::NotConnected => AttemptEvent::Broken(BreakCause::NotConnected),
+            EngineResponse::NotConnected => AttemptEvent::Broken(BreakCause::Refused),
             EngineResponse::Full(load) => AttemptEvent::Declined(DeclineCause::Full, Some(load)),
             EngineResponse::Started(load) => AttemptEvent::StreamStarted(Some(load)),
             EngineResponse::Progress => AttemptEvent::StreamProgress,
@@ -362,6 +378,9 @@
                 FlowAction::Refuse(key, refusal) => {
                     commands.extend(self.finish(key, RequestOutcome::Refused(refusal.retry_after)));
                 }
+                FlowAction::Probe(vm) => {
+                    commands.extend(self.engines.get(&vm).copied().map(RouterCommand::Probe));
+                }
                 FlowAction::Fail(key, _) => {
                     commands.extend(self.finish(key, RequestOutcome::Failed))
                 }
--- a/crates/tools/fescuetide_model/src/simulation.rs
+++ b/crates/tools/fescuetide_model/src/simulation.rs
@@ -273,6 +273,11 @@
                     self.routers[router].handle_response(submission, response, now);
                 }
             }
+            RouterCommand::Probe(engine) => {
+                let is_down = self.engines[engine].state == EngineState::Down;
+                let now = self.now();
+                self.routers[router].handle_probe(engine, is_down, now);
+            }
             RouterCommand::Cancel(submission) => self.cancel(submission),
             RouterCommand::Finish(submission, outcome) => self.finish_request(submission, outcome),
         }
