Do not clear a request of its crashes when an upstream answers with an error

What callers saw: a request that crashes upstreams is sent on for longer, when some of the upstreams fail a part of their requests with an error. Cause: any complete response cleared the request, an error too, at gateways and at native routers. Change: only a status below 400 clears. Evidence: error_response_does_not_clear_a_request fails in both state machines without the change (the request is sent a fourth time, or a third) and passes with it.

--- a/crates/coordination/fescuetide_flow/src/call/update.rs
+++ b/crates/coordination/fescuetide_flow/src/call/update.rs
@@ -112,7 +112,10 @@
         match update {
             AttemptUpdate::Completed => {
                 tables.breaker.note_success(&attempt.vm.name);
-                tables.suspects().note_completed(self.metadata.fingerprint);
+                // An error may come from an upstream that did not get as far as to crash.
+                if self.head_status.is_none_or(|status| status < 400) {
+                    tables.suspects().note_completed(self.metadata.fingerprint);
+                }
                 self.note_result(attempt, AttemptResult::Completed, now);
                 self.end(CallVerdict::Completed, String::new(), None, tables, now);
             }
--- a/crates/coordination/fescuetide_flow/src/scheduler/retrying.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/retrying.rs
@@ -25,7 +25,10 @@
         }
         let flow = &mut self.flows[&key];
         flow.may_have_run = true;
-        self.crashes.note_completed(flow.request.fingerprint, now);
+        // An error may come from an upstream that did not get as far as to crash.
+        if status < 400 {
+            self.crashes.note_completed(flow.request.fingerprint, now);
+        }
         // Once the head of a stream was relayed, an error response must not trigger a retry.
         let retries = is_failure && flow.request.kind.is_repeatable() && !flow.is_relayed;
         if retries && self.take_retry(key) {
--- a/crates/coordination/fescuetide_flow/tests/call/patterns.rs
+++ b/crates/coordination/fescuetide_flow/tests/call/patterns.rs
@@ -53,6 +53,48 @@
     assert!(!harness.send_offer().is_suspect);
 }
 
+/// Crash fingerprints: an engine answers the request with an error between two crashes. Guards against a request whose
+/// crashes no longer count because an engine failed before it could crash.
+#[test]
+fn error_response_does_not_clear_a_request() {
+    let mut harness = CallHarness::new(6, chat);
+    for update in [
+        AttemptUpdate::Crashed("engine crashed".to_owned()),
+        AttemptUpdate::Head(500),
+        AttemptUpdate::Crashed("engine crashed".to_owned()),
+    ] {
+        let request = chat(harness.now);
+        harness.restart(request);
+        harness.send_offer();
+        let is_error = matches!(update, AttemptUpdate::Head(_));
+        harness.update(update);
+        if is_error {
+            harness.update(AttemptUpdate::Completed);
+        }
+    }
+    let request = chat(harness.now);
+    harness.restart(request);
+    assert!(matches!(harness.end().verdict, CallVerdict::NotRun(_)));
+}
+
+/// Crash fingerprints: a request crashes one engine at each of two routers. Guards against crashes that do not add up
+/// because each router counts only what it has seen.
+#[test]
+fn crashes_seen_by_different_routers_add_up() {
+    let mut first = CallHarness::new(6, chat);
+    let mut second = CallHarness::new(6, chat);
+    first.send_offer();
+    first.update(AttemptUpdate::Crashed("engine crashed".to_owned()));
+    for evidence in first.fleet.tables.suspects().list_evidence(first.now) {
+        second.fleet.tables.suspects().merge(evidence, second.now);
+    }
+    assert!(second.send_offer().is_suspect);
+    second.update(AttemptUpdate::Crashed("engine crashed".to_owned()));
+    let request = chat(second.now);
+    second.restart(request);
+    assert!(matches!(second.end().verdict, CallVerdict::NotRun(_)));
+}
+
 /// Placement: a later turn of a chat arrives while the chat's engine is at its load cap. Guards against moving the turn
 /// to another engine at once, away from the cached prefix, and against waiting too long for its latency target.
 #[test]
--- a/crates/coordination/fescuetide_flow/tests/flow/crash.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/crash.rs
@@ -93,14 +93,12 @@
     }
 
     fn complete(&mut self, key: FlowKey) {
+        self.complete_with(key, 200);
+    }
+
+    fn complete_with(&mut self, key: FlowKey, status: u16) {
         self.note(key, AttemptEvent::Sent);
-        self.note(
-            key,
-            AttemptEvent::Completed {
-                status: 200,
-                load: None,
-            },
-        );
+        self.note(key, AttemptEvent::Completed { status, load: None });
         assert_eq!(self.next(), Some(FlowAction::Relay(key)));
     }
 
@@ -441,3 +439,23 @@
     let key = harness.arrive_with(b"crashing");
     harness.expect_refused(key);
 }
+
+/// Guards against crashes that no longer count because an upstream that fails a part of its requests answered the request
+/// with an error.
+#[test]
+fn error_response_does_not_clear_a_request() {
+    let mut harness = SchedulerHarness::with_upstreams(6);
+    for crash in 0..3 {
+        let event = AttemptEvent::Broken(BreakCause::Closed);
+        harness.crash_with(event, ProbeOutcome::Refused);
+        if crash < 2 {
+            for status in [400, 429, 500, 503] {
+                let key = harness.arrive_with(b"crashing");
+                harness.expect_send(key);
+                harness.complete_with(key, status);
+            }
+        }
+    }
+    let key = harness.arrive_with(b"crashing");
+    harness.expect_refused(key);
+}
