Recognise repeated requests without a body

What callers saw: a request without a body that crashes upstreams was never refused. Cause: each such request got a fingerprint of its own, made of its id. Change: the fingerprint is made of workspace, method, target and body, as at native routers. A harmless request that many callers send is cleared whenever it completes. Evidence: crashes_under_requests_without_a_body_add_up failed before (502 in place of 503) and passes now.

--- a/crates/process/fescuetide_gateway/src/admission.rs
+++ b/crates/process/fescuetide_gateway/src/admission.rs
@@ -61,20 +61,16 @@
     Ok(request)
 }
 
-/// Identifies repeated requests, so that those that crash upstreams can be refused: the same workspace, target and
-/// body give the same fingerprint. Requests without a body cannot be told from others with the same target, so each
-/// one gets its own fingerprint.
+/// Identifies repeated requests, so that those that crash upstreams can be refused: the same workspace, method, target
+/// and body give the same fingerprint.
 fn fingerprint(exchange: &Exchange) -> CrashFingerprint {
     let workspace = exchange.workspace.as_ref();
-    let content = match exchange.body.is_empty() {
-        true => exchange.request_id().as_bytes(),
-        false => &exchange.body,
-    };
     CrashFingerprint::of_parts(&[
         workspace
             .map_or("", |workspace| workspace.as_str())
             .as_bytes(),
+        exchange.head.method().as_bytes(),
         exchange.head.target().as_bytes(),
-        content,
+        &exchange.body,
     ])
 }
