--- a/crates/coordination/fescuetide_limits/src/suspects.rs
+++ b/crates/coordination/fescuetide_limits/src/suspects.rs
@@ -63,6 +63,13 @@
     pub left: SpanMillis,
 }
 
+impl CrashEvidence {
+    /// Number of crashes that count.
+    pub const fn counting_crashes(&self) -> u32 {
+        self.crashes.get().saturating_sub(self.cleared.get())
+    }
+}
+
 /// Settings of a suspect table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SuspectSettings {
--- a/crates/process/fescuetide_gateway/src/crash_reports.rs
+++ b/crates/process/fescuetide_gateway/src/crash_reports.rs
@@ -30,8 +30,8 @@
 use crate::messages::LoopMessage;
 use crate::peers::PeerCommand;
 
-/// How long a read of reports waits for a new one (long polling).
-const REPORT_WAIT: SpanMillis = SpanMillis::new(5_000);
+/// How long a read of reports waits for a new one (long polling). A read whose response is lost delays reports for so long.
+const REPORT_WAIT: SpanMillis = SpanMillis::new(2_000);
 
 /// Delay after a failed call. While the log is unavailable, peers tell each other what they find.
 const RETRY_DELAY: Duration = Duration::from_millis(1_000);
--- a/crates/process/fescuetide_gateway/src/messages.rs
+++ b/crates/process/fescuetide_gateway/src/messages.rs
@@ -132,7 +132,11 @@
             CrashEvent::Learned(_) => &self.counters.crashes_learned,
         };
         count(counter);
-        if !self.may_log(LogLineKind::CrashEvidence) {
+        // All requests that were running on an upstream that crashed become known to every gateway. Those with a single
+        // crash are only counted here, and logged by the gateway that found it.
+        let is_single =
+            matches!(&event, CrashEvent::Learned(evidence) if evidence.counting_crashes() < 2);
+        if is_single || !self.may_log(LogLineKind::CrashEvidence) {
             return;
         }
         match event {
