--- a/crates/coordination/fescuetide_flow/src/crash.rs
+++ b/crates/coordination/fescuetide_flow/src/crash.rs
@@ -213,8 +213,11 @@
         if cleared == 0 {
             return;
         }
-        // Other gateways only need to know if one more crash would make them refuse the request.
-        if cleared + 1 >= CRASH_LIMIT {
+        // Of the requests that were running at a crash, most are sent by one caller and clear at the gateway that found
+        // the crash. The others need to know about those that come to several gateways, and about those that one more
+        // crash would make them refuse.
+        let is_learned = !self.last_crashes.contains_key(&fingerprint);
+        if is_learned || cleared + 1 >= CRASH_LIMIT {
             self.unreported.insert(fingerprint);
         }
         if let Some(evidence) = self.suspects.evidence(fingerprint, now) {
