Bound the control traffic of crash evidence

Cause: with evidence in place of verdicts, each message to a peer listed up to 64 requests for the 10 minutes that it is kept, most of them harmless ones that were running at a crash: 64 x 28 bytes, twice a second on each link between collectors. Change: evidence of a single crash is in the messages for 10 s, that of repeated crashes for as long as it is kept. Evidence: only_new_and_repeated_crashes_are_exchanged; routers_know_all_upstreams_within_the_control_budget passes.

--- a/crates/coordination/fescuetide_limits/src/suspects.rs
+++ b/crates/coordination/fescuetide_limits/src/suspects.rs
@@ -81,6 +81,9 @@
     pub entry_limit: usize,
     /// Maximum number of entries in one message to a peer. Each takes 28 bytes or less.
     pub exchange_limit: usize,
+    /// Time after a request's last crash for which it is in every message to a peer. After that, only requests with
+    /// several crashes are, since most that were running at a crash are harmless and do not come again.
+    pub exchange_time: SpanMillis,
 }
 
 impl Default for SuspectSettings {
@@ -90,6 +93,7 @@
             retention: SpanMillis::new(600_000),
             entry_limit: 4_096,
             exchange_limit: 64,
+            exchange_time: SpanMillis::new(10_000),
         }
     }
 }
@@ -246,8 +250,11 @@
     /// Returns the evidence to send to peers: that with the most crashes that count first, then the newest.
     pub fn list_evidence(&self, now: ClockMillis) -> Vec<CrashEvidence> {
         let mut suspects = Vec::new();
+        let new_until = now + self.settings.retention;
         for (fingerprint, entry) in self.entries.iter().rev() {
-            if entry.level() > 0 && now < entry.until {
+            let is_recent = new_until.since(entry.until) <= self.settings.exchange_time;
+            let is_listed = entry.level() > 1 || (entry.level() == 1 && is_recent);
+            if is_listed && now < entry.until {
                 suspects.push((entry.level(), *fingerprint));
             }
         }
--- a/crates/coordination/fescuetide_limits/tests/suspects.rs
+++ b/crates/coordination/fescuetide_limits/tests/suspects.rs
@@ -275,6 +275,23 @@
     }
 }
 
+/// Guards against control traffic that lists all requests that were running at old crashes.
+#[test]
+fn only_new_and_repeated_crashes_are_exchanged() {
+    let now = ClockMillis::new(1_000);
+    let later = now + SpanMillis::new(60_000);
+    let mut table = SuspectTable::default();
+    for request in 0..200 {
+        table.note_crash(fingerprint_of(request), CrashCount::default(), now);
+    }
+    let limit = SuspectSettings::default().exchange_limit;
+    assert_eq!(table.list_evidence(now).len(), limit);
+    table.note_crash(fingerprint_of(7), CrashCount::new(1), now);
+    let listed = table.list_evidence(later);
+    assert_eq!(listed.len(), 1);
+    assert_eq!(listed[0].fingerprint, fingerprint_of(7));
+}
+
 /// Guards against a request that stays suspect at the other routers after it has completed at one.
 #[test]
 fn completion_is_shared() {
