Test ports for test fleets without listening at them

Cause: free_address tested a port with a listener. A process that another thread starts at that moment holds a copy of all sockets until it executes its program, so the port stayed taken after the test had closed it.

--- a/crates/tools/fescuetide_bench/src/ports.rs
+++ b/crates/tools/fescuetide_bench/src/ports.rs
@@ -2,13 +2,16 @@
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::net::UdpSocket;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU16;
 use std::sync::atomic::Ordering;
 
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
+
 /// Start of the port range, which lies below the ephemeral ports of the kernel (32768 and up).
 const PORT_FIRST: u16 = 10_000;
 const PORT_COUNT: u16 = 22_000;
@@ -30,6 +33,19 @@
     Ipv4Addr::new(127, 1 + high % 254, middle, low)
 }
 
+/// Binds a socket that does not listen. This fails if another socket listens at the address, and does not keep others from
+/// listening there, even while a process that another thread is starting holds a copy of the socket.
+///
+/// # Errors
+///
+/// Fails when the address is in use.
+pub fn bind_without_listening(address: SocketAddr) -> std::io::Result<Socket> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket)
+}
+
 /// Allocates a port on the loopback address of this process. Each port is returned at most once.
 ///
 /// # Errors
@@ -44,7 +60,7 @@
         let Ok(reservation) = UdpSocket::bind(address) else {
             continue;
         };
-        if TcpListener::bind(address).is_ok() {
+        if bind_without_listening(address).is_ok() {
             let mut reserved = RESERVED.lock().unwrap_or_else(PoisonError::into_inner);
             reserved.push(reservation);
             return Ok(address);
