Find dark upstreams sooner, and count one event once when requests move

What callers saw: with upstreams that go dark in place of crashing, a crashing request was still sent on, and a harmless request of many callers could be refused when a group of upstreams went down while it moved from one to the next. Causes: an attempt that cannot be sent again was not looked at until its connection broke, seconds later. A probe that ended before another upstream had answered was never repeated. Every return of the request cost two upstreams, since a suspect was sent again at once. And crashes milliseconds apart counted as several. Crashes within 100 ms are one event, and a crash counts as a later one only if its upstream was heard from after the earlier one. New tests: request_that_moves_between_upstreams_that_go_down_together_crashes_once, suspect_is_not_sent_again_after_another_break, upstream_is_probed_again_once_another_one_answers. The tests of the tracker now send a crashing request 200 ms apart, since crashes 20 ms apart are one event; what they check is unchanged.

--- a/crates/coordination/fescuetide_flow/src/crash.rs
+++ b/crates/coordination/fescuetide_flow/src/crash.rs
@@ -18,6 +18,9 @@
 /// crash by coincidence.
 const CRASH_LIMIT: u32 = 3;
 
+/// Crashes within this time are one event.
+const EVENT_TIME: SpanMillis = SpanMillis::new(100);
+
 /// Maximum time between a broken attempt and the detection that its upstream is down. A crashed upstream's entry in
 /// the list of upstreams only expires after several seconds.
 const CRASH_WINDOW: SpanMillis = SpanMillis::new(10_000);
@@ -53,6 +56,8 @@
     /// The crashes of the request that were known when the attempt started.
     pub(crate) known: CrashCount,
     pub(crate) started_at: ClockMillis,
+    /// When the upstream last gave a sign of life, as far as this gateway knows.
+    pub(crate) heard_at: ClockMillis,
 }
 
 /// An attempt that broke and whose upstream may be down.
@@ -68,6 +73,7 @@
 /// The last crash of a request that this gateway counted.
 #[derive(Clone, Copy, Debug)]
 struct LastCrash {
+    /// When the upstream probably went down.
     at: ClockMillis,
     count: CrashCount,
 }
@@ -96,6 +102,7 @@
     fn default() -> Self {
         let settings = SuspectSettings {
             crash_limit: CRASH_LIMIT,
+            event_time: EVENT_TIME,
             ..SuspectSettings::default()
         };
         Self {
@@ -114,8 +121,8 @@
         self.suspects.crashes(fingerprint, now)
     }
 
-    /// Records an attempt that broke after the upstream may have started to run it. Returns whether this is new, so that
-    /// the upstream may have gone down just now.
+    /// Records an attempt that broke or went silent after the upstream may have started to run it. Returns whether this is
+    /// new, so that the upstream may have gone down just now.
     pub(crate) fn note_broken(&mut self, vm: &VmName, run: CrashRun, now: ClockMillis) -> bool {
         self.broken
             .retain(|attempt| now.since(attempt.at) <= CRASH_WINDOW);
@@ -126,12 +133,11 @@
         let known = broken
             .position(|attempt| attempt.vm == *vm && attempt.run.fingerprint == run.fingerprint);
         if let Some(index) = known {
-            let attempt = &self.broken[index];
-            if !attempt.is_handled || run.started_at <= attempt.at {
+            if run.started_at <= self.broken[index].at {
                 // Several broken connections to the same upstream are one crash.
                 return false;
             }
-            // The upstream was back under the same name and incarnation.
+            // The upstream was back under the same name and incarnation, or was up all the time.
             self.broken.remove(index);
         }
         self.broken.push_back(BrokenAttempt {
@@ -161,6 +167,15 @@
         self.count_crashes(vm, Some(heard_at), now);
     }
 
+    /// Returns when the first attempt broke at an upstream that has not been found to be down.
+    pub(crate) fn pending_at(&self, vm: &VmName, now: ClockMillis) -> Option<ClockMillis> {
+        let mut broken = self.broken.iter();
+        let pending = broken.find(|attempt| {
+            attempt.vm == *vm && !attempt.is_handled && now.since(attempt.at) <= CRASH_WINDOW
+        });
+        pending.map(|attempt| attempt.at)
+    }
+
     /// Counts the crash of an upstream for the attempts that broke there, up to `before` if there is such a limit.
     fn count_crashes(&mut self, vm: &VmName, before: Option<ClockMillis>, now: ClockMillis) {
         for index in 0..self.broken.len() {
@@ -172,19 +187,20 @@
                 continue;
             }
             attempt.is_handled = true;
-            let (run, at) = (attempt.run, attempt.at);
-            self.count_crash(vm, run, at, now);
+            let run = attempt.run;
+            self.count_crash(vm, run, now);
         }
     }
 
-    /// Counts the crash of an upstream on which `run` broke at `at`.
-    fn count_crash(&mut self, vm: &VmName, run: CrashRun, at: ClockMillis, now: ClockMillis) {
+    /// Counts the crash of an upstream on which `run` broke.
+    fn count_crash(&mut self, vm: &VmName, run: CrashRun, now: ClockMillis) {
         let fingerprint = run.fingerprint;
         let mut known = run.known;
         if let Some(last) = self.last_crashes.get(&fingerprint)
-            && run.started_at > last.at
+            && run.started_at.min(run.heard_at) >= last.at + EVENT_TIME
         {
-            // The last crash broke before this run started, but its upstream may have been found down only later.
+            // The upstream of the last crash went down before this run started, and this one was up then. That may have
+            // been found out only later.
             known = known.max(last.count);
         }
         if !self.suspects.note_crash(fingerprint, known, now) {
@@ -193,9 +209,11 @@
         if self.last_crashes.len() >= BROKEN_LIMIT {
             self.last_crashes.shift_remove_index(0);
         }
-        let count = known.next();
-        self.last_crashes
-            .insert(fingerprint, LastCrash { at, count });
+        let last = LastCrash {
+            at: run.heard_at.max(run.started_at),
+            count: known.next(),
+        };
+        self.last_crashes.insert(fingerprint, last);
         self.unreported.insert(fingerprint);
         let is_refused = self.suspects.refusal(fingerprint, now).is_some();
         if let Some(evidence) = self.suspects.evidence(fingerprint, now) {
@@ -207,8 +225,17 @@
         }
     }
 
-    /// Records that an upstream completed a request, which clears the request of suspicion.
-    pub(crate) fn note_completed(&mut self, fingerprint: CrashFingerprint, now: ClockMillis) {
+    /// Records that an upstream completed a request, which clears the request of suspicion. If the attempt was silent
+    /// before, its upstream did not go down.
+    pub(crate) fn note_completed(
+        &mut self,
+        vm: &VmName,
+        fingerprint: CrashFingerprint,
+        now: ClockMillis,
+    ) {
+        self.broken.retain(|attempt| {
+            attempt.is_handled || attempt.vm != *vm || attempt.run.fingerprint != fingerprint
+        });
         let cleared = self.suspects.note_completed(fingerprint);
         if cleared == 0 {
             return;
@@ -225,6 +252,11 @@
         }
     }
 
+    /// Whether a request was part of a crash and has not completed since.
+    pub(crate) fn is_suspect(&self, fingerprint: CrashFingerprint, now: ClockMillis) -> bool {
+        self.suspects.is_suspect(fingerprint, now)
+    }
+
     /// The time for which a request is still refused, or `None` if it is not.
     pub(crate) fn refusal(
         &self,
--- a/crates/coordination/fescuetide_flow/src/flow.rs
+++ b/crates/coordination/fescuetide_flow/src/flow.rs
@@ -26,11 +26,16 @@
 
 impl FlowAttempt {
     /// The attempt as far as it matters for the detection of requests that crash upstreams.
-    pub(crate) fn crash_run(&self, fingerprint: CrashFingerprint) -> CrashRun {
+    pub(crate) fn crash_run(
+        &self,
+        fingerprint: CrashFingerprint,
+        heard_at: ClockMillis,
+    ) -> CrashRun {
         CrashRun {
             fingerprint,
             known: self.known_crashes,
             started_at: self.started_at,
+            heard_at,
         }
     }
 }
--- a/crates/coordination/fescuetide_flow/src/pool.rs
+++ b/crates/coordination/fescuetide_flow/src/pool.rs
@@ -145,6 +145,11 @@
         }
     }
 
+    /// When data last arrived from an upstream.
+    pub(crate) fn last_data_at(&self, vm: &VmName) -> Option<ClockMillis> {
+        self.upstreams.get(vm).map(|upstream| upstream.last_data_at)
+    }
+
     /// When data last arrived from any upstream but `vm`.
     pub(crate) fn last_data_at_others(&self, vm: &VmName) -> ClockMillis {
         let others = self.upstreams.iter().filter(|(name, _)| *name != vm);
--- a/crates/coordination/fescuetide_flow/src/scheduler.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler.rs
@@ -58,6 +58,8 @@
     actions: VecDeque<FlowAction>,
     /// Upstreams with a probe in progress.
     probing: IndexSet<VmName>,
+    /// Upstreams that did not answer a probe while no other one did.
+    unanswered: IndexSet<VmName>,
 }
 
 impl RequestScheduler {
@@ -76,6 +78,7 @@
             tie_break_seed: 0,
             actions: VecDeque::new(),
             probing: IndexSet::new(),
+            unanswered: IndexSet::new(),
         }
     }
 
@@ -168,8 +171,7 @@
     pub fn caller_left(&mut self, key: FlowKey, now: ClockMillis) {
         let attempt = self.flows.get(&key).and_then(RequestFlow::attempt);
         if attempt.is_some_and(|attempt| self.is_unresponsive(attempt)) {
-            // Callers often leave, so the upstream is not probed. Other requests there show whether it is down.
-            self.note_broken(key, now);
+            self.note_silent(key, now);
         }
         self.remove(key, now);
     }
@@ -227,6 +229,7 @@
     pub fn tick(&mut self, now: ClockMillis) {
         self.share_budgets(now);
         self.refuse_expired(now);
+        self.probe_unanswered(now);
         let mut silent = Vec::new();
         let mut timed_out = Vec::new();
         for (key, flow) in &self.flows {
@@ -234,7 +237,7 @@
                 timed_out.push(*key);
                 continue;
             }
-            if self.is_silent(flow, now) && flow.may_send() {
+            if self.is_silent(flow, now) || self.is_suspect_silent(flow, now) {
                 silent.push(*key);
             }
         }
--- a/crates/coordination/fescuetide_flow/src/scheduler/ending.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/ending.rs
@@ -21,7 +21,7 @@
         let attempt = flow.attempt();
         let is_sent = attempt.is_some_and(|attempt| attempt.is_sent);
         if attempt.is_some_and(|attempt| self.is_unresponsive(attempt)) {
-            self.note_lost(key, now);
+            self.note_silent(key, now);
         }
         let flow = &mut self.flows[&key];
         flow.may_have_run |= is_sent;
--- a/crates/coordination/fescuetide_flow/src/scheduler/retrying.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/retrying.rs
@@ -27,7 +27,8 @@
         flow.may_have_run = true;
         // An error may come from an upstream that did not get as far as to crash.
         if status < 400 {
-            self.crashes.note_completed(flow.request.fingerprint, now);
+            let fingerprint = flow.request.fingerprint;
+            self.crashes.note_completed(vm, fingerprint, now);
         }
         // Once the head of a stream was relayed, an error response must not trigger a retry.
         let retries = is_failure && flow.request.kind.is_repeatable() && !flow.is_relayed;
@@ -58,6 +59,8 @@
         self.refuse_or_fail(key, RefusalCause::Declined, DEFAULT_RETRY_AFTER, now);
     }
 
+    /// Handles an attempt that ended without a response. The request is sent again if its kind allows it, unless it was part
+    /// of a crash before: then it may have crashed this upstream as well, and would crash the next one.
     pub(super) fn break_attempt(
         &mut self,
         key: FlowKey,
@@ -82,7 +85,7 @@
             self.refuse_or_fail_with(key, failure, RefusalCause::CrashesUpstreams, left, now);
             return;
         }
-        if !is_sent || self.take_retry(key) {
+        if !is_sent || (!self.crashes.is_suspect(fingerprint, now) && self.take_retry(key)) {
             self.resend(key, now);
             return;
         }
@@ -146,8 +149,8 @@
         now >= due
     }
 
-    /// Moves a request from an unresponsive upstream to another one. Without spare capacity elsewhere or a retry left,
-    /// the attempt continues.
+    /// Moves a request from a silent upstream to another one. The attempt continues without spare capacity elsewhere or a
+    /// retry left, or if the request may have crashed this upstream after another one.
     pub(super) fn fail_over_silent(&mut self, key: FlowKey, now: ClockMillis) {
         let Some(flow) = self.flows.get_mut(&key) else {
             return;
@@ -155,21 +158,25 @@
         let Some(attempt) = flow.attempt().cloned() else {
             return;
         };
+        let is_suspect = self.crashes.is_suspect(flow.request.fingerprint, now);
+        let is_unresponsive = self.is_unresponsive(&attempt);
+        if is_unresponsive {
+            self.note_silent(key, now);
+        }
         let has_other = self.pools.get(&attempt.pool).is_some_and(|pool| {
             let tried = [attempt.vm.clone()];
             let zone = self.zone.as_str();
             let others = pool.candidates(&tried, &[], zone, &self.outcomes, now);
             others.iter().any(|other| other.load < other.capacity)
         });
-        if !has_other || !self.take_retry(key) {
+        if !has_other || is_suspect || !self.take_retry(key) {
             return;
         }
         let flow = &mut self.flows[&key];
         flow.may_have_run |= attempt.is_sent;
         self.outcomes.note_failure(&attempt.vm);
-        if self.is_unresponsive(&attempt) {
+        if is_unresponsive {
             self.outcomes.note_unreachable(&attempt.vm, now);
-            self.note_lost(key, now);
         }
         self.actions.push_back(FlowAction::Cancel(key));
         self.resend(key, now);
--- a/crates/coordination/fescuetide_flow/tests/flow/crash.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/crash.rs
@@ -14,6 +14,9 @@
 use crate::harness::SchedulerHarness;
 use crate::harness::route;
 
+/// Pause before a request comes again.
+const RESEND_PAUSE: SpanMillis = SpanMillis::new(200);
+
 fn fingerprint(content: &[u8]) -> CrashFingerprint {
     CrashFingerprint::of_parts(&[content])
 }
@@ -28,6 +31,12 @@
         self.scheduler.arrive(request, self.now)
     }
 
+    /// Adds a request that comes again a moment after the last one, so that their crashes are two events.
+    fn arrive_later(&mut self, content: &[u8]) -> FlowKey {
+        self.now = self.now + RESEND_PAUSE;
+        self.arrive_with(content)
+    }
+
     /// Breaks the attempt of a request and expects it to fail. Returns the upstream.
     fn break_one(&mut self, key: FlowKey) -> VmName {
         let upstream = self.expect_send(key).upstream;
@@ -47,7 +56,7 @@
 
     /// Sends a request that ends as `event` says, and ends the probe of its upstream with `outcome`. Returns the upstream.
     fn crash_with(&mut self, event: AttemptEvent, outcome: ProbeOutcome) -> VmName {
-        let key = self.arrive_with(b"crashing");
+        let key = self.arrive_later(b"crashing");
         let upstream = self.expect_send(key).upstream;
         self.note(key, AttemptEvent::Sent);
         self.note(key, event);
@@ -72,7 +81,7 @@
     }
 
     fn expect_sent(&mut self) {
-        let key = self.arrive_with(b"crashing");
+        let key = self.arrive_later(b"crashing");
         self.expect_send(key);
     }
 
@@ -117,11 +126,11 @@
 fn request_that_crashed_three_upstreams_is_refused() {
     let mut harness = SchedulerHarness::with_upstreams(6);
     for _ in 0..3 {
-        let key = harness.arrive_with(b"crashing");
+        let key = harness.arrive_later(b"crashing");
         let upstream = harness.break_one(key);
         harness.detect_down(&upstream);
     }
-    let key = harness.arrive_with(b"crashing");
+    let key = harness.arrive_later(b"crashing");
     harness.expect_refused(key);
     let other = harness.arrive_with(b"other");
     harness.expect_send(other);
@@ -187,10 +196,10 @@
 fn completed_request_is_cleared() {
     let mut harness = SchedulerHarness::with_upstreams(6);
     for _ in 0..5 {
-        let key = harness.arrive_with(b"innocent");
+        let key = harness.arrive_later(b"innocent");
         let upstream = harness.break_one(key);
         harness.detect_down(&upstream);
-        let key = harness.arrive_with(b"innocent");
+        let key = harness.arrive_later(b"innocent");
         harness.expect_send(key);
         harness.complete(key);
     }
@@ -202,7 +211,7 @@
 fn new_incarnation_counts_as_a_crash() {
     let mut harness = SchedulerHarness::with_upstreams(1);
     for incarnation in 2..5 {
-        let key = harness.arrive_with(b"crashing");
+        let key = harness.arrive_later(b"crashing");
         harness.break_one(key);
         let entry = fescuetide_fleet::UpstreamEntry {
             incarnation: ProcessIncarnation::new(incarnation),
@@ -210,7 +219,7 @@
         };
         harness.scheduler.set_upstreams(&[entry], harness.now);
     }
-    let key = harness.arrive_with(b"crashing");
+    let key = harness.arrive_later(b"crashing");
     harness.expect_refused(key);
 }
 
@@ -239,7 +248,7 @@
     let mut harness = SchedulerHarness::with_upstreams(6);
     assert_eq!(harness.scheduler.take_crash_evidence(harness.now), []);
     for _ in 0..3 {
-        let key = harness.arrive_with(b"crashing");
+        let key = harness.arrive_later(b"crashing");
         let upstream = harness.break_one(key);
         harness.detect_down(&upstream);
     }
@@ -250,7 +259,7 @@
 
     let mut other = SchedulerHarness::with_upstreams(6);
     other.scheduler.merge_crash_evidence(evidence, other.now);
-    let key = other.arrive_with(b"crashing");
+    let key = other.arrive_later(b"crashing");
     other.expect_refused(key);
     assert_eq!(other.scheduler.take_crash_evidence(other.now), []);
     assert_eq!(other.scheduler.list_crash_evidence(other.now).len(), 1);
@@ -262,13 +271,13 @@
     let mut gateways = new_gateways(4);
     for index in 0..3 {
         let gateway = &mut gateways[index];
-        let key = gateway.arrive_with(b"crashing");
+        let key = gateway.arrive_later(b"crashing");
         let upstream = gateway.break_one(key);
         gateway.detect_down(&upstream);
         share_evidence(&mut gateways, index);
     }
     for gateway in &mut gateways {
-        let key = gateway.arrive_with(b"crashing");
+        let key = gateway.arrive_later(b"crashing");
         gateway.expect_refused(key);
     }
 }
@@ -301,7 +310,7 @@
         SchedulerHarness::with_upstreams(1),
     ];
     for _ in 0..3 {
-        let key = gateways[0].arrive_with(b"crashing");
+        let key = gateways[0].arrive_later(b"crashing");
         let upstream = gateways[0].break_one(key);
         gateways[0].detect_down(&upstream);
     }
@@ -314,7 +323,7 @@
         }
         running.push(key);
     }
-    let queued = harness.arrive_with(b"crashing");
+    let queued = harness.arrive_later(b"crashing");
     assert_eq!(harness.scheduler.waiting_count(), 2);
     share_evidence(&mut gateways, 0);
     let harness = &mut gateways[1];
@@ -344,7 +353,7 @@
         let event = AttemptEvent::Broken(BreakCause::Closed);
         harness.crash_with(event, ProbeOutcome::Refused);
     }
-    let key = harness.arrive_with(b"crashing");
+    let key = harness.arrive_later(b"crashing");
     harness.expect_refused(key);
 }
 
@@ -356,7 +365,7 @@
         let event = AttemptEvent::Broken(BreakCause::Garbled);
         harness.crash_with(event, ProbeOutcome::Refused);
     }
-    let key = harness.arrive_with(b"crashing");
+    let key = harness.arrive_later(b"crashing");
     harness.expect_refused(key);
 }
 
@@ -377,7 +386,7 @@
 fn upstreams_that_do_not_answer_count_as_crashed() {
     let mut harness = SchedulerHarness::with_upstreams(6);
     for _ in 0..3 {
-        let key = harness.arrive_with(b"crashing");
+        let key = harness.arrive_later(b"crashing");
         let upstream = harness.expect_send(key).upstream;
         harness.note(key, AttemptEvent::Sent);
         harness.note(key, AttemptEvent::Broken(BreakCause::Closed));
@@ -387,7 +396,7 @@
         let now = harness.now;
         harness.scheduler.note_probe(&upstream, outcome, now);
     }
-    let key = harness.arrive_with(b"crashing");
+    let key = harness.arrive_later(b"crashing");
     harness.expect_refused(key);
 }
 
@@ -417,7 +426,7 @@
         harness.note(key, AttemptEvent::Declined(cause, None));
         while harness.next().is_some() {}
     }
-    let key = harness.arrive_with(b"crashing");
+    let key = harness.arrive_later(b"crashing");
     harness.expect_refused(key);
 }
 
@@ -426,7 +435,7 @@
 fn silent_attempt_is_part_of_a_crash() {
     let mut harness = SchedulerHarness::with_upstreams(6);
     for _ in 0..3 {
-        let key = harness.arrive_with(b"crashing");
+        let key = harness.arrive_later(b"crashing");
         let upstream = harness.expect_send(key).upstream;
         harness.note(key, AttemptEvent::Sent);
         harness.now = harness.now + SpanMillis::new(11_000);
@@ -436,7 +445,7 @@
         let now = harness.now;
         harness.scheduler.note_probe(&upstream, outcome, now);
     }
-    let key = harness.arrive_with(b"crashing");
+    let key = harness.arrive_later(b"crashing");
     harness.expect_refused(key);
 }
 
@@ -450,12 +459,78 @@
         harness.crash_with(event, ProbeOutcome::Refused);
         if crash < 2 {
             for status in [400, 429, 500, 503] {
-                let key = harness.arrive_with(b"crashing");
+                let key = harness.arrive_later(b"crashing");
                 harness.expect_send(key);
                 harness.complete_with(key, status);
             }
         }
     }
-    let key = harness.arrive_with(b"crashing");
+    let key = harness.arrive_later(b"crashing");
+    harness.expect_refused(key);
+}
+
+/// Guards against counting upstreams that go down together as several crashes of a harmless request, which moves from one to
+/// the next while they do.
+#[test]
+fn request_that_moves_between_upstreams_that_go_down_together_crashes_once() {
+    let mut harness = SchedulerHarness::with_upstreams(6);
+    for _ in 0..4 {
+        let key = harness.arrive_with(b"popular");
+        let upstream = harness.break_one(key);
+        let now = harness.now;
+        harness
+            .scheduler
+            .note_probe(&upstream, ProbeOutcome::Refused, now);
+    }
+    let key = harness.arrive_later(b"popular");
+    harness.expect_send(key);
+}
+
+/// Guards against a suspect that crashes a second upstream within one request of its caller.
+#[test]
+fn suspect_is_not_sent_again_after_another_break() {
+    let mut harness = SchedulerHarness::with_upstreams(6);
+    for is_suspect in [false, true] {
+        let request = WorkRequest {
+            fingerprint: fingerprint(b"crashing"),
+            ..WorkRequest::of_route(&route(WorkKind::Repeatable, 2), harness.now, None)
+        };
+        let key = harness.scheduler.arrive(request, harness.now);
+        let upstream = harness.expect_send(key).upstream;
+        harness.note(key, AttemptEvent::Sent);
+        harness.note(key, AttemptEvent::Broken(BreakCause::Closed));
+        match is_suspect {
+            false => {
+                harness.expect_send(key);
+                harness.scheduler.caller_left(key, harness.now);
+            }
+            true => assert!(matches!(harness.next(), Some(FlowAction::Fail(..)))),
+        }
+        let now = harness.now;
+        harness
+            .scheduler
+            .note_probe(&upstream, ProbeOutcome::Refused, now);
+        harness.now = now + RESEND_PAUSE;
+    }
+}
+
+/// Guards against crashes that are forgotten at a gateway with few requests, which has not heard from any other upstream when
+/// the probe ends.
+#[test]
+fn upstream_is_probed_again_once_another_one_answers() {
+    let mut harness = SchedulerHarness::with_upstreams(6);
+    for _ in 0..3 {
+        let event = AttemptEvent::Broken(BreakCause::Closed);
+        let upstream = harness.crash_with(event, ProbeOutcome::NotConnected);
+        harness.scheduler.tick(harness.now);
+        assert!(harness.next().is_none() && harness.probes.is_empty());
+        harness.hear_from_other(&upstream);
+        harness.scheduler.tick(harness.now);
+        harness.expect_probe(&upstream);
+        let now = harness.now;
+        let outcome = ProbeOutcome::NotConnected;
+        harness.scheduler.note_probe(&upstream, outcome, now);
+    }
+    let key = harness.arrive_later(b"crashing");
     harness.expect_refused(key);
 }
--- a/crates/coordination/fescuetide_flow/tests/flow/crash_fleet.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/crash_fleet.rs
@@ -36,9 +36,19 @@
 /// Number of sends that are allowed later than [`STABLE_WINDOW`] after the third crash.
 const LATE_SEND_LIMIT: u32 = 3;
 
+/// Chance in 1,000 that a harmless request arrives at a gateway in a step: 10 a second, a third of the load of the users'
+/// gateways.
+const HARMLESS_PER_MILLE: u64 = 100;
+
 /// Longest delay of evidence between gateways.
 const MAX_REPORT_DELAY_MS: u64 = 500;
 
+/// Time after which a connection to an upstream that does not answer is given up.
+const CONNECT_TIMEOUT: SpanMillis = SpanMillis::new(400);
+
+/// Range of the time after which connections to an upstream that went dark break.
+const DARK_BREAK_MS: std::ops::Range<u64> = 1_500..3_000;
+
 /// Number of seeds per size of the fleet, unless [`SEEDS_VARIABLE`] is set.
 const DEFAULT_SEEDS: u64 = 10;
 
@@ -74,12 +84,29 @@
     is_crashing: bool,
 }
 
+/// How an upstream goes down.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum DownKind {
+    /// Its connections break, and new ones are refused.
+    #[default]
+    Crashed,
+    /// It does not answer any more.
+    Dark,
+}
+
 #[derive(Debug, Default)]
 struct SimulatedUpstream {
     running: Vec<RunningRequest>,
     down_until: ClockMillis,
 }
 
+/// Something that a gateway notices later.
+#[derive(Clone, Debug)]
+enum DelayedEvent {
+    Attempt(usize, FlowKey, BreakCause),
+    Probe(usize, VmName),
+}
+
 /// A gateway and the evidence that is on its way to it.
 struct SimulatedGateway {
     scheduler: RequestScheduler,
@@ -97,6 +124,9 @@
     upstreams: Vec<SimulatedUpstream>,
     /// All evidence that was reported, as the log keeps it.
     log: Vec<CrashEvidence>,
+    delayed: Vec<(ClockMillis, DelayedEvent)>,
+    /// How upstreams go down in this run.
+    down_kind: DownKind,
     crashing_keys: BTreeMap<(usize, FlowKey), bool>,
     crashes: u32,
     third_crash_at: Option<ClockMillis>,
@@ -124,7 +154,7 @@
 }
 
 impl CrashFleet {
-    fn new(seed: u64, gateways: usize) -> Self {
+    fn new(seed: u64, gateways: usize, down_kind: DownKind) -> Self {
         let now = ClockMillis::new(1_000_000);
         Self {
             random: SeededRandom { seed, drawn: 0 },
@@ -142,6 +172,8 @@
                 .map(|_| SimulatedUpstream::default())
                 .collect(),
             log: Vec::new(),
+            delayed: Vec::new(),
+            down_kind,
             crashing_keys: BTreeMap::new(),
             crashes: 0,
             third_crash_at: None,
@@ -169,11 +201,13 @@
                 let pause = 50 + self.random.below(3_000);
                 next_crashing = self.now + SpanMillis::new(pause);
             }
-            if self.chance(400) {
-                let gateway = self.pick_gateway();
-                self.arrive(gateway, false);
+            for gateway in 0..self.gateways.len() {
+                if self.chance(HARMLESS_PER_MILLE) {
+                    self.arrive(gateway, false);
+                }
             }
             self.disturb();
+            self.deliver_delayed();
             self.end_runs();
             for gateway in 0..self.gateways.len() {
                 self.gateways[gateway].scheduler.tick(self.now);
@@ -225,21 +259,66 @@
             upstream.running.retain(|run| run.gateway != gateway);
         }
         self.crashing_keys.retain(|(owner, _), _| *owner != gateway);
+        self.drop_delayed(gateway, None);
     }
 
     fn take_down(&mut self, index: usize) {
         let length = 500 + self.random.below(3_000);
         let upstream = &mut self.upstreams[index];
         upstream.down_until = self.now + SpanMillis::new(length);
-        for run in std::mem::take(&mut upstream.running) {
-            self.note(
-                run.gateway,
-                run.key,
-                AttemptEvent::Broken(BreakCause::Closed),
-            );
+        let running = std::mem::take(&mut upstream.running);
+        if running.iter().any(|run| run.is_crashing) {
+            self.crashes += 1;
+            if self.crashes == 3 {
+                self.third_crash_at = Some(self.now);
+            }
+        }
+        for run in running {
+            let cause = BreakCause::Closed;
+            match self.down_kind {
+                DownKind::Crashed => self.note(run.gateway, run.key, AttemptEvent::Broken(cause)),
+                DownKind::Dark => {
+                    let span = DARK_BREAK_MS.end - DARK_BREAK_MS.start;
+                    let delay = SpanMillis::new(DARK_BREAK_MS.start + self.random.below(span));
+                    self.delay(delay, DelayedEvent::Attempt(run.gateway, run.key, cause));
+                }
+            }
+        }
+    }
+
+    fn delay(&mut self, delay: SpanMillis, event: DelayedEvent) {
+        self.delayed.push((self.now + delay, event));
+    }
+
+    fn deliver_delayed(&mut self) {
+        let now = self.now;
+        for (at, event) in std::mem::take(&mut self.delayed) {
+            if at > now {
+                self.delayed.push((at, event));
+                continue;
+            }
+            match event {
+                DelayedEvent::Attempt(gateway, key, cause) => {
+                    self.note(gateway, key, AttemptEvent::Broken(cause));
+                }
+                DelayedEvent::Probe(gateway, vm) => {
+                    let scheduler = &mut self.gateways[gateway].scheduler;
+                    scheduler.note_probe(&vm, ProbeOutcome::NotConnected, now);
+                }
+            }
         }
     }
 
+    /// Drops what a gateway, or one of its requests, does not notice any more.
+    fn drop_delayed(&mut self, gateway: usize, key: Option<FlowKey>) {
+        self.delayed.retain(|(_, event)| match event {
+            DelayedEvent::Attempt(owner, other, _) => {
+                *owner != gateway || key.is_some_and(|key| key != *other)
+            }
+            DelayedEvent::Probe(owner, _) => *owner != gateway || key.is_some(),
+        });
+    }
+
     fn end_runs(&mut self) {
         for index in 0..UPSTREAMS {
             let runs = &self.upstreams[index].running;
@@ -249,10 +328,6 @@
                 .copied()
                 .collect();
             if due.iter().any(|run| run.is_crashing) {
-                self.crashes += 1;
-                if self.crashes == 3 {
-                    self.third_crash_at = Some(self.now);
-                }
                 self.take_down(index);
                 continue;
             }
@@ -284,15 +359,19 @@
                     self.send(gateway, command.key, index);
                 }
                 FlowAction::Probe(vm) => {
-                    let is_down = self.is_down(upstream_index(&vm));
-                    let outcome = match is_down {
-                        true => ProbeOutcome::Refused,
-                        false => ProbeOutcome::Connected,
+                    let outcome = match (self.is_down(upstream_index(&vm)), self.down_kind) {
+                        (true, DownKind::Dark) => {
+                            self.delay(CONNECT_TIMEOUT, DelayedEvent::Probe(gateway, vm));
+                            continue;
+                        }
+                        (true, DownKind::Crashed) => ProbeOutcome::Refused,
+                        (false, _) => ProbeOutcome::Connected,
                     };
                     let scheduler = &mut self.gateways[gateway].scheduler;
                     scheduler.note_probe(&vm, outcome, self.now);
                 }
                 FlowAction::Cancel(key) => {
+                    self.drop_delayed(gateway, Some(key));
                     for upstream in &mut self.upstreams {
                         upstream
                             .running
@@ -319,15 +398,21 @@
 
     fn send(&mut self, gateway: usize, key: FlowKey, index: usize) {
         let is_crashing = self.crashing_keys.get(&(gateway, key)) == Some(&true);
-        if is_crashing {
-            self.count_late_send(gateway);
+        if self.is_down(index) && self.down_kind == DownKind::Dark {
+            let event = DelayedEvent::Attempt(gateway, key, BreakCause::NotConnected);
+            self.delay(CONNECT_TIMEOUT, event);
+            return;
         }
+        let is_down = self.is_down(index);
         let scheduler = &mut self.gateways[gateway].scheduler;
-        if self.now < self.upstreams[index].down_until {
+        if is_down {
             scheduler.note_attempt(key, AttemptEvent::Broken(BreakCause::Refused), self.now);
             return;
         }
         scheduler.note_attempt(key, AttemptEvent::Sent, self.now);
+        if is_crashing {
+            self.count_late_send(gateway);
+        }
         let length = match is_crashing {
             true => 10 + self.random.below(50),
             false => 50 + self.random.below(200),
@@ -387,17 +472,21 @@
         text.parse().expect("the number of seeds is a number")
     });
     for gateways in [2, 4, 22] {
-        for seed in 0..seeds {
-            let mut fleet = CrashFleet::new(seed, gateways);
-            fleet.run();
-            let context = format!(
-                "seed {seed}, {gateways} gateways, {} crashes",
-                fleet.crashes
-            );
-            assert!(fleet.third_crash_at.is_some(), "{context}");
-            assert!(fleet.refusals > 0, "{context}");
-            let late = fleet.late_sends;
-            assert!(late <= LATE_SEND_LIMIT, "{late} late sends, {context}");
+        for down_kind in [DownKind::Crashed, DownKind::Dark] {
+            for seed in 0..seeds {
+                check_run(seed, gateways, down_kind);
+            }
         }
     }
 }
+
+fn check_run(seed: u64, gateways: usize, down_kind: DownKind) {
+    let mut fleet = CrashFleet::new(seed, gateways, down_kind);
+    fleet.run();
+    let crashes = fleet.crashes;
+    let context = format!("seed {seed}, {gateways} gateways, {down_kind:?}, {crashes} crashes");
+    assert!(fleet.third_crash_at.is_some(), "{context}");
+    assert!(fleet.refusals > 0, "{context}");
+    let late = fleet.late_sends;
+    assert!(late <= LATE_SEND_LIMIT, "{late} late sends, {context}");
+}
--- a/crates/coordination/fescuetide_limits/src/suspects.rs
+++ b/crates/coordination/fescuetide_limits/src/suspects.rs
@@ -75,6 +75,9 @@
 pub struct SuspectSettings {
     /// Number of crashes after which a request is refused.
     pub crash_limit: u32,
+    /// Crashes within this time are one event. Upstreams that go down together do so within moments, and a request that many
+    /// callers send may move from one to the next meanwhile.
+    pub event_time: SpanMillis,
     /// Time after the last crash for which an entry is kept: the request remains refused or a suspect for this long.
     pub retention: SpanMillis,
     /// Maximum number of entries. Requests that are not refused are evicted first, oldest first.
@@ -90,6 +93,7 @@
     fn default() -> Self {
         Self {
             crash_limit: 2,
+            event_time: SpanMillis::new(0),
             retention: SpanMillis::new(600_000),
             entry_limit: 4_096,
             exchange_limit: 64,
@@ -103,6 +107,10 @@
     crashes: CrashCount,
     cleared: CrashCount,
     until: ClockMillis,
+    /// When `crashes` last grew.
+    raised_at: ClockMillis,
+    /// The crashes before the event that `crashes` last grew in.
+    settled: CrashCount,
 }
 
 impl SuspectEntry {
@@ -151,10 +159,14 @@
         }
     }
 
-    /// Returns the crashes of a request that are known, including those that were cleared.
+    /// Returns the crashes of a request that are known, including those that were cleared, but without those of an event
+    /// that may still go on.
     pub fn crashes(&self, fingerprint: CrashFingerprint, now: ClockMillis) -> CrashCount {
-        self.live(fingerprint, now)
-            .map_or_else(CrashCount::default, |entry| entry.crashes)
+        let entry = self.live(fingerprint, now).copied().unwrap_or_default();
+        match now.since(entry.raised_at) < self.settings.event_time {
+            true => entry.settled,
+            false => entry.crashes,
+        }
     }
 
     /// Records that an upstream crashed while it was running the request. `known` is what [`crashes`](Self::crashes)
@@ -166,7 +178,8 @@
         now: ClockMillis,
     ) -> bool {
         // The entry may have expired while the request was running, and with it what was cleared.
-        let known = known.min(self.crashes(fingerprint, now));
+        let entry = self.live(fingerprint, now).copied().unwrap_or_default();
+        let known = known.min(entry.crashes);
         let evidence = CrashEvidence {
             fingerprint,
             crashes: known.next(),
@@ -200,17 +213,19 @@
         }
         let known = self.live(evidence.fingerprint, now).copied();
         let entry = known.unwrap_or_default();
-        let merged = SuspectEntry {
-            crashes: entry.crashes.max(evidence.crashes),
+        let mut merged = SuspectEntry {
             cleared: entry.cleared.max(evidence.cleared),
-            // Without a new crash the expiry stays, so that routers cannot extend a refusal by exchanging it.
-            until: match evidence.crashes > entry.crashes {
-                true => entry.until.max(now + left),
-                false => entry.until,
-            },
+            ..entry
         };
-        let is_new = merged.crashes != entry.crashes || merged.cleared != entry.cleared;
-        if !is_new {
+        // Without a new crash the expiry stays, so that routers cannot extend a refusal by exchanging it.
+        let has_crashed = evidence.crashes > entry.crashes;
+        if has_crashed {
+            merged.crashes = evidence.crashes;
+            merged.until = entry.until.max(now + left);
+            merged.settled = self.crashes(evidence.fingerprint, now);
+            merged.raised_at = now;
+        }
+        if !has_crashed && merged.cleared == entry.cleared {
             return false;
         }
         if known.is_none() {
