--- a/crates/process/fescuetide_gateway/src/crash_reports.rs
+++ b/crates/process/fescuetide_gateway/src/crash_reports.rs
@@ -37,7 +37,7 @@
 const RETRY_DELAY: Duration = Duration::from_millis(1_000);
 
 /// Interval between checks for own reports that have expired.
-const EXPIRY_INTERVAL: Duration = Duration::from_secs(60);
+const EXPIRY_INTERVAL: SpanMillis = SpanMillis::new(60_000);
 
 /// Maximum number of records in one call, which keeps its body below 100 KB.
 const APPEND_LIMIT: usize = 1_000;
@@ -144,9 +144,10 @@
 
 impl<C: RecordCodec> ReportAppender<C> {
     fn run(mut self, commands: &Receiver<ReportCommand>) {
+        let mut next_expiry_at = ClockMillis::now() + EXPIRY_INTERVAL;
         loop {
             let wait = match self.pending.is_empty() {
-                true => EXPIRY_INTERVAL,
+                true => next_expiry_at.since(ClockMillis::now()).into(),
                 false => RETRY_DELAY,
             };
             match commands.recv_timeout(wait) {
@@ -161,10 +162,15 @@
                         self.pending.entry(key).or_insert(None);
                     }
                 }
-                Err(RecvTimeoutError::Timeout) => self.remove_expired(),
+                Err(RecvTimeoutError::Timeout) => {}
                 // The traffic thread has ended, so the process is exiting.
                 Err(RecvTimeoutError::Disconnected) => return,
             }
+            let now = ClockMillis::now();
+            if now >= next_expiry_at {
+                next_expiry_at = now + EXPIRY_INTERVAL;
+                self.remove_expired(now);
+            }
             if self.pending.is_empty() {
                 continue;
             }
@@ -184,8 +190,7 @@
         }
     }
 
-    fn remove_expired(&mut self) {
-        let now = ClockMillis::now();
+    fn remove_expired(&mut self, now: ClockMillis) {
         for (key, until) in &self.appended {
             if now >= *until {
                 self.pending.entry(key.clone()).or_insert(None);
