Read and append crash reports with fewer calls to the log

Cause: each gateway read the reports every 2 s, every append woke all readers at once, and each request that completed after a crash was an append of its own. Change: reads wait for 10 s, and end at once when another follower notices an outage of the log, which may have lost them. A reader pauses for 0.25 s after reports, appends are 0.25 s apart, and completions wait for 1 s to be appended together. New crashes are still appended at once. The client's timeout now covers a whole response and not each of its parts.

--- a/crates/process/fescuetide_gateway/src/crash_reports.rs
+++ b/crates/process/fescuetide_gateway/src/crash_reports.rs
@@ -30,11 +30,20 @@
 use crate::messages::LoopMessage;
 use crate::peers::PeerCommand;
 
-/// How long a read of reports waits for a new one (long polling). A read whose response is lost delays reports for so long.
-const REPORT_WAIT: SpanMillis = SpanMillis::new(2_000);
+/// How long a read of reports waits for a new one (long polling). An outage that the other followers notice ends it sooner.
+const REPORT_WAIT: SpanMillis = SpanMillis::new(10_000);
+
+/// Pause after a read that returned reports. Several gateways report a crash at about the same time.
+const READ_PAUSE: Duration = Duration::from_millis(250);
+
+/// Minimum interval between appends.
+const APPEND_INTERVAL: SpanMillis = SpanMillis::new(250);
+
+/// Delay of reports that requests completed, which many do in the seconds after a crash.
+const COMPLETION_DELAY: SpanMillis = SpanMillis::new(1_000);
 
 /// Delay after a failed call. While the log is unavailable, peers tell each other what they find.
-const RETRY_DELAY: Duration = Duration::from_millis(1_000);
+const RETRY_DELAY: SpanMillis = SpanMillis::new(1_000);
 
 /// Interval between checks for own reports that have expired.
 const EXPIRY_INTERVAL: SpanMillis = SpanMillis::new(60_000);
@@ -46,7 +55,12 @@
 #[derive(Clone, Debug)]
 pub(crate) enum ReportCommand {
     /// Append what this gateway has found.
-    Append(Vec<CrashEvidence>),
+    Append {
+        /// What it has found.
+        evidence: Vec<CrashEvidence>,
+        /// Whether there is a new crash, and not only requests that completed.
+        is_urgent: bool,
+    },
     /// Remove the records with these keys, which have expired.
     Remove(Vec<String>),
 }
@@ -62,7 +76,8 @@
     let (sender, commands) = channel::unbounded();
     let mut follower =
         StreamFollower::new(FleetStream::CrashReports, address, codec.clone(), publisher);
-    follower.retry_delay = RETRY_DELAY;
+    follower.retry_delay = RETRY_DELAY.into();
+    follower.client.outages = Some(publisher.outages.clone());
     let expired = sender.clone();
     thread::Builder::new()
         .name("crash-follow".to_owned())
@@ -75,6 +90,8 @@
         peers,
         pending: IndexMap::new(),
         appended: IndexMap::new(),
+        append_at: None,
+        next_append_at: ClockMillis::default(),
         is_failing: false,
     };
     thread::Builder::new()
@@ -115,6 +132,9 @@
             // The appending thread only ends when the process is exiting.
             return;
         }
+        if !records.is_empty() {
+            thread::sleep(READ_PAUSE);
+        }
     }
 }
 
@@ -139,6 +159,10 @@
     pending: IndexMap<String, Option<CrashRecord>>,
     /// The expiry of this gateway's own records in the log, by key.
     appended: IndexMap<String, ClockMillis>,
+    /// When pending records are appended.
+    append_at: Option<ClockMillis>,
+    /// The earliest time of the next append.
+    next_append_at: ClockMillis,
     is_failing: bool,
 }
 
@@ -146,20 +170,16 @@
     fn run(mut self, commands: &Receiver<ReportCommand>) {
         let mut next_expiry_at = ClockMillis::now() + EXPIRY_INTERVAL;
         loop {
-            let wait = match self.pending.is_empty() {
-                true => next_expiry_at.since(ClockMillis::now()).into(),
-                false => RETRY_DELAY,
-            };
-            match commands.recv_timeout(wait) {
-                Ok(ReportCommand::Append(list)) => {
-                    self.add_reports(list);
-                    if self.is_failing {
-                        self.send_to_peers();
-                    }
-                }
+            let due = self.append_at.unwrap_or(next_expiry_at);
+            let wait = due.min(next_expiry_at).since(ClockMillis::now());
+            match commands.recv_timeout(wait.into()) {
+                Ok(ReportCommand::Append {
+                    evidence,
+                    is_urgent,
+                }) => self.add_reports(evidence, is_urgent),
                 Ok(ReportCommand::Remove(keys)) => {
                     for key in keys {
-                        self.pending.entry(key).or_insert(None);
+                        self.add_removal(key);
                     }
                 }
                 Err(RecvTimeoutError::Timeout) => {}
@@ -171,18 +191,44 @@
                 next_expiry_at = now + EXPIRY_INTERVAL;
                 self.remove_expired(now);
             }
-            if self.pending.is_empty() {
-                continue;
+            if self.append_at.is_some_and(|at| now >= at) {
+                self.append_pending(now);
             }
-            match self.append() {
-                Ok(()) => self.is_failing = false,
-                Err(error) => self.handle_failure(&error),
+        }
+    }
+
+    fn append_pending(&mut self, now: ClockMillis) {
+        let result = self.append();
+        self.next_append_at = now + APPEND_INTERVAL;
+        self.append_at = None;
+        match result {
+            Ok(()) => self.is_failing = false,
+            Err(error) => {
+                self.handle_failure(&error);
+                self.append_at = Some(now + RETRY_DELAY);
             }
         }
     }
 
-    fn add_reports(&mut self, list: Vec<CrashEvidence>) {
+    /// Sets the time of the next append to `at` unless it is sooner. While calls fail, the time of the next try stays.
+    fn schedule(&mut self, at: ClockMillis) {
+        let at = at.max(self.next_append_at);
+        self.append_at = match self.append_at {
+            Some(known) if self.is_failing => Some(known),
+            Some(known) => Some(known.min(at)),
+            None => Some(at),
+        };
+    }
+
+    fn add_reports(&mut self, list: Vec<CrashEvidence>, is_urgent: bool) {
         let now = ClockMillis::now();
+        self.schedule(match is_urgent {
+            true => now,
+            false => now + COMPLETION_DELAY,
+        });
+        if self.is_failing {
+            self.send_to_peers();
+        }
         for evidence in list {
             let key = CrashRecord::key(evidence.fingerprint, &self.gateway);
             let record = CrashRecord::new(&evidence, now);
@@ -190,12 +236,21 @@
         }
     }
 
+    fn add_removal(&mut self, key: String) {
+        self.pending.entry(key).or_insert(None);
+        self.schedule(ClockMillis::now());
+    }
+
     fn remove_expired(&mut self, now: ClockMillis) {
+        let mut expired = Vec::new();
         for (key, until) in &self.appended {
             if now >= *until {
-                self.pending.entry(key.clone()).or_insert(None);
+                expired.push(key.clone());
             }
         }
+        for key in expired {
+            self.add_removal(key);
+        }
     }
 
     /// Appends pending records. An append whose response is lost is repeated, which changes nothing: the records say the
--- a/crates/process/fescuetide_gateway/src/follower.rs
+++ b/crates/process/fescuetide_gateway/src/follower.rs
@@ -25,6 +25,7 @@
 use crate::codec::RecordCodec;
 use crate::counters::count;
 use crate::log_client::CallError;
+use crate::log_client::OutageCounter;
 use crate::log_client::PlatformLogClient;
 use crate::messages::LoopMessage;
 use crate::peer_state::PeerState;
@@ -52,6 +53,8 @@
     pub(crate) counters: Arc<GatewayCounters>,
     /// State that is shared with peers.
     pub(crate) peer_state: Arc<PeerState>,
+    /// The outages of the log that the followers of the fleet have noticed.
+    pub(crate) outages: OutageCounter,
 }
 
 impl FleetPublisher {
@@ -107,7 +110,7 @@
 /// Reads one log stream in order.
 pub(crate) struct StreamFollower<C> {
     stream: FleetStream,
-    client: PlatformLogClient,
+    pub(crate) client: PlatformLogClient,
     codec: C,
     pub(crate) publisher: FleetPublisher,
     /// The offset to read next, `None` if the newest records must be listed first.
@@ -183,6 +186,7 @@
     fn publish_unavailable(&self, is_unavailable: bool) {
         match self.stream {
             FleetStream::Configs | FleetStream::Upstreams => {
+                self.publisher.outages.increment();
                 let update = FleetUpdate::LogUnavailable(is_unavailable);
                 self.publisher.publish(update);
             }
--- a/crates/process/fescuetide_gateway/src/log_client.rs
+++ b/crates/process/fescuetide_gateway/src/log_client.rs
@@ -6,7 +6,11 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use fescuetide_http1::BodyDecoder;
 use fescuetide_http1::BodyFraming;
@@ -30,6 +34,24 @@
 /// Response timeout, in addition to the time that the call itself asks the log to wait.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Interval at which a waiting call checks whether the log has had an outage.
+const OUTAGE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Counts the outages of the log that this process has noticed.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct OutageCounter(Arc<AtomicU64>);
+
+impl OutageCounter {
+    /// Records that an outage has begun or ended.
+    pub(crate) fn increment(&self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// Why a call failed.
 #[derive(Debug)]
 pub(crate) enum CallError {
@@ -71,6 +93,8 @@
 pub(crate) struct PlatformLogClient {
     address: SocketAddr,
     stream: Option<TcpStream>,
+    /// A call ends as timed out when this changes, since a log that recovers may have lost it.
+    pub(crate) outages: Option<OutageCounter>,
 }
 
 impl PlatformLogClient {
@@ -78,6 +102,7 @@
         Self {
             address,
             stream: None,
+            outages: None,
         }
     }
 
@@ -107,9 +132,13 @@
             Some(stream) => stream,
             None => self.connect()?,
         };
-        stream.set_read_timeout(Some(wait + RESPONSE_TIMEOUT))?;
+        let limit = ReadLimit {
+            deadline: Instant::now() + wait + RESPONSE_TIMEOUT,
+            outages: self.outages.clone(),
+            known_outages: self.outages.as_ref().map(OutageCounter::get),
+        };
         stream.write_all(message)?;
-        let (head, body) = read_response(&mut stream)?;
+        let (head, body) = read_response(&mut stream, &limit)?;
         if head.keeps_alive() {
             self.stream = Some(stream);
         }
@@ -128,11 +157,39 @@
     }
 }
 
-fn read_response(stream: &mut TcpStream) -> Result<(ResponseHead, Vec<u8>), CallError> {
+/// How long the bytes of a response are waited for.
+struct ReadLimit {
+    deadline: Instant,
+    outages: Option<OutageCounter>,
+    /// The outages when the call began.
+    known_outages: Option<u64>,
+}
+
+impl ReadLimit {
+    fn is_reached(&self) -> bool {
+        let outages = self.outages.as_ref().map(OutageCounter::get);
+        Instant::now() >= self.deadline || outages != self.known_outages
+    }
+
+    /// The timeout of the next read, which is not zero.
+    fn read_timeout(&self) -> Duration {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let left = left.max(Duration::from_millis(1));
+        match self.outages {
+            Some(_) => left.min(OUTAGE_CHECK_INTERVAL),
+            None => left,
+        }
+    }
+}
+
+fn read_response(
+    stream: &mut TcpStream,
+    limit: &ReadLimit,
+) -> Result<(ResponseHead, Vec<u8>), CallError> {
     let mut input = Vec::new();
     let mut part = [0; 4_096];
     let (head, used) = loop {
-        let count = read_part(stream, &mut part)?;
+        let count = read_part(stream, &mut part, limit)?;
         input.extend_from_slice(&part[..count]);
         match ResponseHead::parse(&input, HEAD_LIMIT_BYTES) {
             Ok(Some(parsed)) => break parsed,
@@ -158,20 +215,33 @@
         if body.len() > BODY_LIMIT_BYTES {
             return Err(CallError::TooLarge);
         }
-        let count = read_part(stream, &mut part)?;
+        let count = read_part(stream, &mut part, limit)?;
         rest.clear();
         rest.extend_from_slice(&part[..count]);
     }
 }
 
-fn read_part(stream: &mut TcpStream, part: &mut [u8]) -> Result<usize, CallError> {
+fn read_part(
+    stream: &mut TcpStream,
+    part: &mut [u8],
+    limit: &ReadLimit,
+) -> Result<usize, CallError> {
     loop {
+        stream.set_read_timeout(Some(limit.read_timeout()))?;
         match stream.read(part) {
             Ok(0) => return Err(CallError::Io(io::ErrorKind::UnexpectedEof.into())),
             Ok(count) => return Ok(count),
             // Reads are interrupted when a suspended process resumes.
             Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) if is_timeout(&error) && !limit.is_reached() => {}
             Err(error) => return Err(error.into()),
         }
     }
 }
+
+fn is_timeout(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+    )
+}
--- a/crates/process/fescuetide_gateway/src/messages.rs
+++ b/crates/process/fescuetide_gateway/src/messages.rs
@@ -94,6 +94,7 @@
             return;
         }
         let mut has_new_refusal = false;
+        let mut has_new_crash = false;
         for event in events {
             has_new_refusal |= matches!(
                 event,
@@ -102,6 +103,7 @@
                     ..
                 }
             );
+            has_new_crash |= matches!(event, CrashEvent::Counted { .. });
             self.log_crash_event(event);
         }
         if let Some(peers) = &self.peer_sender {
@@ -116,10 +118,15 @@
                 );
             }
         }
-        let reports = self.scheduler.take_crash_evidence(self.now);
+        let evidence = self.scheduler.take_crash_evidence(self.now);
         if let Some(appender) = &self.report_sender
-            && !reports.is_empty()
-            && appender.send(ReportCommand::Append(reports)).is_err()
+            && !evidence.is_empty()
+            && appender
+                .send(ReportCommand::Append {
+                    evidence,
+                    is_urgent: has_new_crash,
+                })
+                .is_err()
         {
             tracing::error!("cannot append crash reports: the appending thread has ended");
         }
--- a/crates/process/fescuetide_gateway/src/process.rs
+++ b/crates/process/fescuetide_gateway/src/process.rs
@@ -20,6 +20,7 @@
 use crate::follower;
 use crate::follower::FleetPublisher;
 use crate::follower::FollowIntervals;
+use crate::log_client::OutageCounter;
 use crate::peer_state::PeerState;
 use crate::peers;
 use crate::sockets;
@@ -60,6 +61,7 @@
             waker: Arc::new(waker),
             counters,
             peer_state: Arc::default(),
+            outages: OutageCounter::default(),
         };
         if let Some(listener) = open_peer_listener(settings)? {
             let own = listener.local_addr()?;
