Never reuse the token of a closed connection

What callers saw: bytes of another caller's stream before their own answer, or an answer without a request (MIXED), when upstreams go dark. Cause: connections were found by their slot, and slots are reused. Its request kept the token, and closed whatever held the slot when it was cancelled, a caller's connection for example; the next caller in that slot got the other stream. Change: TokenTable gives each connection a token of its own, a slot and the serial number of its insertion; an old token finds nothing. An idle connection is dropped only if it is idle.

--- a/crates/process/fescuetide_gateway/src/attempts.rs
+++ b/crates/process/fescuetide_gateway/src/attempts.rs
@@ -275,12 +275,16 @@
         }
     }
 
-    /// Closes an idle connection.
+    /// Closes a connection that is still idle.
     pub(crate) fn drop_idle(&mut self, token: usize) {
-        if let Some(Connection::Upstream(upstream)) = self.connections.get(token) {
-            let vm = upstream.vm.clone();
-            self.idle.remove(&vm, token);
-        }
+        let Some(Connection::Upstream(upstream)) = self.connections.get(token) else {
+            return;
+        };
+        let UpstreamConnectionState::Idle { .. } = upstream.state else {
+            return;
+        };
+        let vm = upstream.vm.clone();
+        self.idle.remove(&vm, token);
         self.remove(token);
     }
 
@@ -306,7 +310,7 @@
     pub(crate) fn sweep_upstreams(&mut self) {
         let mut unopened = Vec::new();
         let mut stale = Vec::new();
-        for (token, connection) in &self.connections {
+        for (token, connection) in self.connections.iter() {
             let Connection::Upstream(upstream) = connection else {
                 continue;
             };
--- a/crates/process/fescuetide_gateway/src/callers.rs
+++ b/crates/process/fescuetide_gateway/src/callers.rs
@@ -366,7 +366,7 @@
             .as_ref()
             .map_or_else(CallerLimits::default, |config| config.limits);
         let mut stale = Vec::new();
-        for (token, connection) in &self.connections {
+        for (token, connection) in self.connections.iter() {
             let Connection::Caller(caller) = connection else {
                 continue;
             };
--- a/crates/process/fescuetide_gateway/src/monitoring.rs
+++ b/crates/process/fescuetide_gateway/src/monitoring.rs
@@ -125,7 +125,7 @@
     /// Closes monitoring connections that have been idle for too long.
     pub(crate) fn sweep_monitoring(&mut self) {
         let mut stale = Vec::new();
-        for (token, connection) in &self.connections {
+        for (token, connection) in self.connections.iter() {
             let Connection::Monitoring(connection) = connection else {
                 continue;
             };
--- a/crates/process/fescuetide_gateway/src/shutdown.rs
+++ b/crates/process/fescuetide_gateway/src/shutdown.rs
@@ -71,7 +71,7 @@
 
     fn close_idle_callers(&mut self) {
         let mut idle = Vec::new();
-        for (token, connection) in &self.connections {
+        for (token, connection) in self.connections.iter() {
             let Connection::Caller(caller) = connection else {
                 continue;
             };
--- a/crates/process/fescuetide_gateway/src/traffic.rs
+++ b/crates/process/fescuetide_gateway/src/traffic.rs
@@ -25,7 +25,6 @@
 use mio::Token;
 use mio::event::Source;
 use mio::net::TcpListener;
-use slab::Slab;
 
 use crate::GatewayCounters;
 use crate::GatewaySettings;
@@ -44,6 +43,7 @@
 use crate::peers::PeerCommand;
 use crate::shutdown::DrainState;
 use crate::sockets;
+use crate::token_table::TokenTable;
 
 /// Token of the waker.
 pub(crate) const WAKER_TOKEN: Token = Token(0);
@@ -51,7 +51,7 @@
 const READY_TOKEN: Token = Token(2);
 const METRICS_TOKEN: Token = Token(3);
 
-/// Offset between a connection's index in the slab and its poll token.
+/// Offset between a connection's token in the table and its poll token.
 const FIRST_CONNECTION: usize = 4;
 
 /// Maximum number of events per poll.
@@ -94,7 +94,7 @@
 pub(crate) struct TrafficLoop<C> {
     pub(crate) poll: Poll,
     pub(crate) listeners: LoopListeners,
-    pub(crate) connections: Slab<Connection>,
+    pub(crate) connections: TokenTable<Connection>,
     pub(crate) exchanges: IndexMap<FlowKey, Exchange>,
     pub(crate) idle: IdleTable,
     pub(crate) scheduler: RequestScheduler,
@@ -155,7 +155,7 @@
         Ok(Self {
             poll,
             listeners,
-            connections: Slab::new(),
+            connections: TokenTable::default(),
             exchanges: IndexMap::new(),
             idle: IdleTable::default(),
             scheduler,
@@ -260,16 +260,17 @@
         let mio_token = Token(token + FIRST_CONNECTION);
         let interest = Interest::READABLE | Interest::WRITABLE;
         let registry = self.poll.registry();
-        let result = match &mut self.connections[token] {
-            Connection::Caller(caller) => {
+        let result = match self.connections.get_mut(token) {
+            Some(Connection::Caller(caller)) => {
                 registry.register(&mut caller.stream, mio_token, interest)
             }
-            Connection::Upstream(upstream) => {
+            Some(Connection::Upstream(upstream)) => {
                 registry.register(&mut upstream.stream, mio_token, interest)
             }
-            Connection::Monitoring(monitoring) => {
+            Some(Connection::Monitoring(monitoring)) => {
                 registry.register(&mut monitoring.stream, mio_token, interest)
             }
+            None => unreachable!("the connection was inserted above"),
         };
         if let Err(error) = result {
             self.connections.remove(token);
@@ -377,7 +378,7 @@
 
     /// Closes and returns a connection. If an attempt is in progress, the connection is reset.
     pub(crate) fn remove(&mut self, token: usize) -> Option<Connection> {
-        let connection = self.connections.try_remove(token)?;
+        let connection = self.connections.remove(token)?;
         if let Connection::Upstream(upstream) = &connection
             && let UpstreamConnectionState::Busy { .. } = upstream.state
             && let Err(error) = sockets::reset_on_close(&upstream.stream)
