Probe the upstream of a caller that left only after a silence

Cause: a stream whose own event was the last one from its upstream counted as unresponsive, so that most callers that left a stream made the gateway open a connection. Change: an attempt that ends for another reason has its upstream probed only after 0.3 s without data from it. Test: upstream_of_a_caller_that_left_is_only_probed_if_it_is_silent, which failed before for a pause of 100 ms.

--- a/crates/coordination/fescuetide_flow/src/scheduler.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler.rs
@@ -169,10 +169,7 @@
 
     /// Removes a request whose caller has disconnected. The process must abort the attempt itself.
     pub fn caller_left(&mut self, key: FlowKey, now: ClockMillis) {
-        let attempt = self.flows.get(&key).and_then(RequestFlow::attempt);
-        if attempt.is_some_and(|attempt| self.is_unresponsive(attempt)) {
-            self.note_silent(key, now);
-        }
+        self.note_end_in_doubt(key, now);
         self.remove(key, now);
     }
 
--- a/crates/coordination/fescuetide_flow/src/scheduler/crashes.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/crashes.rs
@@ -12,9 +12,9 @@
 use crate::flow::RequestFlow;
 use crate::pool::PoolState;
 
-/// Time without data after which the upstream of a suspect is probed. Shorter than for other requests, since each crash that is
-/// found late costs another upstream.
-const SUSPECT_SILENCE: SpanMillis = SpanMillis::new(300);
+/// Time without data after which the upstream of a suspect is probed, and that of an attempt which ends. Shorter than for other
+/// requests, since each crash that is found late costs another upstream.
+const SHORT_SILENCE: SpanMillis = SpanMillis::new(300);
 
 impl RequestScheduler {
     /// Handles the result of a [`FlowAction::Probe`].
@@ -103,12 +103,16 @@
 
     /// Whether the attempt of a suspect has had no data for so long that its upstream may have gone down.
     pub(super) fn is_suspect_silent(&self, flow: &RequestFlow, now: ClockMillis) -> bool {
-        let Some(attempt) = flow.attempt() else {
-            return false;
-        };
-        let since = attempt.last_data_at.unwrap_or(attempt.started_at);
-        now.since(since) >= SUSPECT_SILENCE
-            && self.crashes.is_suspect(flow.request.fingerprint, now)
+        let is_quiet = flow.attempt().is_some_and(|attempt| is_quiet(attempt, now));
+        is_quiet && self.crashes.is_suspect(flow.request.fingerprint, now)
+    }
+
+    /// Records that the upstream of an attempt, which ends for another reason, may have gone down.
+    pub(super) fn note_end_in_doubt(&mut self, key: FlowKey, now: ClockMillis) {
+        let attempt = self.flows.get(&key).and_then(RequestFlow::attempt);
+        if attempt.is_some_and(|attempt| is_quiet(attempt, now) && self.is_unresponsive(attempt)) {
+            self.note_silent(key, now);
+        }
     }
 
     /// Whether nothing has arrived from the upstream of an attempt since the attempt started, or since its last data.
@@ -118,3 +122,8 @@
         !pool.is_some_and(|pool| pool.is_responsive(&attempt.vm, since))
     }
 }
+
+fn is_quiet(attempt: &FlowAttempt, now: ClockMillis) -> bool {
+    let since = attempt.last_data_at.unwrap_or(attempt.started_at);
+    now.since(since) >= SHORT_SILENCE
+}
--- a/crates/coordination/fescuetide_flow/src/scheduler/ending.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/ending.rs
@@ -15,15 +15,11 @@
 
 impl RequestScheduler {
     pub(super) fn end_timed_out(&mut self, key: FlowKey, now: ClockMillis) {
-        let Some(flow) = self.flows.get(&key) else {
+        self.note_end_in_doubt(key, now);
+        let Some(flow) = self.flows.get_mut(&key) else {
             return;
         };
-        let attempt = flow.attempt();
-        let is_sent = attempt.is_some_and(|attempt| attempt.is_sent);
-        if attempt.is_some_and(|attempt| self.is_unresponsive(attempt)) {
-            self.note_silent(key, now);
-        }
-        let flow = &mut self.flows[&key];
+        let is_sent = flow.attempt().is_some_and(|attempt| attempt.is_sent);
         flow.may_have_run |= is_sent;
         if flow.attempt().is_some() {
             self.actions.push_back(FlowAction::Cancel(key));
--- a/crates/coordination/fescuetide_flow/tests/flow/crash.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/crash.rs
@@ -534,3 +534,22 @@
     let key = harness.arrive_later(b"crashing");
     harness.expect_refused(key);
 }
+
+/// Guards against probes of upstreams that are up: the caller left while its stream was flowing, or soon after its request.
+#[test]
+fn upstream_of_a_caller_that_left_is_only_probed_if_it_is_silent() {
+    let mut harness = SchedulerHarness::with_upstreams(1);
+    for (pause, is_probed) in [(100, false), (400, true)] {
+        let key = harness.arrive_later(b"stream");
+        let upstream = harness.expect_send(key).upstream;
+        harness.note(key, AttemptEvent::Sent);
+        harness.note(key, AttemptEvent::StreamStarted(None));
+        harness.now = harness.now + SpanMillis::new(pause);
+        let now = harness.now;
+        harness.scheduler.caller_left(key, now);
+        while harness.next().is_some() {}
+        assert_eq!(harness.probes.pop_front().is_some(), is_probed, "{pause}");
+        let outcome = ProbeOutcome::Connected;
+        harness.scheduler.note_probe(&upstream, outcome, now);
+    }
+}
