--- a/crates/process/fescuetide_gateway/src/crash_reports.rs
+++ b/crates/process/fescuetide_gateway/src/crash_reports.rs
@@ -34,13 +34,13 @@
 const REPORT_WAIT: SpanMillis = SpanMillis::new(10_000);
 
 /// Pause after a read that returned reports. Several gateways report a crash at about the same time.
-const READ_PAUSE: Duration = Duration::from_millis(250);
+const READ_PAUSE: Duration = Duration::from_millis(500);
 
 /// Minimum interval between appends.
 const APPEND_INTERVAL: SpanMillis = SpanMillis::new(250);
 
 /// Delay of reports that requests completed, which many do in the seconds after a crash.
-const COMPLETION_DELAY: SpanMillis = SpanMillis::new(1_000);
+const COMPLETION_DELAY: SpanMillis = SpanMillis::new(2_000);
 
 /// Delay after a failed call. While the log is unavailable, peers tell each other what they find.
 const RETRY_DELAY: SpanMillis = SpanMillis::new(1_000);
