Tell peers of crashes only, and not of completions, while the log is away

Each report that a request completed was a broadcast to all peers while appends failed. New crashes still are; the rest waits for the log.

--- a/crates/process/fescuetide_gateway/src/crash_reports.rs
+++ b/crates/process/fescuetide_gateway/src/crash_reports.rs
@@ -226,7 +226,7 @@
             true => now,
             false => now + COMPLETION_DELAY,
         });
-        if self.is_failing {
+        if is_urgent && self.is_failing {
             self.send_to_peers();
         }
         for evidence in list {
@@ -284,8 +284,8 @@
         Ok(())
     }
 
-    /// Tells the peers what cannot be appended. The append is tried again later, and what is found until then is sent to
-    /// the peers at once.
+    /// Tells the peers what cannot be appended. The append is tried again later, and crashes that are found until then are
+    /// sent to the peers at once.
     fn handle_failure(&mut self, error: &CallError) {
         count(&self.publisher.counters.log_failures);
         if self.is_failing {
