--- a/crates/coordination/fescuetide_flow/tests/flow/main.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/main.rs
@@ -1,7 +1,9 @@
 //! Tests of the gateway's state machine with single requests and load patterns.
 
 mod crash;
+mod crash_detection;
 mod crash_fleet;
+mod crash_harness;
 mod harness;
 mod life;
 mod placement;
--- a/crates/process/fescuetide_gateway/src/lib.rs
+++ b/crates/process/fescuetide_gateway/src/lib.rs
@@ -47,6 +47,7 @@
 mod codec;
 mod connection;
 mod counters;
+mod crash_evidence;
 mod crash_reports;
 mod exchange;
 mod follower;
--- a/crates/process/fescuetide_gateway/src/messages.rs
+++ b/crates/process/fescuetide_gateway/src/messages.rs
@@ -7,15 +7,10 @@
 use fescuetide_fleet::FleetSnapshot;
 use fescuetide_fleet::FleetUpdate;
 use fescuetide_fleet::UpstreamEntry;
-use fescuetide_flow::CrashEvent;
 use fescuetide_limits::CrashEvidence;
 use indexmap::IndexMap;
 
 use crate::codec::HttpCodec;
-use crate::counters::count;
-use crate::crash_reports::ReportCommand;
-use crate::log_line_limit::LogLineKind;
-use crate::peers::PeerCommand;
 use crate::traffic::TrafficLoop;
 
 /// A message from a control thread to the event loop.
@@ -87,92 +82,6 @@
         }
     }
 
-    /// Counts and logs what has changed about requests that crash upstreams, and shares it with the other gateways.
-    pub(crate) fn share_crash_evidence(&mut self) {
-        let events = self.scheduler.take_crash_events();
-        if events.is_empty() {
-            return;
-        }
-        let mut has_new_refusal = false;
-        let mut has_new_crash = false;
-        for event in events {
-            has_new_refusal |= matches!(
-                event,
-                CrashEvent::Counted {
-                    is_refused: true,
-                    ..
-                }
-            );
-            has_new_crash |= matches!(event, CrashEvent::Counted { .. });
-            self.log_crash_event(event);
-        }
-        if let Some(peers) = &self.peer_sender {
-            let list = self.scheduler.list_crash_evidence(self.now);
-            let mut is_sent = peers.send(PeerCommand::Evidence(list)).is_ok();
-            if has_new_refusal {
-                is_sent &= peers.send(PeerCommand::Broadcast).is_ok();
-            }
-            if !is_sent {
-                tracing::error!(
-                    "cannot share crash evidence with peers: the peer thread has ended"
-                );
-            }
-        }
-        let evidence = self.scheduler.take_crash_evidence(self.now);
-        if let Some(appender) = &self.report_sender
-            && !evidence.is_empty()
-            && appender
-                .send(ReportCommand::Append {
-                    evidence,
-                    is_urgent: has_new_crash,
-                })
-                .is_err()
-        {
-            tracing::error!("cannot append crash reports: the appending thread has ended");
-        }
-    }
-
-    fn log_crash_event(&mut self, event: CrashEvent) {
-        let counter = match &event {
-            CrashEvent::Counted { .. } => &self.counters.crashes_counted,
-            CrashEvent::Cleared(_) => &self.counters.crashes_cleared,
-            CrashEvent::Learned(_) => &self.counters.crashes_learned,
-        };
-        count(counter);
-        // All requests that were running on an upstream that crashed become known to every gateway. Those with a single
-        // crash are only counted here, and logged by the gateway that found it.
-        let is_single =
-            matches!(&event, CrashEvent::Learned(evidence) if evidence.counting_crashes() < 2);
-        if is_single || !self.may_log(LogLineKind::CrashEvidence) {
-            return;
-        }
-        match event {
-            CrashEvent::Counted {
-                evidence,
-                upstream,
-                is_refused,
-            } => tracing::info!(
-                fingerprint = %evidence.fingerprint,
-                crashes = evidence.crashes.get(),
-                cleared = evidence.cleared.get(),
-                %upstream,
-                is_refused,
-                "crash counted"
-            ),
-            CrashEvent::Cleared(evidence) => tracing::info!(
-                fingerprint = %evidence.fingerprint,
-                crashes = evidence.crashes.get(),
-                "crashes cleared"
-            ),
-            CrashEvent::Learned(evidence) => tracing::info!(
-                fingerprint = %evidence.fingerprint,
-                crashes = evidence.crashes.get(),
-                cleared = evidence.cleared.get(),
-                "crashes learned"
-            ),
-        }
-    }
-
     fn set_upstreams(&mut self, entries: &[UpstreamEntry]) {
         self.scheduler.set_upstreams(entries, self.now);
         let mut table = IndexMap::with_capacity(entries.len());
