Count and log denied retries, pauses of upstreams and the share of the retry burst

Three hypotheses of the incident could not be told apart by logs or metrics: no line said that an upstream wanted no requests for some time, that a retry was denied by the budget, or how large a gateway's part of the burst was.

The scheduler keeps notices for the process, which counts and logs them. Retry-After of a 503 that states that the request did not run is read, but nothing is decided by it yet.

--- a/crates/coordination/fescuetide_flow/src/action.rs
+++ b/crates/coordination/fescuetide_flow/src/action.rs
@@ -104,6 +104,8 @@
 pub enum DeclineCause {
     /// The upstream is full, or the request expired in its queue.
     Full,
+    /// The upstream wants no requests from this gateway for the given time.
+    Paused(SpanMillis),
     /// A different upstream listens on the address.
     Misdirected,
 }
--- /dev/null
+++ b/crates/coordination/fescuetide_flow/src/notice.rs
@@ -0,0 +1,51 @@
+//! Notices about decisions of the scheduler, for logs and counters.
+
+use fescuetide_base::PoolName;
+use fescuetide_base::SpanMillis;
+use fescuetide_base::VmName;
+
+use crate::FlowKey;
+
+/// Maximum number of notices that are kept until [`NoticeQueue::take`] is called.
+const NOTICE_LIMIT: usize = 256;
+
+/// A decision of the scheduler, or what it rests on.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FlowNotice {
+    /// A request was not sent again, since the retry budget of its pool is used up.
+    RetryDenied {
+        /// The request.
+        key: FlowKey,
+        /// The pool.
+        pool: PoolName,
+        /// The retries that this gateway may accumulate.
+        burst: f64,
+    },
+    /// An upstream wants no requests from this gateway for some time.
+    PauseStarted {
+        /// The upstream.
+        upstream: VmName,
+        /// How long.
+        pause: SpanMillis,
+    },
+}
+
+/// Notices that the process has not taken yet.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct NoticeQueue {
+    notices: Vec<FlowNotice>,
+}
+
+impl NoticeQueue {
+    /// Adds a notice, or drops it if there are [`NOTICE_LIMIT`] already.
+    pub(crate) fn push(&mut self, notice: FlowNotice) {
+        if self.notices.len() < NOTICE_LIMIT {
+            self.notices.push(notice);
+        }
+    }
+
+    /// Removes and returns all notices.
+    pub(crate) fn take(&mut self) -> Vec<FlowNotice> {
+        std::mem::take(&mut self.notices)
+    }
+}
--- a/crates/coordination/fescuetide_flow/src/scheduler.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler.rs
@@ -22,6 +22,7 @@
 use crate::BreakCause;
 use crate::FlowAction;
 use crate::FlowKey;
+use crate::FlowNotice;
 use crate::FlowSettings;
 use crate::LoadReport;
 use crate::WorkRequest;
@@ -30,6 +31,7 @@
 use crate::directory::PrefixDirectory;
 use crate::flow::RequestFlow;
 use crate::health::OutcomeTable;
+use crate::notice::NoticeQueue;
 use crate::pool::PoolState;
 use crate::share::TrafficShare;
 
@@ -56,6 +58,7 @@
     next_key: u64,
     tie_break_seed: u64,
     actions: VecDeque<FlowAction>,
+    notices: NoticeQueue,
     /// Upstreams with a probe in progress.
     probing: IndexSet<VmName>,
     /// Upstreams that did not answer a probe while no other one did.
@@ -77,6 +80,7 @@
             next_key: 0,
             tie_break_seed: 0,
             actions: VecDeque::new(),
+            notices: NoticeQueue::default(),
             probing: IndexSet::new(),
             unanswered: IndexSet::new(),
         }
@@ -167,6 +171,11 @@
         self.crashes.take_events()
     }
 
+    /// Returns the notices since the last call. If there were many, the newest are missing.
+    pub fn take_notices(&mut self) -> Vec<FlowNotice> {
+        self.notices.take()
+    }
+
     /// Removes a request whose caller has disconnected. The process must abort the attempt itself.
     pub fn caller_left(&mut self, key: FlowKey, now: ClockMillis) {
         self.note_end_in_doubt(key, now);
--- a/crates/coordination/fescuetide_flow/src/scheduler/retrying.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/retrying.rs
@@ -10,6 +10,7 @@
 use crate::FlowAction;
 use crate::FlowFailure;
 use crate::FlowKey;
+use crate::FlowNotice;
 use crate::RefusalCause;
 use crate::flow::FlowState;
 use crate::flow::RequestFlow;
@@ -47,10 +48,17 @@
         cause: DeclineCause,
         now: ClockMillis,
     ) {
-        if cause == DeclineCause::Misdirected {
-            self.outcomes.note_unreachable(vm, now);
-            // The upstream has ended: another one listens at its address.
-            self.crashes.note_restart(vm, now);
+        match cause {
+            DeclineCause::Full => {}
+            DeclineCause::Paused(pause) => self.notices.push(FlowNotice::PauseStarted {
+                upstream: vm.clone(),
+                pause,
+            }),
+            DeclineCause::Misdirected => {
+                self.outcomes.note_unreachable(vm, now);
+                // The upstream has ended: another one listens at its address.
+                self.crashes.note_restart(vm, now);
+            }
         }
         if self.take_retry(key) {
             self.resend(key, now);
@@ -103,10 +111,18 @@
         let Some(attempt) = flow.attempt() else {
             return true;
         };
-        match self.pools.get_mut(&attempt.pool) {
-            Some(pool) => pool.budget.try_retry(),
-            None => false,
+        let Some(pool) = self.pools.get_mut(&attempt.pool) else {
+            return false;
+        };
+        let is_allowed = pool.budget.try_retry();
+        if !is_allowed {
+            self.notices.push(FlowNotice::RetryDenied {
+                key,
+                pool: attempt.pool.clone(),
+                burst: pool.budget.settings().burst,
+            });
         }
+        is_allowed
     }
 
     /// Ends the current attempt and places the request again.
--- a/crates/coordination/fescuetide_limits/src/budget.rs
+++ b/crates/coordination/fescuetide_limits/src/budget.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// The current settings.
+    pub fn settings(&self) -> BudgetSettings {
+        self.settings
+    }
+
     /// Changes the settings. Unused retries above the new burst are discarded.
     pub fn set(&mut self, settings: BudgetSettings) {
         self.settings = settings;
--- a/crates/process/fescuetide_gateway/src/codec.rs
+++ b/crates/process/fescuetide_gateway/src/codec.rs
@@ -64,6 +64,8 @@
     pub is_not_run: bool,
     /// Whether the upstream at this address is not the intended one.
     pub is_misdirected: bool,
+    /// How long the upstream wants no requests from this gateway.
+    pub pause: Option<SpanMillis>,
     /// The upstream's load.
     pub load: Option<LoadReport>,
     /// The idle timeout that the upstream applies to the connection.
--- a/crates/process/fescuetide_gateway/src/counters.rs
+++ b/crates/process/fescuetide_gateway/src/counters.rs
@@ -76,6 +76,10 @@
     attempts => "fescuetide_attempts_total",
     /// Attempts after the first one of a request.
     retries => "fescuetide_retries_total",
+    /// Retries that were not made since the retry budget was used up.
+    retries_denied => "fescuetide_retries_denied_total",
+    /// Times that an upstream wanted no requests for some time.
+    upstream_pauses => "fescuetide_upstream_pauses_total",
     /// Attempts that ended without a usable response, for example since the connection failed.
     attempts_broken => "fescuetide_attempts_broken_total",
     /// Attempts that upstreams declined.
--- /dev/null
+++ b/crates/process/fescuetide_gateway/src/flow_notices.rs
@@ -0,0 +1,35 @@
+//! Counters and log lines for notices of the request scheduler.
+
+use fescuetide_flow::FlowNotice;
+
+use crate::codec::HttpCodec;
+use crate::counters::count;
+use crate::log_line_limit::LogLineKind;
+use crate::traffic::TrafficLoop;
+
+impl<C: HttpCodec> TrafficLoop<C> {
+    /// Counts and logs the scheduler's notices.
+    pub(crate) fn report_notices(&mut self) {
+        for notice in self.scheduler.take_notices() {
+            let counter = match &notice {
+                FlowNotice::RetryDenied { .. } => &self.counters.retries_denied,
+                FlowNotice::PauseStarted { .. } => &self.counters.upstream_pauses,
+            };
+            count(counter);
+            if self.may_log(LogLineKind::Notice) {
+                log_notice(&notice);
+            }
+        }
+    }
+}
+
+fn log_notice(notice: &FlowNotice) {
+    match notice {
+        FlowNotice::RetryDenied { key, pool, burst } => {
+            tracing::info!(%key, %pool, burst, "retry denied by the budget");
+        }
+        FlowNotice::PauseStarted { upstream, pause } => {
+            tracing::info!(%upstream, pause_ms = pause.as_millis(), "upstream asked for a pause");
+        }
+    }
+}
--- a/crates/process/fescuetide_gateway/src/lib.rs
+++ b/crates/process/fescuetide_gateway/src/lib.rs
@@ -50,6 +50,7 @@
 mod crash_evidence;
 mod crash_reports;
 mod exchange;
+mod flow_notices;
 mod follower;
 mod idle;
 mod log_client;
--- a/crates/process/fescuetide_gateway/src/log_line_limit.rs
+++ b/crates/process/fescuetide_gateway/src/log_line_limit.rs
@@ -24,9 +24,11 @@
     NotServed,
     /// What is known about a request that may crash upstreams has changed.
     CrashEvidence,
+    /// A retry was not made, or an upstream wants no requests for some time.
+    Notice,
 }
 
-const KIND_COUNT: usize = 5;
+const KIND_COUNT: usize = 6;
 
 /// Creates the quota for all kinds of lines.
 pub(crate) fn new_quota() -> FixedWindowLimiter {
@@ -42,6 +44,7 @@
             served = counts[LogLineKind::Served as usize],
             not_served = counts[LogLineKind::NotServed as usize],
             crash_evidence = counts[LogLineKind::CrashEvidence as usize],
+            notices = counts[LogLineKind::Notice as usize],
             "log lines suppressed by the rate limit"
         );
     }
--- a/crates/process/fescuetide_gateway/src/messages.rs
+++ b/crates/process/fescuetide_gateway/src/messages.rs
@@ -48,7 +48,11 @@
                     self.has_crash_reports = true;
                     self.scheduler.merge_crash_evidence(evidence, self.now);
                 }
-                LoopMessage::GatewayCount(count) => self.scheduler.set_gateway_count(count),
+                LoopMessage::GatewayCount(gateways) => {
+                    self.scheduler.set_gateway_count(gateways);
+                    let burst = self.scheduler.own_budget().burst;
+                    tracing::info!(gateways, burst, "number of gateways changed");
+                }
             }
             self.run_actions();
         }
--- a/crates/process/fescuetide_gateway/src/traffic.rs
+++ b/crates/process/fescuetide_gateway/src/traffic.rs
@@ -206,6 +206,7 @@
             }
             self.handle_messages();
             self.share_crash_evidence();
+            self.report_notices();
             self.resume_input();
             if self.now.since(last_tick) >= BUSY_TICK {
                 last_tick = self.now;
--- a/crates/process/fescuetide_gateway/src/validation.rs
+++ b/crates/process/fescuetide_gateway/src/validation.rs
@@ -27,8 +27,10 @@
         return AttemptEvent::Declined(DeclineCause::Misdirected, None);
     }
     if fields.is_not_run && !head.is_success() {
-        // The upstream has no capacity, or the request expired in its queue.
-        return AttemptEvent::Declined(DeclineCause::Full, fields.load);
+        let cause = fields
+            .pause
+            .map_or(DeclineCause::Full, DeclineCause::Paused);
+        return AttemptEvent::Declined(cause, fields.load);
     }
     if head.is_success() && !is_valid_success(head, fields) {
         // A success without the signature field or the request id, or with a content encoding, is not relayed.
