Give a gateway that starts no burst of retries until the window has passed

What callers and upstreams saw: repeats of all gateways together exceeded the shared budget when gateways restarted while a pool failed. Each new process had a full part of the burst, and the process before it may have used its own a moment ago, so one window of 10 s held both.

Fix: the burst is granted retry_window_ms after the start (budget_window_s of the platform), when the repeats of the process before have left the window. Until then a gateway makes the retries that its requests earn. Attempts that were not sent stay free, as before.

Tests of single requests run with gateways that are older than the window.

--- a/crates/coordination/fescuetide_flow/src/notice.rs
+++ b/crates/coordination/fescuetide_flow/src/notice.rs
@@ -21,6 +21,11 @@
         /// The retries that this gateway may accumulate.
         burst: f64,
     },
+    /// Retries may be made beyond those that requests earn.
+    BurstGranted {
+        /// How many may accumulate for each pool.
+        burst: f64,
+    },
     /// An upstream wants no requests from this gateway for some time.
     PauseStarted {
         /// The upstream.
--- a/crates/coordination/fescuetide_flow/src/pool.rs
+++ b/crates/coordination/fescuetide_flow/src/pool.rs
@@ -5,7 +5,6 @@
 use fescuetide_base::VmName;
 use fescuetide_fleet::UpstreamEntry;
 use fescuetide_fleet::UpstreamState;
-use fescuetide_limits::BudgetSettings;
 use fescuetide_limits::RetryBudget;
 use indexmap::IndexMap;
 
@@ -58,11 +57,11 @@
 }
 
 impl PoolState {
-    pub(crate) fn new(settings: BudgetSettings) -> Self {
+    pub(crate) fn new(budget: RetryBudget) -> Self {
         Self {
             upstreams: IndexMap::new(),
             waiting: WaitingQueue::default(),
-            budget: RetryBudget::new(settings),
+            budget,
         }
     }
 
--- a/crates/coordination/fescuetide_flow/src/scheduler.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler.rs
@@ -1,5 +1,6 @@
 //! State machine for all requests of one gateway.
 
+mod budget;
 mod crashes;
 mod ending;
 mod placing;
@@ -13,7 +14,6 @@
 use fescuetide_base::VmName;
 use fescuetide_base::ZoneName;
 use fescuetide_fleet::UpstreamEntry;
-use fescuetide_limits::BudgetSettings;
 use fescuetide_limits::CrashEvidence;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
@@ -54,6 +54,10 @@
     crashes: CrashTracker,
     directory: PrefixDirectory,
     share: TrafficShare,
+    /// When the first upstreams became known.
+    started_at: Option<ClockMillis>,
+    /// Whether retries may be made beyond those that requests earn.
+    has_burst: bool,
     flows: IndexMap<FlowKey, RequestFlow>,
     next_key: u64,
     tie_break_seed: u64,
@@ -76,6 +80,8 @@
             crashes: CrashTracker::default(),
             directory: PrefixDirectory::default(),
             share: TrafficShare::default(),
+            started_at: None,
+            has_burst: false,
             flows: IndexMap::new(),
             next_key: 0,
             tie_break_seed: 0,
@@ -103,7 +109,8 @@
 
     /// Replaces the set of upstreams.
     pub fn set_upstreams(&mut self, entries: &[UpstreamEntry], now: ClockMillis) {
-        let budget = self.own_budget();
+        self.grant_burst(now);
+        let budget = self.new_budget();
         for entry in entries {
             let pool = self
                 .pools
@@ -256,41 +263,6 @@
         self.send_waiting(now);
     }
 
-    /// Sets the number of gateways, including this one. Each uses an equal part of the shared retry budget until load
-    /// reports allow a better estimate.
-    pub fn set_gateway_count(&mut self, gateways: usize) {
-        self.share.assume_equal(gateways);
-        self.set_budgets();
-    }
-
-    /// This gateway's part of the shared retry budget.
-    pub fn own_budget(&self) -> BudgetSettings {
-        let retries = self.settings.retries;
-        BudgetSettings {
-            burst: retries.burst * self.share.get(),
-            ..retries
-        }
-    }
-
-    /// Updates this gateway's traffic share from the pool with the most requests, and its retry budgets accordingly.
-    fn share_budgets(&mut self, now: ClockMillis) {
-        if !self.share.is_due(now) {
-            return;
-        }
-        let totals = self.pools.values().map(|pool| pool.request_totals(now));
-        if let Some((own, all)) = totals.max_by_key(|(_, all)| *all) {
-            self.share.sample(own, all, now);
-        }
-        self.set_budgets();
-    }
-
-    fn set_budgets(&mut self) {
-        let budget = self.own_budget();
-        for pool in self.pools.values_mut() {
-            pool.budget.set(budget);
-        }
-    }
-
     fn note_data(
         &mut self,
         pool: &PoolName,
--- a/crates/coordination/fescuetide_flow/src/settings.rs
+++ b/crates/coordination/fescuetide_flow/src/settings.rs
@@ -13,6 +13,9 @@
     pub load_allowance: u32,
     /// Retry budget per pool. The burst is shared by all gateways, and this gateway uses its share.
     pub retries: BudgetSettings,
+    /// Time in which the retries of all gateways are limited. A gateway that starts makes no more retries than requests earn
+    /// for so long, since the process before it may just have used its burst.
+    pub retry_window: SpanMillis,
     /// Circuit breaker for unreachable upstreams.
     pub breaker: BreakerSettings,
     /// Maximum number of requests queued in this gateway, per pool.
@@ -31,6 +34,7 @@
                 ratio: 0.15,
                 burst: 40.0,
             },
+            retry_window: SpanMillis::new(10_000),
             breaker: BreakerSettings {
                 initial_backoff: SpanMillis::new(500),
                 max_backoff: SpanMillis::new(4_000),
--- a/crates/coordination/fescuetide_flow/src/share.rs
+++ b/crates/coordination/fescuetide_flow/src/share.rs
@@ -46,7 +46,7 @@
     /// Assumes an equal share among the gateways until load samples are available.
     ///
     /// Keeps retries bounded when upstreams fail just after many gateways have started and have no load reports yet.
-    pub(crate) fn assume_equal(&mut self, gateways: usize) {
+    pub(crate) fn set_gateway_count(&mut self, gateways: usize) {
         if !self.has_samples {
             self.share = INITIAL_SHARE.min(1.0 / gateways.max(1) as f64);
         }
--- a/crates/coordination/fescuetide_flow/tests/flow/crash_fleet.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/crash_fleet.rs
@@ -20,6 +20,7 @@
 
 use crate::harness::route;
 use crate::harness::upstream;
+use crate::random::SeededRandom;
 
 const UPSTREAMS: usize = 12;
 
@@ -58,23 +59,6 @@
 const CRASHING: &[u8] = b"crashing";
 const HARMLESS: &[u8] = b"harmless";
 
-/// Numbers that follow from a seed.
-struct SeededRandom {
-    seed: u64,
-    drawn: u64,
-}
-
-impl SeededRandom {
-    /// Returns a number below `limit`.
-    fn below(&mut self, limit: u64) -> u64 {
-        self.drawn += 1;
-        let hash = StableHash::new()
-            .field(&self.seed.to_le_bytes())
-            .field(&self.drawn.to_le_bytes());
-        hash.finish() % limit
-    }
-}
-
 /// A request that is running on an upstream.
 #[derive(Clone, Copy, Debug)]
 struct RunningRequest {
@@ -157,7 +141,7 @@
     fn new(seed: u64, gateways: usize, down_kind: DownKind) -> Self {
         let now = ClockMillis::new(1_000_000);
         Self {
-            random: SeededRandom { seed, drawn: 0 },
+            random: SeededRandom::new(seed),
             now,
             gateways: (0..gateways)
                 .map(|_| SimulatedGateway {
--- a/crates/coordination/fescuetide_flow/tests/flow/harness.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/harness.rs
@@ -69,7 +69,12 @@
 impl SchedulerHarness {
     pub(crate) fn with_upstreams(count: usize) -> Self {
         let zone = "a".parse().unwrap();
-        let mut scheduler = RequestScheduler::new(FlowSettings::default(), zone);
+        // The gateway has run for longer than the window of the retry budget.
+        let settings = FlowSettings {
+            retry_window: SpanMillis::default(),
+            ..FlowSettings::default()
+        };
+        let mut scheduler = RequestScheduler::new(settings, zone);
         let now = ClockMillis::new(1_000_000);
         let mut entries = Vec::new();
         for index in 0..count {
--- a/crates/coordination/fescuetide_flow/tests/flow/main.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/main.rs
@@ -7,3 +7,5 @@
 mod harness;
 mod life;
 mod placement;
+mod random;
+mod retry_fleet;
--- a/crates/coordination/fescuetide_limits/src/budget.rs
+++ b/crates/coordination/fescuetide_limits/src/budget.rs
@@ -45,6 +45,14 @@
         }
     }
 
+    /// Creates a budget without any retries, which have to be earned.
+    pub fn empty(settings: BudgetSettings) -> Self {
+        Self {
+            settings,
+            available: 0.0,
+        }
+    }
+
     /// The current settings.
     pub fn settings(&self) -> BudgetSettings {
         self.settings
@@ -56,6 +64,11 @@
         self.available = self.available.min(settings.burst);
     }
 
+    /// Makes the full burst available.
+    pub fn fill(&mut self) {
+        self.available = self.settings.burst;
+    }
+
     /// Records a first attempt, which adds [`ratio`](BudgetSettings::ratio) retries to the budget.
     pub fn note_request(&mut self) {
         self.available = (self.available + self.settings.ratio).min(self.settings.burst);
--- a/crates/process/fescuetide_gateway/src/flow_notices.rs
+++ b/crates/process/fescuetide_gateway/src/flow_notices.rs
@@ -11,11 +11,11 @@
     /// Counts and logs the scheduler's notices.
     pub(crate) fn report_notices(&mut self) {
         for notice in self.scheduler.take_notices() {
-            let counter = match &notice {
-                FlowNotice::RetryDenied { .. } => &self.counters.retries_denied,
-                FlowNotice::PauseStarted { .. } => &self.counters.upstream_pauses,
-            };
-            count(counter);
+            match &notice {
+                FlowNotice::RetryDenied { .. } => count(&self.counters.retries_denied),
+                FlowNotice::PauseStarted { .. } => count(&self.counters.upstream_pauses),
+                FlowNotice::BurstGranted { .. } => {}
+            }
             if self.may_log(LogLineKind::Notice) {
                 log_notice(&notice);
             }
@@ -28,6 +28,9 @@
         FlowNotice::RetryDenied { key, pool, burst } => {
             tracing::info!(%key, %pool, burst, "retry denied by the budget");
         }
+        FlowNotice::BurstGranted { burst } => {
+            tracing::info!(burst, "retry burst available");
+        }
         FlowNotice::PauseStarted { upstream, pause } => {
             tracing::info!(%upstream, pause_ms = pause.as_millis(), "upstream asked for a pause");
         }
--- a/crates/process/fescuetide_gateway/src/log_line_limit.rs
+++ b/crates/process/fescuetide_gateway/src/log_line_limit.rs
@@ -24,7 +24,7 @@
     NotServed,
     /// What is known about a request that may crash upstreams has changed.
     CrashEvidence,
-    /// A retry was not made, or an upstream wants no requests for some time.
+    /// A [`FlowNotice`](fescuetide_flow::FlowNotice) of the request scheduler.
     Notice,
 }
 
--- a/crates/process/fescuetide_gateway/src/settings.rs
+++ b/crates/process/fescuetide_gateway/src/settings.rs
@@ -37,8 +37,11 @@
     /// Maximum ratio of retries to requests, over all gateways together.
     pub retry_ratio: f64,
     /// Capacity of the retry budget that all gateways share for each pool: the retries that they may make in one burst.
-    /// It starts full, and each request refills it by `retry_ratio`.
+    /// Each request refills it by `retry_ratio`.
     pub retry_burst: u32,
+    /// Time in which the retries of all gateways are limited, in milliseconds. A gateway has no part of `retry_burst` for so
+    /// long after its start, since the process before it may just have used it.
+    pub retry_window_ms: u64,
     /// Time within which an upstream that is marked as leaving must stop receiving new requests, in milliseconds.
     pub leave_limit_ms: u64,
     /// Time within which a published configuration must take effect, in milliseconds.
@@ -61,6 +64,7 @@
             grace_ms: 8_000,
             retry_ratio: 0.2,
             retry_burst: 40,
+            retry_window_ms: 10_000,
             leave_limit_ms: 2_000,
             config_limit_ms: 2_000,
             load_multiple: FlowSettings::default().load_multiple,
@@ -71,8 +75,8 @@
 /// Allowed range of `leave_limit_ms` and `config_limit_ms`.
 const PROPAGATION_LIMIT_RANGE_MS: (u64, u64) = (500, 600_000);
 
-/// Fraction of the shared retry burst that is given out. Each gateway estimates its share of the burst, and the
-/// estimates of all gateways can add up to more than the whole, so a part of it is kept as a margin.
+/// Fraction of the shared retry burst that is given out. The rest is a margin for moments in which gateways know of
+/// different numbers of gateways.
 const RETRY_BURST_FRACTION: f64 = 0.75;
 
 /// Fraction of the shared retry ratio that is given out. A retry happens later than its request. When traffic
@@ -114,6 +118,7 @@
         );
         list.check_range("retry_ratio", self.retry_ratio, 0.0..=10.0);
         list.check_range("retry_burst", self.retry_burst, 0..=1_000_000);
+        list.check_range("retry_window_ms", self.retry_window_ms, 0..=600_000);
         for (key, value) in [
             ("leave_limit_ms", self.leave_limit_ms),
             ("config_limit_ms", self.config_limit_ms),
@@ -160,6 +165,7 @@
                 ratio: self.retry_ratio * RETRY_RATIO_FRACTION,
                 burst: f64::from(self.retry_burst) * RETRY_BURST_FRACTION,
             },
+            retry_window: SpanMillis::new(self.retry_window_ms),
             ..FlowSettings::default()
         }
     }
