Bound the share of the retry burst by an equal part

Each gateway estimated its share from the loads that upstreams report, up to a third. Reports that lag or leave out the requests of others make each gateway take itself for most of the fleet, so five gateways could hold 1.25 times what is given out, all of the users' burst and a quarter more.

The share is now at most one part in as many as there are gateways, and an eighth until their number is known. The estimate can only lower it.

The new test fails with the old bound of a third (4 gateways: 53.3 of 40).

--- a/crates/coordination/fescuetide_flow/src/share.rs
+++ b/crates/coordination/fescuetide_flow/src/share.rs
@@ -3,13 +3,12 @@
 use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
 
-/// Upper limit of the share that is assumed until load reports arrive. With more than 8 gateways, an equal share is
-/// assumed.
+/// Share that is assumed until load reports arrive, and the limit of the share until the number of gateways is known. With
+/// more than 8 gateways, an equal share is assumed.
 const INITIAL_SHARE: f64 = 1.0 / 8.0;
 
-/// Bounds on the share, so that a few outliers neither disable retries nor claim the entire budget.
+/// Lower limit of the share, so that a few outliers do not disable retries.
 const MIN_SHARE: f64 = 1.0 / 512.0;
-const MAX_SHARE: f64 = 1.0 / 3.0;
 
 /// Interval between samples.
 const SAMPLE_INTERVAL: SpanMillis = SpanMillis::new(500);
@@ -22,11 +21,13 @@
 
 /// Estimates the fraction of all requests that this gateway serves from the loads that upstreams report.
 ///
-/// Each gateway uses its share of a common budget, so that the sum over all gateways stays within the budget without
-/// any communication between them.
+/// Each gateway uses its share of a common budget. The share never exceeds an equal part: load reports lag, and estimates
+/// that rest on them can add up to more than the whole.
 #[derive(Clone, Debug)]
 pub(crate) struct TrafficShare {
     share: f64,
+    /// An equal part of the whole.
+    limit: f64,
     sampled_at: ClockMillis,
     /// Whether any sample was large enough to be used.
     has_samples: bool,
@@ -36,6 +37,7 @@
     fn default() -> Self {
         Self {
             share: INITIAL_SHARE,
+            limit: INITIAL_SHARE,
             sampled_at: ClockMillis::default(),
             has_samples: false,
         }
@@ -43,12 +45,11 @@
 }
 
 impl TrafficShare {
-    /// Assumes an equal share among the gateways until load samples are available.
-    ///
-    /// Keeps retries bounded when upstreams fail just after many gateways have started and have no load reports yet.
+    /// Sets the number of gateways. Until load samples are available, the share is at most an equal one.
     pub(crate) fn set_gateway_count(&mut self, gateways: usize) {
+        self.limit = 1.0 / gateways.max(1) as f64;
         if !self.has_samples {
-            self.share = INITIAL_SHARE.min(1.0 / gateways.max(1) as f64);
+            self.share = INITIAL_SHARE.min(self.limit);
         }
     }
 
@@ -70,6 +71,6 @@
 
     /// The estimated share, between 0 and 1.
     pub(crate) fn get(&self) -> f64 {
-        self.share.clamp(MIN_SHARE, MAX_SHARE)
+        self.share.max(MIN_SHARE).min(self.limit)
     }
 }
--- a/crates/coordination/fescuetide_flow/tests/flow/main.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/main.rs
@@ -9,3 +9,4 @@
 mod placement;
 mod random;
 mod retry_fleet;
+mod retry_share;
