Leave upstreams alone for the time that they ask for with Retry-After

Cause: the field was not read. A decline was an event without a duration, and what an upstream says about the near future was dropped; only its entry in the log counted.

Fix: a table of announcements, by incarnation and not by entry, so that an entry that is written again does not end a pause. A paused upstream is no candidate; it is not taken for down, crashed or leaving, and its cached prefixes stay a source of copies. Requests whose connection to it is not established are placed elsewhere without using a retry, since they would arrive in the pause. If all upstreams of a pool are paused, a request waits for a pause that ends in time, goes to another pool of its route, or is refused at once with the time until the first pause ends.

Eight tests of the state machine cover the end of a pause, queued and unsent requests, entries written again, and several pools.

--- a/crates/coordination/fescuetide_flow/src/evidence.rs
+++ b/crates/coordination/fescuetide_flow/src/evidence.rs
@@ -52,6 +52,8 @@
     NoUpstream,
     /// All upstreams were full for longer than the request can wait.
     Overloaded,
+    /// No upstream accepts requests from this gateway before the request would have to be refused.
+    Paused,
     /// The upstreams declined the request.
     Declined,
     /// The request reached the attempt limit of its route, the retry budget is exhausted, or every upstream was tried.
@@ -66,6 +68,7 @@
         match self {
             Self::NoUpstream => "no_upstream",
             Self::Overloaded => "overloaded",
+            Self::Paused => "paused",
             Self::Declined => "declined",
             Self::NoRetryLeft => "no_retry_left",
             Self::CrashesUpstreams => "crashes_upstreams",
--- a/crates/coordination/fescuetide_flow/src/lib.rs
+++ b/crates/coordination/fescuetide_flow/src/lib.rs
@@ -11,6 +11,7 @@
 //! `Call`, `Claim` or `Key` to the router.
 
 mod action;
+mod announcements;
 mod call;
 mod crash;
 mod directory;
--- a/crates/coordination/fescuetide_flow/src/pool.rs
+++ b/crates/coordination/fescuetide_flow/src/pool.rs
@@ -9,6 +9,7 @@
 use indexmap::IndexMap;
 
 use crate::LoadReport;
+use crate::announcements::AnnouncementTable;
 use crate::health::OutcomeTable;
 use crate::load::UpstreamLoad;
 use crate::placement::KnownUpstream;
@@ -48,6 +49,25 @@
     }
 }
 
+/// What is known about the condition of upstreams beyond their entries.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct UpstreamConditions<'a> {
+    pub(crate) outcomes: &'a OutcomeTable,
+    pub(crate) announcements: &'a AnnouncementTable,
+    pub(crate) now: ClockMillis,
+}
+
+impl UpstreamConditions<'_> {
+    /// Whether an upstream accepts requests, regardless of its load.
+    fn accepts_requests(&self, upstream: &PoolUpstream) -> bool {
+        upstream.is_ready() && self.paused_until(upstream).is_none()
+    }
+
+    fn paused_until(&self, upstream: &PoolUpstream) -> Option<ClockMillis> {
+        self.announcements.paused_until(&upstream.entry, self.now)
+    }
+}
+
 /// The upstreams of a pool, its queue and its retry budget.
 #[derive(Debug)]
 pub(crate) struct PoolState {
@@ -111,10 +131,39 @@
         reachable
     }
 
+    /// Whether the pool has a ready upstream, regardless of its load and of pauses.
     pub(crate) fn has_ready(&self) -> bool {
         self.upstreams.values().any(PoolUpstream::is_ready)
     }
 
+    /// Whether an upstream of the pool accepts requests, regardless of its load.
+    pub(crate) fn accepts_requests(&self, conditions: UpstreamConditions<'_>) -> bool {
+        let mut upstreams = self.upstreams.values();
+        upstreams.any(|upstream| conditions.accepts_requests(upstream))
+    }
+
+    /// When the first pause ends, if all ready upstreams that are not in `tried` are paused.
+    pub(crate) fn pause_end(
+        &self,
+        tried: &[VmName],
+        conditions: UpstreamConditions<'_>,
+    ) -> Option<ClockMillis> {
+        let mut first: Option<ClockMillis> = None;
+        for (name, upstream) in &self.upstreams {
+            if !upstream.is_ready() || tried.contains(name) {
+                continue;
+            }
+            let until = conditions.paused_until(upstream)?;
+            first = Some(first.map_or(until, |first| first.min(until)));
+        }
+        first
+    }
+
+    /// The entry of an upstream.
+    pub(crate) fn entry(&self, vm: &VmName) -> Option<&UpstreamEntry> {
+        self.upstreams.get(vm).map(|upstream| &upstream.entry)
+    }
+
     /// Whether the pool has a ready upstream that is not in `tried`, regardless of its load.
     pub(crate) fn has_untried(&self, tried: &[VmName]) -> bool {
         let mut upstreams = self.upstreams.iter();
@@ -169,15 +218,15 @@
         tried: &[VmName],
         holders: &[&VmName],
         zone: &str,
-        outcomes: &OutcomeTable,
-        now: ClockMillis,
+        conditions: UpstreamConditions<'_>,
     ) -> Vec<UpstreamCandidate<'_>> {
+        let UpstreamConditions { outcomes, now, .. } = conditions;
         let others = self.mean_others(now);
         let failure_rate = self.mean_failure_rate(outcomes);
         let mut reachable = Vec::with_capacity(self.upstreams.len());
         let mut unreachable = Vec::new();
         for (name, upstream) in &self.upstreams {
-            if !upstream.is_ready() || tried.contains(name) {
+            if !conditions.accepts_requests(upstream) || tried.contains(name) {
                 continue;
             }
             let others = upstream.load.others(now).unwrap_or(others);
--- a/crates/coordination/fescuetide_flow/src/scheduler.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod crashes;
 mod ending;
+mod pausing;
 mod placing;
 mod retrying;
 
@@ -26,6 +27,7 @@
 use crate::FlowSettings;
 use crate::LoadReport;
 use crate::WorkRequest;
+use crate::announcements::AnnouncementTable;
 use crate::crash::CrashEvent;
 use crate::crash::CrashTracker;
 use crate::directory::PrefixDirectory;
@@ -33,6 +35,7 @@
 use crate::health::OutcomeTable;
 use crate::notice::NoticeQueue;
 use crate::pool::PoolState;
+use crate::pool::UpstreamConditions;
 use crate::share::TrafficShare;
 
 /// How long callers should wait before retrying a refused request, if there is no better estimate.
@@ -51,6 +54,7 @@
     zone: ZoneName,
     pools: IndexMap<PoolName, PoolState>,
     outcomes: OutcomeTable,
+    announcements: AnnouncementTable,
     crashes: CrashTracker,
     directory: PrefixDirectory,
     share: TrafficShare,
@@ -77,6 +81,7 @@
             zone,
             pools: IndexMap::new(),
             outcomes: OutcomeTable::new(settings.breaker),
+            announcements: AnnouncementTable::default(),
             crashes: CrashTracker::default(),
             directory: PrefixDirectory::default(),
             share: TrafficShare::default(),
@@ -141,7 +146,7 @@
     pub fn arrive(&mut self, request: WorkRequest, now: ClockMillis) -> FlowKey {
         self.next_key += 1;
         let key = FlowKey(self.next_key);
-        let pool = self.choose_pool(&request);
+        let pool = self.choose_pool(&request, now);
         if let Some(pool) = self.pools.get_mut(&pool) {
             pool.budget.note_request();
         }
@@ -242,6 +247,7 @@
     pub fn tick(&mut self, now: ClockMillis) {
         self.share_budgets(now);
         self.refuse_expired(now);
+        self.refuse_paused(now);
         self.probe_unanswered(now);
         let mut silent = Vec::new();
         let mut timed_out = Vec::new();
@@ -263,6 +269,14 @@
         self.send_waiting(now);
     }
 
+    fn conditions(&self, now: ClockMillis) -> UpstreamConditions<'_> {
+        UpstreamConditions {
+            outcomes: &self.outcomes,
+            announcements: &self.announcements,
+            now,
+        }
+    }
+
     fn note_data(
         &mut self,
         pool: &PoolName,
--- a/crates/coordination/fescuetide_flow/src/scheduler/placing.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/placing.rs
@@ -13,16 +13,16 @@
 use crate::flow::FlowAttempt;
 use crate::flow::FlowState;
 use crate::placement;
-use crate::pool::PoolState;
+use crate::pool::UpstreamConditions;
 use crate::waiting::WaitingEntry;
 
 /// Retry delay for a request that has no usable upstream.
 const NO_UPSTREAM_RETRY_DELAY: SpanMillis = SpanMillis::new(700);
 
 impl RequestScheduler {
-    /// Chooses a pool for a request by weight. A pool without ready upstreams is replaced by the next one that has
-    /// some.
-    pub(super) fn choose_pool(&self, request: &WorkRequest) -> PoolName {
+    /// Chooses a pool for a request by weight. A pool without upstreams that accept requests is replaced by the next one
+    /// that has some, or else by one whose upstreams are paused.
+    pub(super) fn choose_pool(&self, request: &WorkRequest, now: ClockMillis) -> PoolName {
         let total: u64 = request
             .pools
             .iter()
@@ -37,14 +37,22 @@
             }
             point -= u64::from(share.weight);
         }
+        let conditions = self.conditions(now);
         let count = request.pools.len();
+        let mut paused = None;
         for step in 0..count {
-            let pool = &request.pools[(chosen + step) % count].pool;
-            if self.pools.get(pool).is_some_and(PoolState::has_ready) {
-                return pool.clone();
+            let name = &request.pools[(chosen + step) % count].pool;
+            let Some(pool) = self.pools.get(name) else {
+                continue;
+            };
+            if pool.accepts_requests(conditions) {
+                return name.clone();
+            }
+            if pool.has_ready() {
+                paused = paused.or(Some(name));
             }
         }
-        request.pools[chosen].pool.clone()
+        paused.unwrap_or(&request.pools[chosen].pool).clone()
     }
 
     /// Sends a waiting request, queues it, or refuses it.
@@ -76,6 +84,11 @@
             late_at: flow.request.late_at,
             expires_at: queue_deadline(&flow.request, now),
         };
+        let pause_end = pool.and_then(|pool| pool.pause_end(&flow.tried, self.conditions(now)));
+        if pause_end.is_some_and(|end| end >= wait.expires_at) {
+            self.leave_paused_pool(key, &pool_name, now);
+            return;
+        }
         let target = flow.request.late_at.since(flow.request.arrived);
         let pool = &mut self.pools[&pool_name];
         if pool.waiting.len() >= self.settings.waiting_limit || wait.expires_at <= now {
@@ -108,7 +121,12 @@
         let shared = flow.request.prompt.shared_hash();
         let holders = shared.map_or_else(Vec::new, |prefix| self.directory.holders(prefix, now));
         let zone = self.zone.as_str();
-        let candidates = pool.candidates(&flow.tried, &holders, zone, &self.outcomes, now);
+        let conditions = UpstreamConditions {
+            outcomes: &self.outcomes,
+            announcements: &self.announcements,
+            now,
+        };
+        let candidates = pool.candidates(&flow.tried, &holders, zone, conditions);
         let Some(choice) =
             placement::choose_upstream(&candidates, shared, self.tie_break_seed, &self.settings)
         else {
--- a/crates/coordination/fescuetide_flow/src/scheduler/retrying.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/retrying.rs
@@ -12,7 +12,6 @@
 use crate::FlowKey;
 use crate::FlowNotice;
 use crate::RefusalCause;
-use crate::flow::FlowState;
 use crate::flow::RequestFlow;
 use crate::timing;
 
@@ -50,10 +49,7 @@
     ) {
         match cause {
             DeclineCause::Full => {}
-            DeclineCause::Paused(pause) => self.notices.push(FlowNotice::PauseStarted {
-                upstream: vm.clone(),
-                pause,
-            }),
+            DeclineCause::Paused(pause) => self.start_pause(key, pause, now),
             DeclineCause::Misdirected => {
                 self.outcomes.note_unreachable(vm, now);
                 // The upstream has ended: another one listens at its address.
@@ -61,7 +57,11 @@
             }
         }
         if self.take_retry(key) {
-            self.resend(key, now);
+            match cause {
+                // The upstream keeps the prefixes that it has cached.
+                DeclineCause::Paused(_) => self.send_elsewhere(key, now),
+                DeclineCause::Full | DeclineCause::Misdirected => self.resend(key, now),
+            }
             return;
         }
         self.refuse_or_fail(key, RefusalCause::Declined, DEFAULT_RETRY_AFTER, now);
@@ -125,23 +125,24 @@
         is_allowed
     }
 
-    /// Ends the current attempt and places the request again.
+    /// Ends the current attempt, whose upstream may not have the request's prefix cached any more, and places the request
+    /// again.
     pub(super) fn resend(&mut self, key: FlowKey, now: ClockMillis) {
-        let Some(flow) = self.flows.get_mut(&key) else {
-            return;
-        };
-        let FlowState::Running(attempt) = &flow.state else {
+        if let Some(flow) = self.flows.get(&key)
+            && let Some(attempt) = flow.attempt()
+            && let Some(prefix) = flow.request.prompt.shared_hash()
+        {
+            self.directory.note_failure(prefix, &attempt.vm);
+        }
+        self.send_elsewhere(key, now);
+    }
+
+    /// Ends the current attempt and places the request at another upstream.
+    fn send_elsewhere(&mut self, key: FlowKey, now: ClockMillis) {
+        let Some(vm) = self.release_attempt(key) else {
             return;
         };
-        let (pool_name, vm) = (attempt.pool.clone(), attempt.vm.clone());
-        if let Some(prefix) = flow.request.prompt.shared_hash() {
-            self.directory.note_failure(prefix, &vm);
-        }
-        flow.tried.push(vm.clone());
-        flow.state = FlowState::Waiting(pool_name.clone());
-        if let Some(pool) = self.pools.get_mut(&pool_name) {
-            pool.remove_request(&vm);
-        }
+        self.flows[&key].tried.push(vm);
         self.place(key, now);
     }
 
@@ -181,8 +182,7 @@
         }
         let has_other = self.pools.get(&attempt.pool).is_some_and(|pool| {
             let tried = [attempt.vm.clone()];
-            let zone = self.zone.as_str();
-            let others = pool.candidates(&tried, &[], zone, &self.outcomes, now);
+            let others = pool.candidates(&tried, &[], self.zone.as_str(), self.conditions(now));
             others.iter().any(|other| other.load < other.capacity)
         });
         if !has_other || is_suspect || !self.take_retry(key) {
--- a/crates/coordination/fescuetide_flow/src/waiting.rs
+++ b/crates/coordination/fescuetide_flow/src/waiting.rs
@@ -79,9 +79,14 @@
         expired
     }
 
-    /// The queued requests in order.
+    /// The keys of the queued requests in order.
     pub(crate) fn keys(&self) -> Vec<FlowKey> {
-        self.entries.iter().map(|queued| queued.entry.key).collect()
+        self.iter().map(|entry| entry.key).collect()
+    }
+
+    /// The queued requests in order.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &WaitingEntry> {
+        self.entries.iter().map(|queued| &queued.entry)
     }
 
     pub(crate) fn len(&self) -> usize {
--- a/crates/coordination/fescuetide_flow/tests/flow/main.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/main.rs
@@ -6,6 +6,7 @@
 mod crash_harness;
 mod harness;
 mod life;
+mod pauses;
 mod placement;
 mod random;
 mod retry_fleet;
