Restore crash evidence that the log never got or has lost

What callers saw: after an outage of the log in which three gateways found a request that crashes upstreams, and ended, a gateway that started when the log was back sent the request on; more upstreams crashed through it.

Cause: only the gateway that finds a crash writes it to the log, and a gateway that starts takes the log's list for complete. What peers learned meanwhile existed in their memory alone.

Fix: a gateway that starts asks its seed peers before it is ready, for up to a second.

--- a/crates/coordination/fescuetide_limits/src/lib.rs
+++ b/crates/coordination/fescuetide_limits/src/lib.rs
@@ -1,7 +1,8 @@
 //! Overload protection: load bounds and admission queues of upstreams, retry budgets, a circuit breaker, a rate
-//! limiter, and a table of requests suspected of crashing upstreams.
+//! limiter, and what is known about requests suspected of crashing upstreams.
 
 mod average;
+mod backlog;
 mod bound;
 mod breaker;
 mod budget;
@@ -14,6 +15,7 @@
 mod suspects;
 
 pub use average::MovingAverage;
+pub use backlog::ReportBacklog;
 pub use bound::LoadBound;
 pub use breaker::BreakerSettings;
 pub use breaker::CircuitBreaker;
@@ -43,11 +45,14 @@
     pub use crate::BudgetSettings;
     pub use crate::CandidateSelector;
     pub use crate::CircuitBreaker;
+    pub use crate::CrashCount;
+    pub use crate::CrashEvidence;
     pub use crate::CrashFingerprint;
     pub use crate::LoadBound;
     pub use crate::LoadLimiter;
     pub use crate::QueueEvent;
     pub use crate::QueuedWork;
+    pub use crate::ReportBacklog;
     pub use crate::RetryBudget;
     pub use crate::SuspectSettings;
     pub use crate::SuspectTable;
--- a/crates/process/fescuetide_gateway/src/counters.rs
+++ b/crates/process/fescuetide_gateway/src/counters.rs
@@ -100,6 +100,8 @@
     crashes_learned => "fescuetide_crashes_learned_total",
     /// Appends of crash reports to the platform's log service.
     crash_reports => "fescuetide_crash_reports_total",
+    /// Times that crash reports were written which the log had lost or never got.
+    crash_reports_restored => "fescuetide_crash_reports_restored_total",
     /// Calls to the platform's log service.
     log_calls => "fescuetide_log_calls_total",
     /// Failed calls to the platform's log service.
--- a/crates/process/fescuetide_gateway/src/crash_evidence.rs
+++ b/crates/process/fescuetide_gateway/src/crash_evidence.rs
@@ -1,6 +1,7 @@
 //! What the traffic thread does with changes of what is known about requests that crash upstreams.
 
 use fescuetide_flow::CrashEvent;
+use fescuetide_limits::CrashEvidence;
 
 use crate::codec::HttpCodec;
 use crate::counters::count;
@@ -42,15 +43,40 @@
             }
         }
         let evidence = self.scheduler.take_crash_evidence(self.now);
-        if let Some(appender) = &self.report_sender
-            && !evidence.is_empty()
-            && appender
-                .send(ReportCommand::Append {
-                    evidence,
-                    is_urgent: has_new_crash,
-                })
-                .is_err()
-        {
+        self.append_reports(evidence, has_new_crash);
+    }
+
+    /// Reports evidence that the log lacks, although another gateway found it: the log was away or lost the report, and that
+    /// gateway may have ended.
+    pub(crate) fn report_missing_evidence(&mut self) {
+        if self.is_log_unavailable || !self.has_crash_reports {
+            return;
+        }
+        let known = || self.scheduler.list_crash_evidence(self.now);
+        let missing = self.report_backlog.take_missing(known, self.now);
+        if missing.is_empty() {
+            return;
+        }
+        count(&self.counters.crash_reports_restored);
+        tracing::info!(
+            reports = missing.len(),
+            "writing crash reports that the log lacks"
+        );
+        self.append_reports(missing, false);
+    }
+
+    fn append_reports(&self, evidence: Vec<CrashEvidence>, is_urgent: bool) {
+        let Some(appender) = &self.report_sender else {
+            return;
+        };
+        if evidence.is_empty() {
+            return;
+        }
+        let command = ReportCommand::Append {
+            evidence,
+            is_urgent,
+        };
+        if appender.send(command).is_err() {
             tracing::error!("cannot append crash reports: the appending thread has ended");
         }
     }
--- a/crates/process/fescuetide_gateway/src/messages.rs
+++ b/crates/process/fescuetide_gateway/src/messages.rs
@@ -20,6 +20,8 @@
     Fleet(FleetUpdate),
     /// What a peer knows about requests that crash upstreams.
     PeerEvidence(Vec<CrashEvidence>),
+    /// All seed peers were asked for their evidence, whether or not they answered.
+    PeersAsked,
     /// What is new in the crash reports in the log; empty if they cannot be read.
     CrashReports(Vec<CrashEvidence>),
     /// Number of gateways, including this one.
@@ -44,8 +46,12 @@
                 LoopMessage::PeerEvidence(evidence) => {
                     self.scheduler.merge_crash_evidence(evidence, self.now)
                 }
+                LoopMessage::PeersAsked => self.were_peers_asked = true,
                 LoopMessage::CrashReports(evidence) => {
                     self.has_crash_reports = true;
+                    for report in &evidence {
+                        self.report_backlog.note_logged(report);
+                    }
                     self.scheduler.merge_crash_evidence(evidence, self.now);
                 }
                 LoopMessage::GatewayCount(gateways) => {
--- a/crates/process/fescuetide_gateway/src/peers.rs
+++ b/crates/process/fescuetide_gateway/src/peers.rs
@@ -130,6 +130,7 @@
 
 impl PeerClient {
     fn run(self, commands: &Receiver<PeerCommand>) {
+        self.query_seeds();
         let mut next_query_at = self.started + PEER_QUERY_DELAY;
         let mut interval = INITIAL_INTERVAL;
         let mut known = 0;
@@ -186,6 +187,14 @@
         }
     }
 
+    /// Asks the seed peers what they know about requests that crash upstreams.
+    fn query_seeds(&self) {
+        for peer in self.publisher.peer_state.all_peers() {
+            self.query(peer, false);
+        }
+        self.publisher.send(LoopMessage::PeersAsked);
+    }
+
     fn query_next(&self) {
         let Some(peer) = self.publisher.peer_state.next_peer(ClockMillis::now()) else {
             return;
--- a/crates/process/fescuetide_gateway/src/traffic.rs
+++ b/crates/process/fescuetide_gateway/src/traffic.rs
@@ -10,6 +10,7 @@
 use crossbeam::channel::Sender;
 use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
+use fescuetide_base::StableHash;
 use fescuetide_base::VmName;
 use fescuetide_fleet::FleetConfig;
 use fescuetide_fleet::UpdateFilter;
@@ -17,6 +18,7 @@
 use fescuetide_flow::FlowKey;
 use fescuetide_flow::RequestScheduler;
 use fescuetide_limits::FixedWindowLimiter;
+use fescuetide_limits::ReportBacklog;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use mio::Events;
@@ -73,6 +75,9 @@
 /// configuration and registrations.
 const INPUT_PAUSE: SpanMillis = SpanMillis::new(150);
 
+/// How long after the start a gateway is not ready because its seed peers have not answered.
+const PEER_PATIENCE: SpanMillis = SpanMillis::new(1_000);
+
 /// Flags that the signal handlers set.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LoopSignals {
@@ -116,6 +121,10 @@
     pub(crate) refresh_sender: Option<Sender<()>>,
     /// Whether the crash reports were read, or whether there was an attempt to.
     pub(crate) has_crash_reports: bool,
+    /// Whether the seed peers were asked for their crash evidence.
+    pub(crate) were_peers_asked: bool,
+    /// Finds crash evidence that the log lacks.
+    pub(crate) report_backlog: ReportBacklog,
     /// Takes crash evidence for peers, `None` if peers are disabled.
     pub(crate) peer_sender: Option<Sender<PeerCommand>>,
     /// Takes crash evidence for the platform's log.
@@ -170,6 +179,8 @@
             deferred_reads: IndexSet::new(),
             refresh_sender: None,
             has_crash_reports: false,
+            were_peers_asked: false,
+            report_backlog: ReportBacklog::new(report_offset(&settings.vm), ClockMillis::now()),
             peer_sender: None,
             report_sender: None,
             signals: LoopSignals::default(),
@@ -369,6 +380,7 @@
         }
         self.sweep_upstreams();
         self.sweep_monitoring();
+        self.report_missing_evidence();
         self.run_actions();
     }
 
@@ -400,13 +412,25 @@
             .upstreams
             .as_ref()
             .is_some_and(|table| !table.is_empty());
-        // Without the crash reports, a request that the other gateways refuse would be sent on.
-        let has_fleet = self.config.is_some() && has_upstreams && self.has_crash_reports;
+        let has_fleet = self.config.is_some() && has_upstreams && self.has_crash_evidence();
         has_fleet && self.drain.is_none()
     }
 
+    /// Whether this gateway knows what the others know about requests that crash upstreams. Otherwise, a request that they
+    /// refuse would be sent on. The log alone may lack what was found while it was away.
+    fn has_crash_evidence(&self) -> bool {
+        let is_patient = self.now.since(self.started) < PEER_PATIENCE;
+        let awaits_peers = self.peer_sender.is_some() && !self.were_peers_asked && is_patient;
+        self.has_crash_reports && !awaits_peers
+    }
+
     /// Whether a termination signal was received.
     pub(crate) fn is_stop_requested(&self) -> bool {
         self.signals.stop.load(Ordering::Acquire)
     }
 }
+
+/// When, relative to other gateways, this one checks for evidence that the log lacks.
+fn report_offset(vm: &str) -> SpanMillis {
+    SpanMillis::new(StableHash::hash_bytes(vm.as_bytes()))
+}
