Keep the pauses that upstreams ask side processes for

The side process refuses attempts in the pause, with the time that is left, so routers ask the next upstream, and those that were queued are shed. The pause with its limit and the parsing of Retry-After exist once, for gateways and side processes.

--- a/crates/base/fescuetide_base/src/clock.rs
+++ b/crates/base/fescuetide_base/src/clock.rs
@@ -98,6 +98,21 @@
         self.0
     }
 
+    /// Parses the value of a `Retry-After` header that has seconds, which may have a fraction. Returns `None` for dates,
+    /// negative numbers and anything else.
+    ///
+    /// ```
+    /// use fescuetide_base::SpanMillis;
+    ///
+    /// assert_eq!(SpanMillis::from_retry_after(" 2.5 "), Some(SpanMillis::new(2_500)));
+    /// assert_eq!(SpanMillis::from_retry_after("-1"), None);
+    /// ```
+    pub fn from_retry_after(text: &str) -> Option<Self> {
+        let seconds: f64 = text.trim().parse().ok()?;
+        let is_valid = seconds.is_finite() && seconds >= 0.0;
+        is_valid.then(|| Self((seconds * 1_000.0).ceil() as u64))
+    }
+
     /// Returns the duration in whole seconds, rounded up, as the `Retry-After` header requires.
     pub const fn as_secs_ceil(self) -> u64 {
         self.0.div_ceil(1_000)
--- a/crates/coordination/fescuetide_flow/src/announcements.rs
+++ b/crates/coordination/fescuetide_flow/src/announcements.rs
@@ -5,17 +5,23 @@
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
 use fescuetide_fleet::UpstreamEntry;
+use fescuetide_limits::RequestPause;
 use indexmap::IndexMap;
 
-/// The longest pause that is kept. Longer ones are cut, so that a wrong value does not exclude an upstream for good.
-const MAX_PAUSE: SpanMillis = SpanMillis::new(600_000);
-
 /// Announcements of one incarnation of an upstream.
 #[derive(Clone, Copy, Debug)]
 struct UpstreamAnnouncement {
     incarnation: ProcessIncarnation,
-    /// When the upstream accepts requests again.
-    paused_until: ClockMillis,
+    pause: RequestPause,
+}
+
+impl UpstreamAnnouncement {
+    fn new(incarnation: ProcessIncarnation) -> Self {
+        Self {
+            incarnation,
+            pause: RequestPause::default(),
+        }
+    }
 }
 
 /// The announcements of all upstreams.
@@ -28,7 +34,7 @@
 }
 
 impl AnnouncementTable {
-    /// Records that an upstream wants no requests from this gateway for `pause`. An earlier pause that ends later stays.
+    /// Records that an upstream wants no requests from this gateway for `pause`.
     pub(crate) fn note_pause(
         &mut self,
         entry: &UpstreamEntry,
@@ -36,13 +42,14 @@
         now: ClockMillis,
     ) {
         self.expire(now);
-        let until = now + pause.min(MAX_PAUSE);
-        let until = until.max(self.paused_until(entry, now).unwrap_or(until));
-        let announcement = UpstreamAnnouncement {
-            incarnation: entry.incarnation,
-            paused_until: until,
-        };
-        self.announcements.insert(entry.name.clone(), announcement);
+        let announcement = self
+            .announcements
+            .entry(entry.name.clone())
+            .or_insert_with(|| UpstreamAnnouncement::new(entry.incarnation));
+        if announcement.incarnation != entry.incarnation {
+            *announcement = UpstreamAnnouncement::new(entry.incarnation);
+        }
+        announcement.pause.extend(pause, now);
     }
 
     /// When the pause of an upstream ends, or `None` if it accepts requests.
@@ -52,19 +59,20 @@
         now: ClockMillis,
     ) -> Option<ClockMillis> {
         let announcement = self.announcements.get(&entry.name)?;
-        let is_paused =
-            announcement.incarnation == entry.incarnation && now < announcement.paused_until;
-        is_paused.then_some(announcement.paused_until)
+        if announcement.incarnation != entry.incarnation {
+            return None;
+        }
+        announcement.pause.end(now)
     }
 
     /// Whether any upstream may be paused.
     pub(crate) fn has_pauses(&self, now: ClockMillis) -> bool {
         let mut announcements = self.announcements.values();
-        announcements.any(|announcement| now < announcement.paused_until)
+        announcements.any(|announcement| announcement.pause.end(now).is_some())
     }
 
     fn expire(&mut self, now: ClockMillis) {
         self.announcements
-            .retain(|_, announcement| now < announcement.paused_until);
+            .retain(|_, announcement| announcement.pause.end(now).is_some());
     }
 }
--- a/crates/process/fescuetide_side/src/execute.rs
+++ b/crates/process/fescuetide_side/src/execute.rs
@@ -27,6 +27,12 @@
         return Err(refuse(RefusalReason::OtherIncarnation));
     }
     let now = ClockMillis::now();
+    if let Some(left) = shared.upstream.pause_left(now) {
+        return Err(AdmitRefusal {
+            retry_after: left,
+            ..refuse(RefusalReason::TooLate)
+        });
+    }
     check_condition(shared, dispatch, now).map_err(refuse)?;
     let entry = shared
         .attempts
@@ -126,6 +132,8 @@
     let started = ClockMillis::now();
     let ending = if entry.response.is_cancelled() {
         AttemptEnding::NotRun("caller disconnected while the attempt was queued".to_owned())
+    } else if let Some(left) = shared.upstream.pause_left(started) {
+        AttemptEnding::Shed(left)
     } else {
         fetch_prefix(shared, dispatch);
         shared.upstream.run(dispatch, &entry.response)
--- a/crates/process/fescuetide_side/src/upstream.rs
+++ b/crates/process/fescuetide_side/src/upstream.rs
@@ -5,10 +5,15 @@
 use std::io::ErrorKind;
 use std::io::Read;
 use std::net::TcpStream;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::thread;
 use std::time::Duration;
 
+use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
+use fescuetide_limits::RequestPause;
 use fescuetide_wire::api::ChatEvent;
 use fescuetide_wire::frame::AttemptEnding;
 use fescuetide_wire::frame::AttemptTag;
@@ -41,6 +46,12 @@
 /// undetected if the upstream accepts connections at every probe, for example because it has already restarted.
 const PROBE_PAUSE_MS: u64 = 20;
 
+/// Status with which an upstream turns a request away, and may ask for a pause.
+const UNAVAILABLE_STATUS: u16 = 503;
+
+/// Header in which an upstream says for how long it wants no more requests, in seconds.
+const RETRY_AFTER_HEADER: &str = "retry-after";
+
 /// Header that passes the attempt id to the upstream, which knows each attempt as a request of its own.
 const ATTEMPT_HEADER: &str = "x-request-id";
 
@@ -50,6 +61,7 @@
     agent: Agent,
     base: String,
     kind: UpstreamKind,
+    pause: Mutex<RequestPause>,
 }
 
 impl UpstreamClient {
@@ -68,7 +80,32 @@
             agent: config.into(),
             base: settings.upstream_url.clone(),
             kind: settings.kind,
+            pause: Mutex::default(),
+        }
+    }
+
+    /// Time for which the upstream still wants no requests, or `None` if it accepts them.
+    pub(crate) fn pause_left(&self, now: ClockMillis) -> Option<SpanMillis> {
+        let end = self.lock_pause().end(now)?;
+        Some(end.since(now))
+    }
+
+    /// Starts a pause if the upstream turned a request away and asks for one.
+    fn note_pause<B>(&self, response: &Response<B>) {
+        if response.status().as_u16() != UNAVAILABLE_STATUS {
+            return;
         }
+        let value = response.headers().get(RETRY_AFTER_HEADER);
+        let text = value.and_then(|value| value.to_str().ok());
+        let Some(pause) = text.and_then(SpanMillis::from_retry_after) else {
+            return;
+        };
+        tracing::info!(pause_ms = pause.as_millis(), "upstream asked for a pause");
+        self.lock_pause().extend(pause, ClockMillis::now());
+    }
+
+    fn lock_pause(&self) -> MutexGuard<'_, RequestPause> {
+        self.pause.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Runs an attempt to its end and writes its response to `buffer`.
@@ -165,6 +202,7 @@
             Ok(response) => response,
             Err(error) => return ending_from_error(&error),
         };
+        self.note_pause(&response);
         buffer.set_head(response.status().as_u16(), response_content_type(&response));
         let mut reader = response.into_body().into_reader();
         let mut part = vec![0; READ_PART_BYTES];
@@ -201,6 +239,7 @@
             Ok(response) => response,
             Err(error) => return ending_from_error(&error),
         };
+        self.note_pause(&response);
         let status = response.status().as_u16();
         if status != 200 {
             return self.relay_error(response, buffer);
--- a/crates/tools/fescuetide_bench/tests/faults_upstream.rs
+++ b/crates/tools/fescuetide_bench/tests/faults_upstream.rs
@@ -118,3 +118,34 @@
     let asked = asked.expect("10 tokens").load(Ordering::Acquire);
     assert_eq!(asked, 1, "the request was retried after a final refusal");
 }
+
+/// Number of requests that may reach an upstream in a pause that it asked for.
+const ALLOWED_IN_PAUSE: usize = 2;
+
+/// Guards against requests that reach an upstream which turned one away and asked for a pause, although others have room.
+#[test]
+fn upstream_that_asked_for_a_pause_is_left_alone() {
+    let mut fleet = FleetProcesses::start(fault_settings(2, 2)).expect("fleet starts");
+    let routers = fleet.router_addresses();
+    fleet.kill_upstream(0).expect("kill");
+    let count = serve_fixed(
+        fleet.upstreams[0].upstream_address,
+        "HTTP/1.1 503 Service Unavailable\r\nretry-after: 300\r\ncontent-length: 0\r\n\
+         connection: close\r\n\r\n",
+    );
+    let mut turn = 0;
+    while count.load(Ordering::Acquire) == 0 {
+        assert!(turn < 200, "the upstream got no request");
+        let call = StreamCall::new(routers[turn % 2], &format!("first {turn}"), 3);
+        check_outcome(&fleet, &call.run()).expect("the outcome agrees with the journals");
+        turn += 1;
+    }
+    let before = count.load(Ordering::Acquire);
+    for turn in 0..40 {
+        let call = StreamCall::new(routers[turn % 2], &format!("next {turn}"), 3);
+        let result = call.run();
+        assert_eq!(result.outcome, Some(CallOutcome::Completed), "{result:?}");
+    }
+    let in_pause = count.load(Ordering::Acquire) - before;
+    assert!(in_pause <= ALLOWED_IN_PAUSE, "{in_pause} requests");
+}
