Move seeded random numbers and the check of a retry budget to a shared crate

A run of real processes needs both. The 20 default seeds of the simulation did not fail when gateways start with a burst, now that shares are bounded (mutation: retry_window of 0).

--- a/crates/base/fescuetide_fuzz/src/lib.rs
+++ b/crates/base/fescuetide_fuzz/src/lib.rs
@@ -1,12 +1,20 @@
-//! Proptest configuration of the stateful fuzz tests.
+//! Helpers of seeded tests: the proptest configuration of the stateful fuzz tests, random numbers, and the check of a retry
+//! budget.
 //!
 //! By default, each test runs with its own fixed seed and case count. `FESCUETIDE_FUZZ_CASES=N` runs N cases with a new
 //! seed and prints it; `FESCUETIDE_FUZZ_SEED=S` reproduces the run with seed S.
 
+mod random;
+mod retry_window;
+
 use fescuetide_base::ClockMillis;
 use proptest::test_runner::Config;
 use proptest::test_runner::RngSeed;
 
+pub use random::SeededRandom;
+pub use retry_window::RetryLimit;
+pub use retry_window::RetryWindow;
+
 /// Builds the configuration of a fuzz test that runs `cases` cases with `seed`, unless environment variables override
 /// them.
 ///
--- a/crates/coordination/fescuetide_flow/tests/flow/random.rs
+++ b/crates/base/fescuetide_fuzz/src/random.rs
@@ -3,19 +3,20 @@
 use fescuetide_base::StableHash;
 
 /// Numbers that follow from a seed.
-pub(crate) struct SeededRandom {
+#[derive(Clone, Copy, Debug)]
+pub struct SeededRandom {
     seed: u64,
     drawn: u64,
 }
 
 impl SeededRandom {
     /// Creates the sequence of a seed.
-    pub(crate) fn new(seed: u64) -> Self {
+    pub fn new(seed: u64) -> Self {
         Self { seed, drawn: 0 }
     }
 
     /// Returns a number below `limit`.
-    pub(crate) fn below(&mut self, limit: u64) -> u64 {
+    pub fn below(&mut self, limit: u64) -> u64 {
         self.drawn += 1;
         let hash = StableHash::new()
             .field(&self.seed.to_le_bytes())
--- a/crates/coordination/fescuetide_flow/tests/flow/crash_fleet.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/crash_fleet.rs
@@ -15,12 +15,12 @@
 use fescuetide_flow::RefusalCause;
 use fescuetide_flow::RequestScheduler;
 use fescuetide_flow::WorkRequest;
+use fescuetide_fuzz::SeededRandom;
 use fescuetide_limits::CrashEvidence;
 use fescuetide_limits::CrashFingerprint;
 
 use crate::harness::route;
 use crate::harness::upstream;
-use crate::random::SeededRandom;
 
 const UPSTREAMS: usize = 12;
 
--- a/crates/coordination/fescuetide_flow/tests/flow/main.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/main.rs
@@ -8,6 +8,5 @@
 mod life;
 mod pauses;
 mod placement;
-mod random;
 mod retry_fleet;
 mod retry_share;
--- a/crates/coordination/fescuetide_flow/tests/flow/retry_fleet.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/retry_fleet.rs
@@ -13,11 +13,13 @@
 use fescuetide_flow::LoadReport;
 use fescuetide_flow::RequestScheduler;
 use fescuetide_flow::WorkRequest;
+use fescuetide_fuzz::RetryLimit;
+use fescuetide_fuzz::RetryWindow;
+use fescuetide_fuzz::SeededRandom;
 use fescuetide_limits::BudgetSettings;
 
 use crate::harness::route;
 use crate::harness::upstream;
-use crate::random::SeededRandom;
 
 const UPSTREAMS: usize = 12;
 
@@ -27,13 +29,11 @@
 /// Length of a run.
 const LENGTH: SpanMillis = SpanMillis::new(60_000);
 
-/// Length of the windows in which retries are limited.
-const WINDOW: SpanMillis = SpanMillis::new(10_000);
-
-/// The limit that operators set: retries per request, and retries beyond that in each window.
-const LIMIT: BudgetSettings = BudgetSettings {
+/// The limit that operators set.
+const LIMIT: RetryLimit = RetryLimit {
     ratio: 0.2,
     burst: 54.0,
+    window: SpanMillis::new(10_000),
 };
 
 /// The part of [`LIMIT`] that gateways may use, as in the settings of the process.
@@ -48,10 +48,11 @@
 /// Range of the time that an upstream takes for a request.
 const WORK_MS: std::ops::Range<u64> = 20..600;
 
-/// Number of seeds per size of the fleet, unless [`SEEDS_VARIABLE`] is set.
-const DEFAULT_SEEDS: u64 = 20;
+/// Seeds of each size of the fleet, unless [`SEEDS_VARIABLE`] is set. If gateways start with a burst, two of them exceed the
+/// limit.
+const DEFAULT_SEEDS: std::ops::Range<u64> = 110..126;
 
-/// Environment variable with the number of seeds.
+/// Environment variable with the number of seeds, which start from 0.
 const SEEDS_VARIABLE: &str = "FESCUETIDE_RETRY_SEEDS";
 
 /// A gateway process. `starts` distinguishes it from those that ran before.
@@ -139,7 +140,7 @@
                 }
             }
             let is_restart = self.random.below(10_000 / STEP.as_millis()) < restarts;
-            if self.now.since(failing_from) < WINDOW && is_restart && self.is_failing {
+            if self.now.since(failing_from) < LIMIT.window && is_restart && self.is_failing {
                 let index = self.random.below(self.gateways.len() as u64) as usize;
                 let starts = self.gateways[index].starts + 1;
                 self.gateways[index] = start_gateway(starts, self.now);
@@ -243,51 +244,25 @@
         }
     }
 
-    /// The window with the most repeats beyond the limit: its end, the repeats in it and their limit.
-    fn worst_window(&self) -> Option<(ClockMillis, usize, f64)> {
-        let mut worst: Option<(ClockMillis, usize, f64)> = None;
-        for end in &self.repeats {
-            let repeats = count_between(&self.repeats, *end, WINDOW);
-            let half = SpanMillis::new(WINDOW.as_millis() / 2);
-            let mut requests = 0;
-            for earlier in [SpanMillis::default(), half, WINDOW] {
-                let end = ClockMillis::new(end.as_millis() - earlier.as_millis());
-                requests = requests.max(count_between(&self.requests, end, WINDOW));
-            }
-            let limit = LIMIT.ratio * requests as f64 + LIMIT.burst;
-            let excess = |(_, repeats, limit): (ClockMillis, usize, f64)| repeats as f64 - limit;
-            let is_worse = worst.is_none_or(|worst| excess((*end, repeats, limit)) > excess(worst));
-            if is_worse {
-                worst = Some((*end, repeats, limit));
-            }
-        }
-        worst
+    fn worst_window(&self) -> Option<RetryWindow> {
+        LIMIT.worst_window(&self.requests, &self.repeats)
     }
 }
 
-/// Number of times in the window of this length that ends at `end`.
-fn count_between(times: &[ClockMillis], end: ClockMillis, length: SpanMillis) -> usize {
-    let until = times.partition_point(|at| *at <= end);
-    let from = times.partition_point(|at| *at + length <= end);
-    until - from
-}
-
 /// Guards against repeats of all gateways together that exceed the shared budget: because a gateway that starts has a burst
 /// of its own, or because the gateways' shares of the burst add up to more than one.
 #[test]
 fn repeats_of_all_gateways_stay_within_the_shared_budget() {
     let seeds = std::env::var(SEEDS_VARIABLE);
-    let seeds = seeds.map_or(DEFAULT_SEEDS, |text| text.parse().unwrap());
+    let seeds = seeds.map_or(DEFAULT_SEEDS, |text| 0..text.parse().unwrap());
     let mut failures = Vec::new();
     for size in [2, 4, 5, 22] {
-        for seed in 0..seeds {
+        for seed in seeds.clone() {
             let mut fleet = RetryFleet::new(seed, size);
             fleet.run();
-            let (end, repeats, limit) = fleet.worst_window().expect("requests are repeated");
-            if repeats as f64 > limit {
-                failures.push(format!(
-                    "seed {seed}, {size} gateways: {repeats} repeats up to {end}, {limit:.1} allowed"
-                ));
+            let worst = fleet.worst_window().expect("requests are repeated");
+            if worst.is_exceeded() {
+                failures.push(format!("seed {seed}, {size} gateways: {worst}"));
             }
         }
     }
