Send nothing new to upstreams that announce that they leave

What upstreams saw: one that says Server-Leaving in its answers got requests until its entry in the log said the same; while the log was away, for ever.

Cause: the field was not read. As with pauses, only the entry counted.

Fix: announcements are taken from the head of a response, be it a success, an error, a 503 or the start of a stream, so that neither a long stream nor a slow body delays them. A leaving upstream is no candidate until its next incarnation. Its streams go on and its cached prefixes stay a source of copies. Requests that wait for a connection to it or in a queue for it are placed elsewhere or refused at once.

--- a/crates/coordination/fescuetide_flow/src/action.rs
+++ b/crates/coordination/fescuetide_flow/src/action.rs
@@ -7,6 +7,7 @@
 
 use crate::FlowRefusal;
 use crate::LoadReport;
+use crate::UpstreamAnnouncement;
 
 /// Identifies a request within a [`RequestScheduler`](crate::RequestScheduler). Keys are never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -71,6 +72,8 @@
 pub enum AttemptEvent {
     /// The first byte of the request was written, so the upstream may run it.
     Sent,
+    /// The head of the response arrived, and announces something about the upstream. Another event follows.
+    Announced(UpstreamAnnouncement),
     /// A valid head of a successful stream arrived.
     StreamStarted(Option<LoadReport>),
     /// Events of the stream arrived.
@@ -104,8 +107,6 @@
 pub enum DeclineCause {
     /// The upstream is full, or the request expired in its queue.
     Full,
-    /// The upstream wants no requests from this gateway for the given time.
-    Paused(SpanMillis),
     /// A different upstream listens on the address.
     Misdirected,
 }
--- a/crates/coordination/fescuetide_flow/src/announcements.rs
+++ b/crates/coordination/fescuetide_flow/src/announcements.rs
@@ -8,20 +8,38 @@
 use fescuetide_limits::RequestPause;
 use indexmap::IndexMap;
 
-/// Announcements of one incarnation of an upstream.
+/// How long an upstream that announced that it leaves counts as leaving, unless it announces it again. It ends much sooner.
+const LEAVING_RETENTION: SpanMillis = SpanMillis::new(600_000);
+
+/// What an upstream announces in a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UpstreamAnnouncement {
+    /// For how long it wants no requests from this gateway.
+    pub pause: Option<SpanMillis>,
+    /// Whether it leaves: it finishes its work, takes no new one, and ends.
+    pub is_leaving: bool,
+}
+
+/// What one incarnation of an upstream has announced.
 #[derive(Clone, Copy, Debug)]
-struct UpstreamAnnouncement {
+struct AnnouncedState {
     incarnation: ProcessIncarnation,
     pause: RequestPause,
+    leaving_until: ClockMillis,
 }
 
-impl UpstreamAnnouncement {
+impl AnnouncedState {
     fn new(incarnation: ProcessIncarnation) -> Self {
         Self {
             incarnation,
             pause: RequestPause::default(),
+            leaving_until: ClockMillis::default(),
         }
     }
+
+    fn is_in_force(&self, now: ClockMillis) -> bool {
+        now < self.leaving_until || self.pause.end(now).is_some()
+    }
 }
 
 /// The announcements of all upstreams.
@@ -30,49 +48,58 @@
 /// not know that it was missing.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct AnnouncementTable {
-    announcements: IndexMap<VmName, UpstreamAnnouncement>,
+    states: IndexMap<VmName, AnnouncedState>,
 }
 
 impl AnnouncementTable {
-    /// Records that an upstream wants no requests from this gateway for `pause`.
-    pub(crate) fn note_pause(
+    /// Records an announcement. Returns whether the upstream was not known to leave and does.
+    pub(crate) fn note(
         &mut self,
         entry: &UpstreamEntry,
-        pause: SpanMillis,
+        announcement: UpstreamAnnouncement,
         now: ClockMillis,
-    ) {
-        self.expire(now);
-        let announcement = self
-            .announcements
+    ) -> bool {
+        self.states.retain(|_, state| state.is_in_force(now));
+        let state = self
+            .states
             .entry(entry.name.clone())
-            .or_insert_with(|| UpstreamAnnouncement::new(entry.incarnation));
-        if announcement.incarnation != entry.incarnation {
-            *announcement = UpstreamAnnouncement::new(entry.incarnation);
+            .or_insert_with(|| AnnouncedState::new(entry.incarnation));
+        if state.incarnation != entry.incarnation {
+            *state = AnnouncedState::new(entry.incarnation);
         }
-        announcement.pause.extend(pause, now);
+        if let Some(pause) = announcement.pause {
+            state.pause.extend(pause, now);
+        }
+        let is_news = announcement.is_leaving && now >= state.leaving_until;
+        if announcement.is_leaving {
+            state.leaving_until = now + LEAVING_RETENTION;
+        }
+        is_news
     }
 
-    /// When the pause of an upstream ends, or `None` if it accepts requests.
+    /// When the pause of an upstream ends, or `None` if it has none.
     pub(crate) fn paused_until(
         &self,
         entry: &UpstreamEntry,
         now: ClockMillis,
     ) -> Option<ClockMillis> {
-        let announcement = self.announcements.get(&entry.name)?;
-        if announcement.incarnation != entry.incarnation {
-            return None;
-        }
-        announcement.pause.end(now)
+        self.state_of(entry)?.pause.end(now)
+    }
+
+    /// Whether an upstream has announced that it leaves.
+    pub(crate) fn is_leaving(&self, entry: &UpstreamEntry, now: ClockMillis) -> bool {
+        self.state_of(entry)
+            .is_some_and(|state| now < state.leaving_until)
     }
 
     /// Whether any upstream may be paused.
     pub(crate) fn has_pauses(&self, now: ClockMillis) -> bool {
-        let mut announcements = self.announcements.values();
-        announcements.any(|announcement| announcement.pause.end(now).is_some())
+        let mut states = self.states.values();
+        states.any(|state| state.pause.end(now).is_some())
     }
 
-    fn expire(&mut self, now: ClockMillis) {
-        self.announcements
-            .retain(|_, announcement| announcement.pause.end(now).is_some());
+    fn state_of(&self, entry: &UpstreamEntry) -> Option<&AnnouncedState> {
+        let state = self.states.get(&entry.name)?;
+        (state.incarnation == entry.incarnation).then_some(state)
     }
 }
--- a/crates/coordination/fescuetide_flow/src/lib.rs
+++ b/crates/coordination/fescuetide_flow/src/lib.rs
@@ -38,6 +38,7 @@
 pub use action::FlowKey;
 pub use action::ProbeOutcome;
 pub use action::SendCommand;
+pub use announcements::UpstreamAnnouncement;
 pub use call::AttemptUpdate;
 pub use call::CallEnd;
 pub use call::CallFlow;
--- a/crates/coordination/fescuetide_flow/src/notice.rs
+++ b/crates/coordination/fescuetide_flow/src/notice.rs
@@ -26,6 +26,11 @@
         /// How many may accumulate for each pool.
         burst: f64,
     },
+    /// An upstream has announced that it leaves.
+    LeavingAnnounced {
+        /// The upstream.
+        upstream: VmName,
+    },
     /// An upstream wants no requests from this gateway for some time.
     PauseStarted {
         /// The upstream.
--- a/crates/coordination/fescuetide_flow/src/pool.rs
+++ b/crates/coordination/fescuetide_flow/src/pool.rs
@@ -44,7 +44,7 @@
         self.entry.slots + self.entry.slots.min(UPSTREAM_QUEUE_LIMIT)
     }
 
-    pub(crate) fn is_ready(&self) -> bool {
+    fn is_ready(&self) -> bool {
         self.entry.state == UpstreamState::Ready
     }
 }
@@ -58,9 +58,14 @@
 }
 
 impl UpstreamConditions<'_> {
+    /// Whether an upstream is ready and has not announced that it leaves.
+    fn is_ready(&self, upstream: &PoolUpstream) -> bool {
+        upstream.is_ready() && !self.announcements.is_leaving(&upstream.entry, self.now)
+    }
+
     /// Whether an upstream accepts requests, regardless of its load.
     fn accepts_requests(&self, upstream: &PoolUpstream) -> bool {
-        upstream.is_ready() && self.paused_until(upstream).is_none()
+        self.is_ready(upstream) && self.paused_until(upstream).is_none()
     }
 
     fn paused_until(&self, upstream: &PoolUpstream) -> Option<ClockMillis> {
@@ -132,8 +137,9 @@
     }
 
     /// Whether the pool has a ready upstream, regardless of its load and of pauses.
-    pub(crate) fn has_ready(&self) -> bool {
-        self.upstreams.values().any(PoolUpstream::is_ready)
+    pub(crate) fn has_ready(&self, conditions: UpstreamConditions<'_>) -> bool {
+        let mut upstreams = self.upstreams.values();
+        upstreams.any(|upstream| conditions.is_ready(upstream))
     }
 
     /// Whether an upstream of the pool accepts requests, regardless of its load.
@@ -142,6 +148,16 @@
         upstreams.any(|upstream| conditions.accepts_requests(upstream))
     }
 
+    /// Whether an upstream of the pool accepts requests, regardless of its load.
+    pub(crate) fn accepts_requests_at(
+        &self,
+        vm: &VmName,
+        conditions: UpstreamConditions<'_>,
+    ) -> bool {
+        let upstream = self.upstreams.get(vm);
+        upstream.is_some_and(|upstream| conditions.accepts_requests(upstream))
+    }
+
     /// When the first pause ends, if all ready upstreams that are not in `tried` are paused.
     pub(crate) fn pause_end(
         &self,
@@ -150,7 +166,7 @@
     ) -> Option<ClockMillis> {
         let mut first: Option<ClockMillis> = None;
         for (name, upstream) in &self.upstreams {
-            if !upstream.is_ready() || tried.contains(name) {
+            if !conditions.is_ready(upstream) || tried.contains(name) {
                 continue;
             }
             let until = conditions.paused_until(upstream)?;
@@ -165,9 +181,9 @@
     }
 
     /// Whether the pool has a ready upstream that is not in `tried`, regardless of its load.
-    pub(crate) fn has_untried(&self, tried: &[VmName]) -> bool {
+    pub(crate) fn has_untried(&self, tried: &[VmName], conditions: UpstreamConditions<'_>) -> bool {
         let mut upstreams = self.upstreams.iter();
-        upstreams.any(|(name, upstream)| upstream.is_ready() && !tried.contains(name))
+        upstreams.any(|(name, upstream)| conditions.is_ready(upstream) && !tried.contains(name))
     }
 
     pub(crate) fn add_request(&mut self, vm: &VmName) {
--- a/crates/coordination/fescuetide_flow/src/scheduler.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler.rs
@@ -1,9 +1,9 @@
 //! State machine for all requests of one gateway.
 
+mod announcing;
 mod budget;
 mod crashes;
 mod ending;
-mod pausing;
 mod placing;
 mod retrying;
 
@@ -41,6 +41,9 @@
 /// How long callers should wait before retrying a refused request, if there is no better estimate.
 const DEFAULT_RETRY_AFTER: SpanMillis = SpanMillis::new(100);
 
+/// Retry delay for a request that has no usable upstream.
+const NO_UPSTREAM_RETRY_DELAY: SpanMillis = SpanMillis::new(700);
+
 /// How long a response is accepted after the route's time limit, so that one that completes just then is not lost.
 const TIME_LIMIT_GRACE: SpanMillis = SpanMillis::new(100);
 
@@ -210,6 +213,9 @@
                     flow.sent_count += 1;
                 }
             }
+            AttemptEvent::Announced(announcement) => {
+                self.note_announcement(&pool, &vm, announcement, now);
+            }
             AttemptEvent::StreamStarted(load) => {
                 attempt.last_data_at = Some(now);
                 let is_first = !flow.is_relayed;
@@ -247,7 +253,7 @@
     pub fn tick(&mut self, now: ClockMillis) {
         self.share_budgets(now);
         self.refuse_expired(now);
-        self.refuse_paused(now);
+        self.release_paused(now);
         self.probe_unanswered(now);
         let mut silent = Vec::new();
         let mut timed_out = Vec::new();
--- a/crates/coordination/fescuetide_flow/src/scheduler/pausing.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/announcing.rs
@@ -1,37 +1,55 @@
-//! Upstreams that want no requests from this gateway for some time.
+//! What upstreams announce: that they leave, or want no requests from this gateway for some time.
 
 use fescuetide_base::ClockMillis;
 use fescuetide_base::PoolName;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
 
+use super::NO_UPSTREAM_RETRY_DELAY;
 use super::RequestScheduler;
 use crate::FlowAction;
 use crate::FlowKey;
 use crate::FlowNotice;
 use crate::RefusalCause;
+use crate::UpstreamAnnouncement;
 use crate::WorkRequest;
 use crate::flow::FlowState;
 
 impl RequestScheduler {
-    /// Starts the pause of the upstream of a request's current attempt.
-    pub(super) fn start_pause(&mut self, key: FlowKey, pause: SpanMillis, now: ClockMillis) {
-        let Some(attempt) = self.flows.get(&key).and_then(|flow| flow.attempt()) else {
+    /// Handles what an upstream announces in a response.
+    pub(super) fn note_announcement(
+        &mut self,
+        pool: &PoolName,
+        vm: &VmName,
+        announcement: UpstreamAnnouncement,
+        now: ClockMillis,
+    ) {
+        let pool = self.pools.get(pool);
+        let Some(entry) = pool.and_then(|pool| pool.entry(vm)) else {
             return;
         };
-        let Some(entry) = self
-            .pools
-            .get(&attempt.pool)
-            .and_then(|pool| pool.entry(&attempt.vm))
-        else {
-            return;
+        if self.announcements.note(entry, announcement, now) {
+            self.notices.push(FlowNotice::LeavingAnnounced {
+                upstream: vm.clone(),
+            });
+        }
+        if let Some(pause) = announcement.pause {
+            self.notices.push(FlowNotice::PauseStarted {
+                upstream: vm.clone(),
+                pause,
+            });
+        }
+        self.withdraw_unsent(vm, now);
+        self.release_hopeless(now);
+    }
+
+    /// Whether the upstream of a request's current attempt accepts requests.
+    pub(super) fn accepts_requests(&self, key: FlowKey, now: ClockMillis) -> bool {
+        let Some(attempt) = self.flows.get(&key).and_then(|flow| flow.attempt()) else {
+            return false;
         };
-        self.announcements.note_pause(entry, pause, now);
-        let upstream = entry.name.clone();
-        self.withdraw_unsent(&upstream, now);
-        self.refuse_paused(now);
-        self.notices
-            .push(FlowNotice::PauseStarted { upstream, pause });
+        let pool = self.pools.get(&attempt.pool);
+        pool.is_some_and(|pool| pool.accepts_requests_at(&attempt.vm, self.conditions(now)))
     }
 
     /// Places requests again that wait for a connection to an upstream, which would get them too late.
@@ -50,19 +68,25 @@
         }
     }
 
-    /// Refuses queued requests for which no upstream will accept requests in time.
-    pub(super) fn refuse_paused(&mut self, now: ClockMillis) {
-        if !self.announcements.has_pauses(now) {
-            return;
+    /// Handles queued requests for which no upstream will accept requests in time, if upstreams are paused.
+    pub(super) fn release_paused(&mut self, now: ClockMillis) {
+        if self.announcements.has_pauses(now) {
+            self.release_hopeless(now);
         }
+    }
+
+    /// Removes requests from the queues of pools in which no upstream will accept requests in time.
+    fn release_hopeless(&mut self, now: ClockMillis) {
         let mut hopeless = Vec::new();
         for (name, pool) in &self.pools {
             for entry in pool.waiting.iter() {
                 let Some(flow) = self.flows.get(&entry.key) else {
                     continue;
                 };
-                let end = pool.pause_end(&flow.tried, self.conditions(now));
-                if end.is_some_and(|end| end >= entry.expires_at) {
+                let conditions = self.conditions(now);
+                let end = pool.pause_end(&flow.tried, conditions);
+                let is_paused = end.is_some_and(|end| end >= entry.expires_at);
+                if is_paused || !pool.has_untried(&flow.tried, conditions) {
                     hopeless.push((entry.key, name.clone()));
                 }
             }
@@ -71,18 +95,23 @@
             if let Some(pool) = self.pools.get_mut(&pool) {
                 pool.waiting.remove(key);
             }
-            self.leave_paused_pool(key, &pool, now);
+            self.leave_pool(key, &pool, now);
         }
     }
 
     /// Places a request in another pool of its route, or refuses it if none accepts requests.
-    pub(super) fn leave_paused_pool(&mut self, key: FlowKey, paused: &PoolName, now: ClockMillis) {
+    pub(super) fn leave_pool(&mut self, key: FlowKey, pool: &PoolName, now: ClockMillis) {
         let Some(flow) = self.flows.get(&key) else {
             return;
         };
         let other = self.choose_pool(&flow.request, now);
-        if other == *paused {
-            self.refuse_or_fail(key, RefusalCause::Paused, SpanMillis::default(), now);
+        if other == *pool {
+            let pause = self.pause_left(&flow.request, now);
+            let (cause, retry_after) = match pause.as_millis() {
+                0 => (RefusalCause::NoUpstream, NO_UPSTREAM_RETRY_DELAY),
+                _ => (RefusalCause::Paused, pause),
+            };
+            self.refuse_or_fail(key, cause, retry_after, now);
             return;
         }
         self.flows[&key].state = FlowState::Waiting(other);
@@ -94,7 +123,11 @@
         let conditions = self.conditions(now);
         let mut first: Option<ClockMillis> = None;
         for share in &request.pools {
-            let Some(pool) = self.pools.get(&share.pool).filter(|pool| pool.has_ready()) else {
+            let Some(pool) = self
+                .pools
+                .get(&share.pool)
+                .filter(|pool| pool.has_ready(conditions))
+            else {
                 continue;
             };
             let Some(end) = pool.pause_end(&[], conditions) else {
--- a/crates/coordination/fescuetide_flow/src/scheduler/placing.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/placing.rs
@@ -4,6 +4,7 @@
 use fescuetide_base::PoolName;
 use fescuetide_base::SpanMillis;
 
+use super::NO_UPSTREAM_RETRY_DELAY;
 use super::RequestScheduler;
 use crate::FlowAction;
 use crate::FlowKey;
@@ -16,9 +17,6 @@
 use crate::pool::UpstreamConditions;
 use crate::waiting::WaitingEntry;
 
-/// Retry delay for a request that has no usable upstream.
-const NO_UPSTREAM_RETRY_DELAY: SpanMillis = SpanMillis::new(700);
-
 impl RequestScheduler {
     /// Chooses a pool for a request by weight. A pool without upstreams that accept requests is replaced by the next one
     /// that has some, or else by one whose upstreams are paused.
@@ -48,7 +46,7 @@
             if pool.accepts_requests(conditions) {
                 return name.clone();
             }
-            if pool.has_ready() {
+            if pool.has_ready(conditions) {
                 paused = paused.or(Some(name));
             }
         }
@@ -69,7 +67,7 @@
         }
         let flow = &self.flows[&key];
         let pool = self.pools.get(&pool_name);
-        if !pool.is_some_and(|pool| pool.has_untried(&flow.tried)) {
+        if !pool.is_some_and(|pool| pool.has_untried(&flow.tried, self.conditions(now))) {
             let cause = match flow.tried.is_empty() {
                 true => RefusalCause::NoUpstream,
                 false => RefusalCause::NoRetryLeft,
@@ -86,7 +84,7 @@
         };
         let pause_end = pool.and_then(|pool| pool.pause_end(&flow.tried, self.conditions(now)));
         if pause_end.is_some_and(|end| end >= wait.expires_at) {
-            self.leave_paused_pool(key, &pool_name, now);
+            self.leave_pool(key, &pool_name, now);
             return;
         }
         let target = flow.request.late_at.since(flow.request.arrived);
--- a/crates/coordination/fescuetide_flow/src/scheduler/retrying.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/retrying.rs
@@ -49,7 +49,6 @@
     ) {
         match cause {
             DeclineCause::Full => {}
-            DeclineCause::Paused(pause) => self.start_pause(key, pause, now),
             DeclineCause::Misdirected => {
                 self.outcomes.note_unreachable(vm, now);
                 // The upstream has ended: another one listens at its address.
@@ -57,10 +56,10 @@
             }
         }
         if self.take_retry(key) {
-            match cause {
+            match self.accepts_requests(key, now) {
+                true => self.resend(key, now),
                 // The upstream keeps the prefixes that it has cached.
-                DeclineCause::Paused(_) => self.send_elsewhere(key, now),
-                DeclineCause::Full | DeclineCause::Misdirected => self.resend(key, now),
+                false => self.send_elsewhere(key, now),
             }
             return;
         }
--- a/crates/coordination/fescuetide_flow/tests/flow/main.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/main.rs
@@ -5,6 +5,7 @@
 mod crash_fleet;
 mod crash_harness;
 mod harness;
+mod leaving;
 mod life;
 mod pauses;
 mod placement;
--- a/crates/coordination/fescuetide_flow/tests/flow/pauses.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/pauses.rs
@@ -14,6 +14,7 @@
 use fescuetide_flow::PromptPart;
 use fescuetide_flow::PromptShape;
 use fescuetide_flow::RefusalCause;
+use fescuetide_flow::UpstreamAnnouncement;
 use fescuetide_flow::WorkRequest;
 
 use crate::harness::SchedulerHarness;
@@ -32,11 +33,20 @@
         let key = self.arrive(WorkKind::Repeatable, attempt_limit);
         let upstream = self.expect_send(key).upstream;
         self.note(key, AttemptEvent::Sent);
-        let cause = DeclineCause::Paused(pause);
-        self.note(key, AttemptEvent::Declined(cause, None));
+        self.note_decline_with_pause(key, pause);
         (key, upstream.to_string())
     }
 
+    /// Lets the upstream of a sent request decline it with a pause.
+    fn note_decline_with_pause(&mut self, key: FlowKey, pause: SpanMillis) {
+        let announcement = UpstreamAnnouncement {
+            pause: Some(pause),
+            ..UpstreamAnnouncement::default()
+        };
+        self.note(key, AttemptEvent::Announced(announcement));
+        self.note(key, AttemptEvent::Declined(DeclineCause::Full, None));
+    }
+
     /// Sends and completes a request. Returns its upstream.
     fn serve_one(&mut self) -> String {
         let key = self.arrive(WorkKind::Repeatable, 1);
@@ -119,8 +129,7 @@
         harness.note(*key, AttemptEvent::Sent);
     }
     assert_eq!(harness.next(), None);
-    let cause = DeclineCause::Paused(LONG_PAUSE);
-    harness.note(keys[0], AttemptEvent::Declined(cause, None));
+    harness.note_decline_with_pause(keys[0], LONG_PAUSE);
     assert_eq!(harness.expect_refusal(queued).retry_after, LONG_PAUSE);
     harness.expect_refusal(keys[0]);
     assert_eq!(harness.next(), None);
@@ -141,8 +150,7 @@
     let target = harness.expect_send(unsent).upstream;
     let declined = if target == paused { first } else { second };
     harness.note(declined, AttemptEvent::Sent);
-    let cause = DeclineCause::Paused(LONG_PAUSE);
-    harness.note(declined, AttemptEvent::Declined(cause, None));
+    harness.note_decline_with_pause(declined, LONG_PAUSE);
     assert_eq!(harness.next(), Some(FlowAction::Cancel(unsent)));
     let command = harness.expect_send(unsent);
     assert_ne!(command.upstream, target);
@@ -183,8 +191,7 @@
         harness.note(*key, AttemptEvent::Sent);
     }
     for (key, pause) in keys.iter().zip([u64::MAX, 1_000]) {
-        let cause = DeclineCause::Paused(SpanMillis::new(pause));
-        harness.note(*key, AttemptEvent::Declined(cause, None));
+        harness.note_decline_with_pause(*key, SpanMillis::new(pause));
         let refusal = harness.expect_refusal(*key);
         assert_eq!(refusal.retry_after.as_millis(), MAX_PAUSE_MS);
     }
@@ -213,8 +220,7 @@
     let key = harness.scheduler.arrive(work, harness.now);
     assert_eq!(harness.expect_send(key).upstream, holder);
     harness.note(key, AttemptEvent::Sent);
-    let cause = DeclineCause::Paused(LONG_PAUSE);
-    harness.note(key, AttemptEvent::Declined(cause, None));
+    harness.note_decline_with_pause(key, LONG_PAUSE);
     let command = harness.expect_send(key);
     assert_ne!(command.upstream, holder);
     assert_eq!(command.copy_from, Some(holder));
--- a/crates/process/fescuetide_gateway/src/codec.rs
+++ b/crates/process/fescuetide_gateway/src/codec.rs
@@ -11,6 +11,7 @@
 use fescuetide_fleet::UpstreamChange;
 use fescuetide_flow::LoadReport;
 use fescuetide_flow::PromptShape;
+use fescuetide_flow::UpstreamAnnouncement;
 use fescuetide_http1::RequestHead;
 use fescuetide_http1::ResponseHead;
 
@@ -64,8 +65,8 @@
     pub is_not_run: bool,
     /// Whether the upstream at this address is not the intended one.
     pub is_misdirected: bool,
-    /// How long the upstream wants no requests from this gateway.
-    pub pause: Option<SpanMillis>,
+    /// What the upstream announces about itself.
+    pub announcement: UpstreamAnnouncement,
     /// The upstream's load.
     pub load: Option<LoadReport>,
     /// The idle timeout that the upstream applies to the connection.
--- a/crates/process/fescuetide_gateway/src/counters.rs
+++ b/crates/process/fescuetide_gateway/src/counters.rs
@@ -80,6 +80,8 @@
     retries_denied => "fescuetide_retries_denied_total",
     /// Times that an upstream wanted no requests for some time.
     upstream_pauses => "fescuetide_upstream_pauses_total",
+    /// Upstreams that announced in a response that they leave.
+    upstreams_leaving => "fescuetide_upstreams_leaving_total",
     /// Attempts that ended without a usable response, for example since the connection failed.
     attempts_broken => "fescuetide_attempts_broken_total",
     /// Attempts that upstreams declined.
--- a/crates/process/fescuetide_gateway/src/flow_notices.rs
+++ b/crates/process/fescuetide_gateway/src/flow_notices.rs
@@ -14,6 +14,7 @@
             match &notice {
                 FlowNotice::RetryDenied { .. } => count(&self.counters.retries_denied),
                 FlowNotice::PauseStarted { .. } => count(&self.counters.upstream_pauses),
+                FlowNotice::LeavingAnnounced { .. } => count(&self.counters.upstreams_leaving),
                 FlowNotice::BurstGranted { .. } => {}
             }
             if self.may_log(LogLineKind::Notice) {
@@ -31,6 +32,9 @@
         FlowNotice::BurstGranted { burst } => {
             tracing::info!(burst, "retry burst available");
         }
+        FlowNotice::LeavingAnnounced { upstream } => {
+            tracing::info!(%upstream, "upstream announced that it leaves");
+        }
         FlowNotice::PauseStarted { upstream, pause } => {
             tracing::info!(%upstream, pause_ms = pause.as_millis(), "upstream asked for a pause");
         }
--- a/crates/process/fescuetide_gateway/src/upstream_responses.rs
+++ b/crates/process/fescuetide_gateway/src/upstream_responses.rs
@@ -227,6 +227,10 @@
             *response = ResponseState::Skipping(BodyDecoder::new(framing));
             return ReadStep::Continue;
         }
+        if let Some(announcement) = validation::announcement_of(&fields) {
+            let event = AttemptEvent::Announced(announcement);
+            self.scheduler.note_attempt(key, event, self.now);
+        }
         let decoder = BodyDecoder::new(framing);
         let is_stream = head
             .field("content-type")
--- a/crates/process/fescuetide_gateway/src/validation.rs
+++ b/crates/process/fescuetide_gateway/src/validation.rs
@@ -3,6 +3,7 @@
 use fescuetide_flow::AttemptEvent;
 use fescuetide_flow::BreakCause;
 use fescuetide_flow::DeclineCause;
+use fescuetide_flow::UpstreamAnnouncement;
 use fescuetide_http1::ResponseHead;
 
 use crate::codec::ResponseFields;
@@ -21,16 +22,23 @@
         && head.count("content-encoding") == 0
 }
 
+/// What a response announces about the upstream that it was expected from, or `None` for nothing.
+pub(crate) fn announcement_of(fields: &ResponseFields) -> Option<UpstreamAnnouncement> {
+    let UpstreamAnnouncement { pause, is_leaving } = fields.announcement;
+    // A pause belongs to a response that states that the request did not run.
+    let pause = pause.filter(|_| fields.is_not_run);
+    let is_empty = pause.is_none() && !is_leaving;
+    (!is_empty && !fields.is_misdirected).then_some(UpstreamAnnouncement { pause, is_leaving })
+}
+
 /// Classifies a complete response as the result of its attempt.
 pub(crate) fn classify_response(head: &ResponseHead, fields: &ResponseFields) -> AttemptEvent {
     if fields.is_misdirected {
         return AttemptEvent::Declined(DeclineCause::Misdirected, None);
     }
     if fields.is_not_run && !head.is_success() {
-        let cause = fields
-            .pause
-            .map_or(DeclineCause::Full, DeclineCause::Paused);
-        return AttemptEvent::Declined(cause, fields.load);
+        // The upstream has no capacity, or the request expired in its queue.
+        return AttemptEvent::Declined(DeclineCause::Full, fields.load);
     }
     if head.is_success() && !is_valid_success(head, fields) {
         // A success without the signature field or the request id, or with a content encoding, is not relayed.
