Notice a log that comes back from an older copy, and keep what is newer

What callers and upstreams saw: after the log had lost records, a gateway went on reading where it was. An upstream that drained among the records that took the place of the lost ones got requests for ever, a configuration there was never in force, crash reports stayed lost, and a gateway that started took the older configuration of the copy.

Cause: a position in the log was taken for valid as long as reads succeeded.

Fix: the era in every response, whatever its status, is compared by each reader and writer. When it rises, or cannot be compared, the response is dropped and the reader lists anew. Where the copy is older than what is known, the known state stays: configurations never go back, upstreams that drain or have left are not ready again for 5 s, in which their entries are written again or removed, those that the copy lacks are kept as after an outage. Crash evidence is written again. A gateway that starts asks its seed peers for their configuration before it is ready.

--- a/crates/base/fescuetide_base/src/id.rs
+++ b/crates/base/fescuetide_base/src/id.rs
@@ -259,6 +259,11 @@
     /// The position of a record in a stream of the log service, starting at 0.
     LogOffset, u64
 }
+number_type! {
+    /// The era of a log service. It rises each time the service comes back from an older copy, and loses what it acknowledged
+    /// since that copy was taken.
+    LogEra, u64
+}
 number_type! {
     /// The version of a class definition. The first definition has version 1; 0 means that the class does not exist.
     ClassVersion, u64
--- a/crates/process/fescuetide_gateway/src/codec.rs
+++ b/crates/process/fescuetide_gateway/src/codec.rs
@@ -163,6 +163,9 @@
     /// Path and query of a call that appends records.
     fn append_target(&self, stream: FleetStream) -> String;
 
+    /// The era of the log as a response to a call states it, `None` if it does not.
+    fn era_field<'a>(&self, head: &'a ResponseHead) -> Option<&'a str>;
+
     /// Encodes records as the body of a call that appends them.
     fn encode_records(&self, records: &[LogRecord]) -> Vec<u8>;
 
--- a/crates/process/fescuetide_gateway/src/counters.rs
+++ b/crates/process/fescuetide_gateway/src/counters.rs
@@ -108,6 +108,8 @@
     log_calls => "fescuetide_log_calls_total",
     /// Failed calls to the platform's log service.
     log_failures => "fescuetide_log_failures_total",
+    /// Times that a reader or writer noticed that the log has come back from an older copy.
+    log_restores => "fescuetide_log_restores_total",
     /// Log records that could not be decoded.
     unreadable_records => "fescuetide_unreadable_records_total",
     /// Queries to other gateways.
--- a/crates/process/fescuetide_gateway/src/crash_reports.rs
+++ b/crates/process/fescuetide_gateway/src/crash_reports.rs
@@ -27,6 +27,7 @@
 use crate::follower::StreamFollower;
 use crate::log_client::CallError;
 use crate::log_client::PlatformLogClient;
+use crate::log_era::EraWatch;
 use crate::messages::LoopMessage;
 use crate::peers::PeerCommand;
 
@@ -85,6 +86,7 @@
     let appender = ReportAppender {
         gateway: gateway.to_owned(),
         client: PlatformLogClient::new(address),
+        era: EraWatch::new(FleetStream::CrashReports),
         codec: codec.clone(),
         publisher: publisher.clone(),
         peers,
@@ -112,6 +114,9 @@
             FollowStep::Records(records) => (records, false),
             FollowStep::Failed => (Vec::new(), false),
         };
+        if is_listing && follower.take_restored() {
+            follower.publisher.send(LoopMessage::CrashReportsLost);
+        }
         let now = ClockMillis::now();
         let mut evidence = Vec::new();
         let mut expired = Vec::new();
@@ -152,6 +157,7 @@
 struct ReportAppender<C> {
     gateway: String,
     client: PlatformLogClient,
+    era: EraWatch,
     codec: C,
     publisher: FleetPublisher,
     peers: Option<Sender<PeerCommand>>,
@@ -267,7 +273,14 @@
             let target = self.codec.append_target(FleetStream::CrashReports);
             let body = self.codec.encode_records(&records);
             count(&self.publisher.counters.log_calls);
-            self.client.post(&target, &body)?;
+            let result = self.client.post(&target, &body);
+            let head = self.client.take_head();
+            // The response is that of this append. What was appended before and is lost is written again once the reader
+            // of the reports has listed them.
+            if let Err(error) = self.era.check(head, &self.codec, None, &self.publisher) {
+                tracing::debug!(%error, "appended after a restore");
+            }
+            result?;
             count(&self.publisher.counters.crash_reports);
             for (key, record) in self.pending.drain(..records.len()) {
                 match record {
--- a/crates/process/fescuetide_gateway/src/follower.rs
+++ b/crates/process/fescuetide_gateway/src/follower.rs
@@ -27,6 +27,7 @@
 use crate::log_client::CallError;
 use crate::log_client::OutageCounter;
 use crate::log_client::PlatformLogClient;
+use crate::log_era::EraWatch;
 use crate::messages::LoopMessage;
 use crate::peer_state::PeerState;
 
@@ -115,6 +116,9 @@
     pub(crate) publisher: FleetPublisher,
     /// The offset to read next, `None` if the newest records must be listed first.
     next: Option<LogOffset>,
+    era: EraWatch,
+    /// Whether the log may have come back from an older copy since the last listing.
+    is_restored: bool,
     outage: OutageDetector,
     /// The outage that ended with the last step.
     ended_outage: Option<OutageEnd>,
@@ -135,6 +139,8 @@
             codec,
             publisher: publisher.clone(),
             next: None,
+            era: EraWatch::new(stream),
+            is_restored: false,
             outage: OutageDetector::new(ClockMillis::now()),
             ended_outage: None,
             retry_delay: RETRY_DELAY,
@@ -154,6 +160,11 @@
                 self.note_answer();
                 step
             }
+            Err(CallError::Restored) => {
+                self.next = None;
+                self.is_restored = true;
+                FollowStep::Failed
+            }
             Err(CallError::Status(GONE_STATUS)) => {
                 tracing::info!(stream = %self.stream, "records are gone, listing the newest");
                 self.next = None;
@@ -234,7 +245,16 @@
 
     fn call(&mut self, target: &str, wait: SpanMillis) -> Result<Vec<u8>, CallError> {
         count(&self.publisher.counters.log_calls);
-        self.client.get(target, wait.into())
+        let result = self.client.get(target, wait.into());
+        let head = self.client.take_head();
+        self.era
+            .check(head, &self.codec, self.next, &self.publisher)?;
+        result
+    }
+
+    /// Whether the listing that was just read may be that of an older copy.
+    pub(crate) fn take_restored(&mut self) -> bool {
+        std::mem::take(&mut self.is_restored)
     }
 
     pub(crate) fn report_unreadable(&self, record: &LogRecord, error: &dyn std::fmt::Display) {
@@ -243,7 +263,8 @@
     }
 }
 
-/// Publishes each configuration that is newer than the previous one.
+/// Publishes each configuration that is newer than the previous one. An older one, which a log lists that has come back from
+/// an older copy, replaces none.
 fn follow_configs<C: RecordCodec>(mut follower: StreamFollower<C>, wait: SpanMillis) {
     let mut version: Option<ConfigVersion> = None;
     loop {
@@ -251,6 +272,7 @@
             FollowStep::Listing(records) | FollowStep::Records(records) => records,
             FollowStep::Failed => continue,
         };
+        let is_restored = follower.take_restored();
         for record in &records {
             let config = match follower.codec.decode_config(record) {
                 Ok(Some(config)) => config,
@@ -260,7 +282,14 @@
                     continue;
                 }
             };
-            if version.is_some_and(|version| config.version <= version) {
+            if let Some(known) = version.filter(|known| config.version <= *known) {
+                if is_restored && config.version < known {
+                    tracing::info!(
+                        version = known.get(),
+                        listed = config.version.get(),
+                        "kept a configuration that is newer than the one in the log"
+                    );
+                }
                 continue;
             }
             version = Some(config.version);
@@ -300,7 +329,15 @@
                         entries.push(entry);
                     }
                 }
-                table.replace(entries, after_outage, now);
+                if follower.take_restored() {
+                    let kept = table.restore(entries, now);
+                    tracing::info!(
+                        kept,
+                        "kept upstreams that the log lacks or lists with an earlier state"
+                    );
+                } else {
+                    table.replace(entries, after_outage, now);
+                }
                 before.is_empty()
             }
             FollowStep::Records(records) => {
--- a/crates/process/fescuetide_gateway/src/lib.rs
+++ b/crates/process/fescuetide_gateway/src/lib.rs
@@ -54,6 +54,7 @@
 mod follower;
 mod idle;
 mod log_client;
+mod log_era;
 mod log_line_limit;
 mod messages;
 mod monitoring;
--- a/crates/process/fescuetide_gateway/src/log_client.rs
+++ b/crates/process/fescuetide_gateway/src/log_client.rs
@@ -67,6 +67,9 @@
     Unencodable(CodecError),
     /// The response status is not 200.
     Status(u16),
+    /// The log may have come back from an older copy since the previous call, so the response says nothing about records
+    /// that were read before.
+    Restored,
 }
 
 impl fmt::Display for CallError {
@@ -78,6 +81,7 @@
             Self::Undecodable(error) => write!(f, "page cannot be decoded: {error}"),
             Self::Unencodable(error) => write!(f, "record cannot be encoded: {error}"),
             Self::Status(status) => write!(f, "unexpected status {status}"),
+            Self::Restored => write!(f, "the log may have come back from an older copy"),
         }
     }
 }
@@ -93,6 +97,8 @@
 pub(crate) struct PlatformLogClient {
     address: SocketAddr,
     stream: Option<TcpStream>,
+    /// The head of the last response, whatever its status.
+    last_head: Option<ResponseHead>,
     /// A call ends as timed out when this changes, since a log that recovers may have lost it.
     pub(crate) outages: Option<OutageCounter>,
 }
@@ -102,10 +108,16 @@
         Self {
             address,
             stream: None,
+            last_head: None,
             outages: None,
         }
     }
 
+    /// Removes and returns the head of the last response, if the last call got one.
+    pub(crate) fn take_head(&mut self) -> Option<ResponseHead> {
+        self.last_head.take()
+    }
+
     /// Calls the log, which may delay its response by up to `wait`, and returns the response body.
     pub(crate) fn get(&mut self, target: &str, wait: Duration) -> Result<Vec<u8>, CallError> {
         let head = format!(
@@ -128,6 +140,7 @@
     }
 
     fn call(&mut self, message: &[u8], wait: Duration) -> Result<Vec<u8>, CallError> {
+        self.last_head = None;
         let mut stream = match self.stream.take() {
             Some(stream) => stream,
             None => self.connect()?,
@@ -142,10 +155,12 @@
         if head.keeps_alive() {
             self.stream = Some(stream);
         }
-        if head.status() != 200 {
-            return Err(CallError::Status(head.status()));
+        let status = head.status();
+        self.last_head = Some(head);
+        match status {
+            200 => Ok(body),
+            status => Err(CallError::Status(status)),
         }
-        Ok(body)
     }
 
     fn connect(&self) -> io::Result<TcpStream> {
--- a/crates/process/fescuetide_gateway/src/messages.rs
+++ b/crates/process/fescuetide_gateway/src/messages.rs
@@ -20,6 +20,8 @@
     Fleet(FleetUpdate),
     /// What a peer knows about requests that crash upstreams.
     PeerEvidence(Vec<CrashEvidence>),
+    /// The log has come back from an older copy, so crash reports may be lost. Those that it still has follow.
+    CrashReportsLost,
     /// All seed peers were asked for their evidence, whether or not they answered.
     PeersAsked,
     /// What is new in the crash reports in the log; empty if they cannot be read.
@@ -46,6 +48,7 @@
                 LoopMessage::PeerEvidence(evidence) => {
                     self.scheduler.merge_crash_evidence(evidence, self.now)
                 }
+                LoopMessage::CrashReportsLost => self.report_backlog.forget_logged(),
                 LoopMessage::PeersAsked => self.were_peers_asked = true,
                 LoopMessage::CrashReports(evidence) => {
                     self.has_crash_reports = true;
--- a/crates/process/fescuetide_gateway/src/peers.rs
+++ b/crates/process/fescuetide_gateway/src/peers.rs
@@ -187,10 +187,12 @@
         }
     }
 
-    /// Asks the seed peers what they know about requests that crash upstreams.
+    /// Asks the seed peers what they know about requests that crash upstreams, and for their configuration. The log may lack
+    /// both, if it has come back from an older copy.
     fn query_seeds(&self) {
+        let mut has_fleet = false;
         for peer in self.publisher.peer_state.all_peers() {
-            self.query(peer, false);
+            has_fleet |= self.query(peer, !has_fleet);
         }
         self.publisher.send(LoopMessage::PeersAsked);
     }
@@ -202,13 +204,19 @@
         self.query(peer, self.publisher.peer_state.wants_fleet());
     }
 
-    fn query(&self, peer: SocketAddr, wants_fleet: bool) {
+    /// Asks a peer and handles its reply. Returns whether the reply has a fleet.
+    fn query(&self, peer: SocketAddr, wants_fleet: bool) -> bool {
         count(&self.publisher.counters.peer_queries);
         match self.request_reply(peer, wants_fleet) {
-            Ok(reply) => self.handle_reply(peer, reply),
+            Ok(reply) => {
+                let has_fleet = reply.fleet.is_some();
+                self.handle_reply(peer, reply);
+                has_fleet
+            }
             Err(error) => {
                 count(&self.publisher.counters.peer_failures);
                 tracing::debug!(%peer, %error, "failed to query a peer");
+                false
             }
         }
     }
--- a/crates/state/fescuetide_fleet/src/lib.rs
+++ b/crates/state/fescuetide_fleet/src/lib.rs
@@ -11,6 +11,7 @@
 //! and each start of an upstream creates a new incarnation.
 
 mod config;
+mod era;
 mod outage;
 mod peer;
 mod route;
@@ -22,6 +23,9 @@
 pub use config::ConfigVersion;
 pub use config::FleetConfig;
 pub use config::WorkspaceEntry;
+pub use era::EraDefect;
+pub use era::EraTracker;
+pub use era::EraVerdict;
 pub use outage::OutageDetector;
 pub use outage::OutageEnd;
 pub use peer::PeerTable;
--- a/crates/state/fescuetide_fleet/src/upstream.rs
+++ b/crates/state/fescuetide_fleet/src/upstream.rs
@@ -18,6 +18,13 @@
 /// after the removal of its entry on. The remaining 0.3 s are for detecting the end of the outage.
 const EXPIRY_GRACE: SpanMillis = SpanMillis::new(1_700);
 
+/// How long what is known counts more than what a log lists that has come back from an older copy. Upstreams write their entries
+/// again about once a second, and the log removes those of upstreams that do not.
+const RESTORE_GRACE: SpanMillis = SpanMillis::new(5_000);
+
+/// How long an upstream that has left is remembered; longer than a copy is old.
+const DEPARTURE_RETENTION: SpanMillis = SpanMillis::new(60_000);
+
 /// Lifecycle state of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UpstreamState {
@@ -64,6 +71,21 @@
     drop_at: Option<ClockMillis>,
 }
 
+/// An upstream that has left.
+#[derive(Clone, Copy, Debug)]
+struct DepartedUpstream {
+    incarnation: ProcessIncarnation,
+    at: ClockMillis,
+}
+
+/// An entry of an older copy that contradicts what is known.
+#[derive(Clone, Debug)]
+struct DoubtfulEntry {
+    entry: UpstreamEntry,
+    /// When it counts, if it is not written again.
+    counts_at: ClockMillis,
+}
+
 /// Table of known upstreams.
 ///
 /// ```
@@ -95,6 +117,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamTable {
     upstreams: IndexMap<VmName, KnownUpstream>,
+    departed: IndexMap<VmName, DepartedUpstream>,
+    doubtful: IndexMap<VmName, DoubtfulEntry>,
 }
 
 impl UpstreamTable {
@@ -103,13 +127,18 @@
     pub fn apply(&mut self, change: UpstreamChange, after_outage: bool, now: ClockMillis) {
         match change {
             UpstreamChange::Written(entry) => {
+                self.doubtful.shift_remove(&entry.name);
+                self.departed.shift_remove(&entry.name);
                 let known = KnownUpstream {
                     entry,
                     drop_at: None,
                 };
                 self.upstreams.insert(known.entry.name.clone(), known);
             }
-            UpstreamChange::Removed(name) => self.remove(&name, after_outage, now),
+            UpstreamChange::Removed(name) => {
+                self.doubtful.shift_remove(&name);
+                self.remove(&name, after_outage, now);
+            }
             UpstreamChange::Unreadable(name) => {
                 self.upstreams.shift_remove(&name);
             }
@@ -121,7 +150,7 @@
             return;
         };
         if !after_outage || known.entry.state == UpstreamState::Leaving {
-            self.upstreams.shift_remove(name);
+            self.drop_upstream(name, now);
             return;
         }
         known.drop_at.get_or_insert(now + EXPIRY_GRACE);
@@ -145,6 +174,60 @@
         }
     }
 
+    /// Replaces all entries with those that a log lists which has come back from an older copy. What is known stays for some
+    /// seconds where the copy contradicts it: upstreams that it lacks, that it lists with an earlier state or incarnation,
+    /// or that have left since. Returns how many these are.
+    pub fn restore(&mut self, entries: Vec<UpstreamEntry>, now: ClockMillis) -> usize {
+        let mut accepted = Vec::new();
+        let mut doubtful = IndexMap::new();
+        for entry in entries {
+            if !self.contradicts(&entry) {
+                accepted.push(entry);
+                continue;
+            }
+            let counts_at = now + RESTORE_GRACE;
+            let known = self.upstreams.get(&entry.name);
+            accepted.extend(known.map(|known| known.entry.clone()));
+            doubtful.insert(entry.name.clone(), DoubtfulEntry { entry, counts_at });
+        }
+        // The upstreams that an earlier copy lacked need as long again.
+        self.note_recovery(now);
+        self.replace(accepted, true, now);
+        let mut kept = doubtful.len();
+        for known in self.upstreams.values() {
+            kept += usize::from(known.drop_at.is_some());
+        }
+        self.doubtful = doubtful;
+        kept
+    }
+
+    /// Whether an entry of an older copy is older than what is known.
+    fn contradicts(&self, entry: &UpstreamEntry) -> bool {
+        if let Some(departed) = self.departed.get(&entry.name) {
+            return entry.incarnation <= departed.incarnation;
+        }
+        let Some(known) = self.upstreams.get(&entry.name) else {
+            return false;
+        };
+        let is_ready_again =
+            known.entry.state == UpstreamState::Leaving && entry.state == UpstreamState::Ready;
+        entry.incarnation < known.entry.incarnation
+            || (entry.incarnation == known.entry.incarnation && is_ready_again)
+    }
+
+    fn drop_upstream(&mut self, name: &VmName, now: ClockMillis) {
+        let Some(known) = self.upstreams.shift_remove(name) else {
+            return;
+        };
+        self.departed
+            .retain(|_, departed| now.since(departed.at) < DEPARTURE_RETENTION);
+        let departed = DepartedUpstream {
+            incarnation: known.entry.incarnation,
+            at: now,
+        };
+        self.departed.insert(name.clone(), departed);
+    }
+
     /// Records the end of an outage that was long enough for entries to expire.
     ///
     /// Extends the time for which upstreams are kept whose entries expired in an earlier outage, since they could not
@@ -158,12 +241,30 @@
         }
     }
 
-    /// Drops upstreams whose entries were not rewritten in time after an outage. Returns whether there were any.
+    /// Drops upstreams whose entries were not rewritten in time after an outage, and accepts entries of an older copy that were
+    /// neither written again nor removed in time. Returns whether any were dropped.
     pub fn expire(&mut self, now: ClockMillis) -> bool {
-        let before = self.upstreams.len();
-        self.upstreams
-            .retain(|_, known| known.drop_at.is_none_or(|at| now < at));
-        self.upstreams.len() < before
+        let mut expired = Vec::new();
+        for (name, known) in &self.upstreams {
+            if known.drop_at.is_some_and(|at| now >= at) {
+                expired.push(name.clone());
+            }
+        }
+        for name in &expired {
+            self.drop_upstream(name, now);
+        }
+        let mut accepted = Vec::new();
+        self.doubtful.retain(|_, doubtful| {
+            let is_due = now >= doubtful.counts_at;
+            if is_due {
+                accepted.push(doubtful.entry.clone());
+            }
+            !is_due
+        });
+        for entry in accepted {
+            self.apply(UpstreamChange::Written(entry), false, now);
+        }
+        !expired.is_empty()
     }
 
     /// Returns whether the table contains an upstream that is kept although its entry expired during an outage.
