--- a/crates/base/fescuetide_base/src/lib.rs
+++ b/crates/base/fescuetide_base/src/lib.rs
@@ -12,12 +12,14 @@
 //! assert_eq!(deadline.since(start), SpanMillis::new(250));
 //! ```
 
+mod apply;
 mod clock;
 mod finding;
 mod hash;
 mod id;
 mod size;
 
+pub use apply::ApplyError;
 pub use clock::ClockMillis;
 pub use clock::SpanMillis;
 pub use finding::FindingList;
--- a/crates/state/fescuetide_claims/src/ledger.rs
+++ b/crates/state/fescuetide_claims/src/ledger.rs
@@ -1,7 +1,6 @@
 //! Claim ledger of a partition, built from the log.
 
-use std::fmt;
-
+use fescuetide_base::ApplyError;
 use fescuetide_base::ClaimId;
 use fescuetide_base::ClockMillis;
 use fescuetide_base::LogOffset;
@@ -53,38 +52,6 @@
     Unknown,
 }
 
-/// Error of applying a record at an unexpected offset.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ApplyError {
-    /// Records between the next offset of the ledger and this record are missing.
-    OffsetGap {
-        /// Next offset of the ledger.
-        expected: LogOffset,
-        /// Offset of the record.
-        found: LogOffset,
-    },
-    /// The record at this offset was already applied.
-    AlreadyApplied(LogOffset),
-}
-
-impl fmt::Display for ApplyError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::OffsetGap { expected, found } => {
-                write!(
-                    f,
-                    "expected the claim record at offset {expected}, found {found}"
-                )
-            }
-            Self::AlreadyApplied(offset) => {
-                write!(f, "claim record at offset {offset} was already applied")
-            }
-        }
-    }
-}
-
-impl std::error::Error for ApplyError {}
-
 #[derive(Clone, Debug, Default)]
 struct KeyState {
     current: Option<ClaimEntry>,
--- a/crates/state/fescuetide_claims/src/lib.rs
+++ b/crates/state/fescuetide_claims/src/lib.rs
@@ -44,11 +44,12 @@
 mod ledger;
 mod partition;
 
+pub use fescuetide_base::ApplyError;
+
 pub use claim::ClaimEntry;
 pub use claim::ClaimKey;
 pub use claim::ProcessInstance;
 pub use evidence::KeyEvidence;
-pub use ledger::ApplyError;
 pub use ledger::ClaimLedger;
 pub use ledger::ClaimStatus;
 pub use ledger::ClaimVerdict;
--- a/crates/state/fescuetide_classes/src/lib.rs
+++ b/crates/state/fescuetide_classes/src/lib.rs
@@ -28,6 +28,8 @@
 mod table;
 mod targets;
 
+pub use fescuetide_base::ApplyError;
+
 pub use change::ChangeAction;
 pub use change::ChangeVerdict;
 pub use change::ClassChange;
@@ -38,7 +40,6 @@
 pub use follower::StreamPage;
 pub use schedule::SnapshotSchedule;
 pub use schedule::SnapshotSettings;
-pub use table::ApplyError;
 pub use table::ClassEntry;
 pub use table::ClassSnapshot;
 pub use table::ClassTable;
--- a/crates/state/fescuetide_classes/src/table.rs
+++ b/crates/state/fescuetide_classes/src/table.rs
@@ -1,7 +1,6 @@
 //! Class table, built from the log of changes.
 
-use std::fmt;
-
+use fescuetide_base::ApplyError;
 use fescuetide_base::ChangeId;
 use fescuetide_base::ClassName;
 use fescuetide_base::ClassVersion;
@@ -40,38 +39,6 @@
     pub recent: IndexSet<ChangeId>,
 }
 
-/// Error of applying a record at an unexpected offset.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ApplyError {
-    /// Records between the next offset of the table and this record are missing.
-    OffsetGap {
-        /// Next offset of the table.
-        expected: LogOffset,
-        /// Offset of the record.
-        found: LogOffset,
-    },
-    /// The record at this offset was already applied.
-    AlreadyApplied(LogOffset),
-}
-
-impl fmt::Display for ApplyError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::OffsetGap { expected, found } => {
-                write!(
-                    f,
-                    "expected the log record at offset {expected}, found {found}"
-                )
-            }
-            Self::AlreadyApplied(offset) => {
-                write!(f, "log record at offset {offset} was already applied")
-            }
-        }
-    }
-}
-
-impl std::error::Error for ApplyError {}
-
 /// Current classes, built from the log of changes.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ClassTable {
