Split followers, crash reports and suspensions of the gateway by subject

The reader of one log stream, the appender of crash reports and what the traffic thread does after a suspension have files of their own; the follower of upstreams is two steps. No change of behaviour.

--- a/crates/process/fescuetide_gateway/src/traffic.rs
+++ b/crates/process/fescuetide_gateway/src/traffic.rs
@@ -45,6 +45,7 @@
 use crate::peers::PeerCommand;
 use crate::shutdown::DrainState;
 use crate::sockets;
+use crate::suspension::SUSPENSION_THRESHOLD;
 use crate::token_table::TokenTable;
 
 /// Token of the waker.
@@ -68,13 +69,6 @@
 /// Minimum interval between sweeps of the connections, and the poll timeout while no request is in progress.
 const IDLE_TICK: SpanMillis = SpanMillis::new(250);
 
-/// If the loop does not run for this long, the process is assumed to have been suspended.
-const SUSPENSION_THRESHOLD: SpanMillis = SpanMillis::new(1_000);
-
-/// How long reading from callers is paused after a suspension, so that the followers have time to fetch the current
-/// configuration and registrations.
-const INPUT_PAUSE: SpanMillis = SpanMillis::new(150);
-
 /// How long after the start a gateway is not ready because its seed peers have not answered.
 const PEER_PATIENCE: SpanMillis = SpanMillis::new(1_000);
 
@@ -114,9 +108,9 @@
     /// Decides whether a configuration or a peer's list of upstreams replaces the current one.
     pub(crate) update_filter: UpdateFilter,
     /// When reading from callers resumes after a suspension, during which the fleet may have changed.
-    input_paused_until: Option<ClockMillis>,
+    pub(crate) input_paused_until: Option<ClockMillis>,
     /// Callers whose input is read at `input_paused_until`.
-    deferred_reads: IndexSet<usize>,
+    pub(crate) deferred_reads: IndexSet<usize>,
     /// Makes the follower of upstreams read their registrations at once.
     pub(crate) refresh_sender: Option<Sender<()>>,
     /// Whether the crash reports were read, or whether there was an attempt to.
@@ -323,50 +317,6 @@
         }
     }
 
-    /// Closes idle connections, which may have died while the process was suspended. Callers and active attempts need
-    /// no special treatment: the clock includes the time of the suspension, so their deadlines and timeouts apply.
-    fn resume_after_suspension(&mut self, duration: SpanMillis) {
-        tracing::warn!(
-            stood_still_ms = duration.as_millis(),
-            "resumed after a suspension"
-        );
-        for token in self.idle.tokens() {
-            self.drop_idle(token);
-        }
-        self.input_paused_until = Some(self.now + INPUT_PAUSE);
-        if let Some(sender) = &self.refresh_sender
-            && sender.send(()).is_err()
-        {
-            tracing::error!("cannot refresh the upstreams: the follower thread has ended");
-        }
-    }
-
-    /// Defers reading from a caller while input is paused after a suspension. Returns whether the read is deferred.
-    pub(crate) fn defer_read(&mut self, token: usize) -> bool {
-        let is_paused = self.input_paused_until.is_some();
-        if is_paused {
-            self.deferred_reads.insert(token);
-        }
-        is_paused
-    }
-
-    /// Resumes reading from callers when the pause after a suspension is over.
-    fn resume_input(&mut self) {
-        if self
-            .input_paused_until
-            .is_none_or(|deadline| self.now < deadline)
-        {
-            return;
-        }
-        self.input_paused_until = None;
-        for token in std::mem::take(&mut self.deferred_reads) {
-            if let Some(Connection::Caller(_)) = self.connections.get(token) {
-                self.read_caller(token, true);
-                self.run_actions();
-            }
-        }
-    }
-
     /// Periodic work: closes expired connections and retries failed accepts.
     fn sweep(&mut self) {
         if self.now.since(self.last_sweep) < IDLE_TICK {
