Count a pause from when its response is read

The event loop reads its clock once per round. A response that arrives later in the round was given the time before it, so its pause ended some milliseconds before the upstream's, which is when requests that waited for the end are sent. Found by reading; no run has shown it, and no test can time it.

--- a/crates/process/fescuetide_gateway/src/upstream_responses.rs
+++ b/crates/process/fescuetide_gateway/src/upstream_responses.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::io::Read;
 
+use fescuetide_base::ClockMillis;
 use fescuetide_base::VmName;
 use fescuetide_flow::AttemptEvent;
 use fescuetide_flow::BreakCause;
@@ -229,7 +230,8 @@
         }
         if let Some(announcement) = validation::announcement_of(&fields) {
             let event = AttemptEvent::Announced(announcement);
-            self.scheduler.note_attempt(key, event, self.now);
+            // The time of the loop may be before that of the response, and a pause would end too early.
+            self.scheduler.note_attempt(key, event, ClockMillis::now());
         }
         let decoder = BodyDecoder::new(framing);
         let is_stream = head
