Keep announcements by the incarnation that a request was sent to

Found by reading: an announcement was dropped if the entry of its upstream had been removed before the response arrived, and one that arrived after the next incarnation had registered counted for that one. An attempt now remembers the incarnation. A stream that has begun no longer moves to another pool of its route when its own has no upstream that accepts requests.

Each of the three tests failed before.

--- a/crates/coordination/fescuetide_flow/src/announcements.rs
+++ b/crates/coordination/fescuetide_flow/src/announcements.rs
@@ -52,20 +52,25 @@
 }
 
 impl AnnouncementTable {
-    /// Records an announcement. Returns whether the upstream was not known to leave and does.
+    /// Records an announcement of an upstream, whose entry may have been removed since it got the request. Returns whether the
+    /// upstream was not known to leave and does. One of an earlier incarnation is ignored.
     pub(crate) fn note(
         &mut self,
-        entry: &UpstreamEntry,
+        vm: &VmName,
+        incarnation: ProcessIncarnation,
         announcement: UpstreamAnnouncement,
         now: ClockMillis,
     ) -> bool {
         self.states.retain(|_, state| state.is_in_force(now));
         let state = self
             .states
-            .entry(entry.name.clone())
-            .or_insert_with(|| AnnouncedState::new(entry.incarnation));
-        if state.incarnation != entry.incarnation {
-            *state = AnnouncedState::new(entry.incarnation);
+            .entry(vm.clone())
+            .or_insert_with(|| AnnouncedState::new(incarnation));
+        if incarnation < state.incarnation {
+            return false;
+        }
+        if incarnation > state.incarnation {
+            *state = AnnouncedState::new(incarnation);
         }
         if let Some(pause) = announcement.pause {
             state.pause.extend(pause, now);
--- a/crates/coordination/fescuetide_flow/src/flow.rs
+++ b/crates/coordination/fescuetide_flow/src/flow.rs
@@ -2,6 +2,7 @@
 
 use fescuetide_base::ClockMillis;
 use fescuetide_base::PoolName;
+use fescuetide_base::ProcessIncarnation;
 use fescuetide_base::VmName;
 use fescuetide_limits::CrashCount;
 use fescuetide_limits::CrashFingerprint;
@@ -15,6 +16,8 @@
 pub(crate) struct FlowAttempt {
     pub(crate) pool: PoolName,
     pub(crate) vm: VmName,
+    /// The incarnation of the upstream when the attempt started.
+    pub(crate) incarnation: ProcessIncarnation,
     pub(crate) started_at: ClockMillis,
     /// The crashes of the request that were known when the attempt started.
     pub(crate) known_crashes: CrashCount,
--- a/crates/coordination/fescuetide_flow/src/placement.rs
+++ b/crates/coordination/fescuetide_flow/src/placement.rs
@@ -1,6 +1,7 @@
 //! Selection of the upstream for a request.
 
 use fescuetide_base::ClockMillis;
+use fescuetide_base::ProcessIncarnation;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
 use fescuetide_routing::score_upstream;
@@ -11,6 +12,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct UpstreamCandidate<'a> {
     pub(crate) vm: &'a VmName,
+    pub(crate) incarnation: ProcessIncarnation,
     /// The stable hash of the upstream's name.
     pub(crate) hash: u64,
     /// Estimated number of outstanding requests.
--- a/crates/coordination/fescuetide_flow/src/pool.rs
+++ b/crates/coordination/fescuetide_flow/src/pool.rs
@@ -148,7 +148,7 @@
         upstreams.any(|upstream| conditions.accepts_requests(upstream))
     }
 
-    /// Whether an upstream of the pool accepts requests, regardless of its load.
+    /// Whether the upstream `vm` accepts requests, regardless of its load.
     pub(crate) fn accepts_requests_at(
         &self,
         vm: &VmName,
@@ -175,11 +175,6 @@
         first
     }
 
-    /// The entry of an upstream.
-    pub(crate) fn entry(&self, vm: &VmName) -> Option<&UpstreamEntry> {
-        self.upstreams.get(vm).map(|upstream| &upstream.entry)
-    }
-
     /// Whether the pool has a ready upstream that is not in `tried`, regardless of its load.
     pub(crate) fn has_untried(&self, tried: &[VmName], conditions: UpstreamConditions<'_>) -> bool {
         let mut upstreams = self.upstreams.iter();
@@ -248,6 +243,7 @@
             let others = upstream.load.others(now).unwrap_or(others);
             let candidate = UpstreamCandidate {
                 vm: name,
+                incarnation: upstream.entry.incarnation,
                 hash: upstream.hash,
                 load: upstream.load.own() + others,
                 capacity: upstream.capacity(),
--- a/crates/coordination/fescuetide_flow/src/scheduler.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler.rs
@@ -206,6 +206,7 @@
             return;
         };
         let (pool, vm) = (attempt.pool.clone(), attempt.vm.clone());
+        let incarnation = attempt.incarnation;
         match event {
             AttemptEvent::Sent => {
                 if !attempt.is_sent {
@@ -214,7 +215,7 @@
                 }
             }
             AttemptEvent::Announced(announcement) => {
-                self.note_announcement(&pool, &vm, announcement, now);
+                self.note_announcement(&vm, incarnation, announcement, now);
             }
             AttemptEvent::StreamStarted(load) => {
                 attempt.last_data_at = Some(now);
--- a/crates/coordination/fescuetide_flow/src/scheduler/announcing.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/announcing.rs
@@ -2,6 +2,7 @@
 
 use fescuetide_base::ClockMillis;
 use fescuetide_base::PoolName;
+use fescuetide_base::ProcessIncarnation;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
 
@@ -16,19 +17,16 @@
 use crate::flow::FlowState;
 
 impl RequestScheduler {
-    /// Handles what an upstream announces in a response.
+    /// Handles what an incarnation of an upstream announces in a response.
     pub(super) fn note_announcement(
         &mut self,
-        pool: &PoolName,
         vm: &VmName,
+        incarnation: ProcessIncarnation,
         announcement: UpstreamAnnouncement,
         now: ClockMillis,
     ) {
-        let pool = self.pools.get(pool);
-        let Some(entry) = pool.and_then(|pool| pool.entry(vm)) else {
-            return;
-        };
-        if self.announcements.note(entry, announcement, now) {
+        let is_news = self.announcements.note(vm, incarnation, announcement, now);
+        if is_news {
             self.notices.push(FlowNotice::LeavingAnnounced {
                 upstream: vm.clone(),
             });
@@ -99,13 +97,14 @@
         }
     }
 
-    /// Places a request in another pool of its route, or refuses it if none accepts requests.
+    /// Places a request in another pool of its route, or refuses it if none accepts requests. A stream that has begun stays: the
+    /// upstreams of another pool may not be able to continue it.
     pub(super) fn leave_pool(&mut self, key: FlowKey, pool: &PoolName, now: ClockMillis) {
         let Some(flow) = self.flows.get(&key) else {
             return;
         };
         let other = self.choose_pool(&flow.request, now);
-        if other == *pool {
+        if other == *pool || flow.is_relayed {
             let pause = self.pause_left(&flow.request, now);
             let (cause, retry_after) = match pause.as_millis() {
                 0 => (RefusalCause::NoUpstream, NO_UPSTREAM_RETRY_DELAY),
--- a/crates/coordination/fescuetide_flow/src/scheduler/placing.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/placing.rs
@@ -131,6 +131,7 @@
             return false;
         };
         let (vm, load) = (choice.vm.clone(), choice.load);
+        let incarnation = choice.incarnation;
         let copy_from = match shared {
             Some(prefix) if !choice.has_prefix => {
                 let known = pool.reachable(&self.outcomes, now);
@@ -160,6 +161,7 @@
         flow.state = FlowState::Running(FlowAttempt {
             pool: pool_name.clone(),
             vm,
+            incarnation,
             started_at: now,
             known_crashes: self.crashes.known(fingerprint, now),
             is_sent: false,
--- a/crates/coordination/fescuetide_flow/tests/flow/leaving.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/leaving.rs
@@ -108,6 +108,39 @@
     assert_eq!(harness.next(), None);
 }
 
+/// Guards against an announcement that is lost because the entry was removed before the response arrived, and is written again
+/// afterwards.
+#[test]
+fn announcement_of_an_upstream_without_an_entry_counts() {
+    let mut harness = SchedulerHarness::with_upstreams(1);
+    let key = harness.arrive(WorkKind::Once, 1);
+    let leaving = harness.expect_send(key).upstream;
+    harness.note(key, AttemptEvent::Sent);
+    harness.scheduler.set_upstreams(&[], harness.now);
+    harness.note(key, LEAVING);
+    harness.complete(key);
+    let entry = upstream(leaving.as_str(), 8);
+    harness.scheduler.set_upstreams(&[entry], harness.now);
+    let key = harness.arrive(WorkKind::Once, 1);
+    assert!(matches!(harness.next(), Some(FlowAction::Refuse(refused, _)) if refused == key));
+}
+
+/// Guards against an announcement of the incarnation before that arrives late and counts for the current one.
+#[test]
+fn announcement_of_the_incarnation_before_does_not_count() {
+    let mut harness = SchedulerHarness::with_upstreams(1);
+    let key = harness.arrive(WorkKind::Once, 1);
+    let name = harness.expect_send(key).upstream;
+    harness.note(key, AttemptEvent::Sent);
+    let mut entry = upstream(name.as_str(), 8);
+    entry.incarnation = ProcessIncarnation::new(2);
+    harness.scheduler.set_upstreams(&[entry], harness.now);
+    harness.note(key, LEAVING);
+    harness.complete(key);
+    let key = harness.arrive(WorkKind::Once, 1);
+    harness.expect_send(key);
+}
+
 /// Guards against a mark that binds the next incarnation, and against one that an entry of the same incarnation removes.
 #[test]
 fn announcement_belongs_to_an_incarnation() {
--- a/crates/coordination/fescuetide_flow/tests/flow/pauses.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/pauses.rs
@@ -7,6 +7,7 @@
 use fescuetide_fleet::UpstreamEntry;
 use fescuetide_fleet::WorkKind;
 use fescuetide_flow::AttemptEvent;
+use fescuetide_flow::BreakCause;
 use fescuetide_flow::DeclineCause;
 use fescuetide_flow::FlowAction;
 use fescuetide_flow::FlowKey;
@@ -226,6 +227,43 @@
     assert_eq!(command.copy_from, Some(holder));
 }
 
+/// Guards against a stream that goes on in another pool of its route, whose upstreams may not continue it.
+#[test]
+fn stream_that_has_begun_does_not_change_its_pool() {
+    let mut harness = SchedulerHarness::with_upstreams(2);
+    let mut entries = entries(2);
+    entries.push(UpstreamEntry {
+        pool: "others".parse().unwrap(),
+        ..upstream("vm-other", 8)
+    });
+    harness.scheduler.set_upstreams(&entries, harness.now);
+    let first = route(WorkKind::ResumableStream, 3);
+    let second = PoolShare {
+        pool: "others".parse().unwrap(),
+        weight: 1,
+    };
+    let both = RouteEntry {
+        pools: vec![first.pools[0].clone(), second],
+        ..first
+    };
+    let request = WorkRequest::of_route(&both, harness.now, None);
+    let stream = harness.scheduler.arrive(request, harness.now);
+    harness.expect_send(stream);
+    harness.note(stream, AttemptEvent::Sent);
+    let leaving = UpstreamAnnouncement {
+        is_leaving: true,
+        ..UpstreamAnnouncement::default()
+    };
+    harness.note(stream, AttemptEvent::Announced(leaving));
+    harness.note(stream, AttemptEvent::StreamStarted(None));
+    assert_eq!(harness.next(), Some(FlowAction::Relay(stream)));
+    // The other upstream of its pool is paused when the first one breaks.
+    let (key, _) = harness.decline_with_pause(1, LONG_PAUSE);
+    harness.expect_refusal(key);
+    harness.note(stream, AttemptEvent::Broken(BreakCause::Closed));
+    assert!(matches!(harness.next(), Some(FlowAction::Fail(failed, _)) if failed == stream));
+}
+
 /// Guards against refusals although another pool of the route accepts requests.
 #[test]
 fn requests_leave_a_pool_whose_upstreams_are_paused() {
