Ignore pauses without length

Retry-After of 0 in a 503 moved the requests that waited for a connection to the upstream, and logged a pause. The new test failed before: the second request was cancelled.

--- a/crates/coordination/fescuetide_flow/src/scheduler/announcing.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/announcing.rs
@@ -25,13 +25,17 @@
         announcement: UpstreamAnnouncement,
         now: ClockMillis,
     ) {
+        let pause = announcement.pause.filter(|pause| pause.as_millis() > 0);
+        if pause.is_none() && !announcement.is_leaving {
+            return;
+        }
         let is_news = self.announcements.note(vm, incarnation, announcement, now);
         if is_news {
             self.notices.push(FlowNotice::LeavingAnnounced {
                 upstream: vm.clone(),
             });
         }
-        if let Some(pause) = announcement.pause {
+        if let Some(pause) = pause {
             self.notices.push(FlowNotice::PauseStarted {
                 upstream: vm.clone(),
                 pause,
--- a/crates/coordination/fescuetide_flow/tests/flow/pauses.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/pauses.rs
@@ -11,6 +11,7 @@
 use fescuetide_flow::DeclineCause;
 use fescuetide_flow::FlowAction;
 use fescuetide_flow::FlowKey;
+use fescuetide_flow::FlowNotice;
 use fescuetide_flow::FlowRefusal;
 use fescuetide_flow::PromptPart;
 use fescuetide_flow::PromptShape;
@@ -159,6 +160,25 @@
     harness.expect_refusal(declined);
 }
 
+/// Guards against attempts that are moved because of a pause without length.
+#[test]
+fn pause_without_length_changes_nothing() {
+    let mut harness = SchedulerHarness::with_upstreams(1);
+    let (first, second) = (
+        harness.arrive(WorkKind::Once, 1),
+        harness.arrive(WorkKind::Once, 1),
+    );
+    harness.expect_send(first);
+    harness.expect_send(second);
+    harness.note(first, AttemptEvent::Sent);
+    harness.note_decline_with_pause(first, SpanMillis::default());
+    harness.expect_refusal(first);
+    assert_eq!(harness.next(), None);
+    let notices = harness.scheduler.take_notices();
+    let is_pause = |notice: &FlowNotice| matches!(notice, FlowNotice::PauseStarted { .. });
+    assert!(!notices.iter().any(is_pause));
+}
+
 /// Guards against a pause that is forgotten when the upstream's entry is removed and written again, and against one that
 /// binds the next incarnation.
 #[test]
