--- a/crates/coordination/fescuetide_flow/tests/flow/pauses.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/pauses.rs
@@ -70,6 +70,29 @@
     names.map(|name| upstream(&name, 8)).collect()
 }
 
+/// Adds an upstream of another pool to the first `count` ones, and returns the route with both pools.
+fn add_pool_of_others(
+    harness: &mut SchedulerHarness,
+    count: usize,
+    route: RouteEntry,
+) -> RouteEntry {
+    let other = UpstreamEntry {
+        pool: "others".parse().unwrap(),
+        ..upstream("vm-other", 8)
+    };
+    let mut entries = entries(count);
+    entries.push(other.clone());
+    harness.scheduler.set_upstreams(&entries, harness.now);
+    let share = PoolShare {
+        pool: other.pool,
+        weight: 1,
+    };
+    RouteEntry {
+        pools: vec![route.pools[0].clone(), share],
+        ..route
+    }
+}
+
 /// Guards against requests that reach an upstream in its pause, and against an upstream that stays excluded after it.
 #[test]
 fn paused_upstream_gets_requests_only_after_its_pause() {
@@ -251,21 +274,7 @@
 #[test]
 fn stream_that_has_begun_does_not_change_its_pool() {
     let mut harness = SchedulerHarness::with_upstreams(2);
-    let mut entries = entries(2);
-    entries.push(UpstreamEntry {
-        pool: "others".parse().unwrap(),
-        ..upstream("vm-other", 8)
-    });
-    harness.scheduler.set_upstreams(&entries, harness.now);
-    let first = route(WorkKind::ResumableStream, 3);
-    let second = PoolShare {
-        pool: "others".parse().unwrap(),
-        weight: 1,
-    };
-    let both = RouteEntry {
-        pools: vec![first.pools[0].clone(), second],
-        ..first
-    };
+    let both = add_pool_of_others(&mut harness, 2, route(WorkKind::ResumableStream, 3));
     let request = WorkRequest::of_route(&both, harness.now, None);
     let stream = harness.scheduler.arrive(request, harness.now);
     harness.expect_send(stream);
@@ -288,23 +297,9 @@
 #[test]
 fn requests_leave_a_pool_whose_upstreams_are_paused() {
     let mut harness = SchedulerHarness::with_upstreams(1);
-    let mut entries = entries(1);
-    entries.push(UpstreamEntry {
-        pool: "others".parse().unwrap(),
-        ..upstream("vm-other", 8)
-    });
-    harness.scheduler.set_upstreams(&entries, harness.now);
     let (key, _) = harness.decline_with_pause(1, LONG_PAUSE);
     harness.expect_refusal(key);
-    let first = route(WorkKind::Once, 1);
-    let second = PoolShare {
-        pool: "others".parse().unwrap(),
-        weight: 1,
-    };
-    let both = RouteEntry {
-        pools: vec![first.pools[0].clone(), second],
-        ..first
-    };
+    let both = add_pool_of_others(&mut harness, 1, route(WorkKind::Once, 1));
     for pool_selector in 0..2 {
         let request = WorkRequest {
             pool_selector,
