Tell other gateways the loads of upstreams, and divide popular prefixes

Cause: an upstream reports its load only to the gateway that gets the response. With 103 gateways and 160 upstreams, a gateway hears from each every few seconds, so most loads were unknown and taken as the mean, and all gateways sent a popular prefix to the same upstream.

A prefix with a large share of a pool's requests is divided among as many upstreams as that share needs. A cap that is compared with an old report is lowered by a random part, and ties start at a random place for each gateway. Implausible loads are dropped, counted and logged.

Test ports are reserved at another address, since the gateway now uses the UDP port of its peers' port.

--- a/crates/coordination/fescuetide_flow/src/action.rs
+++ b/crates/coordination/fescuetide_flow/src/action.rs
@@ -36,6 +36,8 @@
     pub is_resumption: bool,
     /// Estimated number of outstanding requests at the upstream.
     pub load: u32,
+    /// Age of the report that this estimate rests on, `None` if the requests of other gateways are not known.
+    pub load_age: Option<SpanMillis>,
     /// Another upstream that has the shared prompt prefix cached, if this one does not.
     pub copy_from: Option<VmName>,
 }
--- a/crates/coordination/fescuetide_flow/src/flow.rs
+++ b/crates/coordination/fescuetide_flow/src/flow.rs
@@ -67,6 +67,8 @@
     pub(crate) has_error_response: bool,
     /// Upstreams that are not tried again.
     pub(crate) tried: Vec<VmName>,
+    /// Number of upstreams that share the requests with this prompt prefix.
+    pub(crate) holder_count: usize,
 }
 
 impl RequestFlow {
@@ -79,6 +81,7 @@
             is_relayed: false,
             has_error_response: false,
             tried: Vec::new(),
+            holder_count: 1,
         }
     }
 
--- a/crates/coordination/fescuetide_flow/src/notice.rs
+++ b/crates/coordination/fescuetide_flow/src/notice.rs
@@ -31,6 +31,11 @@
         /// The upstream.
         upstream: VmName,
     },
+    /// A load that an upstream reported, or that another gateway told, is not plausible and was ignored.
+    LoadRejected {
+        /// Running and queued requests, as reported.
+        load: u32,
+    },
     /// An upstream wants no requests from this gateway for some time.
     PauseStarted {
         /// The upstream.
--- a/crates/coordination/fescuetide_flow/src/placement.rs
+++ b/crates/coordination/fescuetide_flow/src/placement.rs
@@ -1,5 +1,7 @@
 //! Selection of the upstream for a request.
 
+use std::cmp::Reverse;
+
 use fescuetide_base::ClockMillis;
 use fescuetide_base::ProcessIncarnation;
 use fescuetide_base::SpanMillis;
@@ -17,6 +19,8 @@
     pub(crate) hash: u64,
     /// Estimated number of outstanding requests.
     pub(crate) load: u32,
+    /// Age of the load report that the estimate rests on, `None` if the load of other gateways is not known.
+    pub(crate) load_age: Option<SpanMillis>,
     /// Maximum number of outstanding requests.
     pub(crate) capacity: u32,
     /// Whether it is in this gateway's availability zone.
@@ -27,32 +31,46 @@
     pub(crate) has_prefix: bool,
 }
 
+/// A shared prompt prefix and how much it is wanted.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PrefixDemand {
+    /// The hash of the prefix.
+    pub(crate) hash: u64,
+    /// Number of upstreams among which the requests with the prefix are divided.
+    pub(crate) holder_count: usize,
+}
+
 /// Chooses an upstream, or returns `None` if all are full.
 ///
 /// Requests with a shared prompt prefix are routed by rendezvous hashing with bounded loads (Mirrokni, Thorup,
 /// Zadimoghaddam, "Consistent Hashing with Bounded Loads", 2018): the highest ranked upstream whose load is below a
 /// multiple of the mean. Upstreams that already have the prefix cached rank first, so that a new upstream does not take
 /// over prefixes that are cached elsewhere. When a surge for one prefix overflows an upstream, all gateways agree on
-/// the next one. All other requests go to the least loaded upstream.
+/// the next one. Requests with a popular prefix are divided among as many of its highest ranked upstreams as its share of all
+/// requests needs, before any load is known. All other requests go to the least loaded upstream.
 pub(crate) fn choose_upstream<'a>(
     candidates: &'a [UpstreamCandidate<'a>],
-    shared: Option<u64>,
+    wanted: Option<PrefixDemand>,
     tie_break_seed: u64,
     settings: &FlowSettings,
 ) -> Option<&'a UpstreamCandidate<'a>> {
     let has_capacity = |candidate: &&UpstreamCandidate<'a>| candidate.load < candidate.capacity;
     let is_healthy = |candidate: &&UpstreamCandidate<'a>| !candidate.is_failing;
-    if let Some(shared) = shared {
-        let cap = load_cap(candidates, settings);
-        let preferred = candidates
+    if let Some(wanted) = wanted {
+        let sum: u32 = candidates.iter().map(|candidate| candidate.load).sum();
+        let mean = f64::from(sum) / candidates.len().max(1) as f64;
+        let cap = load_cap(mean, settings);
+        let below_cap = candidates
             .iter()
             .filter(has_capacity)
             .filter(is_healthy)
-            .filter(|candidate| candidate.load < cap)
-            .max_by_key(|candidate| {
-                let score = score_upstream(shared, candidate.hash);
-                (candidate.has_prefix, score)
-            });
+            .filter(|candidate| is_below_cap(candidate, cap, tie_break_seed));
+        let score =
+            |candidate: &&UpstreamCandidate<'a>| score_upstream(wanted.hash, candidate.hash);
+        let preferred = match wanted.holder_count {
+            0 | 1 => below_cap.max_by_key(|candidate| (candidate.has_prefix, score(candidate))),
+            count => choose_holder(below_cap.collect(), count, score, tie_break_seed),
+        };
         if preferred.is_some() {
             return preferred;
         }
@@ -71,6 +89,36 @@
         })
 }
 
+/// Part of the load cap by which it is lowered at most for an upstream whose load report is old.
+const CAP_REDUCTION: f64 = 0.3;
+
+/// Age of a load report from which on the load cap may be lowered by all of [`CAP_REDUCTION`].
+const FULL_REDUCTION_AGE: SpanMillis = SpanMillis::new(500);
+
+/// Whether an upstream is below the load cap. The older its report, the more requests other gateways may have sent there
+/// since, so the cap is lowered by a random part. If all gateways compared an old report with the same cap, all would send
+/// requests there until the next report, and then none would.
+fn is_below_cap(candidate: &UpstreamCandidate<'_>, cap: u32, seed: u64) -> bool {
+    let age = candidate.load_age.unwrap_or_default();
+    let doubt = age.min(FULL_REDUCTION_AGE).as_millis() as f64;
+    let part = score_upstream(seed, 0) as f64 / u64::MAX as f64;
+    let reduction = CAP_REDUCTION * part * doubt / FULL_REDUCTION_AGE.as_millis() as f64;
+    f64::from(candidate.load) < f64::from(cap) * (1.0 - reduction)
+}
+
+/// Chooses one of the `count` upstreams with the highest scores, by `seed`.
+fn choose_holder<'a>(
+    mut candidates: Vec<&'a UpstreamCandidate<'a>>,
+    count: usize,
+    score: impl Fn(&&UpstreamCandidate<'a>) -> u64,
+    seed: u64,
+) -> Option<&'a UpstreamCandidate<'a>> {
+    candidates.sort_by_cached_key(|candidate| Reverse(score(candidate)));
+    candidates.truncate(count);
+    let order = |candidate: &&UpstreamCandidate<'a>| score_upstream(seed, candidate.hash);
+    candidates.into_iter().max_by_key(order)
+}
+
 /// For this long after an upstream was discovered, it may not have cached the prefixes for which it ranks highest.
 const JOIN_PERIOD: SpanMillis = SpanMillis::new(30_000);
 
@@ -111,9 +159,7 @@
     older.max_by_key(rank).map(|upstream| upstream.vm)
 }
 
-/// The load cap: the load at which an upstream accepts no more requests for a shared prefix.
-fn load_cap(candidates: &[UpstreamCandidate<'_>], settings: &FlowSettings) -> u32 {
-    let sum: u32 = candidates.iter().map(|candidate| candidate.load).sum();
-    let mean = f64::from(sum) / candidates.len().max(1) as f64;
+/// The load at which an upstream accepts no more requests for a shared prefix, given the mean load of its pool.
+pub(crate) fn load_cap(mean: f64, settings: &FlowSettings) -> u32 {
     (settings.load_multiple * mean).floor() as u32 + settings.load_allowance
 }
--- a/crates/coordination/fescuetide_flow/src/pool.rs
+++ b/crates/coordination/fescuetide_flow/src/pool.rs
@@ -8,9 +8,13 @@
 use fescuetide_limits::RetryBudget;
 use indexmap::IndexMap;
 
+use crate::LoadEntry;
+use crate::LoadKey;
 use crate::LoadReport;
 use crate::announcements::AnnouncementTable;
+use crate::demand::DemandTable;
 use crate::health::OutcomeTable;
+use crate::load;
 use crate::load::UpstreamLoad;
 use crate::placement::KnownUpstream;
 use crate::placement::UpstreamCandidate;
@@ -24,6 +28,7 @@
 pub(crate) struct PoolUpstream {
     entry: UpstreamEntry,
     hash: u64,
+    key: LoadKey,
     load: UpstreamLoad,
     last_data_at: ClockMillis,
     discovered_at: ClockMillis,
@@ -33,6 +38,7 @@
     fn new(entry: UpstreamEntry, now: ClockMillis) -> Self {
         Self {
             hash: StableHash::hash_bytes(entry.name.as_str().as_bytes()),
+            key: LoadKey::new(&entry.name, entry.incarnation),
             entry,
             load: UpstreamLoad::default(),
             last_data_at: ClockMillis::default(),
@@ -73,10 +79,24 @@
     }
 }
 
+/// What became of an entry of another gateway's load digest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum MergeResult {
+    /// It is newer than what was known.
+    Applied,
+    /// A report that is as new is known, or the entry is too old.
+    Known,
+    /// An upstream with so many slots does not have such a load.
+    Implausible,
+}
+
 /// The upstreams of a pool, its queue and its retry budget.
 #[derive(Debug)]
 pub(crate) struct PoolState {
     upstreams: IndexMap<VmName, PoolUpstream>,
+    /// The upstreams by their keys in load digests.
+    names: IndexMap<LoadKey, VmName>,
+    demand: DemandTable,
     pub(crate) waiting: WaitingQueue,
     pub(crate) budget: RetryBudget,
 }
@@ -85,6 +105,8 @@
     pub(crate) fn new(budget: RetryBudget) -> Self {
         Self {
             upstreams: IndexMap::new(),
+            names: IndexMap::new(),
+            demand: DemandTable::default(),
             waiting: WaitingQueue::default(),
             budget,
         }
@@ -99,7 +121,10 @@
             return false;
         }
         let name = entry.name.clone();
-        self.upstreams.insert(name, PoolUpstream::new(entry, now));
+        let upstream = PoolUpstream::new(entry, now);
+        self.names.retain(|_, known| *known != name);
+        self.names.insert(upstream.key, name.clone());
+        self.upstreams.insert(name, upstream);
         true
     }
 
@@ -113,6 +138,9 @@
             }
             keep
         });
+        if !removed.is_empty() {
+            self.names.retain(|_, name| is_listed(name));
+        }
         removed
     }
 
@@ -181,9 +209,22 @@
         upstreams.any(|(name, upstream)| conditions.is_ready(upstream) && !tried.contains(name))
     }
 
-    pub(crate) fn add_request(&mut self, vm: &VmName) {
+    /// Records a request with a shared prompt prefix. Returns the number of upstreams among which such requests are divided,
+    /// so that those of a popular prefix alone do not take each of them above `load_multiple` times the mean load.
+    pub(crate) fn note_demand(
+        &mut self,
+        prefix: u64,
+        load_multiple: f64,
+        now: ClockMillis,
+    ) -> usize {
+        let share = self.demand.note_arrival(prefix, now);
+        let holders = (share * self.upstreams.len() as f64 / load_multiple).ceil();
+        (holders as usize).max(1)
+    }
+
+    pub(crate) fn add_request(&mut self, vm: &VmName, now: ClockMillis) {
         if let Some(upstream) = self.upstreams.get_mut(vm) {
-            upstream.load.add();
+            upstream.load.add(now);
         }
     }
 
@@ -193,17 +234,75 @@
         }
     }
 
-    /// Records that data arrived from an upstream, with the load that it reported.
-    pub(crate) fn note_data(&mut self, vm: &VmName, report: Option<LoadReport>, now: ClockMillis) {
+    /// Records that data arrived from an upstream.
+    pub(crate) fn note_data(&mut self, vm: &VmName, now: ClockMillis) {
+        if let Some(upstream) = self.upstreams.get_mut(vm) {
+            upstream.last_data_at = now;
+        }
+    }
+
+    /// Records the load that an upstream reported to this gateway. `is_shared` is whether other gateways are told. Returns
+    /// false if the report is not plausible.
+    pub(crate) fn note_report(
+        &mut self,
+        vm: &VmName,
+        report: LoadReport,
+        is_shared: bool,
+        now: ClockMillis,
+    ) -> bool {
         let Some(upstream) = self.upstreams.get_mut(vm) else {
+            return true;
+        };
+        if !load::is_plausible(report.total(), upstream.entry.slots) {
+            return false;
+        }
+        upstream.load.note_report(report, is_shared, now);
+        true
+    }
+
+    /// Applies an entry of another gateway's load digest, `None` if it is about an upstream of another pool.
+    pub(crate) fn merge_load(&mut self, entry: LoadEntry, now: ClockMillis) -> Option<MergeResult> {
+        let name = self.names.get(&entry.key)?;
+        let upstream = self.upstreams.get_mut(name)?;
+        if !load::is_plausible(entry.load, upstream.entry.slots) {
+            return Some(MergeResult::Implausible);
+        }
+        Some(match upstream.load.merge(entry.load, entry.age, now) {
+            true => MergeResult::Applied,
+            false => MergeResult::Known,
+        })
+    }
+
+    /// Appends the reports that other gateways should be told of to `digest`.
+    pub(crate) fn list_unshared(&self, digest: &mut Vec<LoadEntry>, now: ClockMillis) {
+        for upstream in self.upstreams.values() {
+            let Some((load, age)) = upstream.load.unshared_report(now) else {
+                continue;
+            };
+            digest.push(LoadEntry {
+                key: upstream.key,
+                load,
+                age,
+            });
+        }
+    }
+
+    /// Records that a digest with the last report of an upstream is sent.
+    pub(crate) fn note_shared(&mut self, key: LoadKey) {
+        let Some(name) = self.names.get(&key) else {
             return;
         };
-        upstream.last_data_at = now;
-        if let Some(report) = report {
-            upstream.load.note_report(report, now);
+        if let Some(upstream) = self.upstreams.get_mut(name) {
+            upstream.load.note_shared();
         }
     }
 
+    /// The mean number of outstanding requests of an upstream, those of all gateways together.
+    pub(crate) fn mean_load(&self, now: ClockMillis) -> f64 {
+        let (_, all) = self.request_totals(now);
+        f64::from(all) / self.upstreams.len().max(1) as f64
+    }
+
     /// When data last arrived from an upstream.
     pub(crate) fn last_data_at(&self, vm: &VmName) -> Option<ClockMillis> {
         self.upstreams.get(vm).map(|upstream| upstream.last_data_at)
@@ -246,6 +345,7 @@
                 incarnation: upstream.entry.incarnation,
                 hash: upstream.hash,
                 load: upstream.load.own() + others,
+                load_age: upstream.load.age(now),
                 capacity: upstream.capacity(),
                 is_same_zone: upstream.entry.zone.as_str() == zone,
                 is_failing: outcomes.is_failing(name, failure_rate),
--- a/crates/coordination/fescuetide_flow/src/scheduler.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod crashes;
 mod ending;
+mod loads;
 mod placing;
 mod retrying;
 
@@ -25,7 +26,6 @@
 use crate::FlowKey;
 use crate::FlowNotice;
 use crate::FlowSettings;
-use crate::LoadReport;
 use crate::WorkRequest;
 use crate::announcements::AnnouncementTable;
 use crate::crash::CrashEvent;
@@ -36,8 +36,12 @@
 use crate::notice::NoticeQueue;
 use crate::pool::PoolState;
 use crate::pool::UpstreamConditions;
+use crate::scheduler::loads::ReportSource;
 use crate::share::TrafficShare;
 
+pub use loads::LOAD_DIGEST_LIMIT;
+pub use loads::LoadCounts;
+
 /// How long callers should wait before retrying a refused request, if there is no better estimate.
 const DEFAULT_RETRY_AFTER: SpanMillis = SpanMillis::new(100);
 
@@ -68,6 +72,7 @@
     flows: IndexMap<FlowKey, RequestFlow>,
     next_key: u64,
     tie_break_seed: u64,
+    load_counts: LoadCounts,
     actions: VecDeque<FlowAction>,
     notices: NoticeQueue,
     /// Upstreams with a probe in progress.
@@ -93,6 +98,7 @@
             flows: IndexMap::new(),
             next_key: 0,
             tie_break_seed: 0,
+            load_counts: LoadCounts::default(),
             actions: VecDeque::new(),
             notices: NoticeQueue::default(),
             probing: IndexSet::new(),
@@ -100,6 +106,15 @@
         }
     }
 
+    /// Sets where the pseudorandom choices between equal upstreams start. Gateways with the same start choose the same
+    /// upstreams for their first requests.
+    pub fn with_seed(self, seed: u64) -> Self {
+        Self {
+            tie_break_seed: seed,
+            ..self
+        }
+    }
+
     /// Removes and returns the next action to execute.
     pub fn next_action(&mut self) -> Option<FlowAction> {
         self.actions.pop_front()
@@ -153,7 +168,12 @@
         if let Some(pool) = self.pools.get_mut(&pool) {
             pool.budget.note_request();
         }
-        self.flows.insert(key, RequestFlow::new(request, pool));
+        let holder_count = self.note_demand(&request, &pool, now);
+        let flow = RequestFlow {
+            holder_count,
+            ..RequestFlow::new(request, pool)
+        };
+        self.flows.insert(key, flow);
         self.place(key, now);
         key
     }
@@ -222,19 +242,21 @@
                 let is_first = !flow.is_relayed;
                 flow.is_relayed = true;
                 flow.may_have_run = true;
-                self.note_data(&pool, &vm, load, now);
+                self.note_data(&pool, &vm, now);
+                self.note_report(&pool, &vm, load, ReportSource::StreamHead, now);
                 if is_first {
                     self.actions.push_back(FlowAction::Relay(key));
                 }
             }
             AttemptEvent::StreamProgress => {
                 attempt.last_data_at = Some(now);
-                self.note_data(&pool, &vm, None, now);
+                self.note_data(&pool, &vm, now);
             }
             AttemptEvent::Completed { status, load } => {
                 let is_started = attempt.last_data_at.is_some();
                 let breaks_stream = flow.is_relayed && !is_started;
-                self.note_data(&pool, &vm, load, now);
+                self.note_data(&pool, &vm, now);
+                self.note_report(&pool, &vm, load, ReportSource::Response, now);
                 if breaks_stream {
                     // The caller has received part of a stream, which only another stream can continue.
                     self.break_attempt(key, &vm, BreakCause::Garbled, now);
@@ -243,7 +265,8 @@
                 }
             }
             AttemptEvent::Declined(cause, load) => {
-                self.note_data(&pool, &vm, load, now);
+                self.note_data(&pool, &vm, now);
+                self.note_report(&pool, &vm, load, ReportSource::Response, now);
                 self.decline(key, &vm, cause, now);
             }
             AttemptEvent::Broken(cause) => self.break_attempt(key, &vm, cause, now),
@@ -284,15 +307,9 @@
         }
     }
 
-    fn note_data(
-        &mut self,
-        pool: &PoolName,
-        vm: &VmName,
-        load: Option<LoadReport>,
-        now: ClockMillis,
-    ) {
+    fn note_data(&mut self, pool: &PoolName, vm: &VmName, now: ClockMillis) {
         if let Some(pool) = self.pools.get_mut(pool) {
-            pool.note_data(vm, load, now);
+            pool.note_data(vm, now);
         }
     }
 }
--- a/crates/coordination/fescuetide_flow/src/scheduler/placing.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/placing.rs
@@ -14,6 +14,7 @@
 use crate::flow::FlowAttempt;
 use crate::flow::FlowState;
 use crate::placement;
+use crate::placement::PrefixDemand;
 use crate::pool::UpstreamConditions;
 use crate::waiting::WaitingEntry;
 
@@ -125,12 +126,16 @@
             now,
         };
         let candidates = pool.candidates(&flow.tried, &holders, zone, conditions);
+        let wanted = shared.map(|hash| PrefixDemand {
+            hash,
+            holder_count: flow.holder_count,
+        });
         let Some(choice) =
-            placement::choose_upstream(&candidates, shared, self.tie_break_seed, &self.settings)
+            placement::choose_upstream(&candidates, wanted, self.tie_break_seed, &self.settings)
         else {
             return false;
         };
-        let (vm, load) = (choice.vm.clone(), choice.load);
+        let (vm, load, load_age) = (choice.vm.clone(), choice.load, choice.load_age);
         let incarnation = choice.incarnation;
         let copy_from = match shared {
             Some(prefix) if !choice.has_prefix => {
@@ -144,7 +149,7 @@
             }
             _ => None,
         };
-        pool.add_request(&vm);
+        pool.add_request(&vm, now);
         if let Some(prefix) = shared {
             self.directory.note_use(prefix, &vm, now);
         }
@@ -156,6 +161,7 @@
             attempt: flow.sent_count + 1,
             is_resumption: flow.is_relayed,
             load,
+            load_age,
             copy_from,
         }));
         flow.state = FlowState::Running(FlowAttempt {
--- a/crates/process/fescuetide_gateway/src/attempts.rs
+++ b/crates/process/fescuetide_gateway/src/attempts.rs
@@ -58,6 +58,9 @@
         if command.attempt > 1 {
             count(&self.counters.retries);
         }
+        if command.load_age.is_none() {
+            count(&self.counters.attempts_unknown_load);
+        }
         if may_log {
             // Logged at the start of the attempt, before there is a connection: the request may not be sent at all.
             tracing::info!(
@@ -66,6 +69,7 @@
                 config = exchange.config.get(),
                 upstream = %command.upstream,
                 load = command.load,
+                load_age_ms = command.load_age.map(SpanMillis::as_millis),
                 copy_from = command.copy_from.as_ref().map(VmName::as_str),
                 attempt = command.attempt,
                 resumes = command.is_resumption,
--- a/crates/process/fescuetide_gateway/src/counters.rs
+++ b/crates/process/fescuetide_gateway/src/counters.rs
@@ -116,6 +116,22 @@
     peer_queries => "fescuetide_peer_asks_total",
     /// Queries to and from other gateways that failed.
     peer_failures => "fescuetide_peer_failures_total",
+    /// Load digests sent to other gateways.
+    load_digests_sent => "fescuetide_load_digests_sent_total",
+    /// Load digests received from other gateways.
+    load_digests_received => "fescuetide_load_digests_received_total",
+    /// Datagrams dropped since they are no load digests, or since there were too many.
+    load_digests_rejected => "fescuetide_load_digests_rejected_total",
+    /// Load digests that could not be sent or received.
+    load_digest_failures => "fescuetide_load_digest_failures_total",
+    /// Loads that were not plausible and were ignored.
+    loads_rejected => "fescuetide_loads_rejected_total",
+    /// Attempts at upstreams whose load was not known when they were chosen.
+    attempts_unknown_load => "fescuetide_attempts_unknown_load_total",
+    /// Load reports in the heads of streams.
+    stream_loads => "fescuetide_stream_loads_total",
+    /// Of these, those above the load cap at that time.
+    stream_loads_above_cap => "fescuetide_stream_loads_above_cap_total",
     /// Version of the current configuration.
     config_version => "fescuetide_config_version",
 }
--- a/crates/process/fescuetide_gateway/src/flow_notices.rs
+++ b/crates/process/fescuetide_gateway/src/flow_notices.rs
@@ -16,6 +16,7 @@
                 FlowNotice::RetryDenied { .. } => count(&self.counters.retries_denied),
                 FlowNotice::PauseStarted { .. } => count(&self.counters.upstream_pauses),
                 FlowNotice::LeavingAnnounced { .. } => count(&self.counters.upstreams_leaving),
+                FlowNotice::LoadRejected { .. } => count(&self.counters.loads_rejected),
                 FlowNotice::BurstGranted { .. } => {}
             }
             if self.may_log(LogLineKind::Notice) {
@@ -37,6 +38,9 @@
             FlowNotice::LeavingAnnounced { upstream } => {
                 tracing::info!(%upstream, "upstream announced that it leaves");
             }
+            FlowNotice::LoadRejected { load } => {
+                tracing::warn!(load, "ignored a load that is not plausible");
+            }
             FlowNotice::PauseStarted { upstream, pause } => {
                 tracing::info!(%upstream, pause_ms = pause.as_millis(), "upstream asked for a pause");
             }
--- a/crates/process/fescuetide_gateway/src/lib.rs
+++ b/crates/process/fescuetide_gateway/src/lib.rs
@@ -53,6 +53,7 @@
 mod flow_notices;
 mod follower;
 mod idle;
+mod load_exchange;
 mod log_client;
 mod log_era;
 mod log_line_limit;
--- /dev/null
+++ b/crates/process/fescuetide_gateway/src/load_exchange.rs
@@ -0,0 +1,166 @@
+//! Exchange of the loads of upstreams with other gateways, by datagrams.
+//!
+//! Each gateway sends a digest of what it has newly heard to one other gateway at a time, so what a gateway sends and
+//! receives does not depend on their number. A lost datagram only makes a load known a little later.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+
+use fescuetide_base::ClockMillis;
+use fescuetide_base::SpanMillis;
+use fescuetide_base::StableHash;
+use fescuetide_wire::load::LOAD_DATAGRAM_LIMIT_BYTES;
+use fescuetide_wire::load::LoadDatagram;
+use mio::Interest;
+use mio::Registry;
+use mio::Token;
+use mio::net::UdpSocket;
+
+use crate::codec::HttpCodec;
+use crate::counters::count;
+use crate::log_line_limit::LogLineKind;
+use crate::traffic::TrafficLoop;
+
+/// Time between two digests.
+const DIGEST_INTERVAL: SpanMillis = SpanMillis::new(100);
+
+/// Maximum number of digests that are read in one interval. On average one arrives. Others are dropped, so that a peer that
+/// sends without end does not keep the traffic thread busy.
+const DIGESTS_PER_INTERVAL: u32 = 32;
+
+/// The socket for load digests and the gateways that get them.
+#[derive(Debug)]
+pub(crate) struct LoadExchange {
+    socket: UdpSocket,
+    own: SocketAddr,
+    /// The port for digests of all gateways, `None` if each gets digests at its address for peers.
+    common_port: Option<u16>,
+    peers: Vec<SocketAddr>,
+    next_at: ClockMillis,
+    /// Number of digests sent, which together with the own address selects the next peer.
+    draws: u64,
+    /// Digests received since the last one was sent.
+    received: u32,
+}
+
+impl LoadExchange {
+    /// Opens the socket and registers it. `peers` is this gateway's address for peers. `common_port` replaces its port, and
+    /// that of all peers.
+    pub(crate) fn open(
+        registry: &Registry,
+        token: Token,
+        peers: SocketAddr,
+        common_port: Option<u16>,
+    ) -> io::Result<Self> {
+        let mut own = peers;
+        own.set_port(common_port.unwrap_or(peers.port()));
+        let mut socket = UdpSocket::bind(own)?;
+        registry.register(&mut socket, token, Interest::READABLE)?;
+        Ok(Self {
+            socket,
+            own,
+            common_port,
+            peers: Vec::new(),
+            next_at: ClockMillis::default(),
+            draws: 0,
+            received: 0,
+        })
+    }
+
+    /// Replaces the gateways that get digests, given by their addresses for peers.
+    pub(crate) fn set_peers(&mut self, peers: Vec<SocketAddr>) {
+        self.peers = peers;
+        for peer in &mut self.peers {
+            if let Some(port) = self.common_port {
+                peer.set_port(port);
+            }
+        }
+    }
+
+    /// The peer that gets the next digest, if one is due.
+    fn next_peer(&mut self, now: ClockMillis) -> Option<SocketAddr> {
+        if now < self.next_at || self.peers.is_empty() {
+            return None;
+        }
+        self.next_at = now + DIGEST_INTERVAL;
+        self.received = 0;
+        self.draws += 1;
+        let hash = StableHash::new()
+            .field(self.own.to_string().as_bytes())
+            .field(&self.draws.to_le_bytes())
+            .finish();
+        let index = hash % self.peers.len() as u64;
+        self.peers.get(index as usize).copied()
+    }
+}
+
+impl<C: HttpCodec> TrafficLoop<C> {
+    /// Sends a digest of newly reported loads to a peer, if one is due.
+    pub(crate) fn send_loads(&mut self) {
+        let Some(exchange) = &mut self.load_exchange else {
+            return;
+        };
+        let Some(peer) = exchange.next_peer(self.now) else {
+            return;
+        };
+        let digest = LoadDatagram(self.scheduler.take_load_digest(self.now));
+        if digest.0.is_empty() {
+            return;
+        }
+        let bytes: Vec<u8> = (&digest).into();
+        match exchange.socket.send_to(&bytes, peer) {
+            Ok(_) => count(&self.counters.load_digests_sent),
+            Err(error) => {
+                count(&self.counters.load_digest_failures);
+                tracing::debug!(%peer, %error, "failed to send a load digest");
+            }
+        }
+    }
+
+    /// Updates the metrics of load reports.
+    pub(crate) fn publish_load_counts(&self) {
+        let counts = self.scheduler.load_counts();
+        let counters = &self.counters;
+        let above_cap = &counters.stream_loads_above_cap;
+        counters
+            .stream_loads
+            .store(counts.reports, Ordering::Relaxed);
+        above_cap.store(counts.above_cap, Ordering::Relaxed);
+    }
+
+    /// Reads the digests of peers.
+    pub(crate) fn receive_loads(&mut self) {
+        // One byte more shows that a datagram is too long.
+        let mut buffer = [0; LOAD_DATAGRAM_LIMIT_BYTES + 1];
+        while let Some(exchange) = &mut self.load_exchange {
+            let (length, peer) = match exchange.socket.recv_from(&mut buffer) {
+                Ok(received) => received,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) => {
+                    count(&self.counters.load_digest_failures);
+                    tracing::debug!(%error, "failed to receive a load digest");
+                    return;
+                }
+            };
+            exchange.received += 1;
+            if exchange.received > DIGESTS_PER_INTERVAL {
+                count(&self.counters.load_digests_rejected);
+                continue;
+            }
+            match LoadDatagram::try_from(&buffer[..length]) {
+                Ok(digest) => {
+                    count(&self.counters.load_digests_received);
+                    self.scheduler.merge_load_digest(&digest.0, self.now);
+                }
+                Err(error) => {
+                    count(&self.counters.load_digests_rejected);
+                    if self.may_log(LogLineKind::Notice) {
+                        tracing::warn!(%peer, %error, "load digest rejected");
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/process/fescuetide_gateway/src/messages.rs
+++ b/crates/process/fescuetide_gateway/src/messages.rs
@@ -1,5 +1,6 @@
 //! Messages between the control threads and the traffic thread.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -26,8 +27,8 @@
     PeersAsked,
     /// What is new in the crash reports in the log; empty if they cannot be read.
     CrashReports(Vec<CrashEvidence>),
-    /// Number of gateways, including this one.
-    GatewayCount(usize),
+    /// The addresses of the other gateways.
+    Peers(Vec<SocketAddr>),
 }
 
 impl<C: HttpCodec> TrafficLoop<C> {
@@ -57,16 +58,26 @@
                     }
                     self.scheduler.merge_crash_evidence(evidence, self.now);
                 }
-                LoopMessage::GatewayCount(gateways) => {
-                    self.scheduler.set_gateway_count(gateways);
-                    let burst = self.scheduler.own_budget().burst;
-                    tracing::info!(gateways, burst, "number of gateways changed");
-                }
+                LoopMessage::Peers(peers) => self.set_peers(peers),
             }
             self.run_actions();
         }
     }
 
+    fn set_peers(&mut self, peers: Vec<SocketAddr>) {
+        let gateways = peers.len() + 1;
+        if let Some(exchange) = &mut self.load_exchange {
+            exchange.set_peers(peers);
+        }
+        if gateways == self.gateway_count {
+            return;
+        }
+        self.gateway_count = gateways;
+        self.scheduler.set_gateway_count(gateways);
+        let burst = self.scheduler.own_budget().burst;
+        tracing::info!(gateways, burst, "number of gateways changed");
+    }
+
     fn apply_config(&mut self, config: Arc<FleetConfig>) {
         if !self.update_filter.accepts_config(config.version) {
             return;
--- a/crates/process/fescuetide_gateway/src/peers.rs
+++ b/crates/process/fescuetide_gateway/src/peers.rs
@@ -133,7 +133,7 @@
         self.query_seeds();
         let mut next_query_at = self.started + PEER_QUERY_DELAY;
         let mut interval = INITIAL_INTERVAL;
-        let mut known = 0;
+        let mut known = Vec::new();
         loop {
             let wait = next_query_at.since(ClockMillis::now());
             match commands.recv_timeout(wait.into()) {
@@ -147,10 +147,10 @@
                     let now = ClockMillis::now();
                     next_query_at = now + self.next_interval(interval);
                     interval = (interval + interval).min(MAX_INTERVAL);
-                    let count = self.publisher.peer_state.live_peers(now).len() + 1;
-                    if count != known {
-                        known = count;
-                        self.publisher.send(LoopMessage::GatewayCount(count));
+                    let peers = self.publisher.peer_state.live_peers(now);
+                    if peers != known || known.is_empty() {
+                        known.clone_from(&peers);
+                        self.publisher.send(LoopMessage::Peers(peers));
                     }
                 }
                 // The traffic thread has ended, so the process is exiting.
--- a/crates/process/fescuetide_gateway/src/process.rs
+++ b/crates/process/fescuetide_gateway/src/process.rs
@@ -7,6 +7,7 @@
 use anyhow::Context;
 use crossbeam::channel;
 use fescuetide_base::ClockMillis;
+use fescuetide_base::StableHash;
 use fescuetide_fleet::PeerTable;
 use fescuetide_flow::RequestScheduler;
 use mio::Poll;
@@ -20,10 +21,12 @@
 use crate::follower;
 use crate::follower::FleetPublisher;
 use crate::follower::FollowIntervals;
+use crate::load_exchange::LoadExchange;
 use crate::log_client::OutageCounter;
 use crate::peer_state::PeerState;
 use crate::peers;
 use crate::sockets;
+use crate::traffic::LOADS_TOKEN;
 use crate::traffic::LoopListeners;
 use crate::traffic::LoopSignals;
 use crate::traffic::TrafficLoop;
@@ -51,7 +54,8 @@
         let (sender, messages) = channel::unbounded();
         let counters = Arc::<GatewayCounters>::default();
         let zone = settings.zone.parse().context("invalid zone")?;
-        let scheduler = RequestScheduler::new(settings.flow_settings(), zone);
+        let seed = StableHash::hash_bytes(settings.vm.as_bytes());
+        let scheduler = RequestScheduler::new(settings.flow_settings(), zone).with_seed(seed);
         let mut traffic = TrafficLoop::new(poll, listeners, scheduler, messages, codec, settings)
             .context("cannot register the listeners")?;
         traffic.counters = Arc::clone(&counters);
@@ -65,6 +69,11 @@
         };
         if let Some(listener) = open_peer_listener(settings)? {
             let own = listener.local_addr()?;
+            let common_port = (settings.load_port != 0).then_some(settings.load_port);
+            let registry = traffic.poll.registry();
+            let exchange = LoadExchange::open(registry, LOADS_TOKEN, own, common_port)
+                .with_context(|| format!("cannot open the socket for loads at {own}"))?;
+            traffic.load_exchange = Some(exchange);
             let table = PeerTable::new(own, &settings.seed_addresses(), ClockMillis::now());
             publisher.peer_state = Arc::new(PeerState::new(table));
             let peer_sender =
--- a/crates/process/fescuetide_gateway/src/settings.rs
+++ b/crates/process/fescuetide_gateway/src/settings.rs
@@ -28,6 +28,9 @@
     /// Listen address for other gateways, empty to disable queries to and from peers. The addresses of the peers
     /// themselves are in `seeds`.
     pub peers: String,
+    /// UDP port at which gateways tell each other the loads of upstreams, on the address in `peers`. All gateways must use the
+    /// same one. 0 stands for the port in `peers`, which may differ between gateways.
+    pub load_port: u16,
     /// Addresses of peers to query first; they report further ones. Some of the addresses may be out of date.
     pub seeds: Vec<String>,
     /// Address of the platform's log.
@@ -59,6 +62,7 @@
             ready: String::new(),
             metrics: String::new(),
             peers: String::new(),
+            load_port: 0,
             seeds: Vec::new(),
             log_service: String::new(),
             grace_ms: 8_000,
--- a/crates/process/fescuetide_gateway/src/traffic.rs
+++ b/crates/process/fescuetide_gateway/src/traffic.rs
@@ -38,6 +38,7 @@
 use crate::crash_reports::ReportCommand;
 use crate::exchange::Exchange;
 use crate::idle::IdleTable;
+use crate::load_exchange::LoadExchange;
 use crate::log_line_limit;
 use crate::log_line_limit::LogLineKind;
 use crate::messages::LoopMessage;
@@ -53,9 +54,11 @@
 const CALLERS_TOKEN: Token = Token(1);
 const READY_TOKEN: Token = Token(2);
 const METRICS_TOKEN: Token = Token(3);
+/// Token of the socket for load digests.
+pub(crate) const LOADS_TOKEN: Token = Token(4);
 
 /// Offset between a connection's token in the table and its poll token.
-const FIRST_CONNECTION: usize = 4;
+const FIRST_CONNECTION: usize = 5;
 
 /// Maximum number of events per poll.
 const EVENT_LIMIT: usize = 256;
@@ -121,6 +124,10 @@
     pub(crate) report_backlog: ReportBacklog,
     /// Takes crash evidence for peers, `None` if peers are disabled.
     pub(crate) peer_sender: Option<Sender<PeerCommand>>,
+    /// Exchanges loads with other gateways, `None` if peers are disabled.
+    pub(crate) load_exchange: Option<LoadExchange>,
+    /// Number of gateways, including this one. 0 until it is known.
+    pub(crate) gateway_count: usize,
     /// Takes crash evidence for the platform's log.
     pub(crate) report_sender: Option<Sender<ReportCommand>>,
     pub(crate) signals: LoopSignals,
@@ -176,6 +183,8 @@
             were_peers_asked: false,
             report_backlog: ReportBacklog::new(report_offset(&settings.vm), ClockMillis::now()),
             peer_sender: None,
+            load_exchange: None,
+            gateway_count: 0,
             report_sender: None,
             signals: LoopSignals::default(),
             counters: Arc::default(),
@@ -217,6 +226,7 @@
                 last_tick = self.now;
                 self.scheduler.tick(self.now);
                 self.run_actions();
+                self.send_loads();
                 self.sweep();
             }
             if self.advance_shutdown() {
@@ -230,6 +240,7 @@
             WAKER_TOKEN => {}
             CALLERS_TOKEN => self.accept_callers(),
             READY_TOKEN => self.accept_monitoring(MonitoringListener::Readiness),
+            LOADS_TOKEN => self.receive_loads(),
             METRICS_TOKEN => self.accept_monitoring(MonitoringListener::Metrics),
             Token(token) => {
                 let token = token - FIRST_CONNECTION;
@@ -330,6 +341,7 @@
         }
         self.sweep_upstreams();
         self.sweep_monitoring();
+        self.publish_load_counts();
         self.report_missing_evidence();
         self.run_actions();
     }
--- a/crates/tools/fescuetide_bench/src/ports.rs
+++ b/crates/tools/fescuetide_bench/src/ports.rs
@@ -21,8 +21,8 @@
 
 static NEXT_PORT_OFFSET: AtomicU16 = AtomicU16::new(0);
 
-/// UDP sockets that reserve allocated ports among concurrent test processes until the child process binds the TCP port
-/// of the same number. Without them, another process can take a port in between,
+/// UDP sockets that reserve allocated ports among concurrent test processes until the child process binds the TCP or UDP port
+/// of the same number. They have another address, since the child may use the UDP port. Without them, another process can take a port in between,
 /// which made 2 of 275 fleets fail to start.
 static RESERVED: Mutex<Vec<UdpSocket>> = Mutex::new(Vec::new());
 
@@ -33,6 +33,12 @@
     Ipv4Addr::new(127, 1 + high % 254, middle, low)
 }
 
+/// The loopback address at which this process reserves ports.
+fn reservation_loopback() -> Ipv4Addr {
+    let [_, _, middle, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 255, middle, low)
+}
+
 /// Binds a socket that does not listen. This fails if another socket listens at the address, and does not keep others from
 /// listening there, even while a process that another thread is starting holds a copy of the socket.
 ///
@@ -57,10 +63,10 @@
         let step = NEXT_PORT_OFFSET.fetch_add(1, Ordering::Relaxed);
         let port = PORT_FIRST + (start + step % PORT_COUNT) % PORT_COUNT;
         let address = SocketAddr::from((process_loopback(), port));
-        let Ok(reservation) = UdpSocket::bind(address) else {
+        let Ok(reservation) = UdpSocket::bind((reservation_loopback(), port)) else {
             continue;
         };
-        if bind_without_listening(address).is_ok() {
+        if bind_without_listening(address).is_ok() && UdpSocket::bind(address).is_ok() {
             let mut reserved = RESERVED.lock().unwrap_or_else(PoisonError::into_inner);
             reserved.push(reservation);
             return Ok(address);
