Bound what upstreams and callers may send without end, and reset broken HTTP/1.0 streams

Cause: a gateway kept up to 16 MiB for each response, read one connection until it would block, relayed events with the same id again and again, took comments for progress, and limited interim responses, responses to other requests, trailers and chunk extensions in time only. A stream that broke off was closed as usual, also for an HTTP/1.0 caller, for whom the close is the end of the body.

Change: all buffers together have a limit (buffer_limit_mb, 40). Near it, connections with more than their share are not read; above it, or after half a second, they are ended. A connection has 256 KiB a turn. An event whose id does not grow ends the attempt, comments are no progress, and the bytes that are no part of a response are limited. Broken responses that end with the close are reset. A stop reads kept connections once more before it closes them.

--- a/crates/process/fescuetide_gateway/src/admission.rs
+++ b/crates/process/fescuetide_gateway/src/admission.rs
@@ -18,6 +18,8 @@
     Unknown(u16),
     /// No configuration is known yet.
     NotReady,
+    /// Its body does not fit into the memory that is left for buffers.
+    Overloaded,
 }
 
 /// Looks up the route and workspace of a request and converts it to the scheduler's [`WorkRequest`].
--- a/crates/process/fescuetide_gateway/src/attempts.rs
+++ b/crates/process/fescuetide_gateway/src/attempts.rs
@@ -116,6 +116,7 @@
         self.codec
             .write_attempt(upstream.output.bytes_mut(), &exchange.head, &fields);
         upstream.body_written = 0;
+        upstream.foreign_bytes = 0;
         upstream.is_written = false;
         upstream.state = UpstreamConnectionState::Busy {
             key: command.key,
@@ -208,6 +209,7 @@
             input: Vec::new(),
             output: OutputBuffer::default(),
             body_written: 0,
+            foreign_bytes: 0,
             is_written: false,
             // `open_attempt` replaces this state.
             state: UpstreamConnectionState::Idle { deadline: self.now },
--- a/crates/process/fescuetide_gateway/src/buffer.rs
+++ b/crates/process/fescuetide_gateway/src/buffer.rs
@@ -22,6 +22,11 @@
         self.bytes.len() - self.written
     }
 
+    /// Number of bytes for which memory is reserved.
+    pub(crate) fn capacity(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.len() == 0
     }
--- a/crates/process/fescuetide_gateway/src/callers.rs
+++ b/crates/process/fescuetide_gateway/src/callers.rs
@@ -27,6 +27,7 @@
 use crate::exchange::RelayState;
 use crate::log_line_limit::LogLineKind;
 use crate::respond;
+use crate::traffic::READS_PER_TURN;
 use crate::traffic::TrafficLoop;
 
 /// Maximum number of bytes that a caller may pipeline while a request is in progress.
@@ -36,6 +37,9 @@
 /// takes a few milliseconds.
 const STARTUP_RETRY_AFTER: SpanMillis = SpanMillis::new(300);
 
+/// `Retry-After` for requests whose bodies do not fit into the memory for buffers. Most of them are complete within a second.
+const BUFFER_RETRY_AFTER: SpanMillis = SpanMillis::new(1_000);
+
 /// Range of the `Retry-After` while the log is unavailable and no configuration is known. The delay is the time since
 /// the start of the process, clamped to this range: an outage is expected to last for as long as it already has, and
 /// the process has not been able to read a configuration since its start. Most outages last a few seconds.
@@ -52,10 +56,11 @@
     /// and new bytes cause a new event. If `until_blocked` is set, no further event may come, for example after the end
     /// of the connection was reported, so the socket is read until it would block.
     pub(crate) fn read_caller(&mut self, token: usize, until_blocked: bool) {
-        if self.defer_read(token) {
+        if self.defer_read(token) || self.pauses_reading(token) {
             return;
         }
         let mut scratch = std::mem::take(&mut self.scratch);
+        let mut reads = 0;
         while let Some(Connection::Caller(caller)) = self.connections.get_mut(token) {
             match caller.stream.read(&mut scratch) {
                 Ok(0) => {
@@ -68,6 +73,11 @@
                     if read < scratch.len() && !until_blocked {
                         break;
                     }
+                    reads += 1;
+                    if reads >= READS_PER_TURN {
+                        self.unfinished_reads.insert(token);
+                        break;
+                    }
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
@@ -78,6 +88,7 @@
             }
         }
         self.scratch = scratch;
+        self.settle_buffers(token);
     }
 
     /// Handles the end of a caller's connection and cancels its request.
@@ -274,12 +285,13 @@
     }
 
     /// Responds to a denied request.
-    fn deny(&mut self, token: usize, request_id: Option<&str>, denial: Denial) {
+    pub(crate) fn deny(&mut self, token: usize, request_id: Option<&str>, denial: Denial) {
         count(&self.counters.denied);
         let (status, retry_after, closes) = match denial {
             Denial::Invalid(status) => (status, None, true),
             Denial::Unknown(status) => (status, None, self.drain.is_some()),
             Denial::NotReady => (503, Some(self.unready_retry_after()), true),
+            Denial::Overloaded => (503, Some(BUFFER_RETRY_AFTER), true),
         };
         let version = self
             .config
@@ -343,7 +355,7 @@
             Ok(true) if caller.closes && !matches!(caller.state, CallerState::Serving(_)) => {
                 self.close_caller(token);
             }
-            Ok(_) => {}
+            Ok(_) => self.settle_buffers(token),
             Err(_) => self.drop_caller(token),
         }
     }
--- a/crates/process/fescuetide_gateway/src/connection.rs
+++ b/crates/process/fescuetide_gateway/src/connection.rs
@@ -50,6 +50,8 @@
     pub(crate) state: CallerState,
     /// Whether the connection is closed when all output has been written.
     pub(crate) closes: bool,
+    /// Whether a response is in progress whose end is the close of the connection. If it breaks off, the connection is reset.
+    pub(crate) ends_with_close: bool,
     pub(crate) active_at: ClockMillis,
 }
 
@@ -61,6 +63,7 @@
             output: OutputBuffer::default(),
             state: CallerState::Idle { since: None },
             closes: false,
+            ends_with_close: false,
             active_at: now,
         }
     }
@@ -119,6 +122,8 @@
     pub(crate) output: OutputBuffer,
     /// Number of bytes of the request body that have been written.
     pub(crate) body_written: usize,
+    /// Bytes received before the response that are no part of it.
+    pub(crate) foreign_bytes: usize,
     /// Whether the whole request has been written.
     pub(crate) is_written: bool,
     pub(crate) state: UpstreamConnectionState,
--- a/crates/process/fescuetide_gateway/src/counters.rs
+++ b/crates/process/fescuetide_gateway/src/counters.rs
@@ -116,6 +116,12 @@
     peer_queries => "fescuetide_peer_asks_total",
     /// Queries to and from other gateways that failed.
     peer_failures => "fescuetide_peer_failures_total",
+    /// Connections ended since buffers exceeded their limit.
+    buffers_dropped => "fescuetide_buffers_dropped_total",
+    /// Times that a connection was not read for a moment since it held much of the limit of buffers.
+    reads_paused => "fescuetide_reads_paused_total",
+    /// Bytes in buffers.
+    buffered_bytes => "fescuetide_buffered_bytes",
     /// Load digests sent to other gateways.
     load_digests_sent => "fescuetide_load_digests_sent_total",
     /// Load digests received from other gateways.
--- a/crates/process/fescuetide_gateway/src/lib.rs
+++ b/crates/process/fescuetide_gateway/src/lib.rs
@@ -43,6 +43,7 @@
 mod admission;
 mod attempts;
 mod buffer;
+mod buffer_account;
 mod callers;
 mod codec;
 mod connection;
--- a/crates/process/fescuetide_gateway/src/load_exchange.rs
+++ b/crates/process/fescuetide_gateway/src/load_exchange.rs
@@ -118,8 +118,8 @@
         }
     }
 
-    /// Updates the metrics of load reports.
-    pub(crate) fn publish_load_counts(&self) {
+    /// Updates the metrics that are not counted as events happen.
+    pub(crate) fn publish_gauges(&self) {
         let counts = self.scheduler.load_counts();
         let counters = &self.counters;
         let above_cap = &counters.stream_loads_above_cap;
@@ -127,6 +127,8 @@
             .stream_loads
             .store(counts.reports, Ordering::Relaxed);
         above_cap.store(counts.above_cap, Ordering::Relaxed);
+        let buffered = self.buffers.total() as u64;
+        counters.buffered_bytes.store(buffered, Ordering::Relaxed);
     }
 
     /// Reads the digests of peers.
--- a/crates/process/fescuetide_gateway/src/relay.rs
+++ b/crates/process/fescuetide_gateway/src/relay.rs
@@ -22,14 +22,23 @@
 const STREAM_BACKLOG_LIMIT_BYTES: usize = 8 * 1_024 * 1_024;
 
 impl<C: HttpCodec> TrafficLoop<C> {
-    /// Relays events of an event stream. Returns false if an event exceeds the maximum event size.
+    /// Relays events of an event stream. Returns false if the stream cannot be used any further.
     pub(crate) fn relay_events(&mut self, key: FlowKey, bytes: &[u8], is_last: bool) -> bool {
         let Some(exchange) = self.exchanges.get_mut(&key) else {
             return true;
         };
         let before = exchange.event_splitter.event_count();
         let mut events = Vec::with_capacity(bytes.len());
-        let is_valid = exchange.event_splitter.feed(bytes, &mut events);
+        let result = exchange.event_splitter.feed(bytes, &mut events);
+        let is_valid = result.is_ok();
+        if let Err(error) = result
+            && self
+                .log_line_quota
+                .try_acquire(LogLineKind::AttemptEnded as usize, self.now)
+        {
+            let request = exchange.request_id();
+            tracing::info!(request, %error, "stream of events cannot be used");
+        }
         if is_last {
             exchange.event_splitter.finish(&mut events);
         }
@@ -89,6 +98,7 @@
                 let out = connection.output.bytes_mut();
                 respond::write_relayed_head(out, &head, framing, closes);
                 connection.closes |= closes;
+                connection.ends_with_close = !is_chunked;
             }
             return;
         }
@@ -101,10 +111,11 @@
         };
         count(&self.counters.relayed);
         self.log_end(&exchange, "relayed", 200);
-        if let Some(Connection::Caller(connection)) = self.connections.get_mut(exchange.caller)
-            && exchange.relay == (RelayState::Streaming { is_chunked: true })
-        {
-            write_last_chunk(connection.output.bytes_mut());
+        if let Some(Connection::Caller(connection)) = self.connections.get_mut(exchange.caller) {
+            connection.ends_with_close = false;
+            if exchange.relay == (RelayState::Streaming { is_chunked: true }) {
+                write_last_chunk(connection.output.bytes_mut());
+            }
         }
         self.release_caller(exchange.caller, exchange.keeps_alive);
     }
@@ -163,7 +174,8 @@
         };
         self.log_end(&exchange, outcome, status);
         if exchange.relay != RelayState::NotStarted {
-            // Closing the connection prevents the caller from taking the truncated response for a complete one.
+            // Closing the connection without the end of the body prevents the caller from taking the truncated response for a
+            // complete one.
             self.remove(exchange.caller);
             return;
         }
--- a/crates/process/fescuetide_gateway/src/settings.rs
+++ b/crates/process/fescuetide_gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use fescuetide_base::ByteCount;
 use fescuetide_base::FindingList;
 use fescuetide_base::SpanMillis;
 use fescuetide_flow::FlowSettings;
@@ -49,6 +50,8 @@
     pub leave_limit_ms: u64,
     /// Time within which a published configuration must take effect, in milliseconds.
     pub config_limit_ms: u64,
+    /// Maximum size of all messages that are buffered because they are incomplete or not yet sent on, in MiB.
+    pub buffer_limit_mb: u64,
     /// Maximum load of an engine, as a multiple of the mean load of its pool.
     pub load_multiple: f64,
 }
@@ -71,6 +74,7 @@
             retry_window_ms: 10_000,
             leave_limit_ms: 2_000,
             config_limit_ms: 2_000,
+            buffer_limit_mb: 40,
             load_multiple: FlowSettings::default().load_multiple,
         }
     }
@@ -79,6 +83,9 @@
 /// Allowed range of `leave_limit_ms` and `config_limit_ms`.
 const PROPAGATION_LIMIT_RANGE_MS: (u64, u64) = (500, 600_000);
 
+/// Allowed range of `buffer_limit_mb`. The least holds two of the largest responses.
+const BUFFER_LIMIT_RANGE_MB: (u64, u64) = (32, 65_536);
+
 /// Fraction of the shared retry burst that is given out. The rest is a margin for moments in which gateways know of
 /// different numbers of gateways.
 const RETRY_BURST_FRACTION: f64 = 0.75;
@@ -133,6 +140,11 @@
                 PROPAGATION_LIMIT_RANGE_MS.0..=PROPAGATION_LIMIT_RANGE_MS.1,
             );
         }
+        list.check_range(
+            "buffer_limit_mb",
+            self.buffer_limit_mb,
+            BUFFER_LIMIT_RANGE_MB.0..=BUFFER_LIMIT_RANGE_MB.1,
+        );
         list.check_range("load_multiple", self.load_multiple, 1.0..=100.0);
         list
     }
@@ -148,6 +160,11 @@
         SpanMillis::new(self.grace_ms)
     }
 
+    /// Maximum size of all buffered messages together.
+    pub(crate) fn buffer_limit(&self) -> ByteCount {
+        ByteCount::new(self.buffer_limit_mb * 1_024 * 1_024)
+    }
+
     /// Pause between two reads of the upstreams' registrations in the log. Together with the response time it must stay
     /// well below `leave_limit_ms`.
     pub(crate) fn upstream_pause(&self) -> SpanMillis {
--- a/crates/process/fescuetide_gateway/src/shutdown.rs
+++ b/crates/process/fescuetide_gateway/src/shutdown.rs
@@ -81,7 +81,19 @@
             }
         }
         for token in idle {
-            self.remove(token);
+            // A request that has just arrived is still served.
+            self.read_caller(token, true);
+            self.run_actions();
+            let is_idle = match self.connections.get(token) {
+                Some(Connection::Caller(caller)) => {
+                    matches!(caller.state, CallerState::Idle { since: None })
+                        && caller.output.is_empty()
+                }
+                _ => false,
+            };
+            if is_idle {
+                self.remove(token);
+            }
         }
     }
 
--- a/crates/process/fescuetide_gateway/src/traffic.rs
+++ b/crates/process/fescuetide_gateway/src/traffic.rs
@@ -30,6 +30,7 @@
 
 use crate::GatewayCounters;
 use crate::GatewaySettings;
+use crate::buffer_account::BufferAccount;
 use crate::codec::HttpCodec;
 use crate::connection::CallerConnection;
 use crate::connection::Connection;
@@ -66,6 +67,9 @@
 /// Size of the shared read buffer, in bytes.
 const READ_BYTES: usize = 16 * 1_024;
 
+/// Maximum number of reads from one connection before others get their turn.
+pub(crate) const READS_PER_TURN: usize = 16;
+
 /// Minimum interval between checks of request deadlines, and the poll timeout while requests are in progress.
 const BUSY_TICK: SpanMillis = SpanMillis::new(20);
 
@@ -114,6 +118,10 @@
     pub(crate) input_paused_until: Option<ClockMillis>,
     /// Callers whose input is read at `input_paused_until`.
     pub(crate) deferred_reads: IndexSet<usize>,
+    /// What connections hold in buffers.
+    pub(crate) buffers: BufferAccount,
+    /// Connections that may have more to read than their turn allowed.
+    pub(crate) unfinished_reads: IndexSet<usize>,
     /// Makes the follower of upstreams read their registrations at once.
     pub(crate) refresh_sender: Option<Sender<()>>,
     /// Whether the crash reports were read, or whether there was an attempt to.
@@ -178,6 +186,8 @@
             update_filter: UpdateFilter::default(),
             input_paused_until: None,
             deferred_reads: IndexSet::new(),
+            buffers: BufferAccount::new(settings.buffer_limit().get() as usize),
+            unfinished_reads: IndexSet::new(),
             refresh_sender: None,
             has_crash_reports: false,
             were_peers_asked: false,
@@ -204,7 +214,11 @@
         let mut last_tick = ClockMillis::now();
         loop {
             let is_quiet = self.exchanges.is_empty() && self.input_paused_until.is_none();
-            let tick = if is_quiet { IDLE_TICK } else { BUSY_TICK };
+            let tick = match (self.unfinished_reads.is_empty(), is_quiet) {
+                (false, _) => SpanMillis::default(),
+                (true, true) => IDLE_TICK,
+                (true, false) => BUSY_TICK,
+            };
             match self.poll.poll(&mut events, Some(Duration::from(tick))) {
                 Ok(()) => {}
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => events.clear(),
@@ -218,6 +232,7 @@
             for event in &events {
                 self.dispatch(event);
             }
+            self.finish_reads();
             self.handle_messages();
             self.share_crash_evidence();
             self.report_notices();
@@ -226,6 +241,7 @@
                 last_tick = self.now;
                 self.scheduler.tick(self.now);
                 self.run_actions();
+                self.resume_paused_reads();
                 self.send_loads();
                 self.sweep();
             }
@@ -271,6 +287,23 @@
         }
     }
 
+    /// Reads what is left of connections whose turn was over.
+    fn finish_reads(&mut self) {
+        for token in std::mem::take(&mut self.unfinished_reads) {
+            self.read_connection(token, true);
+            self.run_actions();
+        }
+    }
+
+    /// Reads from a caller or an upstream.
+    pub(crate) fn read_connection(&mut self, token: usize, until_blocked: bool) {
+        match self.connections.get(token) {
+            Some(Connection::Caller(_)) => self.read_caller(token, until_blocked),
+            Some(Connection::Upstream(_)) => self.read_upstream(token, until_blocked),
+            Some(Connection::Monitoring(_)) | None => {}
+        }
+    }
+
     /// Registers a connection and returns its token.
     pub(crate) fn register(&mut self, connection: Connection) -> io::Result<usize> {
         let token = self.connections.insert(connection);
@@ -341,7 +374,7 @@
         }
         self.sweep_upstreams();
         self.sweep_monitoring();
-        self.publish_load_counts();
+        self.publish_gauges();
         self.report_missing_evidence();
         self.run_actions();
     }
@@ -351,17 +384,25 @@
         self.log_line_quota.try_acquire(kind as usize, self.now)
     }
 
-    /// Closes and returns a connection. If an attempt is in progress, the connection is reset.
+    /// Closes and returns a connection. It is reset if an attempt is in progress, since unsent bytes of the attempt may still
+    /// be sent otherwise, or if a response breaks off whose end is the close of the connection.
     pub(crate) fn remove(&mut self, token: usize) -> Option<Connection> {
         let connection = self.connections.remove(token)?;
-        if let Connection::Upstream(upstream) = &connection
-            && let UpstreamConnectionState::Busy { .. } = upstream.state
-            && let Err(error) = sockets::reset_on_close(&upstream.stream)
-        {
+        self.buffers.remove(token);
+        let result = match &connection {
+            Connection::Upstream(upstream) => match upstream.state {
+                UpstreamConnectionState::Busy { .. } => sockets::reset_on_close(&upstream.stream),
+                _ => Ok(()),
+            },
+            Connection::Caller(caller) if caller.ends_with_close => {
+                sockets::reset_on_close(&caller.stream)
+            }
+            _ => Ok(()),
+        };
+        if let Err(error) = result {
             tracing::debug!(
-                upstream = %upstream.vm,
                 %error,
-                "failed to set SO_LINGER, unsent bytes of the attempt may still be sent"
+                "failed to set SO_LINGER, so the connection is closed without a reset"
             );
         }
         // Dropping the socket also removes it from the poll.
--- a/crates/process/fescuetide_gateway/src/upstream_responses.rs
+++ b/crates/process/fescuetide_gateway/src/upstream_responses.rs
@@ -21,6 +21,7 @@
 use crate::exchange::RelayState;
 use crate::idle;
 use crate::log_line_limit::LogLineKind;
+use crate::traffic::READS_PER_TURN;
 use crate::traffic::TrafficLoop;
 use crate::validation;
 
@@ -30,6 +31,13 @@
 /// Maximum length of a buffered response body.
 const RESPONSE_BODY_LIMIT_BYTES: usize = 16 * 1_024 * 1_024;
 
+/// Capacity by which the buffer of a response body grows at most. Doubling it would reserve twice the memory that the limit
+/// allows.
+const BODY_GROWTH_LIMIT_BYTES: usize = 1_024 * 1_024;
+
+/// Maximum number of bytes before a response that are no part of it: interim responses, and those to other requests.
+const FOREIGN_LIMIT_BYTES: usize = 1_024 * 1_024;
+
 /// Result of reading a part of a response.
 enum ReadStep {
     /// More bytes are needed.
@@ -40,12 +48,21 @@
     Finished(AttemptEvent),
 }
 
+/// Whether another response to the same request follows.
+fn is_interim(head: &ResponseHead) -> bool {
+    (100..200).contains(&head.status())
+}
+
 impl<C: HttpCodec> TrafficLoop<C> {
     /// Reads from an upstream. Polling is edge-triggered: a read that does not fill the buffer has drained the
     /// socket, and new bytes cause a new event. If `until_blocked` is set, no further event may come, for example after
     /// the end of the connection was reported, so the socket is read until it would block.
     pub(crate) fn read_upstream(&mut self, token: usize, until_blocked: bool) {
+        if self.pauses_reading(token) {
+            return;
+        }
         let mut scratch = std::mem::take(&mut self.scratch);
+        let mut reads = 0;
         while let Some(Connection::Upstream(upstream)) = self.connections.get_mut(token) {
             match upstream.stream.read(&mut scratch) {
                 Ok(0) => {
@@ -57,6 +74,11 @@
                     if read < scratch.len() && !until_blocked {
                         break;
                     }
+                    reads += 1;
+                    if reads >= READS_PER_TURN {
+                        self.unfinished_reads.insert(token);
+                        break;
+                    }
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
@@ -67,6 +89,7 @@
             }
         }
         self.scratch = scratch;
+        self.settle_buffers(token);
     }
 
     /// Handles a connection that the upstream closed, or that has failed with `error`.
@@ -155,13 +178,23 @@
         match response {
             ResponseState::Head => match ResponseHead::parse(bytes, RESPONSE_HEAD_LIMIT_BYTES) {
                 Ok(None) => (ReadStep::NeedsData, 0),
-                Ok(Some((head, used))) => (self.handle_response_head(token, key, head), used),
+                Ok(Some((head, used))) => {
+                    let step = self.handle_response_head(token, key, head);
+                    match self.note_foreign_head(token, used) {
+                        true => (step, used),
+                        false => (unusable, bytes.len()),
+                    }
+                }
                 Err(_) => (unusable, bytes.len()),
             },
             ResponseState::Skipping(decoder) => {
                 let Ok(step) = decoder.decode(bytes, &mut Vec::new()) else {
                     return (unusable, bytes.len());
                 };
+                upstream.foreign_bytes += step.used;
+                if upstream.foreign_bytes > FOREIGN_LIMIT_BYTES {
+                    return (unusable, bytes.len());
+                }
                 if step.done {
                     *response = ResponseState::Head;
                     return (ReadStep::Continue, step.used);
@@ -169,7 +202,12 @@
                 (ReadStep::NeedsData, step.used)
             }
             ResponseState::Buffering(buffered) => {
-                let step = buffered.decoder.decode(bytes, &mut buffered.body);
+                let body = &mut buffered.body;
+                if body.capacity() - body.len() < bytes.len() {
+                    let growth = body.len().min(BODY_GROWTH_LIMIT_BYTES);
+                    body.reserve_exact(bytes.len().max(growth));
+                }
+                let step = buffered.decoder.decode(bytes, body);
                 match step {
                     Ok(step) if step.done => {
                         let event = validation::classify_response(&buffered.head, &buffered.fields);
@@ -201,6 +239,21 @@
         }
     }
 
+    /// Counts the length of a head that was just read, if its response does not belong to the request. Returns false if there
+    /// were too many such bytes.
+    fn note_foreign_head(&mut self, token: usize, length: usize) -> bool {
+        let Some(Connection::Upstream(upstream)) = self.connections.get_mut(token) else {
+            return true;
+        };
+        let UpstreamConnectionState::Busy { response, .. } = &upstream.state else {
+            return true;
+        };
+        if let ResponseState::Head | ResponseState::Skipping(_) = response {
+            upstream.foreign_bytes += length;
+        }
+        upstream.foreign_bytes <= FOREIGN_LIMIT_BYTES
+    }
+
     fn handle_response_head(&mut self, token: usize, key: FlowKey, head: ResponseHead) -> ReadStep {
         let unusable = ReadStep::Finished(AttemptEvent::Broken(BreakCause::Garbled));
         let Some(exchange) = self.exchanges.get_mut(&key) else {
@@ -212,7 +265,7 @@
         let UpstreamConnectionState::Busy { response, .. } = &mut upstream.state else {
             return unusable;
         };
-        if (100..200).contains(&head.status()) {
+        if is_interim(&head) {
             return ReadStep::Continue;
         }
         let is_head = exchange.head.method() == "HEAD";
--- a/crates/transport/fescuetide_http1/src/framing.rs
+++ b/crates/transport/fescuetide_http1/src/framing.rs
@@ -8,6 +8,15 @@
 /// Maximum length of a chunk size line or a trailer line.
 const LINE_LIMIT_BYTES: usize = 1_024;
 
+/// Maximum length of all trailer lines together.
+const TRAILER_LIMIT_BYTES: usize = 32 * 1_024;
+
+/// Maximum number of bytes for the sizes of chunks, in addition to [`CHUNK_OVERHEAD_FACTOR`] times the bytes in them.
+const CHUNK_OVERHEAD_BYTES: usize = 64 * 1_024;
+
+/// Bytes for the size of a chunk for each byte in it. Chunks of a single byte need 5.
+const CHUNK_OVERHEAD_FACTOR: usize = 16;
+
 /// How the end of a body is determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyFraming {
@@ -24,7 +33,7 @@
 pub enum FramingError {
     /// `Content-Length` or `Transfer-Encoding` is malformed or unsupported, or they contradict each other.
     BadFields,
-    /// A chunk is malformed.
+    /// A chunk is malformed, or there are too many bytes for sizes of chunks or in trailers.
     BadChunk,
 }
 
@@ -120,7 +129,11 @@
     ChunkData(u64),
     /// Contains the next expected byte of the CR LF after the data of a chunk.
     ChunkEnd(u8),
-    Trailer(Vec<u8>),
+    Trailer {
+        line: Vec<u8>,
+        /// Length of the lines before.
+        before: usize,
+    },
     UntilClose,
     Done,
 }
@@ -129,6 +142,10 @@
 #[derive(Clone, Debug)]
 pub struct BodyDecoder {
     state: DecodeState,
+    /// Bytes of the lines with the sizes of chunks so far.
+    size_bytes: usize,
+    /// Bytes in chunks so far.
+    chunk_bytes: usize,
 }
 
 impl BodyDecoder {
@@ -140,7 +157,11 @@
             BodyFraming::Chunked => DecodeState::ChunkSize(Vec::new()),
             BodyFraming::UntilClose => DecodeState::UntilClose,
         };
-        Self { state }
+        Self {
+            state,
+            size_bytes: 0,
+            chunk_bytes: 0,
+        }
     }
 
     /// Whether the body is complete.
@@ -186,12 +207,20 @@
                 let Some(count) = take_line(line, input)? else {
                     return Ok(input.len());
                 };
+                self.size_bytes += line.len();
+                let allowed = self.chunk_bytes.saturating_mul(CHUNK_OVERHEAD_FACTOR);
+                if self.size_bytes > allowed.saturating_add(CHUNK_OVERHEAD_BYTES) {
+                    return Err(FramingError::BadChunk);
+                }
                 let size = match httparse::parse_chunk_size(line) {
                     Ok(httparse::Status::Complete((_, size))) => size,
                     _ => return Err(FramingError::BadChunk),
                 };
                 self.state = match size {
-                    0 => DecodeState::Trailer(Vec::new()),
+                    0 => DecodeState::Trailer {
+                        line: Vec::new(),
+                        before: 0,
+                    },
                     size => DecodeState::ChunkData(size),
                 };
                 Ok(count)
@@ -201,6 +230,7 @@
                     .len()
                     .min(usize::try_from(*left).unwrap_or(usize::MAX));
                 body.extend_from_slice(&input[..count]);
+                self.chunk_bytes = self.chunk_bytes.saturating_add(count);
                 *left -= count as u64;
                 if *left == 0 {
                     self.state = DecodeState::ChunkEnd(b'\r');
@@ -217,10 +247,14 @@
                 };
                 Ok(1)
             }
-            DecodeState::Trailer(line) => {
+            DecodeState::Trailer { line, before } => {
                 let Some(count) = take_line(line, input)? else {
                     return Ok(input.len());
                 };
+                *before += line.len();
+                if *before > TRAILER_LIMIT_BYTES {
+                    return Err(FramingError::BadChunk);
+                }
                 let is_last = line == b"\r\n" || line == b"\n";
                 line.clear();
                 if is_last {
--- a/crates/transport/fescuetide_http1/src/lib.rs
+++ b/crates/transport/fescuetide_http1/src/lib.rs
@@ -17,6 +17,7 @@
 
 pub use chunk::write_chunk;
 pub use chunk::write_last_chunk;
+pub use event::EventError;
 pub use event::EventSplitter;
 pub use framing::BodyDecoder;
 pub use framing::BodyFraming;
--- a/crates/transport/fescuetide_http1/tests/messages.rs
+++ b/crates/transport/fescuetide_http1/tests/messages.rs
@@ -95,11 +95,14 @@
 fn only_whole_events_are_passed_on() {
     let mut splitter = EventSplitter::default();
     let mut out = Vec::new();
-    assert!(splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda", &mut out));
+    assert_eq!(
+        splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda", &mut out),
+        Ok(())
+    );
     assert_eq!(out, b"id: 1\ndata: a\n\n");
     assert_eq!(splitter.last_id(), Some(1));
     splitter.drop_partial();
-    assert!(splitter.feed(b"id: 2\r\ndata: b\r\n\r\n", &mut out));
+    assert_eq!(splitter.feed(b"id: 2\r\ndata: b\r\n\r\n", &mut out), Ok(()));
     assert_eq!(splitter.last_id(), Some(2));
     assert!(out.ends_with(b"data: b\r\n\r\n"));
 }
