Raise the load cap to 1.75 times the mean, and divide popular prefixes further

Cause: with loads known, gateways move requests to other upstreams at the cap of 1.6 times the mean, which was chosen when loads were mostly unknown. Each such move copies or reads a prefix again.

Change: load_multiple is 1.75 by default. A popular prefix is divided among as many upstreams as its share of all requests, times all upstreams.

--- a/crates/coordination/fescuetide_flow/src/pool.rs
+++ b/crates/coordination/fescuetide_flow/src/pool.rs
@@ -209,16 +209,11 @@
         upstreams.any(|(name, upstream)| conditions.is_ready(upstream) && !tried.contains(name))
     }
 
-    /// Records a request with a shared prompt prefix. Returns the number of upstreams among which such requests are divided,
-    /// so that those of a popular prefix alone do not take each of them above `load_multiple` times the mean load.
-    pub(crate) fn note_demand(
-        &mut self,
-        prefix: u64,
-        load_multiple: f64,
-        now: ClockMillis,
-    ) -> usize {
+    /// Records a request with a shared prompt prefix. Returns the number of upstreams among which such requests are divided, so
+    /// that those of a popular prefix alone give each of them the mean load.
+    pub(crate) fn note_demand(&mut self, prefix: u64, now: ClockMillis) -> usize {
         let share = self.demand.note_arrival(prefix, now);
-        let holders = (share * self.upstreams.len() as f64 / load_multiple).ceil();
+        let holders = (share * self.upstreams.len() as f64).ceil();
         (holders as usize).max(1)
     }
 
--- a/crates/coordination/fescuetide_flow/src/scheduler/loads.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/loads.rs
@@ -86,7 +86,7 @@
         let (Some(pool), Some(prefix)) = (self.pools.get_mut(pool), prefix) else {
             return 1;
         };
-        pool.note_demand(prefix, self.settings.load_multiple, now)
+        pool.note_demand(prefix, now)
     }
 
     /// Returns the loads to tell another gateway. Each report is included a few times, so this is called for each gateway
--- a/crates/coordination/fescuetide_flow/src/settings.rs
+++ b/crates/coordination/fescuetide_flow/src/settings.rs
@@ -28,7 +28,7 @@
 impl Default for FlowSettings {
     fn default() -> Self {
         Self {
-            load_multiple: 1.6,
+            load_multiple: 1.75,
             load_allowance: 2,
             retries: BudgetSettings {
                 ratio: 0.15,
