--- a/crates/coordination/fescuetide_flow/tests/flow/main.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/main.rs
@@ -7,6 +7,7 @@
 mod harness;
 mod leaving;
 mod life;
+mod load_digest;
 mod load_fleet;
 mod pauses;
 mod placement;
