Limit the whole time of a frame between processes, and the bytes of a readiness check

Cause: the timeouts of a blocking framed connection applied to each read and write, so a peer that sends or reads a byte now and then held the only thread that answers gateways. A readiness or metrics connection was read until it would block, and only then parsed.

Change: the timeout of a frame covers all of it, after its first byte.

--- a/crates/process/fescuetide_gateway/src/monitoring.rs
+++ b/crates/process/fescuetide_gateway/src/monitoring.rs
@@ -74,6 +74,11 @@
                 Ok(read) => {
                     connection.input.extend_from_slice(&part[..read]);
                     connection.active_at = self.now;
+                    if connection.input.len() > REQUEST_HEAD_LIMIT_BYTES {
+                        // A check sends one short request at a time.
+                        self.remove(token);
+                        return;
+                    }
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
@@ -120,6 +125,7 @@
         if output.flush(stream).is_err() {
             self.remove(token);
         }
+        self.settle_buffers(token);
     }
 
     /// Closes monitoring connections that have been idle for too long.
--- a/crates/transport/fescuetide_net/src/framed.rs
+++ b/crates/transport/fescuetide_net/src/framed.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::time::Duration;
+use std::time::Instant;
 
 use fescuetide_base::SpanMillis;
 use fescuetide_wire::codec;
@@ -23,7 +24,8 @@
 /// The size of the length prefix in bytes. The prefix is a little-endian `u32`.
 const LENGTH_PREFIX_BYTES: usize = 4;
 
-/// The timeout of a single write. A peer that does not read for this long is considered lost.
+/// The timeout of a write, and of all writes of a frame to a blocking connection together. A peer that does not read for this
+/// long is considered lost.
 const WRITE_TIMEOUT: SpanMillis = SpanMillis::new(3_000);
 
 /// The error of a failed connection, send or receive operation.
@@ -130,11 +132,26 @@
     ///
     /// Returns an error if the frame cannot be encoded or written completely.
     pub fn send<T: Serialize>(&mut self, frame: &T) -> Result<(), FrameError> {
-        self.stream.write_all(&encode_frame(frame)?)?;
+        let bytes = encode_frame(frame)?;
+        let deadline = Instant::now() + Duration::from(WRITE_TIMEOUT);
+        let mut rest = bytes.as_slice();
+        while !rest.is_empty() {
+            match self.stream.write(rest) {
+                Ok(0) => return Err(FrameError::Closed),
+                Ok(count) => rest = &rest[count..],
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error.into()),
+            }
+            // The timeout of the socket applies to each write, and a peer may read a byte now and then.
+            if !rest.is_empty() && Instant::now() >= deadline {
+                return Err(FrameError::Timeout);
+            }
+        }
         Ok(())
     }
 
-    /// Receives one frame. `timeout` applies to each read; with `None`, reads wait indefinitely.
+    /// Receives one frame. `timeout` applies to the wait for its first byte, and then to the rest of it; with `None`, reads
+    /// wait indefinitely.
     ///
     /// # Errors
     ///
@@ -143,13 +160,41 @@
         &mut self,
         timeout: Option<SpanMillis>,
     ) -> Result<T, FrameError> {
-        self.stream.set_read_timeout(timeout.map(Into::into))?;
         let mut prefix = [0; LENGTH_PREFIX_BYTES];
-        self.stream.read_exact(&mut prefix)?;
+        let (first, rest) = prefix.split_at_mut(1);
+        self.read_until(first, deadline_after(timeout))?;
+        let deadline = deadline_after(timeout);
+        self.read_until(rest, deadline)?;
         let mut payload = vec![0; decode_length(prefix)?];
-        self.stream.read_exact(&mut payload)?;
+        self.read_until(&mut payload, deadline)?;
         codec::decode(&payload).map_err(FrameError::Decode)
     }
+
+    /// Fills `buffer`. The timeout of the socket applies to each read, so it is set to what is left before each.
+    fn read_until(
+        &mut self,
+        mut buffer: &mut [u8],
+        deadline: Option<Instant>,
+    ) -> Result<(), FrameError> {
+        while !buffer.is_empty() {
+            let left = deadline.map(|at| at.saturating_duration_since(Instant::now()));
+            if left.is_some_and(|left| left.is_zero()) {
+                return Err(FrameError::Timeout);
+            }
+            self.stream.set_read_timeout(left)?;
+            match self.stream.read(buffer) {
+                Ok(0) => return Err(FrameError::Closed),
+                Ok(count) => buffer = &mut buffer[count..],
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error.into()),
+            }
+        }
+        Ok(())
+    }
+}
+
+fn deadline_after(timeout: Option<SpanMillis>) -> Option<Instant> {
+    timeout.map(|timeout| Instant::now() + Duration::from(timeout))
 }
 
 /// An asynchronous TCP connection that sends and receives frames.
