Hold back upstreams that the log lists after a start and peers do not have

Cause: a gateway that starts just after the log has come back from an older copy lists upstreams as ready that left since. Gateways that run know better, but their list counted only until the log was listed.

Change: for 5 s after its start, a gateway holds back upstreams that the first listing has as ready and a peer's list has not, unless their entry changes or their pool has no other one.

--- a/crates/process/fescuetide_gateway/src/messages.rs
+++ b/crates/process/fescuetide_gateway/src/messages.rs
@@ -40,6 +40,8 @@
                 LoopMessage::Fleet(FleetUpdate::Upstreams(entries)) => {
                     // Lists of upstreams from peers are ignored from now on.
                     self.update_filter.note_listing();
+                    let entries = self.start_filter.note_listing(&entries, self.now);
+                    self.log_held_upstreams();
                     self.set_upstreams(&entries);
                 }
                 LoopMessage::Fleet(FleetUpdate::Peer(snapshot)) => self.apply_snapshot(snapshot),
@@ -100,12 +102,33 @@
         if let Some(config) = snapshot.config {
             self.apply_config(config);
         }
+        if let Some(entries) = self.start_filter.note_peer(&snapshot.upstreams, self.now) {
+            self.log_held_upstreams();
+            self.set_upstreams(&entries);
+        }
         let is_empty = snapshot.upstreams.is_empty();
         if !is_empty && self.update_filter.accepts_peer_upstreams(snapshot.read_at) {
             self.set_upstreams(&snapshot.upstreams);
         }
     }
 
+    fn log_held_upstreams(&self) {
+        let upstreams = self.start_filter.held_count();
+        if upstreams > 0 {
+            tracing::info!(
+                upstreams,
+                "held back upstreams that a peer does not know as ready"
+            );
+        }
+    }
+
+    /// Uses upstreams that were held back after the start, once the time for that is over.
+    pub(crate) fn release_held_upstreams(&mut self) {
+        if let Some(entries) = self.start_filter.finish(self.now) {
+            self.set_upstreams(&entries);
+        }
+    }
+
     fn set_upstreams(&mut self, entries: &[UpstreamEntry]) {
         self.scheduler.set_upstreams(entries, self.now);
         let mut table = IndexMap::with_capacity(entries.len());
--- a/crates/process/fescuetide_gateway/src/traffic.rs
+++ b/crates/process/fescuetide_gateway/src/traffic.rs
@@ -13,6 +13,7 @@
 use fescuetide_base::StableHash;
 use fescuetide_base::VmName;
 use fescuetide_fleet::FleetConfig;
+use fescuetide_fleet::StartFilter;
 use fescuetide_fleet::UpdateFilter;
 use fescuetide_fleet::UpstreamEntry;
 use fescuetide_flow::FlowKey;
@@ -114,6 +115,8 @@
     pub(crate) messages: Receiver<LoopMessage>,
     /// Decides whether a configuration or a peer's list of upstreams replaces the current one.
     pub(crate) update_filter: UpdateFilter,
+    /// Holds upstreams back that the log lists just after the start and peers do not have.
+    pub(crate) start_filter: StartFilter,
     /// When reading from callers resumes after a suspension, during which the fleet may have changed.
     pub(crate) input_paused_until: Option<ClockMillis>,
     /// Callers whose input is read at `input_paused_until`.
@@ -184,6 +187,7 @@
             has_unaccepted: false,
             messages,
             update_filter: UpdateFilter::default(),
+            start_filter: StartFilter::new(ClockMillis::now()),
             input_paused_until: None,
             deferred_reads: IndexSet::new(),
             buffers: BufferAccount::new(settings.buffer_limit().get() as usize),
@@ -375,6 +379,7 @@
         self.sweep_upstreams();
         self.sweep_monitoring();
         self.publish_gauges();
+        self.release_held_upstreams();
         self.report_missing_evidence();
         self.run_actions();
     }
