Share reads of upstream registrations, and read connections in one place

Change: digests between gateways carry the hash of the list of upstreams and when the log said so. A peer's read that gave the same list counts as an own one, so the list is as recent as before with fewer reads. Reads become frequent towards the end of the pause at the rate at which news spreads.

Callers and upstreams are read by one loop in reading.rs, which stood twice. A caller whose request is in progress is never ended for the size of its request.

--- a/crates/process/fescuetide_gateway/src/buffer_account.rs
+++ b/crates/process/fescuetide_gateway/src/buffer_account.rs
@@ -81,7 +81,7 @@
 impl<C: HttpCodec> TrafficLoop<C> {
     /// Whether a connection must not be read for the moment. It is read again when there is more room.
     pub(crate) fn pauses_reading(&mut self, token: usize) -> bool {
-        if !self.buffers.is_above_share(token) {
+        if !self.buffers.is_above_share(token) || !self.may_end(token) {
             self.buffers.paused.swap_remove(&token);
             return false;
         }
@@ -150,18 +150,23 @@
         }
     }
 
-    /// The connection that holds most of those that can be ended. A caller whose request is in progress is ended only if it
-    /// does not read its response.
-    fn largest_holder(&self) -> Option<usize> {
-        let held = self.buffers.held.iter();
-        let ended = held.filter(|(token, _)| match self.connections.get(**token) {
+    /// Whether a connection may be ended for what it holds. A caller whose request is in progress is not ended for the body of its
+    /// request, but for a response that it does not read.
+    fn may_end(&self, token: usize) -> bool {
+        match self.connections.get(token) {
             Some(Connection::Caller(caller)) => match caller.state {
                 CallerState::Serving(_) => !caller.output.is_empty(),
-                _ => true,
+                CallerState::Idle { .. } | CallerState::Body(_) => true,
             },
-            _ => true,
-        });
-        ended
+            Some(Connection::Upstream(_) | Connection::Monitoring(_)) => true,
+            None => false,
+        }
+    }
+
+    /// The connection that holds most of those that may be ended.
+    fn largest_holder(&self) -> Option<usize> {
+        let held = self.buffers.held.iter();
+        held.filter(|(token, _)| self.may_end(**token))
             .max_by_key(|(_, bytes)| **bytes)
             .map(|(token, _)| *token)
     }
--- a/crates/process/fescuetide_gateway/src/callers.rs
+++ b/crates/process/fescuetide_gateway/src/callers.rs
@@ -1,8 +1,6 @@
 //! Caller connections: reading requests, denying invalid ones and writing responses.
 
 use std::borrow::Cow;
-use std::io;
-use std::io::Read;
 use std::ops::RangeInclusive;
 use std::sync::Arc;
 
@@ -27,7 +25,6 @@
 use crate::exchange::RelayState;
 use crate::log_line_limit::LogLineKind;
 use crate::respond;
-use crate::traffic::READS_PER_TURN;
 use crate::traffic::TrafficLoop;
 
 /// Maximum number of bytes that a caller may pipeline while a request is in progress.
@@ -52,45 +49,6 @@
 const OUTPUT_TIMEOUT: SpanMillis = SpanMillis::new(30_000);
 
 impl<C: HttpCodec> TrafficLoop<C> {
-    /// Reads from a caller. Polling is edge-triggered: a read that does not fill the buffer has drained the socket,
-    /// and new bytes cause a new event. If `until_blocked` is set, no further event may come, for example after the end
-    /// of the connection was reported, so the socket is read until it would block.
-    pub(crate) fn read_caller(&mut self, token: usize, until_blocked: bool) {
-        if self.defer_read(token) || self.pauses_reading(token) {
-            return;
-        }
-        let mut scratch = std::mem::take(&mut self.scratch);
-        let mut reads = 0;
-        while let Some(Connection::Caller(caller)) = self.connections.get_mut(token) {
-            match caller.stream.read(&mut scratch) {
-                Ok(0) => {
-                    self.drop_caller(token);
-                    break;
-                }
-                Ok(read) => {
-                    caller.active_at = self.now;
-                    self.handle_caller_bytes(token, &scratch[..read]);
-                    if read < scratch.len() && !until_blocked {
-                        break;
-                    }
-                    reads += 1;
-                    if reads >= READS_PER_TURN {
-                        self.unfinished_reads.insert(token);
-                        break;
-                    }
-                }
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
-                Err(_) => {
-                    self.drop_caller(token);
-                    break;
-                }
-            }
-        }
-        self.scratch = scratch;
-        self.settle_buffers(token);
-    }
-
     /// Handles the end of a caller's connection and cancels its request.
     pub(crate) fn drop_caller(&mut self, token: usize) {
         let key = match self.connections.get(token) {
@@ -114,10 +72,11 @@
         self.scheduler.caller_left(key, self.now);
     }
 
-    fn handle_caller_bytes(&mut self, token: usize, data: &[u8]) {
+    pub(crate) fn handle_caller_bytes(&mut self, token: usize, data: &[u8]) {
         let Some(Connection::Caller(caller)) = self.connections.get_mut(token) else {
             return;
         };
+        caller.active_at = self.now;
         if caller.closes {
             return;
         }
--- a/crates/process/fescuetide_gateway/src/counters.rs
+++ b/crates/process/fescuetide_gateway/src/counters.rs
@@ -130,6 +130,8 @@
     load_digests_rejected => "fescuetide_load_digests_rejected_total",
     /// Load digests that could not be sent or received.
     load_digest_failures => "fescuetide_load_digest_failures_total",
+    /// Times that a peer's read of the log showed this gateway's list of upstreams to be recent.
+    listings_confirmed => "fescuetide_listings_confirmed_total",
     /// Loads that were not plausible and were ignored.
     loads_rejected => "fescuetide_loads_rejected_total",
     /// Attempts at upstreams whose load was not known when they were chosen.
--- a/crates/process/fescuetide_gateway/src/follower.rs
+++ b/crates/process/fescuetide_gateway/src/follower.rs
@@ -9,6 +9,7 @@
 use crossbeam::channel::Sender;
 use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
+use fescuetide_base::StableHash;
 use fescuetide_fleet::ConfigVersion;
 use fescuetide_fleet::FleetUpdate;
 use fescuetide_fleet::UpstreamChange;
@@ -19,6 +20,7 @@
 use crate::codec::FleetStream;
 use crate::codec::LogRecord;
 use crate::codec::RecordCodec;
+use crate::load_exchange::SharedListing;
 use crate::log_client::OutageCounter;
 use crate::messages::LoopMessage;
 use crate::peer_state::PeerState;
@@ -30,8 +32,10 @@
 pub(crate) struct FollowIntervals {
     /// How long a read of configurations waits for a new one (long polling).
     pub(crate) config_wait: SpanMillis,
-    /// Pause between two reads of the upstreams' registrations in the log.
+    /// Longest time between two reads of the upstreams' registrations in the log, by this gateway or by a peer.
     pub(crate) upstream_pause: SpanMillis,
+    /// Start of the random numbers by which gateways read at different times.
+    pub(crate) seed: u64,
 }
 
 /// Publishes changes of the fleet to the event loop and to the state shared with peers.
@@ -42,6 +46,8 @@
     pub(crate) counters: Arc<GatewayCounters>,
     /// State that is shared with peers.
     pub(crate) peer_state: Arc<PeerState>,
+    /// How recent the list of upstreams is.
+    pub(crate) listing: SharedListing,
     /// The outages of the log that the followers of the fleet have noticed.
     pub(crate) outages: OutageCounter,
 }
@@ -81,7 +87,7 @@
         .spawn(move || follow_configs(configs, intervals.config_wait))?;
     thread::Builder::new()
         .name("upstreams".to_owned())
-        .spawn(move || follow_upstreams(upstreams, intervals.upstream_pause, &refresh_requests))?;
+        .spawn(move || follow_upstreams(upstreams, intervals, &refresh_requests))?;
     Ok(())
 }
 
@@ -125,15 +131,22 @@
 /// Publishes the upstreams whenever one of them changed.
 fn follow_upstreams<C: RecordCodec>(
     follower: StreamFollower<C>,
-    pause: SpanMillis,
+    intervals: FollowIntervals,
     refresh_requests: &Receiver<()>,
 ) {
+    let FollowIntervals {
+        upstream_pause: pause,
+        seed,
+        ..
+    } = intervals;
     let mut reader = UpstreamReader {
         follower,
         table: UpstreamTable::default(),
     };
+    let mut reads: u64 = 0;
     loop {
         let before: Vec<_> = reader.table.iter().cloned().collect();
+        let read_at = ClockMillis::now();
         let is_first = reader.read() && before.is_empty();
         if is_first || !reader.table.iter().eq(before.iter()) {
             log_changes(&before, &reader.table);
@@ -144,7 +157,14 @@
                 .publish(FleetUpdate::Upstreams(Arc::new(upstreams)));
         }
         let is_available = !reader.follower.outage.is_unavailable();
-        if is_available && wait_for_refresh(refresh_requests, pause).is_err() {
+        let listing = &reader.follower.publisher.listing;
+        listing.lock().note_read(reader.listing_hash(), read_at);
+        reads += 1;
+        let draw = StableHash::new()
+            .field(&seed.to_le_bytes())
+            .field(&reads.to_le_bytes())
+            .finish();
+        if is_available && wait_until_due(listing, refresh_requests, pause, draw).is_err() {
             // The traffic thread has ended, so the process is exiting.
             return;
         }
@@ -157,6 +177,15 @@
     table: UpstreamTable,
 }
 
+impl<C> UpstreamReader<C> {
+    /// The hash of the list of upstreams, `None` if it may differ from that of the log.
+    fn listing_hash(&self) -> Option<u64> {
+        let is_that_of_log =
+            !self.follower.outage.is_unavailable() && !self.table.differs_from_log();
+        is_that_of_log.then(|| fescuetide_fleet::hash_listing(self.table.iter()))
+    }
+}
+
 impl<C: RecordCodec> UpstreamReader<C> {
     /// Reads once. Returns whether the registrations were listed.
     fn read(&mut self) -> bool {
@@ -209,14 +238,26 @@
     }
 }
 
-/// Waits for up to `pause`, or until a refresh is requested.
-fn wait_for_refresh(
+/// Waits until the log is to be read again, at most `pause` after the list was last known to be that of the log, or until a
+/// refresh is requested. `draw` is a random number.
+fn wait_until_due(
+    listing: &SharedListing,
     refresh_requests: &Receiver<()>,
     pause: SpanMillis,
+    draw: u64,
 ) -> Result<(), RecvTimeoutError> {
-    match refresh_requests.recv_timeout(pause.into()) {
-        Ok(()) | Err(RecvTimeoutError::Timeout) => Ok(()),
-        Err(error) => Err(error),
+    loop {
+        let due_at = listing.lock().due_at(pause, draw);
+        let wait = due_at.since(ClockMillis::now());
+        if wait == SpanMillis::default() {
+            return Ok(());
+        }
+        match refresh_requests.recv_timeout(wait.into()) {
+            Ok(()) => return Ok(()),
+            // A peer may have read the log meanwhile.
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(error) => return Err(error),
+        }
     }
 }
 
--- a/crates/process/fescuetide_gateway/src/lib.rs
+++ b/crates/process/fescuetide_gateway/src/lib.rs
@@ -63,6 +63,7 @@
 mod peer_state;
 mod peers;
 mod process;
+mod reading;
 mod relay;
 mod report_appender;
 mod respond;
--- a/crates/process/fescuetide_gateway/src/load_exchange.rs
+++ b/crates/process/fescuetide_gateway/src/load_exchange.rs
@@ -1,15 +1,20 @@
-//! Exchange of the loads of upstreams with other gateways, by datagrams.
+//! Exchange with other gateways by datagrams: the loads of upstreams, and how recent the list of upstreams is.
 //!
 //! Each gateway sends a digest of what it has newly heard to one other gateway at a time, so what a gateway sends and
 //! receives does not depend on their number. A lost datagram only makes a load known a little later.
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::Ordering;
 
 use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::StableHash;
+use fescuetide_fleet::ListingView;
 use fescuetide_wire::load::LOAD_DATAGRAM_LIMIT_BYTES;
 use fescuetide_wire::load::LoadDatagram;
 use mio::Interest;
@@ -42,6 +47,20 @@
     draws: u64,
     /// Digests received since the last one was sent.
     received: u32,
+    /// How recent the list of upstreams is, shared with the thread that reads it.
+    listing: SharedListing,
+    /// From when on the times in digests are right. While the process was suspended, digests waited in the socket.
+    trusted_from: ClockMillis,
+}
+
+/// How recent the list of upstreams is, shared by the thread that reads the log and the one that talks to peers.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SharedListing(Arc<Mutex<ListingView>>);
+
+impl SharedListing {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, ListingView> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl LoadExchange {
@@ -52,6 +71,7 @@
         token: Token,
         peers: SocketAddr,
         common_port: Option<u16>,
+        listing: SharedListing,
     ) -> io::Result<Self> {
         let mut own = peers;
         own.set_port(common_port.unwrap_or(peers.port()));
@@ -65,6 +85,8 @@
             next_at: ClockMillis::default(),
             draws: 0,
             received: 0,
+            listing,
+            trusted_from: ClockMillis::default(),
         })
     }
 
@@ -78,6 +100,11 @@
         }
     }
 
+    /// Records that the process was suspended until `now`.
+    pub(crate) fn note_suspension(&mut self, now: ClockMillis) {
+        self.trusted_from = now + DIGEST_INTERVAL;
+    }
+
     /// The peer that gets the next digest, if one is due.
     fn next_peer(&mut self, now: ClockMillis) -> Option<SocketAddr> {
         if now < self.next_at || self.peers.is_empty() {
@@ -104,10 +131,12 @@
         let Some(peer) = exchange.next_peer(self.now) else {
             return;
         };
-        let digest = LoadDatagram(self.scheduler.take_load_digest(self.now));
-        if digest.0.is_empty() {
+        let listing = exchange.listing.lock().news(self.now);
+        let loads = self.scheduler.take_load_digest(self.now);
+        if listing.is_none() && loads.is_empty() {
             return;
         }
+        let digest = LoadDatagram { listing, loads };
         let bytes: Vec<u8> = (&digest).into();
         match exchange.socket.send_to(&bytes, peer) {
             Ok(_) => count(&self.counters.load_digests_sent),
@@ -154,7 +183,13 @@
             match LoadDatagram::try_from(&buffer[..length]) {
                 Ok(digest) => {
                     count(&self.counters.load_digests_received);
-                    self.scheduler.merge_load_digest(&digest.0, self.now);
+                    let listing = digest.listing.filter(|_| self.now >= exchange.trusted_from);
+                    if let Some(news) = listing
+                        && exchange.listing.lock().note_peer(news, self.now)
+                    {
+                        count(&self.counters.listings_confirmed);
+                    }
+                    self.scheduler.merge_load_digest(&digest.loads, self.now);
                 }
                 Err(error) => {
                     count(&self.counters.load_digests_rejected);
--- a/crates/process/fescuetide_gateway/src/process.rs
+++ b/crates/process/fescuetide_gateway/src/process.rs
@@ -22,6 +22,7 @@
 use crate::follower::FleetPublisher;
 use crate::follower::FollowIntervals;
 use crate::load_exchange::LoadExchange;
+use crate::load_exchange::SharedListing;
 use crate::log_client::OutageCounter;
 use crate::peer_state::PeerState;
 use crate::peers;
@@ -66,13 +67,20 @@
             counters,
             peer_state: Arc::default(),
             outages: OutageCounter::default(),
+            listing: SharedListing::default(),
         };
         if let Some(listener) = open_peer_listener(settings)? {
             let own = listener.local_addr()?;
             let common_port = (settings.load_port != 0).then_some(settings.load_port);
             let registry = traffic.poll.registry();
-            let exchange = LoadExchange::open(registry, LOADS_TOKEN, own, common_port)
-                .with_context(|| format!("cannot open the socket for loads at {own}"))?;
+            let exchange = LoadExchange::open(
+                registry,
+                LOADS_TOKEN,
+                own,
+                common_port,
+                publisher.listing.clone(),
+            )
+            .with_context(|| format!("cannot open the socket for loads at {own}"))?;
             traffic.load_exchange = Some(exchange);
             let table = PeerTable::new(own, &settings.seed_addresses(), ClockMillis::now());
             publisher.peer_state = Arc::new(PeerState::new(table));
@@ -84,6 +92,7 @@
         let intervals = FollowIntervals {
             config_wait: settings.config_wait(),
             upstream_pause: settings.upstream_pause(),
+            seed,
         };
         let (refresh_sender, refresh_requests) = channel::unbounded();
         traffic.refresh_sender = Some(refresh_sender);
--- a/crates/process/fescuetide_gateway/src/shutdown.rs
+++ b/crates/process/fescuetide_gateway/src/shutdown.rs
@@ -82,7 +82,7 @@
         }
         for token in idle {
             // A request that has just arrived is still served.
-            self.read_caller(token, true);
+            self.read_connection(token, true);
             self.run_actions();
             let is_idle = match self.connections.get(token) {
                 Some(Connection::Caller(caller)) => {
--- a/crates/process/fescuetide_gateway/src/suspension.rs
+++ b/crates/process/fescuetide_gateway/src/suspension.rs
@@ -25,6 +25,9 @@
             self.drop_idle(token);
         }
         self.input_paused_until = Some(self.now + INPUT_PAUSE);
+        if let Some(exchange) = &mut self.load_exchange {
+            exchange.note_suspension(self.now);
+        }
         if let Some(sender) = &self.refresh_sender
             && sender.send(()).is_err()
         {
@@ -52,7 +55,7 @@
         self.input_paused_until = None;
         for token in std::mem::take(&mut self.deferred_reads) {
             if let Some(Connection::Caller(_)) = self.connections.get(token) {
-                self.read_caller(token, true);
+                self.read_connection(token, true);
                 self.run_actions();
             }
         }
--- a/crates/process/fescuetide_gateway/src/traffic.rs
+++ b/crates/process/fescuetide_gateway/src/traffic.rs
@@ -68,9 +68,6 @@
 /// Size of the shared read buffer, in bytes.
 const READ_BYTES: usize = 16 * 1_024;
 
-/// Maximum number of reads from one connection before others get their turn.
-pub(crate) const READS_PER_TURN: usize = 16;
-
 /// Minimum interval between checks of request deadlines, and the poll timeout while requests are in progress.
 const BUSY_TICK: SpanMillis = SpanMillis::new(20);
 
@@ -272,7 +269,7 @@
                             self.flush_caller(token);
                         }
                         if is_read {
-                            self.read_caller(token, is_closed);
+                            self.read_connection(token, is_closed);
                         }
                     }
                     Some(Connection::Upstream(_)) => {
@@ -280,7 +277,7 @@
                             self.write_attempt(token);
                         }
                         if is_read {
-                            self.read_upstream(token, is_closed);
+                            self.read_connection(token, is_closed);
                         }
                     }
                     Some(Connection::Monitoring(_)) => self.serve_monitoring(token),
@@ -291,23 +288,6 @@
         }
     }
 
-    /// Reads what is left of connections whose turn was over.
-    fn finish_reads(&mut self) {
-        for token in std::mem::take(&mut self.unfinished_reads) {
-            self.read_connection(token, true);
-            self.run_actions();
-        }
-    }
-
-    /// Reads from a caller or an upstream.
-    pub(crate) fn read_connection(&mut self, token: usize, until_blocked: bool) {
-        match self.connections.get(token) {
-            Some(Connection::Caller(_)) => self.read_caller(token, until_blocked),
-            Some(Connection::Upstream(_)) => self.read_upstream(token, until_blocked),
-            Some(Connection::Monitoring(_)) | None => {}
-        }
-    }
-
     /// Registers a connection and returns its token.
     pub(crate) fn register(&mut self, connection: Connection) -> io::Result<usize> {
         let token = self.connections.insert(connection);
@@ -358,7 +338,7 @@
             }
             let caller = CallerConnection::new(stream, self.now);
             match self.register(Connection::Caller(caller)) {
-                Ok(token) => self.read_caller(token, true),
+                Ok(token) => self.read_connection(token, true),
                 Err(error) => tracing::warn!(%error, "failed to register a connection"),
             }
             self.run_actions();
--- a/crates/process/fescuetide_gateway/src/upstream_responses.rs
+++ b/crates/process/fescuetide_gateway/src/upstream_responses.rs
@@ -1,7 +1,6 @@
 //! Reading responses from upstreams.
 
 use std::io;
-use std::io::Read;
 
 use fescuetide_base::ClockMillis;
 use fescuetide_base::VmName;
@@ -21,7 +20,6 @@
 use crate::exchange::RelayState;
 use crate::idle;
 use crate::log_line_limit::LogLineKind;
-use crate::traffic::READS_PER_TURN;
 use crate::traffic::TrafficLoop;
 use crate::validation;
 
@@ -54,46 +52,8 @@
 }
 
 impl<C: HttpCodec> TrafficLoop<C> {
-    /// Reads from an upstream. Polling is edge-triggered: a read that does not fill the buffer has drained the
-    /// socket, and new bytes cause a new event. If `until_blocked` is set, no further event may come, for example after
-    /// the end of the connection was reported, so the socket is read until it would block.
-    pub(crate) fn read_upstream(&mut self, token: usize, until_blocked: bool) {
-        if self.pauses_reading(token) {
-            return;
-        }
-        let mut scratch = std::mem::take(&mut self.scratch);
-        let mut reads = 0;
-        while let Some(Connection::Upstream(upstream)) = self.connections.get_mut(token) {
-            match upstream.stream.read(&mut scratch) {
-                Ok(0) => {
-                    self.handle_upstream_close(token, None);
-                    break;
-                }
-                Ok(read) => {
-                    self.handle_upstream_bytes(token, &scratch[..read]);
-                    if read < scratch.len() && !until_blocked {
-                        break;
-                    }
-                    reads += 1;
-                    if reads >= READS_PER_TURN {
-                        self.unfinished_reads.insert(token);
-                        break;
-                    }
-                }
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
-                Err(error) => {
-                    self.handle_upstream_close(token, Some(error.kind()));
-                    break;
-                }
-            }
-        }
-        self.scratch = scratch;
-        self.settle_buffers(token);
-    }
-
     /// Handles a connection that the upstream closed, or that has failed with `error`.
-    fn handle_upstream_close(&mut self, token: usize, error: Option<io::ErrorKind>) {
+    pub(crate) fn handle_upstream_close(&mut self, token: usize, error: Option<io::ErrorKind>) {
         let Some(Connection::Upstream(upstream)) = self.connections.get_mut(token) else {
             return;
         };
@@ -130,7 +90,7 @@
         self.end_attempt(token, event);
     }
 
-    fn handle_upstream_bytes(&mut self, token: usize, data: &[u8]) {
+    pub(crate) fn handle_upstream_bytes(&mut self, token: usize, data: &[u8]) {
         let Some(Connection::Upstream(upstream)) = self.connections.get_mut(token) else {
             return;
         };
--- a/crates/protocol/fescuetide_wire/src/load.rs
+++ b/crates/protocol/fescuetide_wire/src/load.rs
@@ -1,17 +1,22 @@
-//! Datagrams in which gateways tell each other the loads of upstreams.
+//! Datagrams in which gateways tell each other the loads of upstreams, and how recent their list of upstreams is.
 //!
-//! A datagram has one byte for the version of the format, then 7 bytes for each upstream: its key (4 bytes), its load
-//! (2 bytes) and the age of the report (1 byte, in units of [`AGE_UNIT_MS`]). Numbers are little-endian.
+//! A datagram has one byte for the version of the format, then the hash of the list (8 bytes) and the time since it was read
+//! (1 byte), and then 7 bytes for each upstream: its key (4 bytes), its load (2 bytes) and the age of the report (1 byte).
+//! Times are in units of [`AGE_UNIT_MS`], the longest stands for no list. Numbers are little-endian.
 
 use std::fmt;
 
 use fescuetide_base::SpanMillis;
+use fescuetide_fleet::ListingNews;
 use fescuetide_flow::LOAD_DIGEST_LIMIT;
 use fescuetide_flow::LoadEntry;
 use fescuetide_flow::LoadKey;
 
 /// Version of the format.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
+
+/// Length of what is told about the list of upstreams, in bytes.
+const LISTING_BYTES: usize = 9;
 
 /// Length of an entry in bytes.
 const ENTRY_BYTES: usize = 7;
@@ -20,7 +25,7 @@
 const AGE_UNIT_MS: u64 = 8;
 
 /// Maximum length of a datagram in bytes. It fits into one packet.
-pub const LOAD_DATAGRAM_LIMIT_BYTES: usize = 1 + LOAD_DIGEST_LIMIT * ENTRY_BYTES;
+pub const LOAD_DATAGRAM_LIMIT_BYTES: usize = 1 + LISTING_BYTES + LOAD_DIGEST_LIMIT * ENTRY_BYTES;
 
 /// Why a datagram is not a load digest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,22 +47,42 @@
 
 impl std::error::Error for LoadDatagramError {}
 
-/// The loads that one gateway tells another.
+/// What one gateway tells another.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct LoadDatagram(pub Vec<LoadEntry>);
+pub struct LoadDatagram {
+    /// The list of upstreams, `None` if the sender's is not that of the log, or was read too long ago.
+    pub listing: Option<ListingNews>,
+    /// Loads of upstreams.
+    pub loads: Vec<LoadEntry>,
+}
+
+/// Encodes a time, rounded up, so that what comes back to a gateway never looks newer than what it knows.
+fn encode_age(age: SpanMillis) -> u8 {
+    let units = age.as_millis().div_ceil(AGE_UNIT_MS);
+    u8::try_from(units).unwrap_or(u8::MAX)
+}
+
+fn decode_age(units: u8) -> SpanMillis {
+    SpanMillis::new(u64::from(units) * AGE_UNIT_MS)
+}
 
 impl From<&LoadDatagram> for Vec<u8> {
-    /// Ages are rounded up, so that a report that comes back to a gateway never looks newer than the one it knows. Loads above
-    /// the range are told as its end.
+    /// Times are rounded up. Loads above the range are told as its end.
     fn from(datagram: &LoadDatagram) -> Self {
-        let mut bytes = Vec::with_capacity(1 + datagram.0.len() * ENTRY_BYTES);
+        let length = 1 + LISTING_BYTES + datagram.loads.len() * ENTRY_BYTES;
+        let mut bytes = Vec::with_capacity(length);
         bytes.push(VERSION);
-        for entry in datagram.0.iter().take(LOAD_DIGEST_LIMIT) {
+        let listing = datagram.listing.unwrap_or(ListingNews {
+            hash: 0,
+            age: SpanMillis::new(u64::MAX),
+        });
+        bytes.extend_from_slice(&listing.hash.to_le_bytes());
+        bytes.push(encode_age(listing.age));
+        for entry in datagram.loads.iter().take(LOAD_DIGEST_LIMIT) {
             let load = u16::try_from(entry.load).unwrap_or(u16::MAX);
-            let age = entry.age.as_millis().div_ceil(AGE_UNIT_MS);
             bytes.extend_from_slice(&entry.key.0.to_le_bytes());
             bytes.extend_from_slice(&load.to_le_bytes());
-            bytes.push(u8::try_from(age).unwrap_or(u8::MAX));
+            bytes.push(encode_age(entry.age));
         }
         bytes
     }
@@ -67,9 +92,12 @@
     type Error = LoadDatagramError;
 
     fn try_from(bytes: &[u8]) -> Result<Self, LoadDatagramError> {
-        let Some((&VERSION, entries)) = bytes.split_first() else {
+        let Some((&VERSION, rest)) = bytes.split_first() else {
             return Err(LoadDatagramError::WrongVersion);
         };
+        let Some((listing, entries)) = rest.split_first_chunk::<LISTING_BYTES>() else {
+            return Err(LoadDatagramError::WrongLength);
+        };
         let (entries, rest) = entries.as_chunks::<ENTRY_BYTES>();
         if !rest.is_empty() || entries.len() > LOAD_DIGEST_LIMIT {
             return Err(LoadDatagramError::WrongLength);
@@ -79,9 +107,17 @@
             digest.push(LoadEntry {
                 key: LoadKey(u32::from_le_bytes([*k0, *k1, *k2, *k3])),
                 load: u32::from(u16::from_le_bytes([*l0, *l1])),
-                age: SpanMillis::new(u64::from(*age) * AGE_UNIT_MS),
+                age: decode_age(*age),
             });
         }
-        Ok(Self(digest))
+        let [hash @ .., age] = *listing;
+        let listing = (age != u8::MAX).then(|| ListingNews {
+            hash: u64::from_le_bytes(hash),
+            age: decode_age(age),
+        });
+        Ok(Self {
+            listing,
+            loads: digest,
+        })
     }
 }
--- a/crates/protocol/fescuetide_wire/tests/load.rs
+++ b/crates/protocol/fescuetide_wire/tests/load.rs
@@ -1,6 +1,7 @@
 //! Tests of the datagrams in which gateways tell each other loads.
 
 use fescuetide_base::SpanMillis;
+use fescuetide_fleet::ListingNews;
 use fescuetide_flow::LOAD_DIGEST_LIMIT;
 use fescuetide_flow::LoadEntry;
 use fescuetide_flow::LoadKey;
@@ -19,11 +20,18 @@
 /// Guards against entries that change on the way, and against ages that look younger than they are.
 #[test]
 fn digest_arrives_as_sent_with_ages_rounded_up() {
-    let sent = LoadDatagram(vec![
-        entry(7, 0, 0),
-        entry(u32::MAX, 70_000, 1_001),
-        entry(9, 300, 5_000),
-    ]);
+    let listing = |age| ListingNews {
+        hash: u64::MAX - 5,
+        age: SpanMillis::new(age),
+    };
+    let sent = LoadDatagram {
+        listing: Some(listing(601)),
+        loads: vec![
+            entry(7, 0, 0),
+            entry(u32::MAX, 70_000, 1_001),
+            entry(9, 300, 5_000),
+        ],
+    };
     let bytes: Vec<u8> = (&sent).into();
     let received = LoadDatagram::try_from(bytes.as_slice()).unwrap();
     let expected = vec![
@@ -31,13 +39,37 @@
         entry(u32::MAX, 65_535, 1_008),
         entry(9, 300, 2_040),
     ];
-    assert_eq!(received.0, expected);
+    assert_eq!(received.loads, expected);
+    assert_eq!(received.listing, Some(listing(608)));
+}
+
+/// Guards against a list that was read long ago and is told as a recent one.
+#[test]
+fn list_that_was_read_too_long_ago_is_not_told() {
+    for listing in [
+        None,
+        Some(ListingNews {
+            hash: 7,
+            age: SpanMillis::new(90_000),
+        }),
+    ] {
+        let sent = LoadDatagram {
+            listing,
+            loads: Vec::new(),
+        };
+        let bytes: Vec<u8> = (&sent).into();
+        let received = LoadDatagram::try_from(bytes.as_slice()).unwrap();
+        assert_eq!(received.listing, None);
+    }
 }
 
 /// Guards against bytes of other programs, cut datagrams and oversized ones that are taken for loads.
 #[test]
 fn foreign_cut_and_oversized_datagrams_are_rejected() {
-    let full = LoadDatagram(vec![entry(1, 2, 3); LOAD_DIGEST_LIMIT + 5]);
+    let full = LoadDatagram {
+        listing: None,
+        loads: vec![entry(1, 2, 3); LOAD_DIGEST_LIMIT + 5],
+    };
     let bytes: Vec<u8> = (&full).into();
     assert_eq!(bytes.len(), LOAD_DATAGRAM_LIMIT_BYTES);
     assert!(LoadDatagram::try_from(bytes.as_slice()).is_ok());
@@ -47,6 +79,7 @@
         (&[][..], LoadDatagramError::WrongVersion),
         (b"GET / HTTP/1.1\r\n\r\n", LoadDatagramError::WrongVersion),
         (cut, LoadDatagramError::WrongLength),
+        (&bytes[..5], LoadDatagramError::WrongLength),
         (&long, LoadDatagramError::WrongLength),
     ] {
         assert_eq!(LoadDatagram::try_from(input), Err(error));
--- a/crates/state/fescuetide_fleet/src/lib.rs
+++ b/crates/state/fescuetide_fleet/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod config;
 mod era;
+mod listing;
 mod outage;
 mod peer;
 mod route;
@@ -27,6 +28,9 @@
 pub use era::EraDefect;
 pub use era::EraTracker;
 pub use era::EraVerdict;
+pub use listing::ListingNews;
+pub use listing::ListingView;
+pub use listing::hash_listing;
 pub use outage::OutageDetector;
 pub use outage::OutageEnd;
 pub use peer::PeerTable;
--- a/crates/state/fescuetide_fleet/src/upstream.rs
+++ b/crates/state/fescuetide_fleet/src/upstream.rs
@@ -267,9 +267,11 @@
         !expired.is_empty()
     }
 
-    /// Returns whether the table contains an upstream that is kept although its entry expired during an outage.
-    pub fn has_upstream_in_grace(&self) -> bool {
-        self.upstreams.values().any(|known| known.drop_at.is_some())
+    /// Returns whether the table differs from what the log lists, because an upstream is kept whose entry expired in an outage, or
+    /// an entry of an older copy does not count yet.
+    pub fn differs_from_log(&self) -> bool {
+        let mut upstreams = self.upstreams.values();
+        upstreams.any(|known| known.drop_at.is_some()) || !self.doubtful.is_empty()
     }
 
     /// Iterates over the entries of all upstreams.
