Read a bounded number of load digests at a time

A peer that sends datagrams without end could keep the traffic thread in one loop. At most 64 are read at a time, and the rest with the next tick. A trial with three senders is read faster than they send, so no test shows it.

--- a/crates/process/fescuetide_gateway/src/load_exchange.rs
+++ b/crates/process/fescuetide_gateway/src/load_exchange.rs
@@ -30,10 +30,13 @@
 /// Time between two digests.
 const DIGEST_INTERVAL: SpanMillis = SpanMillis::new(100);
 
-/// Maximum number of digests that are read in one interval. On average one arrives. Others are dropped, so that a peer that
-/// sends without end does not keep the traffic thread busy.
+/// Maximum number of digests that are used in one interval. On average one arrives. Others are dropped.
 const DIGESTS_PER_INTERVAL: u32 = 32;
 
+/// Maximum number of datagrams that are read at a time. A peer that sends without end must not keep the traffic thread busy. What
+/// is left is read with the next tick.
+const READS_PER_TURN: usize = 64;
+
 /// The socket for load digests and the gateways that get them.
 #[derive(Debug)]
 pub(crate) struct LoadExchange {
@@ -160,11 +163,14 @@
         counters.buffered_bytes.store(buffered, Ordering::Relaxed);
     }
 
-    /// Reads the digests of peers.
+    /// Reads the digests of peers. Must be called periodically, since not all that have arrived may be read at once.
     pub(crate) fn receive_loads(&mut self) {
         // One byte more shows that a datagram is too long.
         let mut buffer = [0; LOAD_DATAGRAM_LIMIT_BYTES + 1];
-        while let Some(exchange) = &mut self.load_exchange {
+        for _ in 0..READS_PER_TURN {
+            let Some(exchange) = &mut self.load_exchange else {
+                return;
+            };
             let (length, peer) = match exchange.socket.recv_from(&mut buffer) {
                 Ok(received) => received,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
--- a/crates/process/fescuetide_gateway/src/traffic.rs
+++ b/crates/process/fescuetide_gateway/src/traffic.rs
@@ -243,6 +243,7 @@
                 self.scheduler.tick(self.now);
                 self.run_actions();
                 self.resume_paused_reads();
+                self.receive_loads();
                 self.send_loads();
                 self.sweep();
             }
