Count and log crashes that add nothing to a request's crashes

A crash that coincides with one that counts, and an upstream that accepts connections again when it is probed, left no trace, so logs could not tell the hypotheses of docs/incidents/simultaneous-crashes.md apart. No decision changes. crashes_that_add_nothing_are_told guards it.

--- a/crates/coordination/fescuetide_flow/src/crash.rs
+++ b/crates/coordination/fescuetide_flow/src/crash.rs
@@ -43,6 +43,16 @@
         /// Whether the request is refused from now on.
         is_refused: bool,
     },
+    /// The request was running on an upstream that went down, but this adds nothing to its crashes: the upstream went down
+    /// together with another one that counts already.
+    Coinciding {
+        /// What is known.
+        evidence: CrashEvidence,
+        /// The upstream.
+        upstream: VmName,
+    },
+    /// An upstream at which attempts broke accepts connections, so that no crash is counted for now.
+    Accepting(VmName),
     /// The request completed, so that its earlier crashes no longer count.
     Cleared(CrashEvidence),
     /// Another gateway reported crashes of the request, or that it completed.
@@ -161,6 +171,13 @@
         self.count_crashes(vm, None, now);
     }
 
+    /// Records that an upstream accepts connections.
+    pub(crate) fn note_accepting(&mut self, vm: &VmName, now: ClockMillis) {
+        if self.pending_at(vm, now).is_some() {
+            self.push_event(CrashEvent::Accepting(vm.clone()));
+        }
+    }
+
     /// Records that an upstream does not answer. `heard_at` is when this gateway last received data from another one.
     /// Attempts that broke later do not count, since it may be the gateway that is cut off.
     pub(crate) fn note_unanswered(&mut self, vm: &VmName, heard_at: ClockMillis, now: ClockMillis) {
@@ -204,6 +221,12 @@
             known = known.max(last.count);
         }
         if !self.suspects.note_crash(fingerprint, known, now) {
+            if let Some(evidence) = self.suspects.evidence(fingerprint, now) {
+                self.push_event(CrashEvent::Coinciding {
+                    evidence,
+                    upstream: vm.clone(),
+                });
+            }
             return;
         }
         if self.last_crashes.len() >= BROKEN_LIMIT {
--- a/crates/coordination/fescuetide_flow/src/scheduler/crashes.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/crashes.rs
@@ -21,7 +21,7 @@
     pub fn note_probe(&mut self, vm: &VmName, outcome: ProbeOutcome, now: ClockMillis) {
         self.probing.swap_remove(vm);
         match outcome {
-            ProbeOutcome::Connected => {}
+            ProbeOutcome::Connected => self.crashes.note_accepting(vm, now),
             ProbeOutcome::Refused => self.note_down(vm, now),
             ProbeOutcome::NotConnected => self.note_unanswered(vm, now),
         }
--- a/crates/coordination/fescuetide_flow/tests/flow/crash_detection.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/crash_detection.rs
@@ -4,6 +4,7 @@
 use fescuetide_fleet::WorkKind;
 use fescuetide_flow::AttemptEvent;
 use fescuetide_flow::BreakCause;
+use fescuetide_flow::CrashEvent;
 use fescuetide_flow::DeclineCause;
 use fescuetide_flow::FlowAction;
 use fescuetide_flow::ProbeOutcome;
@@ -222,3 +223,35 @@
         harness.scheduler.note_probe(&upstream, outcome, now);
     }
 }
+
+/// Guards against crashes that leave no trace in logs and counters: an upstream that goes down together with another one, and
+/// one that is back before it is probed.
+#[test]
+fn crashes_that_add_nothing_are_told() {
+    let mut harness = SchedulerHarness::with_upstreams(6);
+    let mut attempts = Vec::new();
+    for _ in 0..2 {
+        let key = harness.arrive_with(b"crashing");
+        attempts.push((key, harness.expect_send(key).upstream));
+        harness.note(key, AttemptEvent::Sent);
+    }
+    assert_ne!(attempts[0].1, attempts[1].1);
+    for (key, _) in &attempts {
+        harness.note(*key, AttemptEvent::Broken(BreakCause::Closed));
+    }
+    let now = harness.now;
+    for (outcome, upstream) in [
+        (ProbeOutcome::Connected, &attempts[0].1),
+        (ProbeOutcome::Refused, &attempts[0].1),
+        (ProbeOutcome::Refused, &attempts[1].1),
+    ] {
+        harness.scheduler.note_probe(upstream, outcome, now);
+    }
+    let events = harness.scheduler.take_crash_events();
+    let [first, second, third] = &events[..] else {
+        panic!("expected three events, not {events:?}");
+    };
+    assert_eq!(*first, CrashEvent::Accepting(attempts[0].1.clone()));
+    assert!(matches!(second, CrashEvent::Counted { upstream, .. } if *upstream == attempts[0].1));
+    assert!(matches!(third, CrashEvent::Coinciding { upstream, .. } if *upstream == attempts[1].1));
+}
--- a/crates/process/fescuetide_gateway/src/counters.rs
+++ b/crates/process/fescuetide_gateway/src/counters.rs
@@ -96,6 +96,10 @@
     probes => "fescuetide_probes_total",
     /// Crashes of upstreams that were counted for requests that ran there.
     crashes_counted => "fescuetide_crashes_counted_total",
+    /// Crashes of upstreams that added nothing to those of the requests that ran there.
+    crashes_coinciding => "fescuetide_crashes_coinciding_total",
+    /// Upstreams that accepted connections after an attempt had broken there.
+    crash_probes_accepted => "fescuetide_crash_probes_accepted_total",
     /// Requests whose crashes no longer count since they completed.
     crashes_cleared => "fescuetide_crashes_cleared_total",
     /// Requests about whose crashes other gateways reported something new.
--- a/crates/process/fescuetide_gateway/src/crash_evidence.rs
+++ b/crates/process/fescuetide_gateway/src/crash_evidence.rs
@@ -84,6 +84,8 @@
     fn log_crash_event(&mut self, event: CrashEvent) {
         let counter = match &event {
             CrashEvent::Counted { .. } => &self.counters.crashes_counted,
+            CrashEvent::Coinciding { .. } => &self.counters.crashes_coinciding,
+            CrashEvent::Accepting(_) => &self.counters.crash_probes_accepted,
             CrashEvent::Cleared(_) => &self.counters.crashes_cleared,
             CrashEvent::Learned(_) => &self.counters.crashes_learned,
         };
@@ -108,6 +110,17 @@
                 is_refused,
                 "crash counted"
             ),
+            CrashEvent::Coinciding { evidence, upstream } => tracing::info!(
+                fingerprint = %evidence.fingerprint,
+                crashes = evidence.crashes.get(),
+                cleared = evidence.cleared.get(),
+                %upstream,
+                "crash coincides with one that counts"
+            ),
+            CrashEvent::Accepting(upstream) => tracing::info!(
+                %upstream,
+                "upstream accepts connections after a broken attempt"
+            ),
             CrashEvent::Cleared(evidence) => tracing::info!(
                 fingerprint = %evidence.fingerprint,
                 crashes = evidence.crashes.get(),
