Count each upstream that ends under a request, also those that end together

What callers and operators saw: a request that comes to several gateways at once took a pool of three down, again and again; its third series still reached upstreams 4 and 8 s after the third end.

Cause: upstreams that go down together counted as one crash of the request, at one gateway (EVENT_TIME) and between gateways (a run adds one to what was known when it started). That keeps requests of many callers from being refused after the loss of an availability zone, but a request that comes to several gateways at once looks the same. The log of the failing test shows it: three upstreams found within 2 ms, each "crash counted" with crashes 1.

Change: gateways also exchange the set of lives of upstreams that ended under a request since it last completed (EndSet), and refuse it after three, one second later, unless it completes. Harmless requests are kept apart by recent completions, at this gateway or at another one that vouches for them, and by other suspects that explain the ends (SuspectTable::blame).

The simulated upstreams now come back with another incarnation, as the real ones do: before, all lives of an upstream looked the same. crashes_that_add_nothing_are_told now uses a request that completed before, since others count each end.

--- a/crates/coordination/fescuetide_flow/src/crash.rs
+++ b/crates/coordination/fescuetide_flow/src/crash.rs
@@ -5,11 +5,13 @@
 use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
+use fescuetide_limits::CompletionHistory;
 use fescuetide_limits::CrashCount;
 use fescuetide_limits::CrashEvidence;
 use fescuetide_limits::CrashFingerprint;
 use fescuetide_limits::SuspectSettings;
 use fescuetide_limits::SuspectTable;
+use fescuetide_limits::UpstreamLife;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
@@ -43,8 +45,8 @@
         /// Whether the request is refused from now on.
         is_refused: bool,
     },
-    /// The request was running on an upstream that went down, but this adds nothing to its crashes: the upstream went down
-    /// together with another one that counts already.
+    /// The request was running on an upstream that went down, but this adds nothing to its crashes: it completes at other
+    /// times, and the upstream went down together with another one that counts already.
     Coinciding {
         /// What is known.
         evidence: CrashEvidence,
@@ -54,15 +56,24 @@
     /// An upstream at which attempts broke accepts connections, so that no crash is counted for now.
     Accepting(VmName),
     /// The request completed, so that its earlier crashes no longer count.
-    Cleared(CrashEvidence),
+    Cleared {
+        /// What is known now.
+        evidence: CrashEvidence,
+        /// Whether gateways were about to refuse the request, or did so already.
+        is_urgent: bool,
+    },
     /// Another gateway reported crashes of the request, or that it completed.
     Learned(CrashEvidence),
+    /// Another gateway reported crashes of a request that completed here recently, so they no longer count.
+    Vouched(CrashEvidence),
 }
 
 /// An attempt as far as it matters for the detection.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CrashRun {
     pub(crate) fingerprint: CrashFingerprint,
+    /// The life of the upstream.
+    pub(crate) life: UpstreamLife,
     /// The crashes of the request that were known when the attempt started.
     pub(crate) known: CrashCount,
     pub(crate) started_at: ClockMillis,
@@ -98,9 +109,13 @@
 /// Many callers may send the same request. A run only adds to the crashes that were known when it started, and to those
 /// at this gateway that broke before. Otherwise, several upstreams that go down together for another reason would count
 /// as several crashes of the request.
+///
+/// A request that comes to several gateways at once can also take several upstreams down together. So each upstream that ended
+/// counts as well, unless the request completed recently, at this gateway or at another one that says so.
 #[derive(Debug)]
 pub(crate) struct CrashTracker {
     suspects: SuspectTable,
+    completions: CompletionHistory,
     broken: VecDeque<BrokenAttempt>,
     last_crashes: IndexMap<CrashFingerprint, LastCrash>,
     /// Requests about which this gateway knows something that it has not reported to the other gateways.
@@ -117,6 +132,7 @@
         };
         Self {
             suspects: SuspectTable::new(settings),
+            completions: CompletionHistory::default(),
             broken: VecDeque::new(),
             last_crashes: IndexMap::new(),
             unreported: IndexSet::new(),
@@ -220,7 +236,10 @@
             // been found out only later.
             known = known.max(last.count);
         }
-        if !self.suspects.note_crash(fingerprint, known, now) {
+        let is_counted = self.suspects.note_crash(fingerprint, known, now);
+        let is_end = !self.completions.contains(fingerprint, now)
+            && self.suspects.note_end(fingerprint, run.life, now);
+        if !is_counted && !is_end {
             if let Some(evidence) = self.suspects.evidence(fingerprint, now) {
                 self.push_event(CrashEvent::Coinciding {
                     evidence,
@@ -229,16 +248,23 @@
             }
             return;
         }
-        if self.last_crashes.len() >= BROKEN_LIMIT {
-            self.last_crashes.shift_remove_index(0);
+        if is_counted {
+            if self.last_crashes.len() >= BROKEN_LIMIT {
+                self.last_crashes.shift_remove_index(0);
+            }
+            let last = LastCrash {
+                at: run.heard_at.max(run.started_at),
+                count: known.next(),
+            };
+            self.last_crashes.insert(fingerprint, last);
         }
-        let last = LastCrash {
-            at: run.heard_at.max(run.started_at),
-            count: known.next(),
-        };
-        self.last_crashes.insert(fingerprint, last);
         self.unreported.insert(fingerprint);
-        let is_refused = self.suspects.refusal(fingerprint, now).is_some();
+        let ends = self
+            .suspects
+            .evidence(fingerprint, now)
+            .map_or(0, |evidence| evidence.ends.len());
+        let is_refused =
+            self.suspects.refusal(fingerprint, now).is_some() || ends >= CRASH_LIMIT as usize;
         if let Some(evidence) = self.suspects.evidence(fingerprint, now) {
             self.push_event(CrashEvent::Counted {
                 evidence,
@@ -259,19 +285,24 @@
         self.broken.retain(|attempt| {
             attempt.is_handled || attempt.vm != *vm || attempt.run.fingerprint != fingerprint
         });
+        self.completions.note(fingerprint, now);
         let cleared = self.suspects.note_completed(fingerprint);
         if cleared == 0 {
             return;
         }
+        let is_urgent = cleared + 1 >= CRASH_LIMIT;
         // Of the requests that were running at a crash, most are sent by one caller and clear at the gateway that found
         // the crash. The others need to know about those that come to several gateways, and about those that one more
         // crash would make them refuse.
         let is_learned = !self.last_crashes.contains_key(&fingerprint);
-        if is_learned || cleared + 1 >= CRASH_LIMIT {
+        if is_learned || is_urgent {
             self.unreported.insert(fingerprint);
         }
         if let Some(evidence) = self.suspects.evidence(fingerprint, now) {
-            self.push_event(CrashEvent::Cleared(evidence));
+            self.push_event(CrashEvent::Cleared {
+                evidence,
+                is_urgent,
+            });
         }
     }
 
@@ -286,7 +317,8 @@
         fingerprint: CrashFingerprint,
         now: ClockMillis,
     ) -> Option<SpanMillis> {
-        self.suspects.refusal(fingerprint, now)
+        let refusal = self.suspects.refusal(fingerprint, now);
+        refusal.or_else(|| self.suspects.blame(fingerprint, &[fingerprint], now))
     }
 
     /// Adds what another gateway knows.
@@ -294,8 +326,25 @@
         if !self.suspects.merge(evidence, now) {
             return;
         }
-        if let Some(evidence) = self.suspects.evidence(evidence.fingerprint, now) {
-            self.push_event(CrashEvent::Learned(evidence));
+        let fingerprint = evidence.fingerprint;
+        let Some(evidence) = self.suspects.evidence(fingerprint, now) else {
+            return;
+        };
+        self.push_event(CrashEvent::Learned(evidence));
+        let is_near_limit = evidence.ends.len() + 1 >= CRASH_LIMIT as usize;
+        if is_near_limit && self.completions.contains(fingerprint, now) {
+            self.vouch(fingerprint, now);
+        }
+    }
+
+    /// Clears a request of crashes that other gateways found, since it completed here recently.
+    fn vouch(&mut self, fingerprint: CrashFingerprint, now: ClockMillis) {
+        if self.suspects.note_completed(fingerprint) == 0 {
+            return;
+        }
+        self.unreported.insert(fingerprint);
+        if let Some(evidence) = self.suspects.evidence(fingerprint, now) {
+            self.push_event(CrashEvent::Vouched(evidence));
         }
     }
 
--- a/crates/coordination/fescuetide_flow/src/flow.rs
+++ b/crates/coordination/fescuetide_flow/src/flow.rs
@@ -6,6 +6,7 @@
 use fescuetide_base::VmName;
 use fescuetide_limits::CrashCount;
 use fescuetide_limits::CrashFingerprint;
+use fescuetide_limits::UpstreamLife;
 
 use crate::NotRunEvidence;
 use crate::WorkRequest;
@@ -36,6 +37,7 @@
     ) -> CrashRun {
         CrashRun {
             fingerprint,
+            life: UpstreamLife::of(&self.vm, self.incarnation),
             known: self.known_crashes,
             started_at: self.started_at,
             heard_at,
--- a/crates/coordination/fescuetide_flow/tests/flow/crash_detection.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/crash_detection.rs
@@ -229,9 +229,13 @@
 #[test]
 fn crashes_that_add_nothing_are_told() {
     let mut harness = SchedulerHarness::with_upstreams(6);
+    // Of a request that completes at other times, upstreams that go down together count once.
+    let key = harness.arrive_with(b"popular");
+    harness.expect_send(key);
+    harness.complete(key);
     let mut attempts = Vec::new();
     for _ in 0..2 {
-        let key = harness.arrive_with(b"crashing");
+        let key = harness.arrive_with(b"popular");
         attempts.push((key, harness.expect_send(key).upstream));
         harness.note(key, AttemptEvent::Sent);
     }
--- a/crates/coordination/fescuetide_flow/tests/flow/crash_fleet.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/crash_fleet.rs
@@ -1,476 +1,95 @@
-//! Simulation of several gateways that receive a request which crashes every upstream that runs it, beside a harmless
-//! request that many callers send. Gateways restart and are cut off from the log, upstreams also go down for other reasons,
-//! and evidence is delayed.
+//! Requests that crash upstreams, at fleets of several sizes.
 
-use std::collections::BTreeMap;
+use crate::fleet::CrashFleet;
+use crate::fleet::CrashTraffic;
+use crate::fleet::DownKind;
+use crate::fleet::FleetPlan;
 
-use fescuetide_base::prelude::*;
-use fescuetide_fleet::WorkKind;
-use fescuetide_flow::AttemptEvent;
-use fescuetide_flow::BreakCause;
-use fescuetide_flow::FlowAction;
-use fescuetide_flow::FlowKey;
-use fescuetide_flow::FlowSettings;
-use fescuetide_flow::ProbeOutcome;
-use fescuetide_flow::RefusalCause;
-use fescuetide_flow::RequestScheduler;
-use fescuetide_flow::WorkRequest;
-use fescuetide_fuzz::SeededRandom;
-use fescuetide_limits::CrashEvidence;
-use fescuetide_limits::CrashFingerprint;
-
-use crate::harness::route;
-use crate::harness::upstream;
-
-const UPSTREAMS: usize = 12;
-
-/// Simulated time per step.
-const STEP: SpanMillis = SpanMillis::new(10);
-
-/// Length of a run.
-const LENGTH: SpanMillis = SpanMillis::new(60_000);
-
-/// Time after the third crash from which few sends are allowed, and time for which a gateway must have been undisturbed for
-/// its sends to count.
-const STABLE_WINDOW: SpanMillis = SpanMillis::new(3_000);
-
-/// Number of sends that are allowed later than [`STABLE_WINDOW`] after the third crash.
+/// Number of sends that are allowed later than the stable window after the third crash.
 const LATE_SEND_LIMIT: u32 = 3;
 
-/// Chance in 1,000 that a harmless request arrives at a gateway in a step: 10 a second, a third of the load of the users'
-/// gateways.
-const HARMLESS_PER_MILLE: u64 = 100;
-
-/// Longest delay of evidence between gateways.
-const MAX_REPORT_DELAY_MS: u64 = 800;
-
-/// Time after which a connection to an upstream that does not answer is given up.
-const CONNECT_TIMEOUT: SpanMillis = SpanMillis::new(400);
-
-/// Range of the time after which connections to an upstream that went dark break.
-const DARK_BREAK_MS: std::ops::Range<u64> = 1_500..3_000;
-
 /// Number of seeds per size of the fleet, unless [`SEEDS_VARIABLE`] is set.
 const DEFAULT_SEEDS: u64 = 10;
 
 /// Environment variable with the number of seeds.
 const SEEDS_VARIABLE: &str = "FESCUETIDE_CRASH_SEEDS";
 
-const CRASHING: &[u8] = b"crashing";
-const HARMLESS: &[u8] = b"harmless";
-
-/// A request that is running on an upstream.
-#[derive(Clone, Copy, Debug)]
-struct RunningRequest {
-    gateway: usize,
-    key: FlowKey,
-    ends_at: ClockMillis,
-    is_crashing: bool,
-}
-
-/// How an upstream goes down.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum DownKind {
-    /// Its connections break, and new ones are refused.
-    #[default]
-    Crashed,
-    /// It does not answer any more.
-    Dark,
-}
-
-#[derive(Debug, Default)]
-struct SimulatedUpstream {
-    running: Vec<RunningRequest>,
-    down_until: ClockMillis,
-}
-
-/// Something that a gateway notices later.
-#[derive(Clone, Debug)]
-enum DelayedEvent {
-    Attempt(usize, FlowKey, BreakCause),
-    Probe(usize, VmName),
-}
-
-/// A gateway and the evidence that is on its way to it.
-struct SimulatedGateway {
-    scheduler: RequestScheduler,
-    inbox: Vec<(ClockMillis, CrashEvidence)>,
-    /// What could not be reported yet.
-    outbox: Vec<CrashEvidence>,
-    cut_until: ClockMillis,
-    disturbed_at: ClockMillis,
-}
-
-struct CrashFleet {
-    random: SeededRandom,
-    now: ClockMillis,
-    gateways: Vec<SimulatedGateway>,
-    upstreams: Vec<SimulatedUpstream>,
-    /// All evidence that was reported, as the log keeps it.
-    log: Vec<CrashEvidence>,
-    delayed: Vec<(ClockMillis, DelayedEvent)>,
-    /// How upstreams go down in this run.
-    down_kind: DownKind,
-    crashing_keys: BTreeMap<(usize, FlowKey), bool>,
-    crashes: u32,
-    third_crash_at: Option<ClockMillis>,
-    late_sends: u32,
-    refusals: u32,
-}
-
-fn new_scheduler(now: ClockMillis) -> RequestScheduler {
-    let mut scheduler = RequestScheduler::new(FlowSettings::default(), "a".parse().unwrap());
-    let mut entries = Vec::new();
-    for index in 0..UPSTREAMS {
-        entries.push(upstream(&upstream_name(index), 8));
-    }
-    scheduler.set_upstreams(&entries, now);
-    scheduler
-}
-
-fn upstream_name(index: usize) -> String {
-    format!("vm-{index}")
-}
-
-fn upstream_index(name: &VmName) -> usize {
-    let (_, number) = name.as_str().split_once('-').expect("a number");
-    number.parse().expect("a number")
+fn seeds() -> u64 {
+    std::env::var(SEEDS_VARIABLE).map_or(DEFAULT_SEEDS, |text| {
+        text.parse().expect("the number of seeds is a number")
+    })
 }
 
-impl CrashFleet {
-    fn new(seed: u64, gateways: usize, down_kind: DownKind) -> Self {
-        let now = ClockMillis::new(1_000_000);
-        Self {
-            random: SeededRandom::new(seed),
-            now,
-            gateways: (0..gateways)
-                .map(|_| SimulatedGateway {
-                    scheduler: new_scheduler(now),
-                    inbox: Vec::new(),
-                    outbox: Vec::new(),
-                    cut_until: now,
-                    disturbed_at: ClockMillis::default(),
-                })
-                .collect(),
-            upstreams: (0..UPSTREAMS)
-                .map(|_| SimulatedUpstream::default())
-                .collect(),
-            log: Vec::new(),
-            delayed: Vec::new(),
-            down_kind,
-            crashing_keys: BTreeMap::new(),
-            crashes: 0,
-            third_crash_at: None,
-            late_sends: 0,
-            refusals: 0,
-        }
-    }
-
-    fn chance(&mut self, per_mille: u64) -> bool {
-        self.random.below(1_000) < per_mille
-    }
-
-    fn pick_gateway(&mut self) -> usize {
-        self.random.below(self.gateways.len() as u64) as usize
-    }
-
-    fn run(&mut self) {
-        let end = self.now + LENGTH;
-        let mut next_crashing = self.now + SpanMillis::new(1_000);
-        while self.now < end {
-            self.now = self.now + STEP;
-            if self.now >= next_crashing {
-                let gateway = self.pick_gateway();
-                self.arrive(gateway, true);
-                let pause = 50 + self.random.below(3_000);
-                next_crashing = self.now + SpanMillis::new(pause);
-            }
-            for gateway in 0..self.gateways.len() {
-                if self.chance(HARMLESS_PER_MILLE) {
-                    self.arrive(gateway, false);
-                }
-            }
-            self.disturb();
-            self.deliver_delayed();
-            self.end_runs();
-            for gateway in 0..self.gateways.len() {
-                self.gateways[gateway].scheduler.tick(self.now);
-                self.act(gateway);
-                self.exchange(gateway);
-            }
-        }
-    }
-
-    fn arrive(&mut self, gateway: usize, is_crashing: bool) {
-        let content = if is_crashing { CRASHING } else { HARMLESS };
-        let request = WorkRequest {
-            fingerprint: CrashFingerprint::of_parts(&[content]),
-            ..WorkRequest::of_route(&route(WorkKind::Repeatable, 2), self.now, None)
-        };
-        let key = self.gateways[gateway].scheduler.arrive(request, self.now);
-        self.crashing_keys.insert((gateway, key), is_crashing);
-        self.act(gateway);
-    }
-
-    /// Restarts a gateway, cuts one off from the log, or takes several upstreams down at once.
-    fn disturb(&mut self) {
-        if self.chance(2) {
-            let gateway = self.pick_gateway();
-            self.restart(gateway);
-        }
-        if self.chance(3) {
-            let gateway = self.pick_gateway();
-            let length = self.random.below(4_000);
-            self.gateways[gateway].cut_until = self.now + SpanMillis::new(length);
-        }
-        if self.chance(1) {
-            for _ in 0..3 {
-                let index = self.random.below(UPSTREAMS as u64) as usize;
-                self.take_down(index);
-            }
-        }
-    }
-
-    fn restart(&mut self, gateway: usize) {
-        let mut scheduler = new_scheduler(self.now);
-        scheduler.merge_crash_evidence(self.log.iter().copied(), self.now);
-        let restarted = &mut self.gateways[gateway];
-        restarted.scheduler = scheduler;
-        restarted.inbox.clear();
-        restarted.outbox.clear();
-        restarted.disturbed_at = self.now;
-        for upstream in &mut self.upstreams {
-            upstream.running.retain(|run| run.gateway != gateway);
-        }
-        self.crashing_keys.retain(|(owner, _), _| *owner != gateway);
-        self.drop_delayed(gateway, None);
-    }
-
-    fn take_down(&mut self, index: usize) {
-        let length = 500 + self.random.below(3_000);
-        let upstream = &mut self.upstreams[index];
-        upstream.down_until = self.now + SpanMillis::new(length);
-        let running = std::mem::take(&mut upstream.running);
-        if running.iter().any(|run| run.is_crashing) {
-            self.crashes += 1;
-            if self.crashes == 3 {
-                self.third_crash_at = Some(self.now);
-            }
-        }
-        for run in running {
-            let cause = BreakCause::Closed;
-            match self.down_kind {
-                DownKind::Crashed => self.note(run.gateway, run.key, AttemptEvent::Broken(cause)),
-                DownKind::Dark => {
-                    let span = DARK_BREAK_MS.end - DARK_BREAK_MS.start;
-                    let delay = SpanMillis::new(DARK_BREAK_MS.start + self.random.below(span));
-                    self.delay(delay, DelayedEvent::Attempt(run.gateway, run.key, cause));
-                }
-            }
-        }
-    }
-
-    fn delay(&mut self, delay: SpanMillis, event: DelayedEvent) {
-        self.delayed.push((self.now + delay, event));
-    }
-
-    fn deliver_delayed(&mut self) {
-        let now = self.now;
-        for (at, event) in std::mem::take(&mut self.delayed) {
-            if at > now {
-                self.delayed.push((at, event));
-                continue;
-            }
-            match event {
-                DelayedEvent::Attempt(gateway, key, cause) => {
-                    self.note(gateway, key, AttemptEvent::Broken(cause));
-                }
-                DelayedEvent::Probe(gateway, vm) => {
-                    let scheduler = &mut self.gateways[gateway].scheduler;
-                    scheduler.note_probe(&vm, ProbeOutcome::NotConnected, now);
-                }
-            }
+/// Guards against a request that crashes upstreams and is still sent on when all gateways should know, whatever else happens,
+/// and against a harmless request that is refused because it was running on upstreams that went down.
+#[test]
+fn crashing_request_is_refused_by_all_gateways_and_no_other() {
+    let mut plans = Vec::new();
+    for gateways in [2, 4, 22] {
+        for down_kind in [DownKind::Crashed, DownKind::Dark] {
+            plans.push(FleetPlan {
+                gateways,
+                down_kind,
+                ..FleetPlan::default()
+            });
         }
     }
+    check_plans(&plans);
+}
 
-    /// Drops what a gateway, or one of its requests, does not notice any more.
-    fn drop_delayed(&mut self, gateway: usize, key: Option<FlowKey>) {
-        self.delayed.retain(|(_, event)| match event {
-            DelayedEvent::Attempt(owner, other, _) => {
-                *owner != gateway || key.is_some_and(|key| key != *other)
-            }
-            DelayedEvent::Probe(owner, _) => *owner != gateway || key.is_some(),
+/// Guards against a request that comes to all gateways at once and takes several upstreams down each time, which count as one
+/// crash.
+#[test]
+fn request_that_crashes_several_upstreams_at_once_is_refused() {
+    let mut plans = Vec::new();
+    for (gateways, upstreams) in [(4, 3), (5, 3), (4, 10), (22, 3)] {
+        plans.push(FleetPlan {
+            gateways,
+            upstreams,
+            traffic: CrashTraffic::Series,
+            ..FleetPlan::default()
         });
     }
+    check_plans(&plans);
+}
 
-    fn end_runs(&mut self) {
-        for index in 0..UPSTREAMS {
-            let runs = &self.upstreams[index].running;
-            let due: Vec<RunningRequest> = runs
-                .iter()
-                .filter(|run| run.ends_at <= self.now)
-                .copied()
-                .collect();
-            if due.iter().any(|run| run.is_crashing) {
-                self.take_down(index);
-                continue;
-            }
-            self.upstreams[index]
-                .running
-                .retain(|run| run.ends_at > self.now);
-            for run in due {
-                let event = AttemptEvent::Completed {
-                    status: 200,
-                    load: None,
-                };
-                self.note(run.gateway, run.key, event);
-            }
-        }
-    }
-
-    fn note(&mut self, gateway: usize, key: FlowKey, event: AttemptEvent) {
-        let scheduler = &mut self.gateways[gateway].scheduler;
-        scheduler.note_attempt(key, event, self.now);
-        self.act(gateway);
-    }
-
-    /// Carries out the actions of a gateway.
-    fn act(&mut self, gateway: usize) {
-        while let Some(action) = self.gateways[gateway].scheduler.next_action() {
-            match action {
-                FlowAction::Send(command) => {
-                    let index = upstream_index(&command.upstream);
-                    self.send(gateway, command.key, index);
-                }
-                FlowAction::Probe(vm) => {
-                    let outcome = match (self.is_down(upstream_index(&vm)), self.down_kind) {
-                        (true, DownKind::Dark) => {
-                            self.delay(CONNECT_TIMEOUT, DelayedEvent::Probe(gateway, vm));
-                            continue;
-                        }
-                        (true, DownKind::Crashed) => ProbeOutcome::Refused,
-                        (false, _) => ProbeOutcome::Connected,
-                    };
-                    let scheduler = &mut self.gateways[gateway].scheduler;
-                    scheduler.note_probe(&vm, outcome, self.now);
-                }
-                FlowAction::Cancel(key) => {
-                    self.drop_delayed(gateway, Some(key));
-                    for upstream in &mut self.upstreams {
-                        upstream
-                            .running
-                            .retain(|run| run.gateway != gateway || run.key != key);
-                    }
-                }
-                FlowAction::Refuse(key, refusal) => {
-                    let is_crashing = self.crashing_keys.remove(&(gateway, key));
-                    if refusal.cause == RefusalCause::CrashesUpstreams {
-                        assert_eq!(is_crashing, Some(true), "a harmless request is refused");
-                        self.refusals += 1;
-                    }
-                }
-                FlowAction::Relay(key) | FlowAction::Fail(key, _) => {
-                    self.crashing_keys.remove(&(gateway, key));
-                }
-            }
-        }
-    }
-
-    fn is_down(&self, index: usize) -> bool {
-        self.now < self.upstreams[index].down_until
-    }
-
-    fn send(&mut self, gateway: usize, key: FlowKey, index: usize) {
-        let is_crashing = self.crashing_keys.get(&(gateway, key)) == Some(&true);
-        if self.is_down(index) && self.down_kind == DownKind::Dark {
-            let event = DelayedEvent::Attempt(gateway, key, BreakCause::NotConnected);
-            self.delay(CONNECT_TIMEOUT, event);
-            return;
-        }
-        let is_down = self.is_down(index);
-        let scheduler = &mut self.gateways[gateway].scheduler;
-        if is_down {
-            scheduler.note_attempt(key, AttemptEvent::Broken(BreakCause::Refused), self.now);
-            return;
-        }
-        scheduler.note_attempt(key, AttemptEvent::Sent, self.now);
-        if is_crashing {
-            self.count_late_send(gateway);
-        }
-        let length = match is_crashing {
-            true => 10 + self.random.below(50),
-            false => 50 + self.random.below(200),
-        };
-        self.upstreams[index].running.push(RunningRequest {
-            gateway,
-            key,
-            ends_at: self.now + SpanMillis::new(length),
-            is_crashing,
+/// Guards against refusing a harmless request that was running on all upstreams when their pool went down.
+#[test]
+fn harmless_request_is_served_after_outages_of_its_pool() {
+    let mut plans = Vec::new();
+    for (gateways, upstreams) in [(4, 3), (22, 12)] {
+        plans.push(FleetPlan {
+            gateways,
+            upstreams,
+            has_pool_outages: true,
+            ..FleetPlan::default()
         });
     }
-
-    fn count_late_send(&mut self, gateway: usize) {
-        let sender = &self.gateways[gateway];
-        let is_disturbed = self.now.since(sender.disturbed_at) <= STABLE_WINDOW
-            || self.now.since(sender.cut_until) <= STABLE_WINDOW;
-        let is_late = self
-            .third_crash_at
-            .is_some_and(|at| self.now.since(at) > STABLE_WINDOW);
-        if is_late && !is_disturbed {
-            self.late_sends += 1;
-        }
-    }
-
-    /// Reports what a gateway has found, and delivers what has arrived. Nothing passes while the gateway is cut off.
-    fn exchange(&mut self, gateway: usize) {
-        let now = self.now;
-        let sender = &mut self.gateways[gateway];
-        let found = sender.scheduler.take_crash_evidence(now);
-        sender.outbox.extend(found);
-        if now < sender.cut_until {
-            return;
-        }
-        let reports = std::mem::take(&mut sender.outbox);
-        let (arrived, waiting) = std::mem::take(&mut sender.inbox)
-            .into_iter()
-            .partition(|(at, _)| *at <= now);
-        sender.inbox = waiting;
-        let arrived: Vec<(ClockMillis, CrashEvidence)> = arrived;
-        let arrived = arrived.into_iter().map(|(_, evidence)| evidence);
-        sender.scheduler.merge_crash_evidence(arrived, now);
-        self.log.extend(&reports);
-        for receiver in 0..self.gateways.len() {
-            for report in &reports {
-                let delay = SpanMillis::new(self.random.below(MAX_REPORT_DELAY_MS));
-                self.gateways[receiver].inbox.push((now + delay, *report));
-            }
-        }
-    }
+    check_plans(&plans);
 }
 
-/// Guards against a request that crashes upstreams and is still sent on when all gateways should know, whatever else happens,
-/// and against a harmless request that is refused because it was running on upstreams that went down.
-#[test]
-fn crashing_request_is_refused_by_all_gateways_and_no_other() {
-    let seeds = std::env::var(SEEDS_VARIABLE).map_or(DEFAULT_SEEDS, |text| {
-        text.parse().expect("the number of seeds is a number")
-    });
-    for gateways in [2, 4, 22] {
-        for down_kind in [DownKind::Crashed, DownKind::Dark] {
-            for seed in 0..seeds {
-                check_run(seed, gateways, down_kind);
-            }
+/// Plays the seeds of all plans and fails with all that it finds.
+fn check_plans(plans: &[FleetPlan]) {
+    let mut findings = Vec::new();
+    for plan in plans {
+        for seed in 0..seeds() {
+            findings.extend(check_run(FleetPlan { seed, ..*plan }));
         }
     }
+    assert!(findings.is_empty(), "{}", findings.join("\n"));
 }
 
-fn check_run(seed: u64, gateways: usize, down_kind: DownKind) {
-    let mut fleet = CrashFleet::new(seed, gateways, down_kind);
+fn check_run(plan: FleetPlan) -> Option<String> {
+    let mut fleet = CrashFleet::new(plan);
     fleet.run();
-    let crashes = fleet.crashes;
-    let context = format!("seed {seed}, {gateways} gateways, {down_kind:?}, {crashes} crashes");
-    assert!(fleet.third_crash_at.is_some(), "{context}");
-    assert!(fleet.refusals > 0, "{context}");
-    let late = fleet.late_sends;
-    assert!(late <= LATE_SEND_LIMIT, "{late} late sends, {context}");
+    let is_sound = fleet.third_crash_at.is_some()
+        && fleet.refusals > 0
+        && fleet.harmless_refusals == 0
+        && fleet.late_sends <= LATE_SEND_LIMIT;
+    (!is_sound).then(|| {
+        format!(
+            "{plan:?}: {} crashes, {} refusals, {} of the harmless request, {} late sends",
+            fleet.crashes, fleet.refusals, fleet.harmless_refusals, fleet.late_sends
+        )
+    })
 }
--- a/crates/coordination/fescuetide_flow/tests/flow/main.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/main.rs
@@ -4,6 +4,7 @@
 mod crash_detection;
 mod crash_fleet;
 mod crash_harness;
+mod fleet;
 mod harness;
 mod leaving;
 mod life;
--- a/crates/coordination/fescuetide_limits/src/backlog.rs
+++ b/crates/coordination/fescuetide_limits/src/backlog.rs
@@ -7,6 +7,7 @@
 use crate::CrashCount;
 use crate::CrashEvidence;
 use crate::CrashFingerprint;
+use crate::EndSet;
 
 /// Interval between checks. Reports reach the log within a few seconds, so evidence that is missing for longer was lost.
 const CHECK_INTERVAL: SpanMillis = SpanMillis::new(10_000);
@@ -19,6 +20,7 @@
 struct LoggedCounts {
     crashes: CrashCount,
     cleared: CrashCount,
+    ends: EndSet,
 }
 
 /// Finds evidence that is known but not in the log, so that it is written there by whoever knows it.
@@ -35,6 +37,7 @@
 ///     fingerprint: CrashFingerprint::of_parts(&[b"body"]),
 ///     crashes: CrashCount::new(3),
 ///     cleared: CrashCount::new(0),
+///     ends: EndSet::default(),
 ///     left: SpanMillis::new(600_000),
 /// };
 /// let later = ClockMillis::new(10_000);
@@ -66,6 +69,7 @@
         let counts = self.logged.entry(evidence.fingerprint).or_default();
         counts.crashes = counts.crashes.max(evidence.crashes);
         counts.cleared = counts.cleared.max(evidence.cleared);
+        counts.ends.merge(&evidence.ends);
     }
 
     /// Forgets what is in the log, since it may have lost records. What it still has is read again.
@@ -90,7 +94,8 @@
 
     fn is_missing(&self, evidence: &CrashEvidence) -> bool {
         let logged = self.logged.get(&evidence.fingerprint);
-        let logged = logged.copied().unwrap_or_default();
-        evidence.crashes > logged.crashes || evidence.cleared > logged.cleared
+        let mut logged = logged.copied().unwrap_or_default();
+        let lacks_ends = logged.ends.merge(&evidence.ends);
+        lacks_ends || evidence.crashes > logged.crashes || evidence.cleared > logged.cleared
     }
 }
--- a/crates/coordination/fescuetide_limits/src/lib.rs
+++ b/crates/coordination/fescuetide_limits/src/lib.rs
@@ -3,9 +3,12 @@
 
 mod average;
 mod backlog;
+mod blame;
 mod bound;
 mod breaker;
 mod budget;
+mod completions;
+mod ends;
 mod fingerprint;
 mod fixed_window;
 mod limiter;
@@ -22,6 +25,11 @@
 pub use breaker::CircuitBreaker;
 pub use budget::BudgetSettings;
 pub use budget::RetryBudget;
+pub use completions::CompletionHistory;
+pub use completions::HistorySettings;
+pub use ends::END_LIMIT;
+pub use ends::EndSet;
+pub use ends::UpstreamLife;
 pub use fingerprint::CrashFingerprint;
 pub use fixed_window::FixedWindowLimiter;
 pub use limiter::AdmitError;
@@ -47,9 +55,11 @@
     pub use crate::BudgetSettings;
     pub use crate::CandidateSelector;
     pub use crate::CircuitBreaker;
+    pub use crate::CompletionHistory;
     pub use crate::CrashCount;
     pub use crate::CrashEvidence;
     pub use crate::CrashFingerprint;
+    pub use crate::EndSet;
     pub use crate::LoadBound;
     pub use crate::LoadLimiter;
     pub use crate::QueueEvent;
@@ -60,4 +70,5 @@
     pub use crate::SuspectSettings;
     pub use crate::SuspectTable;
     pub use crate::TooLate;
+    pub use crate::UpstreamLife;
 }
--- a/crates/coordination/fescuetide_limits/src/suspects.rs
+++ b/crates/coordination/fescuetide_limits/src/suspects.rs
@@ -9,6 +9,8 @@
 use indexmap::IndexMap;
 
 use crate::CrashFingerprint;
+use crate::EndSet;
+use crate::UpstreamLife;
 
 /// Number of crashes of a request, one after the other.
 ///
@@ -59,14 +61,17 @@
     pub crashes: CrashCount,
     /// How many of the crashes do not count, because the request completed after them.
     pub cleared: CrashCount,
+    /// The upstreams that ended under the request, if the router tells them apart.
+    pub ends: EndSet,
     /// Remaining time for which the evidence is kept.
     pub left: SpanMillis,
 }
 
 impl CrashEvidence {
-    /// Number of crashes that count.
-    pub const fn counting_crashes(&self) -> u32 {
-        self.crashes.get().saturating_sub(self.cleared.get())
+    /// Number of crashes that count: those one after the other, or upstreams that ended, if these are more.
+    pub fn counting_crashes(&self) -> u32 {
+        let crashes = self.crashes.get().saturating_sub(self.cleared.get());
+        crashes.max(self.ends.len() as u32)
     }
 }
 
@@ -78,6 +83,9 @@
     /// Crashes within this time are one event. Upstreams that go down together do so within moments, and a request that many
     /// callers send may move from one to the next meanwhile.
     pub event_time: SpanMillis,
+    /// Time for which a request may still complete, and thereby clear itself, after as many upstreams as the limit ended under
+    /// it at about the same time. After that it is refused.
+    pub end_grace: SpanMillis,
     /// Time after the last crash for which an entry is kept: the request remains refused or a suspect for this long.
     pub retention: SpanMillis,
     /// Maximum number of entries. Requests that are not refused are evicted first, oldest first.
@@ -94,6 +102,7 @@
         Self {
             crash_limit: 2,
             event_time: SpanMillis::new(0),
+            end_grace: SpanMillis::new(1_000),
             retention: SpanMillis::new(600_000),
             entry_limit: 4_096,
             exchange_limit: 64,
@@ -103,21 +112,29 @@
 }
 
 #[derive(Clone, Copy, Debug, Default)]
-struct SuspectEntry {
+pub(crate) struct SuspectEntry {
     crashes: CrashCount,
     cleared: CrashCount,
-    until: ClockMillis,
+    pub(crate) until: ClockMillis,
     /// When `crashes` last grew.
     raised_at: ClockMillis,
     /// The crashes before the event that `crashes` last grew in.
     settled: CrashCount,
+    pub(crate) ends: EndSet,
+    /// When `ends` reached the limit, as far as this router knows.
+    pub(crate) limit_at: Option<ClockMillis>,
 }
 
 impl SuspectEntry {
-    /// Number of crashes that count.
+    /// Number of crashes, one after the other, that count.
     fn level(&self) -> u32 {
         self.crashes.get().saturating_sub(self.cleared.get())
     }
+
+    /// Number of crashes that count, including those of upstreams that ended together.
+    fn weight(&self) -> u32 {
+        self.level().max(self.ends.len() as u32)
+    }
 }
 
 /// Counts upstream crashes per request in order to find the request that causes them.
@@ -146,8 +163,8 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct SuspectTable {
-    settings: SuspectSettings,
-    entries: IndexMap<CrashFingerprint, SuspectEntry>,
+    pub(crate) settings: SuspectSettings,
+    pub(crate) entries: IndexMap<CrashFingerprint, SuspectEntry>,
 }
 
 impl SuspectTable {
@@ -184,24 +201,47 @@
             fingerprint,
             crashes: known.next(),
             cleared: CrashCount::default(),
+            ends: EndSet::default(),
             left: self.settings.retention,
         };
         self.merge(evidence, now)
     }
 
-    /// Records that the request completed, so that its earlier crashes no longer count, unless it is refused. Returns
-    /// how many crashes were cleared.
+    /// Records that a life of an upstream ended while it was running the request. Returns whether this is new.
+    pub fn note_end(
+        &mut self,
+        fingerprint: CrashFingerprint,
+        life: UpstreamLife,
+        now: ClockMillis,
+    ) -> bool {
+        let entry = self.live(fingerprint, now).copied().unwrap_or_default();
+        let evidence = CrashEvidence {
+            fingerprint,
+            crashes: entry.crashes,
+            cleared: entry.cleared,
+            ends: EndSet::new(entry.ends.clears(), [life]),
+            left: self.settings.retention,
+        };
+        self.merge(evidence, now)
+    }
+
+    /// Records that the request completed, so that its earlier crashes no longer count, unless it is refused for crashes one
+    /// after the other. Returns how many crashes were cleared.
     pub fn note_completed(&mut self, fingerprint: CrashFingerprint) -> u32 {
         let limit = self.settings.crash_limit;
         let Some(entry) = self.entries.get_mut(&fingerprint) else {
             return 0;
         };
-        let level = entry.level();
-        if level >= limit {
+        let weight = entry.weight();
+        if entry.level() >= limit {
             return 0;
         }
         entry.cleared = entry.crashes;
-        level
+        if !entry.ends.is_empty() {
+            entry.ends.clear();
+            entry.limit_at = None;
+        }
+        weight
     }
 
     /// Adds what another router knows. Returns whether any of it is new.
@@ -221,11 +261,16 @@
         let has_crashed = evidence.crashes > entry.crashes;
         if has_crashed {
             merged.crashes = evidence.crashes;
-            merged.until = entry.until.max(now + left);
             merged.settled = self.crashes(evidence.fingerprint, now);
             merged.raised_at = now;
         }
-        if !has_crashed && merged.cleared == entry.cleared {
+        let has_ended = self.merge_ends(&mut merged, &evidence, now);
+        if has_crashed || has_ended || known.is_none() {
+            merged.until = entry.until.max(now + left);
+        }
+        let is_cleared =
+            merged.cleared > entry.cleared || merged.ends.clears() > entry.ends.clears();
+        if !has_crashed && !has_ended && !is_cleared {
             return false;
         }
         if known.is_none() {
@@ -235,10 +280,34 @@
         true
     }
 
+    /// Merges the ends of upstreams. Returns whether there are new ones.
+    fn merge_ends(
+        &self,
+        entry: &mut SuspectEntry,
+        evidence: &CrashEvidence,
+        now: ClockMillis,
+    ) -> bool {
+        if evidence.ends.clears() > entry.ends.clears() {
+            entry.limit_at = None;
+        }
+        let has_changed = entry.ends.merge(&evidence.ends);
+        if entry.ends.len() < self.settings.crash_limit as usize {
+            entry.limit_at = None;
+        } else if entry.limit_at.is_none() {
+            // Evidence is as old as the part of its retention that has passed.
+            let expires_at = now + evidence.left;
+            let found_at = expires_at
+                .as_millis()
+                .saturating_sub(self.settings.retention.as_millis());
+            entry.limit_at = Some(now.min(ClockMillis::new(found_at)));
+        }
+        has_changed && !entry.ends.is_empty()
+    }
+
     /// Returns whether the request was in flight during a recent crash and has not completed since.
     pub fn is_suspect(&self, fingerprint: CrashFingerprint, now: ClockMillis) -> bool {
         self.live(fingerprint, now)
-            .is_some_and(|entry| entry.level() > 0)
+            .is_some_and(|entry| entry.weight() > 0)
     }
 
     /// Returns the remaining time for which the request is refused, or `None` if it is not refused.
@@ -258,6 +327,7 @@
             fingerprint,
             crashes: entry.crashes,
             cleared: entry.cleared,
+            ends: entry.ends,
             left: entry.until.since(now),
         })
     }
@@ -268,12 +338,13 @@
         let new_until = now + self.settings.retention;
         for (fingerprint, entry) in self.entries.iter().rev() {
             let is_recent = new_until.since(entry.until) <= self.settings.exchange_time;
-            let is_listed = entry.level() > 1 || (entry.level() == 1 && is_recent);
+            let weight = entry.weight();
+            let is_listed = weight > 1 || (weight == 1 && is_recent);
             if is_listed && now < entry.until {
-                suspects.push((entry.level(), *fingerprint));
+                suspects.push((weight, *fingerprint));
             }
         }
-        suspects.sort_by_key(|(level, _)| std::cmp::Reverse(*level));
+        suspects.sort_by_key(|(weight, _)| std::cmp::Reverse(*weight));
         suspects.truncate(self.settings.exchange_limit);
         let suspects = suspects.into_iter();
         suspects
@@ -281,7 +352,11 @@
             .collect()
     }
 
-    fn live(&self, fingerprint: CrashFingerprint, now: ClockMillis) -> Option<&SuspectEntry> {
+    pub(crate) fn live(
+        &self,
+        fingerprint: CrashFingerprint,
+        now: ClockMillis,
+    ) -> Option<&SuspectEntry> {
         let entry = self.entries.get(&fingerprint)?;
         (now < entry.until).then_some(entry)
     }
@@ -298,7 +373,7 @@
         }
         let limit = self.settings.crash_limit;
         let mut entries = self.entries.values();
-        let position = entries.position(|entry| entry.level() < limit);
+        let position = entries.position(|entry| entry.weight() < limit);
         self.entries.shift_remove_index(position.unwrap_or(0));
     }
 }
--- a/crates/coordination/fescuetide_limits/tests/suspects.rs
+++ b/crates/coordination/fescuetide_limits/tests/suspects.rs
@@ -328,6 +328,7 @@
             fingerprint,
             crashes: CrashCount::new(crashes),
             cleared: CrashCount::new(cleared),
+            ends: EndSet::default(),
             left: SpanMillis::new(60_000),
         };
         let mut one = SuspectTable::default();
--- a/crates/process/fescuetide_gateway/src/counters.rs
+++ b/crates/process/fescuetide_gateway/src/counters.rs
@@ -104,6 +104,8 @@
     crashes_cleared => "fescuetide_crashes_cleared_total",
     /// Requests about whose crashes other gateways reported something new.
     crashes_learned => "fescuetide_crashes_learned_total",
+    /// Requests that completed here and whose crashes, found by other gateways, therefore no longer count.
+    crashes_vouched => "fescuetide_crashes_vouched_total",
     /// Appends of crash reports to the platform's log service.
     crash_reports => "fescuetide_crash_reports_total",
     /// Times that crash reports were written which the log had lost or never got.
--- a/crates/process/fescuetide_gateway/src/crash_evidence.rs
+++ b/crates/process/fescuetide_gateway/src/crash_evidence.rs
@@ -18,7 +18,7 @@
             return;
         }
         let mut has_new_refusal = false;
-        let mut has_new_crash = false;
+        let mut is_urgent = false;
         for event in events {
             has_new_refusal |= matches!(
                 event,
@@ -27,7 +27,15 @@
                     ..
                 }
             );
-            has_new_crash |= matches!(event, CrashEvent::Counted { .. });
+            is_urgent |= matches!(
+                event,
+                CrashEvent::Counted { .. }
+                    | CrashEvent::Cleared {
+                        is_urgent: true,
+                        ..
+                    }
+                    | CrashEvent::Vouched(_)
+            );
             self.log_crash_event(event);
         }
         if let Some(peers) = &self.peer_sender {
@@ -43,7 +51,7 @@
             }
         }
         let evidence = self.scheduler.take_crash_evidence(self.now);
-        self.append_reports(evidence, has_new_crash);
+        self.append_reports(evidence, is_urgent);
     }
 
     /// Reports evidence that the log lacks, although another gateway found it: the log was away or lost the report, and that
@@ -86,8 +94,9 @@
             CrashEvent::Counted { .. } => &self.counters.crashes_counted,
             CrashEvent::Coinciding { .. } => &self.counters.crashes_coinciding,
             CrashEvent::Accepting(_) => &self.counters.crash_probes_accepted,
-            CrashEvent::Cleared(_) => &self.counters.crashes_cleared,
+            CrashEvent::Cleared { .. } => &self.counters.crashes_cleared,
             CrashEvent::Learned(_) => &self.counters.crashes_learned,
+            CrashEvent::Vouched(_) => &self.counters.crashes_vouched,
         };
         count(counter);
         // All requests that were running on an upstream that crashed become known to every gateway. Those with a single
@@ -106,6 +115,7 @@
                 fingerprint = %evidence.fingerprint,
                 crashes = evidence.crashes.get(),
                 cleared = evidence.cleared.get(),
+                ends = evidence.ends.len(),
                 %upstream,
                 is_refused,
                 "crash counted"
@@ -121,7 +131,7 @@
                 %upstream,
                 "upstream accepts connections after a broken attempt"
             ),
-            CrashEvent::Cleared(evidence) => tracing::info!(
+            CrashEvent::Cleared { evidence, .. } => tracing::info!(
                 fingerprint = %evidence.fingerprint,
                 crashes = evidence.crashes.get(),
                 "crashes cleared"
@@ -130,8 +140,13 @@
                 fingerprint = %evidence.fingerprint,
                 crashes = evidence.crashes.get(),
                 cleared = evidence.cleared.get(),
+                ends = evidence.ends.len(),
                 "crashes learned"
             ),
+            CrashEvent::Vouched(evidence) => tracing::info!(
+                fingerprint = %evidence.fingerprint,
+                "crashes found elsewhere do not count, since this completed here"
+            ),
         }
     }
 }
--- a/crates/process/fescuetide_gateway/src/crash_reports.rs
+++ b/crates/process/fescuetide_gateway/src/crash_reports.rs
@@ -40,7 +40,7 @@
     Append {
         /// What it has found.
         evidence: Vec<CrashEvidence>,
-        /// Whether there is a new crash, and not only requests that completed.
+        /// Whether other gateways need it at once: there is a new crash, or a request that they would refuse completed.
         is_urgent: bool,
     },
     /// Remove the records with these keys, which have expired.
--- a/crates/process/fescuetide_gateway/src/report_appender.rs
+++ b/crates/process/fescuetide_gateway/src/report_appender.rs
@@ -172,7 +172,7 @@
         while !self.pending.is_empty() {
             let mut records = Vec::new();
             for (key, record) in self.pending.iter().take(APPEND_LIMIT) {
-                let value = record.map(|record| codec::encode(&record)).transpose();
+                let value = record.as_ref().map(codec::encode).transpose();
                 let value = value.map_err(CallError::Unencodable)?;
                 let key = key.clone();
                 records.push(LogRecord { key, value });
--- a/crates/protocol/fescuetide_wire/src/crash.rs
+++ b/crates/protocol/fescuetide_wire/src/crash.rs
@@ -7,17 +7,24 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::rpc::ends_from_wire;
+use crate::rpc::ends_to_wire;
+
 /// Separates the fingerprint from the name of the reporting gateway in a record's key.
 const KEY_SEPARATOR: char = '/';
 
 /// The value of a crash report: what one gateway knows about a request that was running on upstreams that crashed. The
 /// record's key has the fingerprint of the request and the gateway.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashRecord {
     /// The crashes so far, counted as [`CrashCount`] says.
     pub crashes: u32,
     /// How many of the crashes do not count, because the request completed after them.
     pub cleared: u32,
+    /// Number of times that the request completed after upstreams ended under it.
+    pub clears: u32,
+    /// The ids of the upstreams' lives that ended since then.
+    pub ends: Vec<u32>,
     /// When the report expires, in milliseconds since the Unix epoch. It is kept for minutes, so that it does not matter
     /// that the clocks of gateways differ by seconds.
     pub until_ms: u64,
@@ -29,6 +36,8 @@
         Self {
             crashes: evidence.crashes.get(),
             cleared: evidence.cleared.get(),
+            clears: evidence.ends.clears(),
+            ends: ends_to_wire(&evidence.ends),
             until_ms: (now + evidence.left).as_millis(),
         }
     }
@@ -56,6 +65,7 @@
             fingerprint,
             crashes: CrashCount::new(self.crashes),
             cleared: CrashCount::new(self.cleared),
+            ends: ends_from_wire(self.clears, &self.ends),
             left: until.since(now),
         })
     }
--- a/crates/protocol/fescuetide_wire/src/rpc.rs
+++ b/crates/protocol/fescuetide_wire/src/rpc.rs
@@ -13,6 +13,8 @@
 use fescuetide_limits::CrashCount;
 use fescuetide_limits::CrashEvidence;
 use fescuetide_limits::CrashFingerprint;
+use fescuetide_limits::EndSet;
+use fescuetide_limits::UpstreamLife;
 use fescuetide_summary::PoolSum;
 use fescuetide_summary::UpstreamReport;
 use serde::Deserialize;
@@ -86,7 +88,7 @@
 }
 
 /// What a router or gateway knows about a request that was running on upstreams that crashed.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct EvidenceWire {
     /// The fingerprint (hash) of the workspace and the request body.
     pub print: [u8; 16],
@@ -94,16 +96,31 @@
     pub crashes: u32,
     /// How many of the crashes do not count, because the request completed after them.
     pub cleared: u32,
+    /// Number of times that the request completed after upstreams ended under it.
+    pub clears: u32,
+    /// The ids of the upstreams' lives that ended since then.
+    pub ends: Vec<u32>,
     /// The remaining time for which this is kept, in milliseconds. Relative, because clocks differ between VMs.
     pub left_ms: u32,
 }
 
+pub(crate) fn ends_to_wire(ends: &EndSet) -> Vec<u32> {
+    let lives = ends.lives().iter();
+    lives.map(|life| life.get()).collect()
+}
+
+pub(crate) fn ends_from_wire(clears: u32, lives: &[u32]) -> EndSet {
+    EndSet::new(clears, lives.iter().copied().map(UpstreamLife::new))
+}
+
 impl From<CrashEvidence> for EvidenceWire {
     fn from(evidence: CrashEvidence) -> Self {
         Self {
             print: evidence.fingerprint.to_bytes(),
             crashes: evidence.crashes.get(),
             cleared: evidence.cleared.get(),
+            clears: evidence.ends.clears(),
+            ends: ends_to_wire(&evidence.ends),
             left_ms: u32::try_from(evidence.left.as_millis()).unwrap_or(u32::MAX),
         }
     }
@@ -115,6 +132,7 @@
             fingerprint: CrashFingerprint::from_bytes(wire.print),
             crashes: CrashCount::new(wire.crashes),
             cleared: CrashCount::new(wire.cleared),
+            ends: ends_from_wire(wire.clears, &wire.ends),
             left: SpanMillis::new(wire.left_ms.into()),
         }
     }
