Do not take the close of a connection for a proof that the upstream survived

An answer may have neither a length nor chunks and end with its channel. If the upstream crashes between two events of such a stream, it looks complete: it cleared the request and the parts of its prompt, so the part that crashed the upstream was never refused.

Change: the response is relayed as before, but it clears nothing until the upstream gives a sign of life in a later attempt. No probe is sent for it, since some upstreams end all their responses in this way.

Two tests of the state machine guard both directions.

--- a/crates/coordination/fescuetide_flow/src/action.rs
+++ b/crates/coordination/fescuetide_flow/src/action.rs
@@ -87,12 +87,37 @@
         /// The load that the response reports.
         load: Option<LoadReport>,
     },
+    /// A response without a length ended with its connection. For the caller it is complete, but the upstream may have gone
+    /// down in the middle of it.
+    EndedByClose {
+        /// The status of the response.
+        status: u16,
+        /// The load that the response reports.
+        load: Option<LoadReport>,
+    },
     /// The upstream reports that it did not run the request.
     Declined(DeclineCause, Option<LoadReport>),
     /// The attempt ended without a complete response.
     Broken(BreakCause),
 }
 
+impl AttemptEvent {
+    /// Whether the upstream was up when it caused the event.
+    pub(crate) fn shows_life(&self) -> bool {
+        match self {
+            Self::StreamStarted(_)
+            | Self::StreamProgress
+            | Self::Completed { .. }
+            | Self::Declined(DeclineCause::Full, _) => true,
+            Self::Sent
+            | Self::Announced(_)
+            | Self::EndedByClose { .. }
+            | Self::Declined(DeclineCause::Misdirected, _)
+            | Self::Broken(_) => false,
+        }
+    }
+}
+
 /// The result of a [`FlowAction::Probe`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProbeOutcome {
--- a/crates/coordination/fescuetide_flow/src/crash.rs
+++ b/crates/coordination/fescuetide_flow/src/crash.rs
@@ -19,6 +19,7 @@
 
 use crate::WorkRequest;
 
+pub(crate) use broken::AttemptDoubt;
 pub(crate) use broken::BrokenAttempts;
 pub(crate) use broken::CrashRun;
 pub use event::CrashEvent;
@@ -108,7 +109,20 @@
     /// Records an attempt that broke or went silent after the upstream may have started to run it. Returns whether this is
     /// new, so that the upstream may have gone down just now.
     pub(crate) fn note_broken(&mut self, vm: &VmName, run: CrashRun, now: ClockMillis) -> bool {
-        self.broken.note(vm, run, now)
+        self.broken.note(vm, run, AttemptDoubt::Break, now)
+    }
+
+    /// Records an attempt whose response ended with its connection. It is in doubt until the upstream gives a sign of life.
+    pub(crate) fn note_unconfirmed(&mut self, vm: &VmName, run: CrashRun, now: ClockMillis) {
+        self.broken.note(vm, run, AttemptDoubt::Completion, now);
+    }
+
+    /// Records a sign of life of an upstream in an attempt that started at `started_at`: it has survived the responses that
+    /// ended before.
+    pub(crate) fn note_alive(&mut self, vm: &VmName, started_at: ClockMillis, now: ClockMillis) {
+        for run in self.broken.take_confirmed(vm, started_at) {
+            self.note_sound(run.fingerprint, &run.parts, now);
+        }
     }
 
     /// Records that an upstream left the list or has a new incarnation. Later broken attempts there belong to
@@ -227,9 +241,19 @@
     /// attempt was silent before, its upstream did not go down.
     pub(crate) fn note_completed(&mut self, vm: &VmName, request: &WorkRequest, now: ClockMillis) {
         self.broken.remove_completed(vm, request.fingerprint);
-        self.completions.note(request.fingerprint, now);
-        self.clear(request.fingerprint, now);
-        for part in request.part_fingerprints.iter() {
+        self.note_sound(request.fingerprint, &request.part_fingerprints, now);
+    }
+
+    /// Clears a request and the parts of its prompt, under which an upstream did not go down.
+    fn note_sound(
+        &mut self,
+        fingerprint: CrashFingerprint,
+        parts: &[CrashFingerprint],
+        now: ClockMillis,
+    ) {
+        self.completions.note(fingerprint, now);
+        self.clear(fingerprint, now);
+        for part in parts {
             self.part_completions.note(*part, now);
             self.clear(*part, now);
         }
--- a/crates/coordination/fescuetide_flow/src/crash/broken.rs
+++ b/crates/coordination/fescuetide_flow/src/crash/broken.rs
@@ -1,4 +1,4 @@
-//! Attempts that broke, until it is known whether their upstreams went down.
+//! Attempts that ended in doubt, until it is known whether their upstreams went down.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -32,11 +32,21 @@
     pub(crate) heard_at: ClockMillis,
 }
 
-/// An attempt that broke and whose upstream may be down.
+/// Why an attempt is in doubt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AttemptDoubt {
+    /// It broke or is silent.
+    Break,
+    /// Its response ended with the connection. If the upstream is up, the request has completed.
+    Completion,
+}
+
+/// An attempt that ended in doubt and whose upstream may be down.
 #[derive(Clone, Debug)]
 struct BrokenAttempt {
     vm: VmName,
     run: CrashRun,
+    doubt: AttemptDoubt,
     at: ClockMillis,
     /// Whether the crash of its upstream has been handled.
     is_handled: bool,
@@ -48,16 +58,22 @@
     }
 }
 
-/// The attempts that broke recently, oldest first.
+/// The attempts that ended in doubt recently, oldest first.
 #[derive(Debug, Default)]
 pub(crate) struct BrokenAttempts {
     attempts: VecDeque<BrokenAttempt>,
 }
 
 impl BrokenAttempts {
-    /// Adds an attempt that broke or went silent. Returns whether this is new, so that the upstream may have gone down just
+    /// Adds an attempt that ended in doubt. Returns whether this is new, so that the upstream may have gone down just
     /// now.
-    pub(crate) fn note(&mut self, vm: &VmName, run: CrashRun, now: ClockMillis) -> bool {
+    pub(crate) fn note(
+        &mut self,
+        vm: &VmName,
+        run: CrashRun,
+        doubt: AttemptDoubt,
+        now: ClockMillis,
+    ) -> bool {
         self.attempts
             .retain(|attempt| now.since(attempt.at) <= CRASH_WINDOW);
         if self.attempts.len() >= ATTEMPT_LIMIT {
@@ -77,6 +93,7 @@
         self.attempts.push_back(BrokenAttempt {
             vm: vm.clone(),
             run,
+            doubt,
             at: now,
             is_handled: false,
         });
@@ -123,4 +140,22 @@
         }
         runs
     }
+
+    /// Removes and returns the runs that have completed, since their upstream gave a sign of life in an attempt that started
+    /// later.
+    pub(crate) fn take_confirmed(&mut self, vm: &VmName, started_at: ClockMillis) -> Vec<CrashRun> {
+        let is_confirmed = |attempt: &BrokenAttempt| {
+            attempt.doubt == AttemptDoubt::Completion
+                && !attempt.is_handled
+                && attempt.vm == *vm
+                && attempt.at < started_at
+        };
+        let attempts = self.attempts.iter();
+        let confirmed = attempts.filter(|attempt| is_confirmed(attempt));
+        let runs: Vec<CrashRun> = confirmed.map(|attempt| attempt.run.clone()).collect();
+        if !runs.is_empty() {
+            self.attempts.retain(|attempt| !is_confirmed(attempt));
+        }
+        runs
+    }
 }
--- a/crates/coordination/fescuetide_flow/src/scheduler.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler.rs
@@ -21,7 +21,6 @@
 use indexmap::IndexSet;
 
 use crate::AttemptEvent;
-use crate::BreakCause;
 use crate::FlowAction;
 use crate::FlowKey;
 use crate::FlowNotice;
@@ -37,6 +36,7 @@
 use crate::pool::PoolState;
 use crate::pool::UpstreamConditions;
 use crate::scheduler::loads::ReportSource;
+use crate::scheduler::retrying::EndProof;
 use crate::share::TrafficShare;
 
 pub use loads::LOAD_DIGEST_LIMIT;
@@ -227,6 +227,9 @@
         };
         let (pool, vm) = (attempt.pool.clone(), attempt.vm.clone());
         let incarnation = attempt.incarnation;
+        if event.shows_life() {
+            self.crashes.note_alive(&vm, attempt.started_at, now);
+        }
         match event {
             AttemptEvent::Sent => {
                 if !attempt.is_sent {
@@ -253,16 +256,14 @@
                 self.note_data(&pool, &vm, now);
             }
             AttemptEvent::Completed { status, load } => {
-                let is_started = attempt.last_data_at.is_some();
-                let breaks_stream = flow.is_relayed && !is_started;
                 self.note_data(&pool, &vm, now);
                 self.note_report(&pool, &vm, load, ReportSource::Response, now);
-                if breaks_stream {
-                    // The caller has received part of a stream, which only another stream can continue.
-                    self.break_attempt(key, &vm, BreakCause::Garbled, now);
-                } else {
-                    self.complete(key, &vm, status, now);
-                }
+                self.note_whole_response(key, &vm, status, EndProof::Framing, now);
+            }
+            AttemptEvent::EndedByClose { status, load } => {
+                self.note_data(&pool, &vm, now);
+                self.note_report(&pool, &vm, load, ReportSource::Response, now);
+                self.note_whole_response(key, &vm, status, EndProof::Close, now);
             }
             AttemptEvent::Declined(cause, load) => {
                 self.note_data(&pool, &vm, now);
--- a/crates/coordination/fescuetide_flow/src/scheduler/crashes.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/crashes.rs
@@ -101,6 +101,19 @@
         }
     }
 
+    /// Records that a response ended with its connection, so that its upstream may have gone down just then. It is not probed,
+    /// since some upstreams end all responses in this way: other requests or the list of upstreams show it.
+    pub(super) fn note_unconfirmed(&mut self, key: FlowKey, now: ClockMillis) {
+        let Some(flow) = self.flows.get(&key) else {
+            return;
+        };
+        let Some(attempt) = flow.attempt() else {
+            return;
+        };
+        let run = attempt.crash_run(&flow.request, now);
+        self.crashes.note_unconfirmed(&attempt.vm, run, now);
+    }
+
     /// Whether the attempt of a suspect has had no data for so long that its upstream may have gone down.
     pub(super) fn is_suspect_silent(&self, flow: &RequestFlow, now: ClockMillis) -> bool {
         let is_quiet = flow.attempt().is_some_and(|attempt| is_quiet(attempt, now));
--- a/crates/coordination/fescuetide_flow/src/scheduler/retrying.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/retrying.rs
@@ -15,20 +15,65 @@
 use crate::flow::RequestFlow;
 use crate::timing;
 
+/// What shows that a response is whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum EndProof {
+    /// Its length, or its last chunk.
+    Framing,
+    /// Only that its connection was closed, which a crash of the upstream does as well.
+    Close,
+}
+
 impl RequestScheduler {
-    pub(super) fn complete(&mut self, key: FlowKey, vm: &VmName, status: u16, now: ClockMillis) {
+    /// Handles a response that is whole, as far as `proof` says.
+    pub(super) fn note_whole_response(
+        &mut self,
+        key: FlowKey,
+        vm: &VmName,
+        status: u16,
+        proof: EndProof,
+        now: ClockMillis,
+    ) {
+        let breaks_stream = self.flows.get(&key).is_some_and(|flow| {
+            let is_started = flow
+                .attempt()
+                .is_some_and(|attempt| attempt.last_data_at.is_some());
+            flow.is_relayed && !is_started
+        });
+        if breaks_stream {
+            // The caller has received part of a stream, which only another stream can continue.
+            self.break_attempt(key, vm, BreakCause::Garbled, now);
+            return;
+        }
+        self.complete(key, vm, status, proof, now);
+    }
+
+    fn complete(
+        &mut self,
+        key: FlowKey,
+        vm: &VmName,
+        status: u16,
+        proof: EndProof,
+        now: ClockMillis,
+    ) {
         let is_failure = status >= 500;
         if is_failure {
             self.outcomes.note_failure(vm);
         } else {
             self.outcomes.note_success(vm);
         }
-        let flow = &mut self.flows[&key];
-        flow.may_have_run = true;
+        self.flows[&key].may_have_run = true;
         // An error may come from an upstream that did not get as far as to crash.
         if status < 400 {
-            self.crashes.note_completed(vm, &flow.request, now);
+            match proof {
+                EndProof::Framing => {
+                    let request = &self.flows[&key].request;
+                    self.crashes.note_completed(vm, request, now);
+                }
+                EndProof::Close => self.note_unconfirmed(key, now),
+            }
         }
+        let flow = &self.flows[&key];
         // Once the head of a stream was relayed, an error response must not trigger a retry.
         let retries = is_failure && flow.request.kind.is_repeatable() && !flow.is_relayed;
         if retries && self.take_retry(key) {
--- a/crates/coordination/fescuetide_flow/tests/flow/crash_detection.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/crash_detection.rs
@@ -259,3 +259,50 @@
     assert!(matches!(second, CrashEvent::Counted { upstream, .. } if *upstream == attempts[0].1));
     assert!(matches!(third, CrashEvent::Coinciding { upstream, .. } if *upstream == attempts[1].1));
 }
+
+impl SchedulerHarness {
+    /// Sends a request whose response ends with its connection. Returns the upstream.
+    fn end_by_close(&mut self, content: &[u8]) -> VmName {
+        let key = self.arrive_later(content);
+        let upstream = self.expect_send(key).upstream;
+        self.note(key, AttemptEvent::Sent);
+        let event = AttemptEvent::EndedByClose {
+            status: 200,
+            load: None,
+        };
+        self.note(key, event);
+        assert_eq!(self.next(), Some(FlowAction::Relay(key)));
+        upstream
+    }
+}
+
+/// Guards against a crash that looks like a complete response, since the response has no length.
+#[test]
+fn response_that_ends_with_the_connection_counts_if_its_upstream_is_down() {
+    let mut harness = SchedulerHarness::with_upstreams(6);
+    for _ in 0..3 {
+        let upstream = harness.end_by_close(b"crashing");
+        harness.detect_down(&upstream);
+    }
+    let key = harness.arrive_later(b"crashing");
+    harness.expect_refused(key);
+}
+
+/// Guards against refusing a request of a service that ends all responses with the connection, once its upstreams leave.
+#[test]
+fn response_that_ends_with_the_connection_completes_if_its_upstream_lives_on() {
+    let mut harness = SchedulerHarness::with_upstreams(1);
+    for incarnation in 2..8 {
+        harness.end_by_close(b"sound");
+        let key = harness.arrive_later(b"other");
+        harness.expect_send(key);
+        harness.complete(key);
+        let entry = fescuetide_fleet::UpstreamEntry {
+            incarnation: ProcessIncarnation::new(incarnation),
+            ..crate::harness::upstream("vm-0", 8)
+        };
+        harness.scheduler.set_upstreams(&[entry], harness.now);
+    }
+    let key = harness.arrive_later(b"sound");
+    harness.expect_send(key);
+}
--- a/crates/process/fescuetide_gateway/src/upstream_responses.rs
+++ b/crates/process/fescuetide_gateway/src/upstream_responses.rs
@@ -51,6 +51,14 @@
     (100..200).contains(&head.status())
 }
 
+/// The result of an attempt whose response ended with its connection.
+fn ended_by_close(event: AttemptEvent) -> AttemptEvent {
+    match event {
+        AttemptEvent::Completed { status, load } => AttemptEvent::EndedByClose { status, load },
+        other => other,
+    }
+}
+
 impl<C: HttpCodec> TrafficLoop<C> {
     /// Handles a connection that the upstream closed, or that has failed with `error`.
     pub(crate) fn handle_upstream_close(&mut self, token: usize, error: Option<io::ErrorKind>) {
@@ -76,11 +84,11 @@
             .is_some_and(|exchange| exchange.event_splitter.has_partial());
         let ends = |decoder: &BodyDecoder| decoder.ends_with_close() && error.is_none();
         let event = match response {
-            ResponseState::Buffering(buffered) if ends(&buffered.decoder) => {
-                validation::classify_response(&buffered.head, &buffered.fields)
-            }
+            ResponseState::Buffering(buffered) if ends(&buffered.decoder) => ended_by_close(
+                validation::classify_response(&buffered.head, &buffered.fields),
+            ),
             ResponseState::Streaming { decoder, .. } if ends(decoder) && !is_cut => {
-                AttemptEvent::Completed {
+                AttemptEvent::EndedByClose {
                     status: 200,
                     load: None,
                 }
@@ -334,9 +342,11 @@
         self.log_attempt_end(key, &event);
         if let Some(exchange) = self.exchanges.get_mut(&key) {
             exchange.upstream = None;
-            if let (AttemptEvent::Completed { .. }, ResponseState::Buffering(buffered)) =
-                (&event, response)
-            {
+            let is_complete = matches!(
+                event,
+                AttemptEvent::Completed { .. } | AttemptEvent::EndedByClose { .. }
+            );
+            if let (true, ResponseState::Buffering(buffered)) = (is_complete, response) {
                 exchange.response = Some(*buffered);
             }
         }
