--- a/crates/coordination/fescuetide_flow/tests/flow/fleet.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/fleet.rs
@@ -2,6 +2,9 @@
 //! request that many callers send. Gateways restart and are cut off from the log, upstreams also go down for other reasons,
 //! and evidence is delayed.
 
+mod plan;
+mod upstreams;
+
 use std::collections::BTreeMap;
 
 use fescuetide_base::prelude::*;
@@ -22,6 +25,10 @@
 use fescuetide_limits::CrashEvidence;
 use fescuetide_limits::CrashFingerprint;
 
+pub(crate) use plan::CrashTraffic;
+pub(crate) use plan::DownKind;
+pub(crate) use plan::FleetPlan;
+
 use crate::harness::route;
 use crate::harness::upstream;
 
@@ -63,73 +70,6 @@
     is_crashing: bool,
 }
 
-/// How an upstream goes down.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) enum DownKind {
-    /// Its connections break, and new ones are refused.
-    #[default]
-    Crashed,
-    /// It does not answer any more.
-    Dark,
-}
-
-/// How the crashing request comes.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) enum CrashTraffic {
-    /// To one gateway at a time.
-    #[default]
-    Single,
-    /// To all gateways at once.
-    Series,
-    /// No two alike, with a part of their prompts that crashes upstreams, before or after the one that harmless requests have.
-    Part { is_first: bool },
-}
-
-impl CrashTraffic {
-    /// Number of crashes from which the sends are limited.
-    fn crash_limit(self) -> u32 {
-        match self {
-            Self::Single | Self::Series => 3,
-            Self::Part { .. } => 5,
-        }
-    }
-
-    /// The prompt parts of requests. The last one is their own.
-    fn parts(self, is_crashing: bool) -> &'static [u64] {
-        match (self, is_crashing) {
-            (Self::Single | Self::Series, _) => &[],
-            (Self::Part { .. }, false) => &[1, 2, 100],
-            (Self::Part { is_first: true }, true) => &[66, 2, 101],
-            (Self::Part { is_first: false }, true) => &[1, 66, 101],
-        }
-    }
-}
-
-/// What is simulated.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct FleetPlan {
-    pub(crate) seed: u64,
-    pub(crate) gateways: usize,
-    pub(crate) upstreams: usize,
-    pub(crate) down_kind: DownKind,
-    pub(crate) traffic: CrashTraffic,
-    /// Whether all upstreams go down together at times.
-    pub(crate) has_pool_outages: bool,
-}
-
-impl Default for FleetPlan {
-    fn default() -> Self {
-        Self {
-            seed: 0,
-            gateways: 4,
-            upstreams: 12,
-            down_kind: DownKind::default(),
-            traffic: CrashTraffic::default(),
-            has_pool_outages: false,
-        }
-    }
-}
-
 #[derive(Debug, Default)]
 struct SimulatedUpstream {
     running: Vec<RunningRequest>,
@@ -319,28 +259,6 @@
         self.act(gateway);
     }
 
-    /// Starts the next life of each upstream whose downtime is over.
-    fn start_lives(&mut self) {
-        let mut has_started = false;
-        for upstream in &mut self.upstreams {
-            if !upstream.is_down || self.now < upstream.down_until {
-                continue;
-            }
-            upstream.is_down = false;
-            upstream.lives += 1;
-            has_started = true;
-        }
-        if !has_started {
-            return;
-        }
-        let entries = entries_of(&self.upstreams);
-        for gateway in 0..self.gateways.len() {
-            let scheduler = &mut self.gateways[gateway].scheduler;
-            scheduler.set_upstreams(&entries, self.now);
-            self.act(gateway);
-        }
-    }
-
     /// Restarts a gateway, cuts one off from the log, or takes several upstreams down at once.
     fn disturb(&mut self) {
         if self.chance(2) {
@@ -381,89 +299,6 @@
         self.drop_delayed(gateway, None);
     }
 
-    fn take_down(&mut self, index: usize) {
-        let length = 500 + self.random.below(3_000);
-        let upstream = &mut self.upstreams[index];
-        upstream.down_until = self.now + SpanMillis::new(length);
-        upstream.is_down = true;
-        let running = std::mem::take(&mut upstream.running);
-        if running.iter().any(|run| run.is_crashing) {
-            self.crashes += 1;
-            if self.crashes == self.plan.traffic.crash_limit() {
-                self.limit_crash_at = Some(self.now);
-            }
-        }
-        for run in running {
-            let cause = BreakCause::Closed;
-            match self.plan.down_kind {
-                DownKind::Crashed => self.note(run.gateway, run.key, AttemptEvent::Broken(cause)),
-                DownKind::Dark => {
-                    let span = DARK_BREAK_MS.end - DARK_BREAK_MS.start;
-                    let delay = SpanMillis::new(DARK_BREAK_MS.start + self.random.below(span));
-                    self.delay(delay, DelayedEvent::Attempt(run.gateway, run.key, cause));
-                }
-            }
-        }
-    }
-
-    fn delay(&mut self, delay: SpanMillis, event: DelayedEvent) {
-        self.delayed.push((self.now + delay, event));
-    }
-
-    fn deliver_delayed(&mut self) {
-        let now = self.now;
-        for (at, event) in std::mem::take(&mut self.delayed) {
-            if at > now {
-                self.delayed.push((at, event));
-                continue;
-            }
-            match event {
-                DelayedEvent::Attempt(gateway, key, cause) => {
-                    self.note(gateway, key, AttemptEvent::Broken(cause));
-                }
-                DelayedEvent::Probe(gateway, vm) => {
-                    let scheduler = &mut self.gateways[gateway].scheduler;
-                    scheduler.note_probe(&vm, ProbeOutcome::NotConnected, now);
-                }
-            }
-        }
-    }
-
-    /// Drops what a gateway, or one of its requests, does not notice any more.
-    fn drop_delayed(&mut self, gateway: usize, key: Option<FlowKey>) {
-        self.delayed.retain(|(_, event)| match event {
-            DelayedEvent::Attempt(owner, other, _) => {
-                *owner != gateway || key.is_some_and(|key| key != *other)
-            }
-            DelayedEvent::Probe(owner, _) => *owner != gateway || key.is_some(),
-        });
-    }
-
-    fn end_runs(&mut self) {
-        for index in 0..self.upstreams.len() {
-            let runs = &self.upstreams[index].running;
-            let due: Vec<RunningRequest> = runs
-                .iter()
-                .filter(|run| run.ends_at <= self.now)
-                .copied()
-                .collect();
-            if due.iter().any(|run| run.is_crashing) {
-                self.take_down(index);
-                continue;
-            }
-            self.upstreams[index]
-                .running
-                .retain(|run| run.ends_at > self.now);
-            for run in due {
-                let event = AttemptEvent::Completed {
-                    status: 200,
-                    load: None,
-                };
-                self.note(run.gateway, run.key, event);
-            }
-        }
-    }
-
     fn note(&mut self, gateway: usize, key: FlowKey, event: AttemptEvent) {
         let scheduler = &mut self.gateways[gateway].scheduler;
         scheduler.note_attempt(key, event, self.now);
@@ -514,10 +349,6 @@
         }
     }
 
-    fn is_down(&self, index: usize) -> bool {
-        self.upstreams[index].is_down
-    }
-
     fn send(&mut self, gateway: usize, key: FlowKey, index: usize) {
         let is_crashing = self.crashing_keys.get(&(gateway, key)) == Some(&true);
         if self.is_down(index) && self.plan.down_kind == DownKind::Dark {
