Do not count planned leaves as crashes of responses that end with their connection

A service that ends all responses with the connection gives no other sign of life than the next such response, which did not count as one. And an upstream that leaves some seconds after its last response counted as an end: a request that few callers send was refused after three such leaves, in a release for example.

Now a response that ends with its connection shows that the upstream was up in its attempt, and only an upstream that is down within 1 s counts.

--- a/crates/coordination/fescuetide_flow/src/action.rs
+++ b/crates/coordination/fescuetide_flow/src/action.rs
@@ -102,16 +102,16 @@
 }
 
 impl AttemptEvent {
-    /// Whether the upstream was up when it caused the event.
+    /// Whether the upstream was up at some time during the attempt.
     pub(crate) fn shows_life(&self) -> bool {
         match self {
             Self::StreamStarted(_)
             | Self::StreamProgress
             | Self::Completed { .. }
+            | Self::EndedByClose { .. }
             | Self::Declined(DeclineCause::Full, _) => true,
             Self::Sent
             | Self::Announced(_)
-            | Self::EndedByClose { .. }
             | Self::Declined(DeclineCause::Misdirected, _)
             | Self::Broken(_) => false,
         }
--- a/crates/coordination/fescuetide_flow/src/crash.rs
+++ b/crates/coordination/fescuetide_flow/src/crash.rs
@@ -113,8 +113,16 @@
     }
 
     /// Records an attempt whose response ended with its connection. It is in doubt until the upstream gives a sign of life.
-    pub(crate) fn note_unconfirmed(&mut self, vm: &VmName, run: CrashRun, now: ClockMillis) {
-        self.broken.note(vm, run, AttemptDoubt::Completion, now);
+    /// Returns whether the upstream should be probed: the prompt has a part of which no completion is known.
+    pub(crate) fn note_unconfirmed(
+        &mut self,
+        vm: &VmName,
+        run: CrashRun,
+        now: ClockMillis,
+    ) -> bool {
+        let mut parts = run.parts.iter();
+        let has_unknown = parts.any(|part| !self.part_completions.contains(*part, now));
+        self.broken.note(vm, run, AttemptDoubt::Completion, now) && has_unknown
     }
 
     /// Records a sign of life of an upstream in an attempt that started at `started_at`: it has survived the responses that
@@ -139,6 +147,7 @@
 
     /// Records that an upstream accepts connections.
     pub(crate) fn note_accepting(&mut self, vm: &VmName, now: ClockMillis) {
+        self.note_alive(vm, now, now);
         if self.pending_at(vm, now).is_some() {
             self.push_event(CrashEvent::Accepting(vm.clone()));
         }
--- a/crates/coordination/fescuetide_flow/src/crash/broken.rs
+++ b/crates/coordination/fescuetide_flow/src/crash/broken.rs
@@ -14,6 +14,10 @@
 /// the list of upstreams only expires after several seconds.
 const CRASH_WINDOW: SpanMillis = SpanMillis::new(10_000);
 
+/// The same for a response that ended with its connection. It is short, since an upstream that leaves as planned may do so some
+/// seconds after its last response.
+const COMPLETION_WINDOW: SpanMillis = SpanMillis::new(1_000);
+
 /// Maximum number of attempts that are kept.
 const ATTEMPT_LIMIT: usize = 1_024;
 
@@ -54,7 +58,11 @@
 
 impl BrokenAttempt {
     fn is_pending(&self, vm: &VmName, now: ClockMillis) -> bool {
-        self.vm == *vm && !self.is_handled && now.since(self.at) <= CRASH_WINDOW
+        let window = match self.doubt {
+            AttemptDoubt::Break => CRASH_WINDOW,
+            AttemptDoubt::Completion => COMPLETION_WINDOW,
+        };
+        self.vm == *vm && !self.is_handled && now.since(self.at) <= window
     }
 }
 
--- a/crates/coordination/fescuetide_flow/src/scheduler/crashes.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/crashes.rs
@@ -101,8 +101,8 @@
         }
     }
 
-    /// Records that a response ended with its connection, so that its upstream may have gone down just then. It is not probed,
-    /// since some upstreams end all responses in this way: other requests or the list of upstreams show it.
+    /// Records that a response ended with its connection, so that its upstream may have gone down just then. Some upstreams end
+    /// all responses in this way, so most are not probed.
     pub(super) fn note_unconfirmed(&mut self, key: FlowKey, now: ClockMillis) {
         let Some(flow) = self.flows.get(&key) else {
             return;
@@ -110,8 +110,11 @@
         let Some(attempt) = flow.attempt() else {
             return;
         };
+        let vm = attempt.vm.clone();
         let run = attempt.crash_run(&flow.request, now);
-        self.crashes.note_unconfirmed(&attempt.vm, run, now);
+        if self.crashes.note_unconfirmed(&vm, run, now) {
+            self.start_probe(vm);
+        }
     }
 
     /// Whether the attempt of a suspect has had no data for so long that its upstream may have gone down.
