--- a/crates/coordination/fescuetide_flow/tests/flow/crash.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/crash.rs
@@ -190,6 +190,42 @@
     }
 }
 
+/// Guards against refusing a request that completed at another gateway just before several upstreams went down under it.
+#[test]
+fn gateway_where_a_request_completed_clears_it_at_others() {
+    let mut gateways = new_gateways(2);
+    let key = gateways[0].arrive_with(b"popular");
+    gateways[0].expect_send(key);
+    gateways[0].complete(key);
+    let gateway = &mut gateways[1];
+    let mut attempts = Vec::new();
+    for _ in 0..3 {
+        let key = gateway.arrive_with(b"popular");
+        attempts.push((key, gateway.expect_send(key).upstream));
+        gateway.note(key, AttemptEvent::Sent);
+    }
+    for (key, _) in &attempts {
+        gateway.note(*key, AttemptEvent::Broken(BreakCause::Closed));
+        assert!(matches!(gateway.next(), Some(FlowAction::Fail(..))));
+    }
+    for (_, upstream) in &attempts {
+        gateway.detect_down(upstream);
+    }
+    share_evidence(&mut gateways, 1);
+    for is_cleared in [false, true] {
+        if is_cleared {
+            share_evidence(&mut gateways, 0);
+        }
+        let gateway = &mut gateways[1];
+        gateway.now = gateway.now + SpanMillis::new(1_000);
+        let key = gateway.arrive_with(b"popular");
+        match is_cleared {
+            true => drop(gateway.expect_send(key)),
+            false => gateway.expect_refused(key),
+        }
+    }
+}
+
 /// Guards against a request that was queued when it became known that it crashes upstreams, and is sent afterwards.
 #[test]
 fn queued_request_is_refused_when_its_crashes_become_known() {
