--- a/crates/coordination/fescuetide_flow/src/crash/event.rs
+++ b/crates/coordination/fescuetide_flow/src/crash/event.rs
@@ -45,7 +45,7 @@
         /// The upstream.
         upstream: VmName,
     },
-    /// An upstream at which attempts broke accepts connections, so that no crash is counted for now.
+    /// An upstream at which attempts broke accepts connections. A crash is counted only if the list of upstreams shows a restart.
     Accepting(VmName),
     /// The request, or one with the part, completed, so that its earlier crashes no longer count.
     Cleared {
