Check a response that follows a relayed stream in one place

complete was only called by note_whole_response, with the same five parameters. Nothing else changes; the 77 tests of the state machine pass.

--- a/crates/coordination/fescuetide_flow/src/scheduler.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler.rs
@@ -258,12 +258,12 @@
             AttemptEvent::Completed { status, load } => {
                 self.note_data(&pool, &vm, now);
                 self.note_report(&pool, &vm, load, ReportSource::Response, now);
-                self.note_whole_response(key, &vm, status, EndProof::Framing, now);
+                self.complete(key, &vm, status, EndProof::Framing, now);
             }
             AttemptEvent::EndedByClose { status, load } => {
                 self.note_data(&pool, &vm, now);
                 self.note_report(&pool, &vm, load, ReportSource::Response, now);
-                self.note_whole_response(key, &vm, status, EndProof::Close, now);
+                self.complete(key, &vm, status, EndProof::Close, now);
             }
             AttemptEvent::Declined(cause, load) => {
                 self.note_data(&pool, &vm, now);
--- a/crates/coordination/fescuetide_flow/src/scheduler/retrying.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/retrying.rs
@@ -26,7 +26,7 @@
 
 impl RequestScheduler {
     /// Handles a response that is whole, as far as `proof` says.
-    pub(super) fn note_whole_response(
+    pub(super) fn complete(
         &mut self,
         key: FlowKey,
         vm: &VmName,
@@ -34,28 +34,11 @@
         proof: EndProof,
         now: ClockMillis,
     ) {
-        let breaks_stream = self.flows.get(&key).is_some_and(|flow| {
-            let is_started = flow
-                .attempt()
-                .is_some_and(|attempt| attempt.last_data_at.is_some());
-            flow.is_relayed && !is_started
-        });
-        if breaks_stream {
+        if self.breaks_stream(key) {
             // The caller has received part of a stream, which only another stream can continue.
             self.break_attempt(key, vm, BreakCause::Garbled, now);
             return;
         }
-        self.complete(key, vm, status, proof, now);
-    }
-
-    fn complete(
-        &mut self,
-        key: FlowKey,
-        vm: &VmName,
-        status: u16,
-        proof: EndProof,
-        now: ClockMillis,
-    ) {
         let is_failure = status >= 500;
         if is_failure {
             self.outcomes.note_failure(vm);
@@ -84,6 +67,15 @@
         self.relay_and_end(key, now);
     }
 
+    /// Whether the current attempt has sent no stream although the head of one was relayed before.
+    fn breaks_stream(&self, key: FlowKey) -> bool {
+        self.flows.get(&key).is_some_and(|flow| {
+            let attempt = flow.attempt();
+            let is_started = attempt.is_some_and(|attempt| attempt.last_data_at.is_some());
+            flow.is_relayed && !is_started
+        })
+    }
+
     pub(super) fn decline(
         &mut self,
         key: FlowKey,
