Do not collect the suspects of a request that none is to blame for

The list was allocated at each try to send a request, waiting ones included, though almost no request has a suspect at the limit. What is refused stays the same; the 77 tests of the state machine pass.

--- a/crates/coordination/fescuetide_flow/src/crash.rs
+++ b/crates/coordination/fescuetide_flow/src/crash.rs
@@ -302,12 +302,18 @@
     }
 
     fn blame(&self, request: &WorkRequest, now: ClockMillis) -> Option<SpanMillis> {
-        let mut suspects = Vec::with_capacity(1 + request.part_fingerprints.len());
-        suspects.push(request.fingerprint);
-        suspects.extend_from_slice(&request.part_fingerprints);
-        let blamed = suspects.iter();
+        let parts = request.part_fingerprints.iter();
+        let suspects = std::iter::once(&request.fingerprint).chain(parts);
+        if !suspects
+            .clone()
+            .any(|suspect| self.suspects.is_at_limit(*suspect, now))
+        {
+            return None;
+        }
+        let together: Vec<CrashFingerprint> = suspects.copied().collect();
+        let blamed = together.iter();
         blamed
-            .filter_map(|suspect| self.suspects.blame(*suspect, &suspects, now))
+            .filter_map(|suspect| self.suspects.blame(*suspect, &together, now))
             .max()
     }
 
--- a/crates/coordination/fescuetide_limits/src/blame.rs
+++ b/crates/coordination/fescuetide_limits/src/blame.rs
@@ -9,6 +9,12 @@
 use crate::suspects::SuspectEntry;
 
 impl SuspectTable {
+    /// Returns whether as many upstreams ended under a suspect as the limit says, so that it may be to blame.
+    pub fn is_at_limit(&self, suspect: CrashFingerprint, now: ClockMillis) -> bool {
+        let entry = self.live(suspect, now);
+        entry.is_some_and(|entry| entry.limit_at.is_some())
+    }
+
     /// Returns the remaining time for which a suspect is blamed for the upstreams that ended under it, or `None` if it is not.
     ///
     /// Upstreams that end together do so under many requests. So a suspect has some time to complete first. An end counts only
