--- a/crates/base/fescuetide_base/src/lib.rs
+++ b/crates/base/fescuetide_base/src/lib.rs
@@ -17,6 +17,7 @@
 mod finding;
 mod hash;
 mod id;
+mod life;
 mod size;
 
 pub use apply::ApplyError;
@@ -26,6 +27,7 @@
 pub use finding::InputFinding;
 pub use hash::StableHash;
 pub use id::*;
+pub use life::UpstreamLife;
 pub use size::*;
 
 /// The most commonly used types of this crate.
@@ -35,6 +37,7 @@
     pub use crate::InputFinding;
     pub use crate::SpanMillis;
     pub use crate::StableHash;
+    pub use crate::UpstreamLife;
     pub use crate::id::*;
     pub use crate::size::*;
 }
--- a/crates/coordination/fescuetide_flow/src/crash/broken.rs
+++ b/crates/coordination/fescuetide_flow/src/crash/broken.rs
@@ -5,10 +5,10 @@
 
 use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
+use fescuetide_base::UpstreamLife;
 use fescuetide_base::VmName;
 use fescuetide_limits::CrashCount;
 use fescuetide_limits::CrashFingerprint;
-use fescuetide_limits::UpstreamLife;
 
 /// Maximum time between a broken attempt and the detection that its upstream is down. A crashed upstream's entry in
 /// the list of upstreams only expires after several seconds.
--- a/crates/coordination/fescuetide_flow/src/flow.rs
+++ b/crates/coordination/fescuetide_flow/src/flow.rs
@@ -5,9 +5,9 @@
 use fescuetide_base::ClockMillis;
 use fescuetide_base::PoolName;
 use fescuetide_base::ProcessIncarnation;
+use fescuetide_base::UpstreamLife;
 use fescuetide_base::VmName;
 use fescuetide_limits::CrashCount;
-use fescuetide_limits::UpstreamLife;
 
 use crate::NotRunEvidence;
 use crate::WorkRequest;
--- a/crates/coordination/fescuetide_flow/src/lib.rs
+++ b/crates/coordination/fescuetide_flow/src/lib.rs
@@ -67,7 +67,6 @@
 pub use evidence::NotRunEvidence;
 pub use evidence::RefusalCause;
 pub use load::LoadEntry;
-pub use load::LoadKey;
 pub use load::LoadReport;
 pub use notice::FlowNotice;
 pub use prompt::PromptPart;
--- a/crates/coordination/fescuetide_flow/src/load.rs
+++ b/crates/coordination/fescuetide_flow/src/load.rs
@@ -3,10 +3,8 @@
 use std::collections::VecDeque;
 
 use fescuetide_base::ClockMillis;
-use fescuetide_base::ProcessIncarnation;
 use fescuetide_base::SpanMillis;
-use fescuetide_base::StableHash;
-use fescuetide_base::VmName;
+use fescuetide_base::UpstreamLife;
 
 /// How long a load report remains valid.
 const REPORT_WINDOW: SpanMillis = SpanMillis::new(1_500);
@@ -37,26 +35,11 @@
     }
 }
 
-/// Identifies one incarnation of an upstream in load digests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct LoadKey(pub u32);
-
-impl LoadKey {
-    /// The key of an incarnation of the upstream at `vm`.
-    pub fn new(vm: &VmName, incarnation: ProcessIncarnation) -> Self {
-        let hash = StableHash::new()
-            .field(vm.as_str().as_bytes())
-            .field(&incarnation.get().to_le_bytes())
-            .finish();
-        Self(hash as u32)
-    }
-}
-
 /// One entry of a load digest: the load that an upstream reported to some gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoadEntry {
     /// The upstream.
-    pub key: LoadKey,
+    pub key: UpstreamLife,
     /// Running and queued requests of all gateways.
     pub load: u32,
     /// Time since the upstream reported it.
--- a/crates/coordination/fescuetide_flow/src/pool.rs
+++ b/crates/coordination/fescuetide_flow/src/pool.rs
@@ -2,6 +2,7 @@
 
 use fescuetide_base::ClockMillis;
 use fescuetide_base::StableHash;
+use fescuetide_base::UpstreamLife;
 use fescuetide_base::VmName;
 use fescuetide_fleet::UpstreamEntry;
 use fescuetide_fleet::UpstreamState;
@@ -9,7 +10,6 @@
 use indexmap::IndexMap;
 
 use crate::LoadEntry;
-use crate::LoadKey;
 use crate::LoadReport;
 use crate::announcements::AnnouncementTable;
 use crate::demand::DemandTable;
@@ -28,7 +28,7 @@
 pub(crate) struct PoolUpstream {
     entry: UpstreamEntry,
     hash: u64,
-    key: LoadKey,
+    key: UpstreamLife,
     load: UpstreamLoad,
     last_data_at: ClockMillis,
     discovered_at: ClockMillis,
@@ -38,7 +38,7 @@
     fn new(entry: UpstreamEntry, now: ClockMillis) -> Self {
         Self {
             hash: StableHash::hash_bytes(entry.name.as_str().as_bytes()),
-            key: LoadKey::new(&entry.name, entry.incarnation),
+            key: UpstreamLife::of(&entry.name, entry.incarnation),
             entry,
             load: UpstreamLoad::default(),
             last_data_at: ClockMillis::default(),
@@ -95,7 +95,7 @@
 pub(crate) struct PoolState {
     upstreams: IndexMap<VmName, PoolUpstream>,
     /// The upstreams by their keys in load digests.
-    names: IndexMap<LoadKey, VmName>,
+    names: IndexMap<UpstreamLife, VmName>,
     demand: DemandTable,
     pub(crate) waiting: WaitingQueue,
     pub(crate) budget: RetryBudget,
@@ -283,7 +283,7 @@
     }
 
     /// Records that a digest with the last report of an upstream is sent.
-    pub(crate) fn note_shared(&mut self, key: LoadKey) {
+    pub(crate) fn note_shared(&mut self, key: UpstreamLife) {
         let Some(name) = self.names.get(&key) else {
             return;
         };
--- a/crates/coordination/fescuetide_flow/tests/flow/load_digest.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/load_digest.rs
@@ -5,13 +5,13 @@
 use fescuetide_base::ClockMillis;
 use fescuetide_base::ProcessIncarnation;
 use fescuetide_base::SpanMillis;
+use fescuetide_base::UpstreamLife;
 use fescuetide_fleet::WorkKind;
 use fescuetide_flow::AttemptEvent;
 use fescuetide_flow::FlowAction;
 use fescuetide_flow::FlowNotice;
 use fescuetide_flow::FlowSettings;
 use fescuetide_flow::LoadEntry;
-use fescuetide_flow::LoadKey;
 use fescuetide_flow::LoadReport;
 use fescuetide_flow::RequestScheduler;
 use fescuetide_flow::SendCommand;
@@ -24,7 +24,7 @@
 fn entry(index: usize, load: u32, age_ms: u64) -> LoadEntry {
     let vm = format!("vm-{index}").parse().unwrap();
     LoadEntry {
-        key: LoadKey::new(&vm, ProcessIncarnation::new(1)),
+        key: UpstreamLife::of(&vm, ProcessIncarnation::new(1)),
         load,
         age: SpanMillis::new(age_ms),
     }
@@ -104,7 +104,7 @@
     report(&mut harness, 1_000_000);
     let vm = "vm-0".parse().unwrap();
     let earlier = LoadEntry {
-        key: LoadKey::new(&vm, ProcessIncarnation::new(7)),
+        key: UpstreamLife::of(&vm, ProcessIncarnation::new(7)),
         ..entry(0, 6, 0)
     };
     harness.advance(20);
--- a/crates/coordination/fescuetide_limits/src/blame.rs
+++ b/crates/coordination/fescuetide_limits/src/blame.rs
@@ -2,10 +2,10 @@
 
 use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
+use fescuetide_base::UpstreamLife;
 
 use crate::CrashFingerprint;
 use crate::SuspectTable;
-use crate::UpstreamLife;
 use crate::suspects::SuspectEntry;
 
 impl SuspectTable {
--- a/crates/coordination/fescuetide_limits/src/ends.rs
+++ b/crates/coordination/fescuetide_limits/src/ends.rs
@@ -1,54 +1,10 @@
 //! Upstreams that ended under a suspect.
 
-use std::fmt;
-use std::num::ParseIntError;
-use std::str::FromStr;
-
-use fescuetide_base::ProcessIncarnation;
-use fescuetide_base::StableHash;
-use fescuetide_base::VmName;
+use fescuetide_base::UpstreamLife;
 
 /// Maximum number of lives in an [`EndSet`].
 pub const END_LIMIT: usize = 12;
 
-/// One life of an upstream, from its start to its end.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct UpstreamLife(u32);
-
-impl UpstreamLife {
-    /// Creates the id from its number.
-    pub const fn new(id: u32) -> Self {
-        Self(id)
-    }
-
-    /// Returns the number.
-    pub const fn get(self) -> u32 {
-        self.0
-    }
-
-    /// Computes the id of an upstream's incarnation, which is the same at all gateways.
-    pub fn of(vm: &VmName, incarnation: ProcessIncarnation) -> Self {
-        let hash = StableHash::new()
-            .field(vm.as_str().as_bytes())
-            .field(incarnation.to_string().as_bytes());
-        Self(hash.finish() as u32)
-    }
-}
-
-impl fmt::Display for UpstreamLife {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:08x}", self.0)
-    }
-}
-
-impl FromStr for UpstreamLife {
-    type Err = ParseIntError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        u32::from_str_radix(text, 16).map(Self)
-    }
-}
-
 /// The lives of upstreams that ended under a suspect since it last completed.
 ///
 /// Two routers merge what they know in any order: the set with more clears replaces the other one, and of two with as many
--- a/crates/coordination/fescuetide_limits/src/lib.rs
+++ b/crates/coordination/fescuetide_limits/src/lib.rs
@@ -30,7 +30,6 @@
 pub use completions::HistorySettings;
 pub use ends::END_LIMIT;
 pub use ends::EndSet;
-pub use ends::UpstreamLife;
 pub use evidence::CrashCount;
 pub use evidence::CrashEvidence;
 pub use fingerprint::CrashFingerprint;
@@ -71,5 +70,4 @@
     pub use crate::SuspectSettings;
     pub use crate::SuspectTable;
     pub use crate::TooLate;
-    pub use crate::UpstreamLife;
 }
--- a/crates/coordination/fescuetide_limits/src/suspects.rs
+++ b/crates/coordination/fescuetide_limits/src/suspects.rs
@@ -2,13 +2,13 @@
 
 use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
+use fescuetide_base::UpstreamLife;
 use indexmap::IndexMap;
 
 use crate::CrashCount;
 use crate::CrashEvidence;
 use crate::CrashFingerprint;
 use crate::EndSet;
-use crate::UpstreamLife;
 
 /// Settings of a suspect table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/coordination/fescuetide_limits/tests/ends.rs
+++ b/crates/coordination/fescuetide_limits/tests/ends.rs
@@ -2,6 +2,7 @@
 
 use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
+use fescuetide_base::UpstreamLife;
 use fescuetide_limits::CrashFingerprint;
 use fescuetide_limits::HistorySettings;
 use fescuetide_limits::prelude::*;
--- a/crates/protocol/fescuetide_wire/src/load.rs
+++ b/crates/protocol/fescuetide_wire/src/load.rs
@@ -7,10 +7,10 @@
 use std::fmt;
 
 use fescuetide_base::SpanMillis;
+use fescuetide_base::UpstreamLife;
 use fescuetide_fleet::ListingNews;
 use fescuetide_flow::LOAD_DIGEST_LIMIT;
 use fescuetide_flow::LoadEntry;
-use fescuetide_flow::LoadKey;
 
 /// Version of the format.
 const VERSION: u8 = 2;
@@ -80,7 +80,7 @@
         bytes.push(encode_age(listing.age));
         for entry in datagram.loads.iter().take(LOAD_DIGEST_LIMIT) {
             let load = u16::try_from(entry.load).unwrap_or(u16::MAX);
-            bytes.extend_from_slice(&entry.key.0.to_le_bytes());
+            bytes.extend_from_slice(&entry.key.get().to_le_bytes());
             bytes.extend_from_slice(&load.to_le_bytes());
             bytes.push(encode_age(entry.age));
         }
@@ -105,7 +105,7 @@
         let mut digest = Vec::with_capacity(entries.len());
         for [k0, k1, k2, k3, l0, l1, age] in entries {
             digest.push(LoadEntry {
-                key: LoadKey(u32::from_le_bytes([*k0, *k1, *k2, *k3])),
+                key: UpstreamLife::new(u32::from_le_bytes([*k0, *k1, *k2, *k3])),
                 load: u32::from(u16::from_le_bytes([*l0, *l1])),
                 age: decode_age(*age),
             });
--- a/crates/protocol/fescuetide_wire/tests/load.rs
+++ b/crates/protocol/fescuetide_wire/tests/load.rs
@@ -1,17 +1,17 @@
 //! Tests of the datagrams in which gateways tell each other loads.
 
 use fescuetide_base::SpanMillis;
+use fescuetide_base::UpstreamLife;
 use fescuetide_fleet::ListingNews;
 use fescuetide_flow::LOAD_DIGEST_LIMIT;
 use fescuetide_flow::LoadEntry;
-use fescuetide_flow::LoadKey;
 use fescuetide_wire::load::LOAD_DATAGRAM_LIMIT_BYTES;
 use fescuetide_wire::load::LoadDatagram;
 use fescuetide_wire::load::LoadDatagramError;
 
 fn entry(key: u32, load: u32, age_ms: u64) -> LoadEntry {
     LoadEntry {
-        key: LoadKey(key),
+        key: UpstreamLife::new(key),
         load,
         age: SpanMillis::new(age_ms),
     }
