Read, count and log the rate limits that upstreams name

Cause: logs and metrics have nothing about the limits that upstreams name in their responses, so they cannot tell a gateway that does not know a limit from one that does not keep it. Change: the limit is read from the head of each response and kept for the upstream's incarnation. Nothing is decided by it yet. New log lines "upstream named a rate limit" and "upstream names no rate limit any more", the field rate_limit in "request sent", and two counters.

--- a/crates/base/fescuetide_base/src/lib.rs
+++ b/crates/base/fescuetide_base/src/lib.rs
@@ -18,6 +18,7 @@
 mod hash;
 mod id;
 mod life;
+mod rate;
 mod size;
 
 pub use apply::ApplyError;
@@ -28,6 +29,8 @@
 pub use hash::StableHash;
 pub use id::*;
 pub use life::UpstreamLife;
+pub use rate::RateParseError;
+pub use rate::RequestRate;
 pub use size::*;
 
 /// The most commonly used types of this crate.
@@ -35,6 +38,7 @@
     pub use crate::ClockMillis;
     pub use crate::FindingList;
     pub use crate::InputFinding;
+    pub use crate::RequestRate;
     pub use crate::SpanMillis;
     pub use crate::StableHash;
     pub use crate::UpstreamLife;
--- a/crates/coordination/fescuetide_flow/src/action.rs
+++ b/crates/coordination/fescuetide_flow/src/action.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use fescuetide_base::RequestRate;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
 
@@ -38,6 +39,8 @@
     pub load: u32,
     /// Age of the report that this estimate rests on, `None` if the requests of other gateways are not known.
     pub load_age: Option<SpanMillis>,
+    /// The rate limit that the upstream has named, if any.
+    pub rate_limit: Option<RequestRate>,
     /// Another upstream that has the shared prompt prefix cached, if this one does not.
     pub copy_from: Option<VmName>,
 }
@@ -74,7 +77,7 @@
 pub enum AttemptEvent {
     /// The first byte of the request was written, so the upstream may run it.
     Sent,
-    /// The head of the response arrived, and announces something about the upstream. Another event follows.
+    /// The head of the response arrived, with what the upstream announces about itself. Another event follows.
     Announced(UpstreamAnnouncement),
     /// A valid head of a successful stream arrived.
     StreamStarted(Option<LoadReport>),
--- a/crates/coordination/fescuetide_flow/src/announcements.rs
+++ b/crates/coordination/fescuetide_flow/src/announcements.rs
@@ -2,6 +2,7 @@
 
 use fescuetide_base::ClockMillis;
 use fescuetide_base::ProcessIncarnation;
+use fescuetide_base::RequestRate;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
 use fescuetide_fleet::UpstreamEntry;
@@ -18,6 +19,8 @@
     pub pause: Option<SpanMillis>,
     /// Whether it leaves: it finishes its work, takes no new one, and ends.
     pub is_leaving: bool,
+    /// How many requests per second it takes from all gateways together, `None` if it names no limit.
+    pub rate_limit: Option<RequestRate>,
 }
 
 /// What one incarnation of an upstream has announced.
--- a/crates/coordination/fescuetide_flow/src/lib.rs
+++ b/crates/coordination/fescuetide_flow/src/lib.rs
@@ -24,6 +24,7 @@
 mod placement;
 mod pool;
 mod prompt;
+mod rate_limits;
 mod request;
 mod scheduler;
 mod settings;
--- a/crates/coordination/fescuetide_flow/src/notice.rs
+++ b/crates/coordination/fescuetide_flow/src/notice.rs
@@ -1,6 +1,7 @@
 //! Notices about decisions of the scheduler, for logs and counters.
 
 use fescuetide_base::PoolName;
+use fescuetide_base::RequestRate;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
 
@@ -43,6 +44,18 @@
         /// How long.
         pause: SpanMillis,
     },
+    /// An upstream that had named no rate limit names one.
+    RateLimited {
+        /// The upstream.
+        upstream: VmName,
+        /// The requests that it takes from all gateways together.
+        rate: RequestRate,
+    },
+    /// An upstream names no rate limit any more.
+    RateLimitEnded {
+        /// The upstream.
+        upstream: VmName,
+    },
 }
 
 /// Notices that the process has not taken yet.
--- a/crates/coordination/fescuetide_flow/src/scheduler.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler.rs
@@ -35,6 +35,7 @@
 use crate::notice::NoticeQueue;
 use crate::pool::PoolState;
 use crate::pool::UpstreamConditions;
+use crate::rate_limits::RateLimitTable;
 use crate::scheduler::loads::ReportSource;
 use crate::scheduler::retrying::EndProof;
 use crate::share::TrafficShare;
@@ -62,6 +63,7 @@
     pools: IndexMap<PoolName, PoolState>,
     outcomes: OutcomeTable,
     announcements: AnnouncementTable,
+    rate_limits: RateLimitTable,
     crashes: CrashTracker,
     directory: PrefixDirectory,
     share: TrafficShare,
@@ -90,6 +92,7 @@
             pools: IndexMap::new(),
             outcomes: OutcomeTable::new(settings.breaker),
             announcements: AnnouncementTable::default(),
+            rate_limits: RateLimitTable::default(),
             crashes: CrashTracker::default(),
             directory: PrefixDirectory::default(),
             share: TrafficShare::default(),
--- a/crates/coordination/fescuetide_flow/src/scheduler/announcing.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/announcing.rs
@@ -3,6 +3,7 @@
 use fescuetide_base::ClockMillis;
 use fescuetide_base::PoolName;
 use fescuetide_base::ProcessIncarnation;
+use fescuetide_base::RequestRate;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
 
@@ -15,6 +16,7 @@
 use crate::UpstreamAnnouncement;
 use crate::WorkRequest;
 use crate::flow::FlowState;
+use crate::rate_limits::LimitChange;
 
 impl RequestScheduler {
     /// Handles what an incarnation of an upstream announces in a response.
@@ -25,6 +27,7 @@
         announcement: UpstreamAnnouncement,
         now: ClockMillis,
     ) {
+        self.note_rate_limit(vm, incarnation, announcement.rate_limit, now);
         let pause = announcement.pause.filter(|pause| pause.as_millis() > 0);
         if pause.is_none() && !announcement.is_leaving {
             return;
@@ -45,6 +48,28 @@
         self.release_hopeless(now);
     }
 
+    /// Handles the rate limit that a response of an upstream names, or that it names none.
+    fn note_rate_limit(
+        &mut self,
+        vm: &VmName,
+        incarnation: ProcessIncarnation,
+        rate: Option<RequestRate>,
+        now: ClockMillis,
+    ) {
+        let upstream = vm.clone();
+        match self.rate_limits.note(vm, incarnation, rate, now) {
+            Some(LimitChange::Named(rate)) => {
+                let notice = FlowNotice::RateLimited { upstream, rate };
+                self.notices.push(notice);
+            }
+            Some(LimitChange::Ended) => {
+                let notice = FlowNotice::RateLimitEnded { upstream };
+                self.notices.push(notice);
+            }
+            None => {}
+        }
+    }
+
     /// Whether the upstream of a request's current attempt accepts requests.
     pub(super) fn accepts_requests(&self, key: FlowKey, now: ClockMillis) -> bool {
         let Some(attempt) = self.flows.get(&key).and_then(|flow| flow.attempt()) else {
--- a/crates/coordination/fescuetide_flow/src/scheduler/placing.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/placing.rs
@@ -161,6 +161,7 @@
             is_resumption: flow.is_relayed,
             load,
             load_age,
+            rate_limit: self.rate_limits.limit_of(&vm, incarnation),
             copy_from,
         }));
         flow.state = FlowState::Running(FlowAttempt {
--- a/crates/coordination/fescuetide_flow/tests/flow/leaving.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/leaving.rs
@@ -14,6 +14,7 @@
 const LEAVING: AttemptEvent = AttemptEvent::Announced(UpstreamAnnouncement {
     pause: None,
     is_leaving: true,
+    rate_limit: None,
 });
 
 impl SchedulerHarness {
--- a/crates/process/fescuetide_gateway/src/attempts.rs
+++ b/crates/process/fescuetide_gateway/src/attempts.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use fescuetide_base::RequestRate;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
 use fescuetide_fleet::UpstreamEntry;
@@ -61,6 +62,9 @@
         if command.load_age.is_none() {
             count(&self.counters.attempts_unknown_load);
         }
+        if command.rate_limit.is_some() {
+            count(&self.counters.attempts_rate_limited);
+        }
         if may_log {
             // Logged at the start of the attempt, before there is a connection: the request may not be sent at all.
             tracing::info!(
@@ -70,6 +74,7 @@
                 upstream = %command.upstream,
                 load = command.load,
                 load_age_ms = command.load_age.map(SpanMillis::as_millis),
+                rate_limit = command.rate_limit.map(RequestRate::as_per_second),
                 copy_from = command.copy_from.as_ref().map(VmName::as_str),
                 attempt = command.attempt,
                 resumes = command.is_resumption,
--- a/crates/process/fescuetide_gateway/src/counters.rs
+++ b/crates/process/fescuetide_gateway/src/counters.rs
@@ -80,6 +80,10 @@
     retries_denied => "fescuetide_retries_denied_total",
     /// Times that an upstream wanted no requests for some time.
     upstream_pauses => "fescuetide_upstream_pauses_total",
+    /// Times that an upstream that had named no rate limit named one.
+    rate_limits => "fescuetide_upstream_rate_limits_total",
+    /// Attempts at upstreams that have named a rate limit.
+    attempts_rate_limited => "fescuetide_attempts_rate_limited_total",
     /// Upstreams that announced in a response that they leave.
     upstreams_leaving => "fescuetide_upstreams_leaving_total",
     /// Attempts that ended without a usable response, for example since the connection failed.
--- a/crates/process/fescuetide_gateway/src/flow_notices.rs
+++ b/crates/process/fescuetide_gateway/src/flow_notices.rs
@@ -17,7 +17,8 @@
                 FlowNotice::PauseStarted { .. } => count(&self.counters.upstream_pauses),
                 FlowNotice::LeavingAnnounced { .. } => count(&self.counters.upstreams_leaving),
                 FlowNotice::LoadRejected { .. } => count(&self.counters.loads_rejected),
-                FlowNotice::BurstGranted { .. } => {}
+                FlowNotice::RateLimited { .. } => count(&self.counters.rate_limits),
+                FlowNotice::BurstGranted { .. } | FlowNotice::RateLimitEnded { .. } => {}
             }
             if self.may_log(LogLineKind::Notice) {
                 self.log_notice(&notice);
@@ -44,6 +45,12 @@
             FlowNotice::PauseStarted { upstream, pause } => {
                 tracing::info!(%upstream, pause_ms = pause.as_millis(), "upstream asked for a pause");
             }
+            FlowNotice::RateLimited { upstream, rate } => {
+                tracing::info!(%upstream, per_second = rate.as_per_second(), "upstream named a rate limit");
+            }
+            FlowNotice::RateLimitEnded { upstream } => {
+                tracing::info!(%upstream, "upstream names no rate limit any more");
+            }
         }
     }
 }
--- a/crates/process/fescuetide_gateway/src/validation.rs
+++ b/crates/process/fescuetide_gateway/src/validation.rs
@@ -22,13 +22,16 @@
         && head.count("content-encoding") == 0
 }
 
-/// What a response announces about the upstream that it was expected from, or `None` for nothing.
+/// What a response announces about the upstream that it was expected from, or `None` if it comes from another one.
 pub(crate) fn announcement_of(fields: &ResponseFields) -> Option<UpstreamAnnouncement> {
-    let UpstreamAnnouncement { pause, is_leaving } = fields.announcement;
-    // A pause belongs to a response that states that the request did not run.
-    let pause = pause.filter(|_| fields.is_not_run);
-    let is_empty = pause.is_none() && !is_leaving;
-    (!is_empty && !fields.is_misdirected).then_some(UpstreamAnnouncement { pause, is_leaving })
+    if fields.is_misdirected {
+        return None;
+    }
+    Some(UpstreamAnnouncement {
+        // A pause belongs to a response that states that the request did not run.
+        pause: fields.announcement.pause.filter(|_| fields.is_not_run),
+        ..fields.announcement
+    })
 }
 
 /// Classifies a complete response as the result of its attempt.
