Keep the rate limits of upstreams, which all gateways share

Seen by callers and operators: an upstream that names a limit gets several times as many requests, from all gateways. Cause: gateways compare nothing with the limit. A limit that holds for all of them together is also more than each could keep alone: five gateways that each keep it make five times as many. Change: each gateway uses a part of each limit with a token bucket. Its part is its part of the requests for the pool; gateways tell each other their rates and the limits in UDP digests, while any limit is in force. An upstream without a token is skipped. If no upstream has one in time, the request is refused at once with the time until its turn. Of many gateways, only so many share a limit that their unused tokens stay few, unless the pool takes more than is asked. The limit ends 1 s after it was last named.

--- a/crates/coordination/fescuetide_flow/src/evidence.rs
+++ b/crates/coordination/fescuetide_flow/src/evidence.rs
@@ -54,6 +54,8 @@
     Overloaded,
     /// No upstream accepts requests from this gateway before the request would have to be refused.
     Paused,
+    /// The upstreams have rate limits, which earlier requests use up for longer than the request can wait.
+    RateLimited,
     /// The upstreams declined the request.
     Declined,
     /// The request reached the attempt limit of its route, the retry budget is exhausted, or every upstream was tried.
@@ -69,6 +71,7 @@
             Self::NoUpstream => "no_upstream",
             Self::Overloaded => "overloaded",
             Self::Paused => "paused",
+            Self::RateLimited => "rate_limited",
             Self::Declined => "declined",
             Self::NoRetryLeft => "no_retry_left",
             Self::CrashesUpstreams => "crashes_upstreams",
--- a/crates/coordination/fescuetide_flow/src/pool.rs
+++ b/crates/coordination/fescuetide_flow/src/pool.rs
@@ -1,6 +1,7 @@
 //! A gateway's view of the upstreams in one pool.
 
 use fescuetide_base::ClockMillis;
+use fescuetide_base::ProcessIncarnation;
 use fescuetide_base::StableHash;
 use fescuetide_base::UpstreamLife;
 use fescuetide_base::VmName;
@@ -18,6 +19,8 @@
 use crate::load::UpstreamLoad;
 use crate::placement::KnownUpstream;
 use crate::placement::UpstreamCandidate;
+use crate::rate_limits::RateLimitTable;
+use crate::rate_limits::SharedTokens;
 use crate::waiting::WaitingQueue;
 
 /// Maximum number of requests queued at an upstream in addition to those in its slots.
@@ -60,6 +63,7 @@
 pub(crate) struct UpstreamConditions<'a> {
     pub(crate) outcomes: &'a OutcomeTable,
     pub(crate) announcements: &'a AnnouncementTable,
+    pub(crate) rate_limits: &'a RateLimitTable,
     pub(crate) now: ClockMillis,
 }
 
@@ -71,7 +75,15 @@
 
     /// Whether an upstream accepts requests, regardless of its load.
     fn accepts_requests(&self, upstream: &PoolUpstream) -> bool {
-        self.is_ready(upstream) && self.paused_until(upstream).is_none()
+        self.is_ready(upstream)
+            && self.paused_until(upstream).is_none()
+            && self.is_within_limit(upstream)
+    }
+
+    /// Whether this gateway's part of the rate limit of an upstream, if it has one, allows another request.
+    fn is_within_limit(&self, upstream: &PoolUpstream) -> bool {
+        let bucket = self.rate_limits.bucket_of(&upstream.entry);
+        bucket.is_none_or(|bucket| bucket.has_token(self.now))
     }
 
     fn paused_until(&self, upstream: &PoolUpstream) -> Option<ClockMillis> {
@@ -186,21 +198,55 @@
         upstream.is_some_and(|upstream| conditions.accepts_requests(upstream))
     }
 
-    /// When the first pause ends, if all ready upstreams that are not in `tried` are paused.
-    pub(crate) fn pause_end(
+    /// When the request at a position of the queue can be sent, if all ready upstreams that are not in `tried` are paused or have
+    /// rate limits. Returns `None` if one has neither, or a request at the first position can be sent now.
+    pub(crate) fn turn_at(
         &self,
+        position: usize,
         tried: &[VmName],
         conditions: UpstreamConditions<'_>,
     ) -> Option<ClockMillis> {
-        let mut first: Option<ClockMillis> = None;
+        let now = conditions.now;
+        let mut first_pause_end: Option<ClockMillis> = None;
+        let mut tokens = SharedTokens::default();
         for (name, upstream) in &self.upstreams {
             if !conditions.is_ready(upstream) || tried.contains(name) {
                 continue;
             }
-            let until = conditions.paused_until(upstream)?;
-            first = Some(first.map_or(until, |first| first.min(until)));
+            if let Some(end) = conditions.paused_until(upstream) {
+                first_pause_end = Some(first_pause_end.map_or(end, |first| first.min(end)));
+                continue;
+            }
+            tokens.add(conditions.rate_limits.bucket_of(&upstream.entry)?, now);
         }
-        first
+        let turn = match (tokens.turn_at(position, now), first_pause_end) {
+            (Some(turn), Some(end)) => turn.min(end),
+            (turn, end) => turn.or(end)?,
+        };
+        (turn > now).then_some(turn)
+    }
+
+    /// The sum of the rate limits of the ready upstreams, per second, `None` if one has no limit.
+    pub(crate) fn total_limit(&self, conditions: UpstreamConditions<'_>) -> Option<f64> {
+        let mut total = 0.0;
+        for upstream in self.upstreams.values() {
+            if !conditions.is_ready(upstream) {
+                continue;
+            }
+            let UpstreamEntry {
+                name, incarnation, ..
+            } = &upstream.entry;
+            let limit = conditions.rate_limits.limit_of(name, *incarnation)?;
+            total += limit.as_per_second();
+        }
+        Some(total)
+    }
+
+    /// The name and incarnation of a life of an upstream.
+    pub(crate) fn find(&self, life: UpstreamLife) -> Option<(&VmName, ProcessIncarnation)> {
+        let name = self.names.get(&life)?;
+        let upstream = self.upstreams.get(name)?;
+        Some((name, upstream.entry.incarnation))
     }
 
     /// Whether the pool has a ready upstream that is not in `tried`, regardless of its load.
--- a/crates/coordination/fescuetide_flow/src/rate_limits.rs
+++ b/crates/coordination/fescuetide_flow/src/rate_limits.rs
@@ -4,16 +4,53 @@
 use fescuetide_base::ProcessIncarnation;
 use fescuetide_base::RequestRate;
 use fescuetide_base::SpanMillis;
+use fescuetide_base::UpstreamLife;
 use fescuetide_base::VmName;
+use fescuetide_fleet::UpstreamEntry;
+use fescuetide_limits::RateBucket;
 use indexmap::IndexMap;
 
+use crate::rate_shares::LimitShare;
+use crate::rate_shares::MIN_SHARERS;
+use crate::rate_shares::PoolKey;
+
 /// For how long after a response that names a limit, responses that name none do not end it. They may have been written before.
 const LIMIT_HOLD: SpanMillis = SpanMillis::new(1_000);
 
 /// How long a limit counts that no response has named or ended.
 const LIMIT_RETENTION: SpanMillis = SpanMillis::new(600_000);
 
-/// What a response changes.
+/// How long the end of a limit is remembered, so that older news of it does not bring it back.
+const END_RETENTION: SpanMillis = SpanMillis::new(5_000);
+
+/// The lowest rate that is used. Without any requests, nobody would learn that a limit has ended.
+const MIN_RATE: RequestRate = RequestRate::per_1000_s(250);
+
+/// The longest time until a turn. Within it, the parts of the gateways may change.
+const MAX_TURN_TIME: SpanMillis = SpanMillis::new(10_000);
+
+/// Time for which an upstream's tokens accumulate, if that is more than [`MAX_SPARE_TOKENS`].
+const BURST_TIME: SpanMillis = SpanMillis::new(500);
+
+/// Unused tokens of a gateway for an upstream with a low limit.
+const MAX_SPARE_TOKENS: f64 = 2.0;
+
+/// Unused tokens of all gateways together, for each request per second of a limit. In the 4 s in which upstreams count, they
+/// bear twice as many requests above the limit.
+const SPARE_TOKENS_PER_RATE: f64 = 1.2;
+
+/// What a gateway knows about the limit of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LimitEntry {
+    /// The upstream.
+    pub life: UpstreamLife,
+    /// The requests that it takes from all gateways together, `None` if it has named a limit and names none any more.
+    pub rate: Option<RequestRate>,
+    /// Time since the response that says so.
+    pub age: SpanMillis,
+}
+
+/// What changes for an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LimitChange {
     /// A limit is named where there was none.
@@ -22,62 +59,230 @@
     Ended,
 }
 
+/// An incarnation of an upstream and its pool.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LimitTarget<'a> {
+    pub(crate) vm: &'a VmName,
+    pub(crate) incarnation: ProcessIncarnation,
+    pub(crate) pool: PoolKey,
+}
+
 /// The limit of one incarnation of an upstream.
 #[derive(Clone, Copy, Debug)]
-struct UpstreamLimit {
+pub(crate) struct UpstreamLimit {
     incarnation: ProcessIncarnation,
-    rate: RequestRate,
-    /// When a response last named it.
-    named_at: ClockMillis,
+    pub(crate) life: UpstreamLife,
+    pub(crate) pool: PoolKey,
+    /// The limit, `None` after its end.
+    pub(crate) rate: Option<RequestRate>,
+    /// When a response said so.
+    at: ClockMillis,
+    /// This gateway's part.
+    bucket: RateBucket,
+}
+
+impl UpstreamLimit {
+    fn is_remembered(&self, now: ClockMillis) -> bool {
+        let retention = match self.rate {
+            Some(_) => LIMIT_RETENTION,
+            None => END_RETENTION,
+        };
+        now.since(self.at) < retention
+    }
+
+    /// Sets this gateway's part of the limit.
+    pub(crate) fn set_share(&mut self, share: LimitShare, now: ClockMillis) {
+        let Some(limit) = self.rate else {
+            return;
+        };
+        let limit = limit.max(MIN_RATE).as_per_second();
+        let rate = limit * share.part;
+        if rate <= 0.0 {
+            self.bucket.set(0.0, 0.0, now);
+            return;
+        }
+        let burst = rate * BURST_TIME.as_millis() as f64 / 1_000.0;
+        let allowed = MIN_SHARERS as f64 + SPARE_TOKENS_PER_RATE * limit;
+        let depth = (allowed / share.sharers as f64).min(burst.max(MAX_SPARE_TOKENS));
+        self.bucket.set(rate, depth.max(1.0), now);
+    }
 }
 
-/// The rate limits of all upstreams.
+/// This gateway's tokens for several upstreams.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct SharedTokens {
+    upstream_count: usize,
+    tokens: f64,
+    /// Tokens per second.
+    rate: f64,
+    first_at: Option<ClockMillis>,
+}
+
+impl SharedTokens {
+    /// Adds the tokens for one upstream.
+    pub(crate) fn add(&mut self, bucket: &RateBucket, now: ClockMillis) {
+        self.upstream_count += 1;
+        self.tokens += bucket.tokens(now);
+        self.rate += bucket.rate();
+        let next_at = bucket.next_at(now);
+        self.first_at = match (self.first_at, next_at) {
+            (Some(first), Some(next)) => Some(first.min(next)),
+            (first, next) => first.or(next),
+        };
+    }
+
+    /// When the request at a position of the queue gets a token, at most [`MAX_TURN_TIME`] from now. Returns `None` without any
+    /// upstreams.
+    pub(crate) fn turn_at(&self, position: usize, now: ClockMillis) -> Option<ClockMillis> {
+        if self.upstream_count == 0 {
+            return None;
+        }
+        let latest = now + MAX_TURN_TIME;
+        let Some(first_at) = self.first_at else {
+            return Some(latest);
+        };
+        let missing = position as f64 + 1.0 - self.tokens;
+        let millis = (missing / self.rate * 1_000.0).ceil();
+        let enough_at = now + SpanMillis::new(millis as u64);
+        Some(first_at.max(enough_at).min(latest))
+    }
+}
+
+/// The rate limits of all upstreams, and this gateway's parts of them.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RateLimitTable {
     limits: IndexMap<VmName, UpstreamLimit>,
 }
 
 impl RateLimitTable {
-    /// Records what a response of an upstream says about its rate limit, `None` if it names none. Returns what changes. A
-    /// response of an earlier incarnation is ignored.
+    /// Records what a response of an upstream says about its limit, `None` if it names none. Returns what changes. A response
+    /// of an earlier incarnation is ignored.
     pub(crate) fn note(
         &mut self,
-        vm: &VmName,
-        incarnation: ProcessIncarnation,
+        target: LimitTarget<'_>,
         rate: Option<RequestRate>,
         now: ClockMillis,
     ) -> Option<LimitChange> {
-        self.limits
-            .retain(|_, limit| now.since(limit.named_at) < LIMIT_RETENTION);
-        let known = self.limits.get(vm).copied();
-        if known.is_some_and(|known| incarnation < known.incarnation) {
-            return None;
-        }
-        let known = known.filter(|known| known.incarnation == incarnation);
-        let Some(rate) = rate else {
-            let is_over = known.is_some_and(|known| now.since(known.named_at) >= LIMIT_HOLD);
-            if !is_over {
+        if rate.is_none() {
+            let known = self.limits.get(target.vm)?;
+            let is_held = known.rate.is_some() && now.since(known.at) < LIMIT_HOLD;
+            if is_held || known.incarnation != target.incarnation {
                 return None;
             }
-            self.limits.swap_remove(vm);
-            return Some(LimitChange::Ended);
-        };
+        }
+        self.apply(target, rate, now, now)
+    }
+
+    /// Applies what another gateway knows, unless this one has newer news.
+    pub(crate) fn merge(
+        &mut self,
+        target: LimitTarget<'_>,
+        entry: LimitEntry,
+        now: ClockMillis,
+    ) -> Option<LimitChange> {
+        let at = ClockMillis::new(now.as_millis().saturating_sub(entry.age.as_millis()));
+        let known = self.limits.get(target.vm);
+        if known.is_some_and(|known| known.incarnation == target.incarnation && known.at >= at) {
+            return None;
+        }
+        self.apply(target, entry.rate, at, now)
+    }
+
+    fn apply(
+        &mut self,
+        target: LimitTarget<'_>,
+        rate: Option<RequestRate>,
+        at: ClockMillis,
+        now: ClockMillis,
+    ) -> Option<LimitChange> {
+        self.limits.retain(|_, limit| limit.is_remembered(now));
+        let known = self.limits.get(target.vm).copied();
+        if known.is_some_and(|known| target.incarnation < known.incarnation) {
+            return None;
+        }
+        let known = known.filter(|known| known.incarnation == target.incarnation);
+        // The first token is there at once, so that an upstream with a low limit is not left unused.
+        let bucket = known.map_or(RateBucket::new(0.0, 1.0, now), |known| known.bucket);
         let limit = UpstreamLimit {
-            incarnation,
+            incarnation: target.incarnation,
+            life: UpstreamLife::of(target.vm, target.incarnation),
+            pool: target.pool,
             rate,
-            named_at: now,
+            at,
+            bucket,
         };
-        self.limits.insert(vm.clone(), limit);
-        known.is_none().then_some(LimitChange::Named(rate))
+        self.limits.insert(target.vm.clone(), limit);
+        match (known.and_then(|known| known.rate), rate) {
+            (None, Some(rate)) => Some(LimitChange::Named(rate)),
+            (Some(_), None) => Some(LimitChange::Ended),
+            _ => None,
+        }
+    }
+
+    /// Whether any upstream has a limit.
+    pub(crate) fn has_limits(&self) -> bool {
+        self.limits.values().any(|limit| limit.rate.is_some())
     }
 
-    /// The limit of an incarnation of an upstream, if it has named one.
+    /// The limits in force.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &UpstreamLimit> {
+        self.limits.values().filter(|limit| limit.rate.is_some())
+    }
+
+    /// The limits in force, to set this gateway's parts.
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut UpstreamLimit> {
+        let limits = self.limits.values_mut();
+        limits.filter(|limit| limit.rate.is_some())
+    }
+
+    /// What is known about limits, without what is as old as `age_limit`.
+    pub(crate) fn list(&self, age_limit: SpanMillis, now: ClockMillis) -> Vec<LimitEntry> {
+        let mut entries = Vec::new();
+        for limit in self.limits.values() {
+            let age = now.since(limit.at);
+            if age >= age_limit {
+                continue;
+            }
+            entries.push(LimitEntry {
+                life: limit.life,
+                rate: limit.rate,
+                age,
+            });
+        }
+        entries
+    }
+
+    /// The limit of an upstream, if it has named one.
     pub(crate) fn limit_of(
         &self,
         vm: &VmName,
         incarnation: ProcessIncarnation,
     ) -> Option<RequestRate> {
+        self.find(vm, incarnation)?.rate
+    }
+
+    /// This gateway's part of the limit of an upstream, `None` without a limit.
+    pub(crate) fn bucket_of(&self, entry: &UpstreamEntry) -> Option<&RateBucket> {
+        let limit = self.find(&entry.name, entry.incarnation)?;
+        limit.rate.is_some().then_some(&limit.bucket)
+    }
+
+    /// Takes a token for a request to an upstream, if it has a limit.
+    pub(crate) fn take_token(
+        &mut self,
+        vm: &VmName,
+        incarnation: ProcessIncarnation,
+        now: ClockMillis,
+    ) {
+        if let Some(limit) = self.limits.get_mut(vm)
+            && limit.incarnation == incarnation
+        {
+            limit.bucket.try_take(now);
+        }
+    }
+
+    fn find(&self, vm: &VmName, incarnation: ProcessIncarnation) -> Option<&UpstreamLimit> {
         let limit = self.limits.get(vm)?;
-        (limit.incarnation == incarnation).then_some(limit.rate)
+        (limit.incarnation == incarnation).then_some(limit)
     }
 }
--- a/crates/coordination/fescuetide_flow/src/scheduler.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler.rs
@@ -6,6 +6,7 @@
 mod ending;
 mod loads;
 mod placing;
+mod rates;
 mod retrying;
 
 use std::collections::VecDeque;
@@ -36,12 +37,16 @@
 use crate::pool::PoolState;
 use crate::pool::UpstreamConditions;
 use crate::rate_limits::RateLimitTable;
+use crate::rate_shares::FleetDemand;
 use crate::scheduler::loads::ReportSource;
+use crate::scheduler::rates::ShareState;
 use crate::scheduler::retrying::EndProof;
 use crate::share::TrafficShare;
 
 pub use loads::LOAD_DIGEST_LIMIT;
 pub use loads::LoadCounts;
+pub use rates::LIMIT_DIGEST_LIMIT;
+pub use rates::LimitDigest;
 
 /// How long callers should wait before retrying a refused request, if there is no better estimate.
 const DEFAULT_RETRY_AFTER: SpanMillis = SpanMillis::new(100);
@@ -64,6 +69,8 @@
     outcomes: OutcomeTable,
     announcements: AnnouncementTable,
     rate_limits: RateLimitTable,
+    demand: FleetDemand,
+    share_state: ShareState,
     crashes: CrashTracker,
     directory: PrefixDirectory,
     share: TrafficShare,
@@ -93,6 +100,8 @@
             outcomes: OutcomeTable::new(settings.breaker),
             announcements: AnnouncementTable::default(),
             rate_limits: RateLimitTable::default(),
+            demand: FleetDemand::default(),
+            share_state: ShareState::default(),
             crashes: CrashTracker::default(),
             directory: PrefixDirectory::default(),
             share: TrafficShare::default(),
@@ -171,6 +180,7 @@
         if let Some(pool) = self.pools.get_mut(&pool) {
             pool.budget.note_request();
         }
+        self.note_limited_demand(&pool, now);
         let holder_count = self.note_demand(&request, &pool, now);
         let flow = RequestFlow {
             holder_count,
@@ -241,7 +251,7 @@
                 }
             }
             AttemptEvent::Announced(announcement) => {
-                self.note_announcement(&vm, incarnation, announcement, now);
+                self.note_announcement(&pool, &vm, incarnation, announcement, now);
             }
             AttemptEvent::StreamStarted(load) => {
                 attempt.last_data_at = Some(now);
@@ -280,6 +290,7 @@
     /// Handles timeouts and starts queued requests. Must be called periodically.
     pub fn tick(&mut self, now: ClockMillis) {
         self.share_budgets(now);
+        self.share_rate_limits(now);
         self.refuse_expired(now);
         self.release_paused(now);
         self.probe_unanswered(now);
@@ -307,6 +318,7 @@
         UpstreamConditions {
             outcomes: &self.outcomes,
             announcements: &self.announcements,
+            rate_limits: &self.rate_limits,
             now,
         }
     }
--- a/crates/coordination/fescuetide_flow/src/scheduler/announcing.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/announcing.rs
@@ -3,7 +3,6 @@
 use fescuetide_base::ClockMillis;
 use fescuetide_base::PoolName;
 use fescuetide_base::ProcessIncarnation;
-use fescuetide_base::RequestRate;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
 
@@ -16,18 +15,18 @@
 use crate::UpstreamAnnouncement;
 use crate::WorkRequest;
 use crate::flow::FlowState;
-use crate::rate_limits::LimitChange;
 
 impl RequestScheduler {
     /// Handles what an incarnation of an upstream announces in a response.
     pub(super) fn note_announcement(
         &mut self,
+        pool: &PoolName,
         vm: &VmName,
         incarnation: ProcessIncarnation,
         announcement: UpstreamAnnouncement,
         now: ClockMillis,
     ) {
-        self.note_rate_limit(vm, incarnation, announcement.rate_limit, now);
+        self.note_rate_limit(pool, vm, incarnation, announcement.rate_limit, now);
         let pause = announcement.pause.filter(|pause| pause.as_millis() > 0);
         if pause.is_none() && !announcement.is_leaving {
             return;
@@ -48,28 +47,6 @@
         self.release_hopeless(now);
     }
 
-    /// Handles the rate limit that a response of an upstream names, or that it names none.
-    fn note_rate_limit(
-        &mut self,
-        vm: &VmName,
-        incarnation: ProcessIncarnation,
-        rate: Option<RequestRate>,
-        now: ClockMillis,
-    ) {
-        let upstream = vm.clone();
-        match self.rate_limits.note(vm, incarnation, rate, now) {
-            Some(LimitChange::Named(rate)) => {
-                let notice = FlowNotice::RateLimited { upstream, rate };
-                self.notices.push(notice);
-            }
-            Some(LimitChange::Ended) => {
-                let notice = FlowNotice::RateLimitEnded { upstream };
-                self.notices.push(notice);
-            }
-            None => {}
-        }
-    }
-
     /// Whether the upstream of a request's current attempt accepts requests.
     pub(super) fn accepts_requests(&self, key: FlowKey, now: ClockMillis) -> bool {
         let Some(attempt) = self.flows.get(&key).and_then(|flow| flow.attempt()) else {
@@ -95,9 +72,10 @@
         }
     }
 
-    /// Handles queued requests for which no upstream will accept requests in time, if upstreams are paused.
+    /// Handles queued requests for which no upstream will accept requests in time, if upstreams are paused or have rate
+    /// limits.
     pub(super) fn release_paused(&mut self, now: ClockMillis) {
-        if self.announcements.has_pauses(now) {
+        if self.announcements.has_pauses(now) || self.rate_limits.has_limits() {
             self.release_hopeless(now);
         }
     }
@@ -106,14 +84,14 @@
     fn release_hopeless(&mut self, now: ClockMillis) {
         let mut hopeless = Vec::new();
         for (name, pool) in &self.pools {
-            for entry in pool.waiting.iter() {
+            for (position, entry) in pool.waiting.iter().enumerate() {
                 let Some(flow) = self.flows.get(&entry.key) else {
                     continue;
                 };
                 let conditions = self.conditions(now);
-                let end = pool.pause_end(&flow.tried, conditions);
-                let is_paused = end.is_some_and(|end| end >= entry.expires_at);
-                if is_paused || !pool.has_untried(&flow.tried, conditions) {
+                let turn = pool.turn_at(position, &flow.tried, conditions);
+                let is_late = turn.is_some_and(|turn| turn >= entry.expires_at);
+                if is_late || !pool.has_untried(&flow.tried, conditions) {
                     hopeless.push((entry.key, name.clone()));
                 }
             }
@@ -137,6 +115,7 @@
             let pause = self.pause_left(&flow.request, now);
             let (cause, retry_after) = match pause.as_millis() {
                 0 => (RefusalCause::NoUpstream, NO_UPSTREAM_RETRY_DELAY),
+                _ if self.rate_limits.has_limits() => (RefusalCause::RateLimited, pause),
                 _ => (RefusalCause::Paused, pause),
             };
             self.refuse_or_fail(key, cause, retry_after, now);
@@ -158,10 +137,10 @@
             else {
                 continue;
             };
-            let Some(end) = pool.pause_end(&[], conditions) else {
+            let Some(turn) = pool.turn_at(pool.waiting.len(), &[], conditions) else {
                 return SpanMillis::default();
             };
-            first = Some(first.map_or(end, |first| first.min(end)));
+            first = Some(first.map_or(turn, |first| first.min(turn)));
         }
         first.map_or(SpanMillis::default(), |end| end.since(now))
     }
--- a/crates/coordination/fescuetide_flow/src/scheduler/placing.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/placing.rs
@@ -83,8 +83,11 @@
             late_at: flow.request.late_at,
             expires_at: queue_deadline(&flow.request, now),
         };
-        let pause_end = pool.and_then(|pool| pool.pause_end(&flow.tried, self.conditions(now)));
-        if pause_end.is_some_and(|end| end >= wait.expires_at) {
+        let turn = pool.and_then(|pool| {
+            let position = pool.waiting.position_of(&wait);
+            pool.turn_at(position, &flow.tried, self.conditions(now))
+        });
+        if turn.is_some_and(|turn| turn >= wait.expires_at) {
             self.leave_pool(key, &pool_name, now);
             return;
         }
@@ -122,6 +125,7 @@
         let conditions = UpstreamConditions {
             outcomes: &self.outcomes,
             announcements: &self.announcements,
+            rate_limits: &self.rate_limits,
             now,
         };
         let candidates = pool.candidates(&flow.tried, &holders, zone, conditions);
@@ -148,6 +152,7 @@
             }
             _ => None,
         };
+        self.rate_limits.take_token(&vm, incarnation, now);
         pool.add_request(&vm, now);
         if let Some(prefix) = shared {
             self.directory.note_use(prefix, &vm, now);
--- a/crates/coordination/fescuetide_flow/src/waiting.rs
+++ b/crates/coordination/fescuetide_flow/src/waiting.rs
@@ -50,15 +50,27 @@
 impl WaitingQueue {
     /// Inserts an entry at its position in the order.
     pub(crate) fn push(&mut self, entry: WaitingEntry) {
+        let queued = self.with_round(entry);
+        let index = self.index_of(&queued);
+        self.entries.insert(index, queued);
+    }
+
+    /// The number of requests that would be before an entry if it were inserted now.
+    pub(crate) fn position_of(&self, entry: &WaitingEntry) -> usize {
+        self.index_of(&self.with_round(*entry))
+    }
+
+    fn with_round(&self, entry: WaitingEntry) -> QueuedEntry {
         let is_same_group = |other: &&QueuedEntry| {
             other.entry.workspace == entry.workspace && other.entry.priority == entry.priority
         };
         let round = self.entries.iter().filter(is_same_group).count();
-        let queued = QueuedEntry { round, entry };
-        let index = self
-            .entries
-            .partition_point(|other| other.order() <= queued.order());
-        self.entries.insert(index, queued);
+        QueuedEntry { round, entry }
+    }
+
+    fn index_of(&self, queued: &QueuedEntry) -> usize {
+        self.entries
+            .partition_point(|other| other.order() <= queued.order())
     }
 
     /// Removes a request.
--- a/crates/coordination/fescuetide_flow/tests/flow/main.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/main.rs
@@ -12,5 +12,7 @@
 mod load_fleet;
 mod pauses;
 mod placement;
+mod rate_fleet;
+mod rate_limits;
 mod retry_fleet;
 mod retry_share;
--- a/crates/coordination/fescuetide_limits/src/lib.rs
+++ b/crates/coordination/fescuetide_limits/src/lib.rs
@@ -16,6 +16,7 @@
 mod order;
 mod pause;
 mod queue;
+mod rate_bucket;
 mod selector;
 mod suspects;
 
@@ -42,6 +43,7 @@
 pub use queue::QueueEvent;
 pub use queue::QueuedWork;
 pub use queue::TooLate;
+pub use rate_bucket::RateBucket;
 pub use selector::CandidateSelector;
 pub use suspects::SuspectSettings;
 pub use suspects::SuspectTable;
@@ -64,6 +66,7 @@
     pub use crate::LoadLimiter;
     pub use crate::QueueEvent;
     pub use crate::QueuedWork;
+    pub use crate::RateBucket;
     pub use crate::ReportBacklog;
     pub use crate::RequestPause;
     pub use crate::RetryBudget;
--- a/crates/process/fescuetide_gateway/src/counters.rs
+++ b/crates/process/fescuetide_gateway/src/counters.rs
@@ -136,6 +136,12 @@
     load_digests_sent => "fescuetide_load_digests_sent_total",
     /// Load digests received from other gateways.
     load_digests_received => "fescuetide_load_digests_received_total",
+    /// Digests of rate limits sent to other gateways.
+    limit_digests_sent => "fescuetide_limit_digests_sent_total",
+    /// Digests of rate limits received from other gateways.
+    limit_digests_received => "fescuetide_limit_digests_received_total",
+    /// Upstreams with a rate limit.
+    rate_limited_upstreams => "fescuetide_rate_limited_upstreams",
     /// Datagrams dropped since they are no load digests, or since there were too many.
     load_digests_rejected => "fescuetide_load_digests_rejected_total",
     /// Load digests that could not be sent or received.
--- a/crates/process/fescuetide_gateway/src/load_exchange.rs
+++ b/crates/process/fescuetide_gateway/src/load_exchange.rs
@@ -1,4 +1,4 @@
-//! Exchange with other gateways by datagrams: the loads of upstreams, and how recent the list of upstreams is.
+//! Exchange with other gateways by datagrams: the loads of upstreams, how recent the list of upstreams is, and rate limits.
 //!
 //! Each gateway sends a digest of what it has newly heard to one other gateway at a time, so what a gateway sends and
 //! receives does not depend on their number. A lost datagram only makes a load known a little later.
@@ -15,6 +15,10 @@
 use fescuetide_base::SpanMillis;
 use fescuetide_base::StableHash;
 use fescuetide_fleet::ListingView;
+use fescuetide_flow::GatewayId;
+use fescuetide_wire::limit::LIMIT_DATAGRAM_FORMAT;
+use fescuetide_wire::limit::LIMIT_DATAGRAM_LIMIT_BYTES;
+use fescuetide_wire::limit::LimitDatagram;
 use fescuetide_wire::load::LOAD_DATAGRAM_LIMIT_BYTES;
 use fescuetide_wire::load::LoadDatagram;
 use mio::Interest;
@@ -30,14 +34,21 @@
 /// Time between two digests.
 const DIGEST_INTERVAL: SpanMillis = SpanMillis::new(100);
 
-/// Maximum number of digests that are used in one interval. On average one arrives. Others are dropped.
+/// Maximum number of datagrams that are used in one interval. On average, one or two arrive. Others are dropped.
 const DIGESTS_PER_INTERVAL: u32 = 32;
 
 /// Maximum number of datagrams that are read at a time. A peer that sends without end must not keep the traffic thread busy. What
 /// is left is read with the next tick.
 const READS_PER_TURN: usize = 64;
 
-/// The socket for load digests and the gateways that get them.
+/// Maximum length of a datagram in bytes.
+const DATAGRAM_LIMIT_BYTES: usize = if LIMIT_DATAGRAM_LIMIT_BYTES > LOAD_DATAGRAM_LIMIT_BYTES {
+    LIMIT_DATAGRAM_LIMIT_BYTES
+} else {
+    LOAD_DATAGRAM_LIMIT_BYTES
+};
+
+/// The socket for digests and the gateways that get them.
 #[derive(Debug)]
 pub(crate) struct LoadExchange {
     socket: UdpSocket,
@@ -48,7 +59,7 @@
     next_at: ClockMillis,
     /// Number of digests sent, which together with the own address selects the next peer.
     draws: u64,
-    /// Digests received since the last one was sent.
+    /// Datagrams received since the last load digest was sent.
     received: u32,
     /// How recent the list of upstreams is, shared with the thread that reads it.
     listing: SharedListing,
@@ -103,6 +114,12 @@
         }
     }
 
+    /// The ids of this gateway and of its peers, by their addresses for digests.
+    pub(crate) fn gateway_ids(&self) -> (GatewayId, Vec<GatewayId>) {
+        let id_of = |address: &SocketAddr| GatewayId::of(&address.to_string());
+        (id_of(&self.own), self.peers.iter().map(id_of).collect())
+    }
+
     /// Records that the process was suspended until `now`.
     pub(crate) fn note_suspension(&mut self, now: ClockMillis) {
         self.trusted_from = now + DIGEST_INTERVAL;
@@ -115,12 +132,17 @@
         }
         self.next_at = now + DIGEST_INTERVAL;
         self.received = 0;
+        self.draw_peer()
+    }
+
+    /// Chooses a peer at random.
+    fn draw_peer(&mut self) -> Option<SocketAddr> {
         self.draws += 1;
         let hash = StableHash::new()
             .field(self.own.to_string().as_bytes())
             .field(&self.draws.to_le_bytes())
             .finish();
-        let index = hash % self.peers.len() as u64;
+        let index = hash.checked_rem(self.peers.len() as u64)?;
         self.peers.get(index as usize).copied()
     }
 }
@@ -141,15 +163,41 @@
         }
         let digest = LoadDatagram { listing, loads };
         let bytes: Vec<u8> = (&digest).into();
-        match exchange.socket.send_to(&bytes, peer) {
-            Ok(_) => count(&self.counters.load_digests_sent),
-            Err(error) => {
-                count(&self.counters.load_digest_failures);
-                tracing::debug!(%peer, %error, "failed to send a load digest");
-            }
+        if self.send_datagram(peer, &bytes) {
+            count(&self.counters.load_digests_sent);
         }
     }
 
+    /// Sends a digest of rate limits to a peer, if one is due.
+    pub(crate) fn send_limits(&mut self) {
+        let Some(exchange) = &mut self.load_exchange else {
+            return;
+        };
+        let Some(digest) = self.scheduler.take_limit_digest(self.now) else {
+            return;
+        };
+        let Some(peer) = exchange.draw_peer() else {
+            return;
+        };
+        let bytes: Vec<u8> = (&LimitDatagram(digest)).into();
+        if self.send_datagram(peer, &bytes) {
+            count(&self.counters.limit_digests_sent);
+        }
+    }
+
+    /// Sends a datagram to a peer, and returns whether that succeeded.
+    fn send_datagram(&mut self, peer: SocketAddr, bytes: &[u8]) -> bool {
+        let Some(exchange) = &self.load_exchange else {
+            return false;
+        };
+        if let Err(error) = exchange.socket.send_to(bytes, peer) {
+            count(&self.counters.load_digest_failures);
+            tracing::debug!(%peer, %error, "failed to send a datagram");
+            return false;
+        }
+        true
+    }
+
     /// Updates the metrics that are not counted as events happen.
     pub(crate) fn publish_gauges(&self) {
         let counts = self.scheduler.load_counts();
@@ -159,6 +207,10 @@
             .stream_loads
             .store(counts.reports, Ordering::Relaxed);
         above_cap.store(counts.above_cap, Ordering::Relaxed);
+        let limits = self.scheduler.rate_limit_count() as u64;
+        counters
+            .rate_limited_upstreams
+            .store(limits, Ordering::Relaxed);
         let buffered = self.buffers.total() as u64;
         counters.buffered_bytes.store(buffered, Ordering::Relaxed);
     }
@@ -166,7 +218,7 @@
     /// Reads the digests of peers. Must be called periodically, since not all that have arrived may be read at once.
     pub(crate) fn receive_loads(&mut self) {
         // One byte more shows that a datagram is too long.
-        let mut buffer = [0; LOAD_DATAGRAM_LIMIT_BYTES + 1];
+        let mut buffer = [0; DATAGRAM_LIMIT_BYTES + 1];
         for _ in 0..READS_PER_TURN {
             let Some(exchange) = &mut self.load_exchange else {
                 return;
@@ -186,24 +238,43 @@
                 count(&self.counters.load_digests_rejected);
                 continue;
             }
-            match LoadDatagram::try_from(&buffer[..length]) {
-                Ok(digest) => {
-                    count(&self.counters.load_digests_received);
-                    let listing = digest.listing.filter(|_| self.now >= exchange.trusted_from);
-                    if let Some(news) = listing
-                        && exchange.listing.lock().note_peer(news, self.now)
-                    {
-                        count(&self.counters.listings_confirmed);
-                    }
-                    self.scheduler.merge_load_digest(&digest.loads, self.now);
-                }
-                Err(error) => {
-                    count(&self.counters.load_digests_rejected);
-                    if self.may_log(LogLineKind::Notice) {
-                        tracing::warn!(%peer, %error, "load digest rejected");
-                    }
+            let datagram = &buffer[..length];
+            let result = match datagram.first() {
+                Some(&LIMIT_DATAGRAM_FORMAT) => self.use_limits(datagram),
+                _ => self.use_loads(datagram),
+            };
+            if let Err(error) = result {
+                count(&self.counters.load_digests_rejected);
+                if self.may_log(LogLineKind::Notice) {
+                    tracing::warn!(%peer, %error, "load digest rejected");
                 }
             }
         }
     }
+
+    fn use_loads(&mut self, datagram: &[u8]) -> anyhow::Result<()> {
+        let digest = LoadDatagram::try_from(datagram)?;
+        count(&self.counters.load_digests_received);
+        let Some(exchange) = &mut self.load_exchange else {
+            return Ok(());
+        };
+        let listing = digest.listing.filter(|_| self.now >= exchange.trusted_from);
+        if let Some(news) = listing
+            && exchange.listing.lock().note_peer(news, self.now)
+        {
+            count(&self.counters.listings_confirmed);
+        }
+        self.scheduler.merge_load_digest(&digest.loads, self.now);
+        Ok(())
+    }
+
+    fn use_limits(&mut self, datagram: &[u8]) -> anyhow::Result<()> {
+        let LimitDatagram(digest) = LimitDatagram::try_from(datagram)?;
+        count(&self.counters.limit_digests_received);
+        let exchange = self.load_exchange.as_ref();
+        if exchange.is_some_and(|exchange| self.now >= exchange.trusted_from) {
+            self.scheduler.merge_limit_digest(&digest, self.now);
+        }
+        Ok(())
+    }
 }
--- a/crates/process/fescuetide_gateway/src/messages.rs
+++ b/crates/process/fescuetide_gateway/src/messages.rs
@@ -70,6 +70,8 @@
         let gateways = peers.len() + 1;
         if let Some(exchange) = &mut self.load_exchange {
             exchange.set_peers(peers);
+            let (own, others) = exchange.gateway_ids();
+            self.scheduler.set_gateways(own, others);
         }
         if gateways == self.gateway_count {
             return;
--- a/crates/process/fescuetide_gateway/src/traffic.rs
+++ b/crates/process/fescuetide_gateway/src/traffic.rs
@@ -245,6 +245,7 @@
                 self.resume_paused_reads();
                 self.receive_loads();
                 self.send_loads();
+                self.send_limits();
                 self.sweep();
             }
             if self.advance_shutdown() {
--- a/crates/protocol/fescuetide_wire/src/lib.rs
+++ b/crates/protocol/fescuetide_wire/src/lib.rs
@@ -18,6 +18,7 @@
 mod conversion;
 pub mod crash;
 pub mod frame;
+pub mod limit;
 pub mod load;
 pub mod log;
 pub mod peer;
--- a/crates/protocol/fescuetide_wire/src/load.rs
+++ b/crates/protocol/fescuetide_wire/src/load.rs
@@ -57,12 +57,12 @@
 }
 
 /// Encodes a time, rounded up, so that what comes back to a gateway never looks newer than what it knows.
-fn encode_age(age: SpanMillis) -> u8 {
+pub(crate) fn encode_age(age: SpanMillis) -> u8 {
     let units = age.as_millis().div_ceil(AGE_UNIT_MS);
     u8::try_from(units).unwrap_or(u8::MAX)
 }
 
-fn decode_age(units: u8) -> SpanMillis {
+pub(crate) fn decode_age(units: u8) -> SpanMillis {
     SpanMillis::new(u64::from(units) * AGE_UNIT_MS)
 }
 
