Read and log the software version of upstreams, and what callers take up

Cause: neither the version of an upstream nor the request that a caller takes up is in the logs, so they cannot tell at which version a stream goes on. Change: the version is read from the entry of an upstream, is part of the hash of the list and of what gateways that start get from peers, and is in "upstream changed" and "request sent". The header field that names the request that brought a stream's first event is read. New log line "caller takes up a stream" and two counters. Nothing is decided by them yet. Gateways of before and after do not read each other's lists of upstreams while a release rolls; they have the log for that.

--- a/crates/coordination/fescuetide_flow/tests/flow/harness.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/harness.rs
@@ -8,6 +8,7 @@
 use fescuetide_base::VmName;
 use fescuetide_fleet::PoolShare;
 use fescuetide_fleet::RouteEntry;
+use fescuetide_fleet::SoftwareVersion;
 use fescuetide_fleet::UpstreamEntry;
 use fescuetide_fleet::UpstreamState;
 use fescuetide_fleet::WorkKind;
@@ -33,6 +34,7 @@
         pool: POOL.parse().unwrap(),
         address: "127.0.0.1:1".parse().unwrap(),
         zone: "a".parse().unwrap(),
+        version: SoftwareVersion::default(),
         slots,
         state: UpstreamState::Ready,
     }
--- a/crates/process/fescuetide_gateway/src/attempts.rs
+++ b/crates/process/fescuetide_gateway/src/attempts.rs
@@ -7,6 +7,7 @@
 use fescuetide_base::RequestRate;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
+use fescuetide_fleet::SoftwareVersion;
 use fescuetide_fleet::UpstreamEntry;
 use fescuetide_flow::AttemptEvent;
 use fescuetide_flow::BreakCause;
@@ -51,6 +52,11 @@
     fn start_attempt(&mut self, command: SendCommand) {
         let key = command.key;
         let may_log = self.may_log(LogLineKind::AttemptStarted);
+        let entry = self
+            .upstreams
+            .as_ref()
+            .and_then(|table| table.get(&command.upstream));
+        let version = entry.map(|entry| entry.version.clone());
         let Some(exchange) = self.exchanges.get_mut(&key) else {
             return;
         };
@@ -65,6 +71,9 @@
         if command.rate_limit.is_some() {
             count(&self.counters.attempts_rate_limited);
         }
+        if command.is_resumption {
+            count(&self.counters.streams_resumed);
+        }
         if may_log {
             // Logged at the start of the attempt, before there is a connection: the request may not be sent at all.
             tracing::info!(
@@ -72,6 +81,7 @@
                 route = &*exchange.route,
                 config = exchange.config.get(),
                 upstream = %command.upstream,
+                version = version.as_ref().map(SoftwareVersion::as_str),
                 load = command.load,
                 load_age_ms = command.load_age.map(SpanMillis::as_millis),
                 rate_limit = command.rate_limit.map(RequestRate::as_per_second),
--- a/crates/process/fescuetide_gateway/src/callers.rs
+++ b/crates/process/fescuetide_gateway/src/callers.rs
@@ -235,6 +235,7 @@
                 return;
             }
         };
+        self.log_resumption(&exchange);
         let key = self.scheduler.arrive(request, self.now);
         self.exchanges.insert(key, exchange);
         if let Some(Connection::Caller(caller)) = self.connections.get_mut(token) {
@@ -243,6 +244,22 @@
         self.run_actions();
     }
 
+    /// Counts and logs a request that takes up an event stream.
+    fn log_resumption(&mut self, exchange: &Exchange) {
+        let Some(last_event) = exchange.fields.last_event else {
+            return;
+        };
+        count(&self.counters.streams_taken_up);
+        if self.may_log(LogLineKind::Notice) {
+            tracing::info!(
+                request = exchange.request_id(),
+                resumes = exchange.fields.resumes.as_deref(),
+                last_event,
+                "caller takes up a stream"
+            );
+        }
+    }
+
     /// Responds to a denied request.
     pub(crate) fn deny(&mut self, token: usize, request_id: Option<&str>, denial: Denial) {
         count(&self.counters.denied);
--- a/crates/process/fescuetide_gateway/src/codec.rs
+++ b/crates/process/fescuetide_gateway/src/codec.rs
@@ -31,6 +31,8 @@
     pub prompt: PromptShape,
     /// When resuming an event stream, the id of the last event that the caller states to have received.
     pub last_event: Option<u64>,
+    /// When resuming an event stream, the id of the caller's request that brought the first event of the stream.
+    pub resumes: Option<String>,
 }
 
 /// Fields that the gateway adds to the request head of an attempt.
--- a/crates/process/fescuetide_gateway/src/counters.rs
+++ b/crates/process/fescuetide_gateway/src/counters.rs
@@ -96,6 +96,10 @@
     caller_connections => "fescuetide_caller_connections_total",
     /// Stream events relayed.
     events => "fescuetide_events_total",
+    /// Requests that take up an event stream that broke off before.
+    streams_taken_up => "fescuetide_streams_taken_up_total",
+    /// Attempts that continue an event stream within its response.
+    streams_resumed => "fescuetide_streams_resumed_total",
     /// Connections opened to find out whether an upstream is down.
     probes => "fescuetide_probes_total",
     /// Crashes of upstreams that were counted for requests that ran there.
--- a/crates/process/fescuetide_gateway/src/follower.rs
+++ b/crates/process/fescuetide_gateway/src/follower.rs
@@ -292,6 +292,7 @@
                 pool = %entry.pool,
                 address = %entry.address,
                 incarnation = entry.incarnation.get(),
+                version = %entry.version,
                 state = ?entry.state,
                 "upstream changed"
             );
--- a/crates/protocol/fescuetide_wire/src/peer.rs
+++ b/crates/protocol/fescuetide_wire/src/peer.rs
@@ -24,6 +24,7 @@
 use fescuetide_fleet::PoolShare;
 use fescuetide_fleet::RouteEntry;
 use fescuetide_fleet::RouteTable;
+use fescuetide_fleet::SoftwareVersion;
 use fescuetide_fleet::UpstreamEntry;
 use fescuetide_fleet::UpstreamState;
 use fescuetide_fleet::WorkKind;
@@ -160,6 +161,8 @@
     pub address: SocketAddr,
     /// The availability zone of the upstream.
     pub zone: ZoneName,
+    /// The version of the software of the upstream.
+    pub version: String,
     /// The number of requests that the upstream runs concurrently.
     pub slots: u32,
     /// Whether the upstream is about to be removed and gets no new requests.
@@ -343,6 +346,7 @@
             pool: entry.pool.clone(),
             address: entry.address,
             zone: entry.zone.clone(),
+            version: entry.version.to_string(),
             slots: entry.slots,
             is_leaving: entry.state == UpstreamState::Leaving,
         }
@@ -357,6 +361,7 @@
             pool: wire.pool,
             address: wire.address,
             zone: wire.zone,
+            version: SoftwareVersion::from(wire.version),
             slots: wire.slots,
             state: match wire.is_leaving {
                 true => UpstreamState::Leaving,
--- a/crates/state/fescuetide_fleet/src/lib.rs
+++ b/crates/state/fescuetide_fleet/src/lib.rs
@@ -20,6 +20,7 @@
 mod update;
 mod update_filter;
 mod upstream;
+mod version;
 
 pub use config::CallerLimits;
 pub use config::ConfigVersion;
@@ -47,3 +48,5 @@
 pub use upstream::UpstreamEntry;
 pub use upstream::UpstreamState;
 pub use upstream::UpstreamTable;
+pub use version::SoftwareVersion;
+pub use version::VersionKey;
--- a/crates/state/fescuetide_fleet/src/listing.rs
+++ b/crates/state/fescuetide_fleet/src/listing.rs
@@ -81,6 +81,7 @@
             .field(entry.pool.as_str().as_bytes())
             .field(entry.address.to_string().as_bytes())
             .field(entry.zone.as_str().as_bytes())
+            .field(entry.version.as_str().as_bytes())
             .field(&entry.slots.to_le_bytes())
             .field(&[entry.state as u8])
             .finish();
--- a/crates/state/fescuetide_fleet/src/upstream.rs
+++ b/crates/state/fescuetide_fleet/src/upstream.rs
@@ -10,6 +10,8 @@
 use fescuetide_base::ZoneName;
 use indexmap::IndexMap;
 
+use crate::SoftwareVersion;
+
 /// How long an upstream is kept after an outage of the log during which its entry expired. Starts when the reader
 /// detects the end of the outage.
 ///
@@ -47,6 +49,8 @@
     pub address: SocketAddr,
     /// Availability zone of the upstream.
     pub zone: ZoneName,
+    /// Version of the software of the upstream.
+    pub version: SoftwareVersion,
     /// Number of requests that the upstream runs concurrently.
     pub slots: u32,
     /// Lifecycle state of the upstream.
@@ -90,6 +94,7 @@
 ///
 /// ```
 /// use fescuetide_base::prelude::*;
+/// use fescuetide_fleet::SoftwareVersion;
 /// use fescuetide_fleet::UpstreamChange;
 /// use fescuetide_fleet::UpstreamEntry;
 /// use fescuetide_fleet::UpstreamState;
@@ -103,6 +108,7 @@
 ///     pool: "engines".parse().unwrap(),
 ///     address: "127.0.0.1:8000".parse().unwrap(),
 ///     zone: "a".parse().unwrap(),
+///     version: SoftwareVersion::default(),
 ///     slots: 4,
 ///     state: UpstreamState::Ready,
 /// };
--- a/crates/state/fescuetide_fleet/tests/fleet.rs
+++ b/crates/state/fescuetide_fleet/tests/fleet.rs
@@ -6,6 +6,7 @@
 use fescuetide_fleet::OutageDetector;
 use fescuetide_fleet::RouteEntry;
 use fescuetide_fleet::RouteTable;
+use fescuetide_fleet::SoftwareVersion;
 use fescuetide_fleet::UpstreamChange;
 use fescuetide_fleet::UpstreamEntry;
 use fescuetide_fleet::UpstreamState;
@@ -35,6 +36,7 @@
         pool: "engines".parse().unwrap(),
         address: "127.0.0.1:1".parse().unwrap(),
         zone: "a".parse().unwrap(),
+        version: SoftwareVersion::default(),
         slots: 4,
         state,
     }
--- a/crates/state/fescuetide_fleet/tests/recovery_fuzz.rs
+++ b/crates/state/fescuetide_fleet/tests/recovery_fuzz.rs
@@ -8,6 +8,7 @@
 use fescuetide_base::prelude::*;
 use fescuetide_fleet::ConfigVersion;
 use fescuetide_fleet::OutageDetector;
+use fescuetide_fleet::SoftwareVersion;
 use fescuetide_fleet::UpdateFilter;
 use fescuetide_fleet::UpstreamChange;
 use fescuetide_fleet::UpstreamEntry;
@@ -269,6 +270,7 @@
         pool: "engines".parse().expect("name"),
         address: "127.0.0.1:1".parse().expect("address"),
         zone: "a".parse().expect("name"),
+        version: SoftwareVersion::default(),
         slots: 4,
         state: match model.is_leaving {
             true => UpstreamState::Leaving,
--- a/crates/state/fescuetide_fleet/tests/restore.rs
+++ b/crates/state/fescuetide_fleet/tests/restore.rs
@@ -7,6 +7,7 @@
 use fescuetide_fleet::EraDefect;
 use fescuetide_fleet::EraTracker;
 use fescuetide_fleet::EraVerdict;
+use fescuetide_fleet::SoftwareVersion;
 use fescuetide_fleet::UpstreamChange;
 use fescuetide_fleet::UpstreamEntry;
 use fescuetide_fleet::UpstreamState;
@@ -24,6 +25,7 @@
         pool: "engines".parse().unwrap(),
         address: "127.0.0.1:1".parse().unwrap(),
         zone: "a".parse().unwrap(),
+        version: SoftwareVersion::default(),
         slots: 4,
         state,
     }
--- a/crates/state/fescuetide_fleet/tests/restore_simulation.rs
+++ b/crates/state/fescuetide_fleet/tests/restore_simulation.rs
@@ -8,6 +8,7 @@
 use fescuetide_base::prelude::*;
 use fescuetide_fleet::EraTracker;
 use fescuetide_fleet::EraVerdict;
+use fescuetide_fleet::SoftwareVersion;
 use fescuetide_fleet::UpstreamChange;
 use fescuetide_fleet::UpstreamEntry;
 use fescuetide_fleet::UpstreamState;
@@ -295,6 +296,7 @@
         pool: "engines".parse().unwrap(),
         address: "127.0.0.1:1".parse().unwrap(),
         zone: "a".parse().unwrap(),
+        version: SoftwareVersion::default(),
         slots: 4,
         state: UpstreamState::Ready,
     }
--- a/crates/state/fescuetide_fleet/tests/start.rs
+++ b/crates/state/fescuetide_fleet/tests/start.rs
@@ -2,6 +2,7 @@
 
 use fescuetide_base::ClockMillis;
 use fescuetide_base::ProcessIncarnation;
+use fescuetide_fleet::SoftwareVersion;
 use fescuetide_fleet::StartFilter;
 use fescuetide_fleet::UpstreamEntry;
 use fescuetide_fleet::UpstreamState;
@@ -19,6 +20,7 @@
         pool: pool.parse().unwrap(),
         address: "127.0.0.1:1".parse().unwrap(),
         zone: "a".parse().unwrap(),
+        version: SoftwareVersion::default(),
         slots: 8,
         state,
     }
--- a/crates/tools/fescuetide_model/src/router.rs
+++ b/crates/tools/fescuetide_model/src/router.rs
@@ -9,6 +9,7 @@
 use fescuetide_base::VmName;
 use fescuetide_fleet::PoolShare;
 use fescuetide_fleet::RouteEntry;
+use fescuetide_fleet::SoftwareVersion;
 use fescuetide_fleet::UpstreamEntry;
 use fescuetide_fleet::UpstreamState;
 use fescuetide_fleet::WorkKind;
@@ -331,6 +332,7 @@
                 pool,
                 address: ([127, 0, 0, 1], 1).into(),
                 zone,
+                version: SoftwareVersion::default(),
                 slots: SLOTS,
                 state: match is_leaving {
                     true => UpstreamState::Leaving,
