Continue streams only at the software version that began them

Seen by callers: streams that hold events of two versions of a back end. A gateway that resumes a stream within its response, and one at which a caller takes a stream up, choose among all upstreams of the pool. And the latter cannot know where the stream began: another gateway, which may have been killed, relayed its first event. Change: a stream is pinned to the pool and version of the upstream whose first event is relayed. When a second version appears, the streams from before are told. What nobody knows is refused. Nothing is sent while there is one version. Why it works: the choice is made by what the caller holds, not by what this gateway knows of its own, and no version is taken without evidence.

--- a/crates/coordination/fescuetide_flow/src/action.rs
+++ b/crates/coordination/fescuetide_flow/src/action.rs
@@ -8,6 +8,8 @@
 
 use crate::FlowRefusal;
 use crate::LoadReport;
+use crate::StreamKey;
+use crate::StreamOrigin;
 use crate::UpstreamAnnouncement;
 
 /// Identifies a request within a [`RequestScheduler`](crate::RequestScheduler). Keys are never reused.
@@ -59,6 +61,12 @@
     Refuse(FlowKey, FlowRefusal),
     /// Open a connection to the upstream, to find out whether it is down.
     Probe(VmName),
+    /// Ask other gateways where a stream began that a caller takes up.
+    /// [`note_origin`](crate::RequestScheduler::note_origin) or
+    /// [`give_up_origin`](crate::RequestScheduler::give_up_origin) must follow.
+    SeekOrigin(StreamKey),
+    /// Tell other gateways where a stream began, since upstreams of several versions serve its pool.
+    TellOrigin(StreamKey, StreamOrigin),
     /// Report to the caller that the request failed and may have run. Its state is dropped.
     Fail(FlowKey, FlowFailure),
 }
--- a/crates/coordination/fescuetide_flow/src/evidence.rs
+++ b/crates/coordination/fescuetide_flow/src/evidence.rs
@@ -58,6 +58,8 @@
     RateLimited,
     /// The upstreams declined the request.
     Declined,
+    /// It takes up a stream, upstreams of several versions serve, and no gateway knows which of them began it.
+    UnknownStream,
     /// The request reached the attempt limit of its route, the retry budget is exhausted, or every upstream was tried.
     NoRetryLeft,
     /// The request crashes the upstreams that run it.
@@ -73,6 +75,7 @@
             Self::Paused => "paused",
             Self::RateLimited => "rate_limited",
             Self::Declined => "declined",
+            Self::UnknownStream => "unknown_stream",
             Self::NoRetryLeft => "no_retry_left",
             Self::CrashesUpstreams => "crashes_upstreams",
         }
--- a/crates/coordination/fescuetide_flow/src/flow.rs
+++ b/crates/coordination/fescuetide_flow/src/flow.rs
@@ -7,11 +7,13 @@
 use fescuetide_base::ProcessIncarnation;
 use fescuetide_base::UpstreamLife;
 use fescuetide_base::VmName;
+use fescuetide_fleet::VersionKey;
 use fescuetide_limits::CrashCount;
 
 use crate::NotRunEvidence;
 use crate::WorkRequest;
 use crate::crash::CrashRun;
+use crate::pool::UpstreamFilter;
 
 /// An attempt in progress.
 #[derive(Clone, Debug)]
@@ -20,6 +22,8 @@
     pub(crate) vm: VmName,
     /// The incarnation of the upstream when the attempt started.
     pub(crate) incarnation: ProcessIncarnation,
+    /// The version of the software of the upstream.
+    pub(crate) version: VersionKey,
     pub(crate) started_at: ClockMillis,
     /// The crashes of the request that were known when the attempt started.
     pub(crate) known_crashes: CrashCount,
@@ -65,6 +69,10 @@
     pub(crate) is_relayed: bool,
     /// Whether the process holds a complete error response of an upstream.
     pub(crate) has_error_response: bool,
+    /// The only version at which the stream can be continued, `None` before its first event.
+    pub(crate) version: Option<VersionKey>,
+    /// Whether it was recorded where the stream began.
+    pub(crate) is_origin_noted: bool,
     /// Upstreams that are not tried again.
     pub(crate) tried: Vec<VmName>,
     /// Number of upstreams that share the requests with this prompt prefix.
@@ -80,6 +88,8 @@
             may_have_run: false,
             is_relayed: false,
             has_error_response: false,
+            version: None,
+            is_origin_noted: false,
             tried: Vec::new(),
             holder_count: 1,
         }
@@ -91,6 +101,14 @@
         is_safe && self.sent_count < self.request.attempt_limit
     }
 
+    /// The upstreams that the request may be sent to.
+    pub(crate) fn filter(&self) -> UpstreamFilter<'_> {
+        UpstreamFilter {
+            tried: &self.tried,
+            version: self.version,
+        }
+    }
+
     /// Evidence that the request did not run, if any.
     pub(crate) fn evidence(&self) -> Option<NotRunEvidence> {
         NotRunEvidence::of_history(self.may_have_run, self.sent_count)
--- a/crates/coordination/fescuetide_flow/src/placement.rs
+++ b/crates/coordination/fescuetide_flow/src/placement.rs
@@ -6,6 +6,7 @@
 use fescuetide_base::ProcessIncarnation;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::VmName;
+use fescuetide_fleet::VersionKey;
 use fescuetide_routing::score_upstream;
 
 use crate::FlowSettings;
@@ -15,6 +16,8 @@
 pub(crate) struct UpstreamCandidate<'a> {
     pub(crate) vm: &'a VmName,
     pub(crate) incarnation: ProcessIncarnation,
+    /// The version of its software.
+    pub(crate) version: VersionKey,
     /// The stable hash of the upstream's name.
     pub(crate) hash: u64,
     /// Estimated number of outstanding requests.
--- a/crates/coordination/fescuetide_flow/src/pool.rs
+++ b/crates/coordination/fescuetide_flow/src/pool.rs
@@ -7,6 +7,7 @@
 use fescuetide_base::VmName;
 use fescuetide_fleet::UpstreamEntry;
 use fescuetide_fleet::UpstreamState;
+use fescuetide_fleet::VersionKey;
 use fescuetide_limits::RetryBudget;
 use indexmap::IndexMap;
 
@@ -17,6 +18,7 @@
 use crate::health::OutcomeTable;
 use crate::load;
 use crate::load::UpstreamLoad;
+use crate::origins::VersionHistory;
 use crate::placement::KnownUpstream;
 use crate::placement::UpstreamCandidate;
 use crate::rate_limits::RateLimitTable;
@@ -32,6 +34,7 @@
     entry: UpstreamEntry,
     hash: u64,
     key: UpstreamLife,
+    version: VersionKey,
     load: UpstreamLoad,
     last_data_at: ClockMillis,
     discovered_at: ClockMillis,
@@ -42,6 +45,7 @@
         Self {
             hash: StableHash::hash_bytes(entry.name.as_str().as_bytes()),
             key: UpstreamLife::of(&entry.name, entry.incarnation),
+            version: entry.version.key(),
             entry,
             load: UpstreamLoad::default(),
             last_data_at: ClockMillis::default(),
@@ -58,6 +62,24 @@
     }
 }
 
+/// Which upstreams of a pool a request may be sent to, regardless of their condition.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct UpstreamFilter<'a> {
+    /// Upstreams that are not tried again.
+    pub(crate) tried: &'a [VmName],
+    /// The only version that can continue the request's stream, `None` if any can serve it.
+    pub(crate) version: Option<VersionKey>,
+}
+
+impl UpstreamFilter<'_> {
+    fn allows(&self, name: &VmName, upstream: &PoolUpstream) -> bool {
+        let is_version = self
+            .version
+            .is_none_or(|version| version == upstream.version);
+        is_version && !self.tried.contains(name)
+    }
+}
+
 /// What is known about the condition of upstreams beyond their entries.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct UpstreamConditions<'a> {
@@ -109,6 +131,9 @@
     /// The upstreams by their keys in load digests.
     names: IndexMap<UpstreamLife, VmName>,
     demand: DemandTable,
+    earlier_versions: VersionHistory,
+    /// Whether other gateways are told where streams begin, since there are several versions.
+    pub(crate) tells_origins: bool,
     pub(crate) waiting: WaitingQueue,
     pub(crate) budget: RetryBudget,
 }
@@ -119,6 +144,8 @@
             upstreams: IndexMap::new(),
             names: IndexMap::new(),
             demand: DemandTable::default(),
+            earlier_versions: VersionHistory::default(),
+            tells_origins: false,
             waiting: WaitingQueue::default(),
             budget,
         }
@@ -129,10 +156,14 @@
         if let Some(known) = self.upstreams.get_mut(&entry.name)
             && known.entry.incarnation == entry.incarnation
         {
+            known.version = entry.version.key();
             known.entry = entry;
             return false;
         }
         let name = entry.name.clone();
+        if let Some(before) = self.upstreams.get(&name) {
+            self.earlier_versions.note(before.version, now);
+        }
         let upstream = PoolUpstream::new(entry, now);
         self.names.retain(|_, known| *known != name);
         self.names.insert(upstream.key, name.clone());
@@ -141,12 +172,17 @@
     }
 
     /// Removes and returns all upstreams for which `is_listed` is false.
-    pub(crate) fn retain(&mut self, is_listed: impl Fn(&VmName) -> bool) -> Vec<VmName> {
+    pub(crate) fn retain(
+        &mut self,
+        is_listed: impl Fn(&VmName) -> bool,
+        now: ClockMillis,
+    ) -> Vec<VmName> {
         let mut removed = Vec::new();
-        self.upstreams.retain(|name, _| {
+        self.upstreams.retain(|name, upstream| {
             let keep = is_listed(name);
             if !keep {
                 removed.push(name.clone());
+                self.earlier_versions.note(upstream.version, now);
             }
             keep
         });
@@ -198,19 +234,19 @@
         upstream.is_some_and(|upstream| conditions.accepts_requests(upstream))
     }
 
-    /// When the request at a position of the queue can be sent, if all ready upstreams that are not in `tried` are paused or have
-    /// rate limits. Returns `None` if one has neither, or a request at the first position can be sent now.
+    /// When the request at a position of the queue can be sent, if all ready upstreams that `filter` allows are paused or have rate
+    /// limits. Returns `None` if one has neither, or a request at the first position can be sent now.
     pub(crate) fn turn_at(
         &self,
         position: usize,
-        tried: &[VmName],
+        filter: UpstreamFilter<'_>,
         conditions: UpstreamConditions<'_>,
     ) -> Option<ClockMillis> {
         let now = conditions.now;
         let mut first_pause_end: Option<ClockMillis> = None;
         let mut tokens = SharedTokens::default();
         for (name, upstream) in &self.upstreams {
-            if !conditions.is_ready(upstream) || tried.contains(name) {
+            if !conditions.is_ready(upstream) || !filter.allows(name, upstream) {
                 continue;
             }
             if let Some(end) = conditions.paused_until(upstream) {
@@ -249,10 +285,28 @@
         Some((name, upstream.entry.incarnation))
     }
 
-    /// Whether the pool has a ready upstream that is not in `tried`, regardless of its load.
-    pub(crate) fn has_untried(&self, tried: &[VmName], conditions: UpstreamConditions<'_>) -> bool {
+    /// Whether the pool has a ready upstream that `filter` allows, regardless of its load.
+    pub(crate) fn has_untried(
+        &self,
+        filter: UpstreamFilter<'_>,
+        conditions: UpstreamConditions<'_>,
+    ) -> bool {
         let mut upstreams = self.upstreams.iter();
-        upstreams.any(|(name, upstream)| conditions.is_ready(upstream) && !tried.contains(name))
+        upstreams
+            .any(|(name, upstream)| conditions.is_ready(upstream) && filter.allows(name, upstream))
+    }
+
+    /// The version of all upstreams that served lately, `None` if there are several, or no upstreams.
+    pub(crate) fn only_version(&self, now: ClockMillis) -> Option<VersionKey> {
+        let current = self.upstreams.values().map(|upstream| upstream.version);
+        let mut versions = current.chain(self.earlier_versions.recent(now));
+        let first = versions.next()?;
+        versions.all(|version| version == first).then_some(first)
+    }
+
+    /// Records a version that another gateway knows in this pool.
+    pub(crate) fn note_version(&mut self, version: VersionKey, now: ClockMillis) {
+        self.earlier_versions.note(version, now);
     }
 
     /// Records a request with a shared prompt prefix. Returns the number of upstreams among which such requests are divided, so
@@ -366,7 +420,7 @@
     /// The upstreams that a request may be sent to. Unreachable upstreams are returned only if no other is available.
     pub(crate) fn candidates(
         &self,
-        tried: &[VmName],
+        filter: UpstreamFilter<'_>,
         holders: &[&VmName],
         zone: &str,
         conditions: UpstreamConditions<'_>,
@@ -377,13 +431,14 @@
         let mut reachable = Vec::with_capacity(self.upstreams.len());
         let mut unreachable = Vec::new();
         for (name, upstream) in &self.upstreams {
-            if !conditions.accepts_requests(upstream) || tried.contains(name) {
+            if !conditions.accepts_requests(upstream) || !filter.allows(name, upstream) {
                 continue;
             }
             let others = upstream.load.others(now).unwrap_or(others);
             let candidate = UpstreamCandidate {
                 vm: name,
                 incarnation: upstream.entry.incarnation,
+                version: upstream.version,
                 hash: upstream.hash,
                 load: upstream.load.own() + others,
                 load_age: upstream.load.age(now),
--- a/crates/coordination/fescuetide_flow/src/rate_limits.rs
+++ b/crates/coordination/fescuetide_flow/src/rate_limits.rs
@@ -10,9 +10,9 @@
 use fescuetide_limits::RateBucket;
 use indexmap::IndexMap;
 
+use crate::PoolKey;
 use crate::rate_shares::LimitShare;
 use crate::rate_shares::MIN_SHARERS;
-use crate::rate_shares::PoolKey;
 
 /// For how long after a response that names a limit, responses that name none do not end it. They may have been written before.
 const LIMIT_HOLD: SpanMillis = SpanMillis::new(1_000);
--- a/crates/coordination/fescuetide_flow/src/rate_shares.rs
+++ b/crates/coordination/fescuetide_flow/src/rate_shares.rs
@@ -5,7 +5,6 @@
 //! from the same rates, and what they know differs only by the time that a rate needs to spread.
 
 use fescuetide_base::ClockMillis;
-use fescuetide_base::PoolName;
 use fescuetide_base::RequestRate;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::StableHash;
@@ -13,6 +12,7 @@
 use fescuetide_routing::score_upstream;
 use indexmap::IndexMap;
 
+use crate::PoolKey;
 use crate::decaying_count::DecayingCount;
 
 /// Time over which the rate of arriving requests is averaged.
@@ -61,27 +61,6 @@
     }
 }
 
-/// Identifies a pool between gateways.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct PoolKey(u32);
-
-impl PoolKey {
-    /// Creates the key from its number.
-    pub const fn new(key: u32) -> Self {
-        Self(key)
-    }
-
-    /// Returns the number.
-    pub const fn get(self) -> u32 {
-        self.0
-    }
-
-    /// Computes the key of a pool.
-    pub fn of(pool: &PoolName) -> Self {
-        Self(StableHash::hash_bytes(pool.as_str().as_bytes()) as u32)
-    }
-}
-
 /// The rate at which requests for a pool arrive at a gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DemandEntry {
--- a/crates/coordination/fescuetide_flow/src/request.rs
+++ b/crates/coordination/fescuetide_flow/src/request.rs
@@ -10,6 +10,7 @@
 use fescuetide_limits::CrashFingerprint;
 
 use crate::PromptShape;
+use crate::StreamKey;
 
 /// A request with its route's limits and deadlines.
 #[derive(Clone, Debug, PartialEq)]
@@ -42,6 +43,10 @@
     pub part_fingerprints: Arc<[CrashFingerprint]>,
     /// Identifies the workspace, for fair queueing.
     pub workspace: u64,
+    /// The stream that the request begins or takes up, if it can be resumed.
+    pub stream: StreamKey,
+    /// Whether the caller has received a part of the stream already.
+    pub is_taken_up: bool,
 }
 
 /// Maximum pause between events if the route sets none.
@@ -70,6 +75,8 @@
             fingerprint: CrashFingerprint::default(),
             part_fingerprints: Arc::default(),
             workspace: 0,
+            stream: StreamKey::default(),
+            is_taken_up: false,
         }
     }
 
--- a/crates/coordination/fescuetide_flow/src/scheduler.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod ending;
 mod loads;
+mod origins;
 mod placing;
 mod rates;
 mod retrying;
@@ -17,6 +18,7 @@
 use fescuetide_base::VmName;
 use fescuetide_base::ZoneName;
 use fescuetide_fleet::UpstreamEntry;
+use fescuetide_fleet::WorkKind;
 use fescuetide_limits::CrashEvidence;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
@@ -26,6 +28,7 @@
 use crate::FlowKey;
 use crate::FlowNotice;
 use crate::FlowSettings;
+use crate::StreamKey;
 use crate::WorkRequest;
 use crate::announcements::AnnouncementTable;
 use crate::crash::CrashEvent;
@@ -34,6 +37,7 @@
 use crate::flow::RequestFlow;
 use crate::health::OutcomeTable;
 use crate::notice::NoticeQueue;
+use crate::origins::OriginTable;
 use crate::pool::PoolState;
 use crate::pool::UpstreamConditions;
 use crate::rate_limits::RateLimitTable;
@@ -71,6 +75,9 @@
     rate_limits: RateLimitTable,
     demand: FleetDemand,
     share_state: ShareState,
+    origins: OriginTable,
+    /// Requests whose streams other gateways are asked about.
+    seeking: IndexMap<FlowKey, StreamKey>,
     crashes: CrashTracker,
     directory: PrefixDirectory,
     share: TrafficShare,
@@ -102,6 +109,8 @@
             rate_limits: RateLimitTable::default(),
             demand: FleetDemand::default(),
             share_state: ShareState::default(),
+            origins: OriginTable::default(),
+            seeking: IndexMap::new(),
             crashes: CrashTracker::default(),
             directory: PrefixDirectory::default(),
             share: TrafficShare::default(),
@@ -163,12 +172,13 @@
                     .iter()
                     .any(|entry| entry.name == *vm && entry.pool == *name)
             };
-            for vm in pool.retain(is_listed) {
+            for vm in pool.retain(is_listed, now) {
                 self.outcomes.remove(&vm);
                 self.directory.remove(&vm);
                 self.crashes.note_restart(&vm, now);
             }
         }
+        self.tell_origins(now);
         self.send_waiting(now);
     }
 
@@ -182,12 +192,16 @@
         }
         self.note_limited_demand(&pool, now);
         let holder_count = self.note_demand(&request, &pool, now);
+        let is_taken_up = request.is_taken_up && request.kind == WorkKind::ResumableStream;
         let flow = RequestFlow {
             holder_count,
             ..RequestFlow::new(request, pool)
         };
         self.flows.insert(key, flow);
-        self.place(key, now);
+        match is_taken_up {
+            true => self.take_up_stream(key, now),
+            false => self.place(key, now),
+        }
         key
     }
 
@@ -267,6 +281,7 @@
             AttemptEvent::StreamProgress => {
                 attempt.last_data_at = Some(now);
                 self.note_data(&pool, &vm, now);
+                self.note_first_event(key, now);
             }
             AttemptEvent::Completed { status, load } => {
                 self.note_data(&pool, &vm, now);
--- a/crates/coordination/fescuetide_flow/src/scheduler/announcing.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/announcing.rs
@@ -15,6 +15,7 @@
 use crate::UpstreamAnnouncement;
 use crate::WorkRequest;
 use crate::flow::FlowState;
+use crate::pool::UpstreamFilter;
 
 impl RequestScheduler {
     /// Handles what an incarnation of an upstream announces in a response.
@@ -89,9 +90,9 @@
                     continue;
                 };
                 let conditions = self.conditions(now);
-                let turn = pool.turn_at(position, &flow.tried, conditions);
+                let turn = pool.turn_at(position, flow.filter(), conditions);
                 let is_late = turn.is_some_and(|turn| turn >= entry.expires_at);
-                if is_late || !pool.has_untried(&flow.tried, conditions) {
+                if is_late || !pool.has_untried(flow.filter(), conditions) {
                     hopeless.push((entry.key, name.clone()));
                 }
             }
@@ -111,7 +112,7 @@
             return;
         };
         let other = self.choose_pool(&flow.request, now);
-        if other == *pool || flow.is_relayed {
+        if other == *pool || flow.version.is_some() || flow.is_relayed {
             let pause = self.pause_left(&flow.request, now);
             let (cause, retry_after) = match pause.as_millis() {
                 0 => (RefusalCause::NoUpstream, NO_UPSTREAM_RETRY_DELAY),
@@ -137,7 +138,9 @@
             else {
                 continue;
             };
-            let Some(turn) = pool.turn_at(pool.waiting.len(), &[], conditions) else {
+            let Some(turn) =
+                pool.turn_at(pool.waiting.len(), UpstreamFilter::default(), conditions)
+            else {
                 return SpanMillis::default();
             };
             first = Some(first.map_or(turn, |first| first.min(turn)));
--- a/crates/coordination/fescuetide_flow/src/scheduler/ending.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/ending.rs
@@ -102,6 +102,7 @@
         let Some(flow) = self.flows.swap_remove(&key) else {
             return;
         };
+        self.seeking.swap_remove(&key);
         match flow.state {
             FlowState::Waiting(pool) => {
                 if let Some(pool) = self.pools.get_mut(&pool) {
--- a/crates/coordination/fescuetide_flow/src/scheduler/placing.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/placing.rs
@@ -68,7 +68,7 @@
         }
         let flow = &self.flows[&key];
         let pool = self.pools.get(&pool_name);
-        if !pool.is_some_and(|pool| pool.has_untried(&flow.tried, self.conditions(now))) {
+        if !pool.is_some_and(|pool| pool.has_untried(flow.filter(), self.conditions(now))) {
             let cause = match flow.tried.is_empty() {
                 true => RefusalCause::NoUpstream,
                 false => RefusalCause::NoRetryLeft,
@@ -85,7 +85,7 @@
         };
         let turn = pool.and_then(|pool| {
             let position = pool.waiting.position_of(&wait);
-            pool.turn_at(position, &flow.tried, self.conditions(now))
+            pool.turn_at(position, flow.filter(), self.conditions(now))
         });
         if turn.is_some_and(|turn| turn >= wait.expires_at) {
             self.leave_pool(key, &pool_name, now);
@@ -128,7 +128,7 @@
             rate_limits: &self.rate_limits,
             now,
         };
-        let candidates = pool.candidates(&flow.tried, &holders, zone, conditions);
+        let candidates = pool.candidates(flow.filter(), &holders, zone, conditions);
         let wanted = shared.map(|hash| PrefixDemand {
             hash,
             holder_count: flow.holder_count,
@@ -139,7 +139,7 @@
             return false;
         };
         let (vm, load, load_age) = (choice.vm.clone(), choice.load, choice.load_age);
-        let incarnation = choice.incarnation;
+        let (incarnation, version) = (choice.incarnation, choice.version);
         let copy_from = match shared {
             Some(prefix) if !choice.has_prefix => {
                 let known = pool.reachable(&self.outcomes, now);
@@ -173,6 +173,7 @@
             pool: pool_name.clone(),
             vm,
             incarnation,
+            version,
             started_at: now,
             known_crashes: self.crashes.known(flow.request.fingerprint, now),
             is_sent: false,
--- a/crates/coordination/fescuetide_flow/src/scheduler/rates.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/rates.rs
@@ -13,9 +13,9 @@
 use crate::FlowNotice;
 use crate::GatewayId;
 use crate::LimitEntry;
+use crate::PoolKey;
 use crate::rate_limits::LimitChange;
 use crate::rate_limits::LimitTarget;
-use crate::rate_shares::PoolKey;
 
 /// Time between two computations of this gateway's parts.
 const SHARE_INTERVAL: SpanMillis = SpanMillis::new(200);
--- a/crates/coordination/fescuetide_flow/src/scheduler/retrying.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/retrying.rs
@@ -13,6 +13,7 @@
 use crate::FlowNotice;
 use crate::RefusalCause;
 use crate::flow::RequestFlow;
+use crate::pool::UpstreamFilter;
 use crate::timing;
 
 /// What shows that a response is whole.
@@ -210,14 +211,18 @@
         let Some(attempt) = flow.attempt().cloned() else {
             return;
         };
+        let version = flow.version;
         let is_suspect = self.crashes.is_suspect(flow.request.fingerprint, now);
         let is_unresponsive = self.is_unresponsive(&attempt);
         if is_unresponsive {
             self.note_silent(key, now);
         }
         let has_other = self.pools.get(&attempt.pool).is_some_and(|pool| {
-            let tried = [attempt.vm.clone()];
-            let others = pool.candidates(&tried, &[], self.zone.as_str(), self.conditions(now));
+            let filter = UpstreamFilter {
+                tried: std::slice::from_ref(&attempt.vm),
+                version,
+            };
+            let others = pool.candidates(filter, &[], self.zone.as_str(), self.conditions(now));
             others.iter().any(|other| other.load < other.capacity)
         });
         if !has_other || is_suspect || !self.take_retry(key) {
--- a/crates/coordination/fescuetide_flow/tests/flow/fleet.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/fleet.rs
@@ -342,6 +342,8 @@
                         }
                     }
                 }
+                // The simulated requests take up no streams.
+                FlowAction::SeekOrigin(_) | FlowAction::TellOrigin(..) => {}
                 FlowAction::Relay(key) | FlowAction::Fail(key, _) => {
                     self.crashing_keys.remove(&(gateway, key));
                 }
--- /dev/null
+++ b/crates/coordination/fescuetide_flow/tests/flow/origins.rs
@@ -0,0 +1,251 @@
+//! Upstreams of several software versions: a stream goes on only at the version that began it.
+
+use fescuetide_base::SpanMillis;
+use fescuetide_fleet::PoolShare;
+use fescuetide_fleet::RouteEntry;
+use fescuetide_fleet::SoftwareVersion;
+use fescuetide_fleet::UpstreamEntry;
+use fescuetide_fleet::WorkKind;
+use fescuetide_flow::AttemptEvent;
+use fescuetide_flow::BreakCause;
+use fescuetide_flow::FlowAction;
+use fescuetide_flow::FlowFailure;
+use fescuetide_flow::FlowKey;
+use fescuetide_flow::PoolKey;
+use fescuetide_flow::RefusalCause;
+use fescuetide_flow::StreamKey;
+use fescuetide_flow::StreamOrigin;
+use fescuetide_flow::WorkRequest;
+
+use crate::harness::POOL;
+use crate::harness::SchedulerHarness;
+use crate::harness::route;
+use crate::harness::upstream;
+
+const STREAM: StreamKey = StreamKey::new(7);
+
+/// Time after which a version that serves no more counts no more.
+const HISTORY: SpanMillis = SpanMillis::new(60_000);
+
+fn version(text: &str) -> SoftwareVersion {
+    SoftwareVersion::from(text.to_owned())
+}
+
+/// An upstream of a version, by which it is named.
+fn versioned(text: &str, index: usize) -> UpstreamEntry {
+    UpstreamEntry {
+        version: version(text),
+        ..upstream(&format!("{text}-{index}"), 8)
+    }
+}
+
+fn origin(text: &str) -> StreamOrigin {
+    StreamOrigin {
+        pool: PoolKey::of(&POOL.parse().unwrap()),
+        version: version(text).key(),
+    }
+}
+
+impl SchedulerHarness {
+    /// Starts with so many upstreams of v1 and of v2.
+    fn with_versions(old: usize, new: usize) -> Self {
+        let mut harness = Self::with_upstreams(0);
+        harness.set_versions(old, new);
+        harness
+    }
+
+    fn set_versions(&mut self, old: usize, new: usize) {
+        let old = (0..old).map(|index| versioned("v1", index));
+        let new = (0..new).map(|index| versioned("v2", index));
+        let entries: Vec<UpstreamEntry> = old.chain(new).collect();
+        self.scheduler.set_upstreams(&entries, self.now);
+    }
+
+    /// Adds a request for a stream, which takes it up if `is_taken_up` is set.
+    fn arrive_for_stream(&mut self, is_taken_up: bool) -> FlowKey {
+        self.arrive_on(route(WorkKind::ResumableStream, 3), is_taken_up)
+    }
+
+    fn arrive_on(&mut self, route: RouteEntry, is_taken_up: bool) -> FlowKey {
+        let request = WorkRequest {
+            stream: STREAM,
+            is_taken_up,
+            ..WorkRequest::of_route(&route, self.now, None)
+        };
+        self.scheduler.arrive(request, self.now)
+    }
+
+    /// Begins a stream and relays its first event. Returns the request, and whether its upstream is one of v1.
+    fn begin_stream(&mut self) -> (FlowKey, bool) {
+        let key = self.arrive_for_stream(false);
+        let upstream = self.expect_send(key).upstream;
+        self.note(key, AttemptEvent::Sent);
+        self.note(key, AttemptEvent::StreamStarted(None));
+        assert_eq!(self.next(), Some(FlowAction::Relay(key)));
+        self.note(key, AttemptEvent::StreamProgress);
+        (key, upstream.as_str().starts_with("v1"))
+    }
+}
+
+/// Guards against a stream that is continued at another version within its response.
+#[test]
+fn broken_stream_is_sent_only_to_its_version() {
+    let mut harness = SchedulerHarness::with_versions(2, 6);
+    for _ in 0..20 {
+        let (key, is_old) = harness.begin_stream();
+        let told = origin(if is_old { "v1" } else { "v2" });
+        assert_eq!(harness.next(), Some(FlowAction::TellOrigin(STREAM, told)));
+        harness.note(key, AttemptEvent::Broken(BreakCause::Closed));
+        let command = harness.expect_send(key);
+        assert_eq!(command.upstream.as_str().starts_with("v1"), is_old);
+        assert!(command.is_resumption);
+        harness.scheduler.caller_left(key, harness.now);
+        // The failures of upstreams and the retries count less by then.
+        harness.set_versions(0, 0);
+        harness.set_versions(2, 6);
+        for _ in 0..40 {
+            let key = harness.arrive(WorkKind::Once, 1);
+            harness.expect_send(key);
+            harness.complete(key);
+        }
+    }
+}
+
+/// Guards against a stream that waits for an upstream of its version that does not exist, or goes on elsewhere.
+#[test]
+fn broken_stream_fails_if_no_other_upstream_has_its_version() {
+    let mut harness = SchedulerHarness::with_versions(1, 1);
+    let (key, _) = harness.begin_stream();
+    harness.next();
+    harness.note(key, AttemptEvent::Broken(BreakCause::Closed));
+    let failure = FlowFailure::AttemptBroken(BreakCause::Closed);
+    assert_eq!(harness.next(), Some(FlowAction::Fail(key, failure)));
+}
+
+/// Guards against a request that stays at its first version although its caller has no event of it.
+#[test]
+fn stream_without_an_event_may_begin_at_any_version() {
+    let mut harness = SchedulerHarness::with_versions(1, 1);
+    let key = harness.arrive_for_stream(false);
+    let first = harness.expect_send(key).upstream;
+    harness.note(key, AttemptEvent::Sent);
+    harness.note(key, AttemptEvent::StreamStarted(None));
+    assert_eq!(harness.next(), Some(FlowAction::Relay(key)));
+    harness.note(key, AttemptEvent::Broken(BreakCause::Closed));
+    assert_ne!(harness.expect_send(key).upstream, first);
+}
+
+/// Guards against a stream that goes on at another version when its caller takes it up here again.
+#[test]
+fn stream_taken_up_at_the_same_gateway_goes_to_its_version() {
+    let mut harness = SchedulerHarness::with_versions(3, 3);
+    let (key, is_old) = harness.begin_stream();
+    harness.next();
+    harness.scheduler.caller_left(key, harness.now);
+    for _ in 0..10 {
+        let key = harness.arrive_for_stream(true);
+        let command = harness.expect_send(key);
+        assert_eq!(command.upstream.as_str().starts_with("v1"), is_old);
+    }
+}
+
+/// Guards against a guess while other gateways are asked, and against a request that is not sent once one answers.
+#[test]
+fn stream_of_another_gateway_is_sent_once_its_origin_is_told() {
+    let mut harness = SchedulerHarness::with_versions(3, 3);
+    let key = harness.arrive_for_stream(true);
+    assert_eq!(harness.next(), Some(FlowAction::SeekOrigin(STREAM)));
+    harness.advance(100);
+    assert_eq!(harness.next(), None);
+    harness
+        .scheduler
+        .note_origin(STREAM, origin("v1"), harness.now);
+    let command = harness.expect_send(key);
+    assert!(command.upstream.as_str().starts_with("v1"));
+}
+
+/// Guards against a stream that goes on at any version since nobody knows it.
+#[test]
+fn stream_that_nobody_knows_is_refused() {
+    let mut harness = SchedulerHarness::with_versions(3, 3);
+    let key = harness.arrive_for_stream(true);
+    assert_eq!(harness.next(), Some(FlowAction::SeekOrigin(STREAM)));
+    harness.scheduler.give_up_origin(STREAM, harness.now);
+    assert_eq!(
+        harness.expect_refusal(key).cause,
+        RefusalCause::UnknownStream
+    );
+}
+
+/// Guards against a stream whose version has gone and that goes on at the other one.
+#[test]
+fn stream_of_a_version_that_is_gone_is_refused() {
+    let mut harness = SchedulerHarness::with_versions(0, 3);
+    harness
+        .scheduler
+        .note_origin(STREAM, origin("v1"), harness.now);
+    let key = harness.arrive_for_stream(true);
+    assert_eq!(harness.expect_refusal(key).cause, RefusalCause::NoUpstream);
+}
+
+/// Guards against questions and refusals while there is one version only, and against a version that is forgotten while its
+/// streams may still be taken up.
+#[test]
+fn stream_needs_no_origin_once_there_was_only_one_version_for_long_enough() {
+    let mut harness = SchedulerHarness::with_versions(2, 1);
+    harness.set_versions(2, 0);
+    harness.advance(HISTORY.as_millis() - 1_000);
+    let key = harness.arrive_for_stream(true);
+    assert_eq!(harness.next(), Some(FlowAction::SeekOrigin(STREAM)));
+    harness.scheduler.caller_left(key, harness.now);
+    harness.advance(1_000);
+    let key = harness.arrive_for_stream(true);
+    let first = harness.expect_send(key).upstream;
+    // The other version comes back before the stream breaks off.
+    harness.set_versions(2, 8);
+    harness.note(key, AttemptEvent::Sent);
+    harness.note(key, AttemptEvent::Broken(BreakCause::Closed));
+    let second = harness.expect_send(key).upstream;
+    assert!(first.as_str().starts_with("v1") && second.as_str().starts_with("v1"));
+}
+
+/// Guards against streams from before a release whose origin no other gateway knows.
+#[test]
+fn streams_from_before_a_release_are_told_when_it_begins() {
+    let mut harness = SchedulerHarness::with_versions(3, 0);
+    harness.begin_stream();
+    assert_eq!(harness.next(), None);
+    harness.set_versions(3, 1);
+    let told = FlowAction::TellOrigin(STREAM, origin("v1"));
+    assert_eq!(harness.next(), Some(told));
+    harness.set_versions(3, 2);
+    assert_eq!(harness.next(), None);
+}
+
+/// Guards against a stream that goes on in another pool of its route.
+#[test]
+fn stream_goes_on_in_its_pool() {
+    let other: fescuetide_base::PoolName = "others".parse().unwrap();
+    let pools = [POOL.parse().unwrap(), other.clone()];
+    let shares = pools.map(|pool| PoolShare { pool, weight: 1 });
+    let in_other = UpstreamEntry {
+        pool: other.clone(),
+        ..versioned("v1", 9)
+    };
+    let mut harness = SchedulerHarness::with_upstreams(0);
+    let entries = [versioned("v1", 0), versioned("v2", 0), in_other.clone()];
+    harness.scheduler.set_upstreams(&entries, harness.now);
+    let origin = StreamOrigin {
+        pool: PoolKey::of(&other),
+        version: in_other.version.key(),
+    };
+    harness.scheduler.note_origin(STREAM, origin, harness.now);
+    for _ in 0..4 {
+        let route = RouteEntry {
+            pools: shares.to_vec(),
+            ..route(WorkKind::ResumableStream, 3)
+        };
+        let key = harness.arrive_on(route, true);
+        assert_eq!(harness.expect_send(key).upstream, in_other.name);
+    }
+}
--- a/crates/coordination/fescuetide_flow/tests/flow/pauses.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/pauses.rs
@@ -57,7 +57,7 @@
         upstream.to_string()
     }
 
-    fn expect_refusal(&mut self, key: FlowKey) -> FlowRefusal {
+    pub(crate) fn expect_refusal(&mut self, key: FlowKey) -> FlowRefusal {
         match self.next() {
             Some(FlowAction::Refuse(refused, refusal)) if refused == key => refusal,
             other => panic!("expected a refusal, not {other:?}"),
--- a/crates/process/fescuetide_gateway/src/admission.rs
+++ b/crates/process/fescuetide_gateway/src/admission.rs
@@ -5,6 +5,7 @@
 use fescuetide_base::ClockMillis;
 use fescuetide_base::StableHash;
 use fescuetide_fleet::FleetConfig;
+use fescuetide_flow::StreamKey;
 use fescuetide_flow::WorkRequest;
 use fescuetide_limits::CrashFingerprint;
 
@@ -55,6 +56,9 @@
     request.workspace = owner.map_or(0, |owner| {
         StableHash::hash_bytes(owner.name.as_str().as_bytes())
     });
+    let fields = &exchange.fields;
+    request.stream = StreamKey::of(fields.resumes.as_ref().unwrap_or(id));
+    request.is_taken_up = fields.resumes.is_some() || fields.last_event.is_some();
     request.fingerprint = fingerprint(exchange);
     exchange.fingerprint = request.fingerprint;
     request.part_fingerprints = exchange.fields.prompt.part_fingerprints();
--- a/crates/process/fescuetide_gateway/src/attempts.rs
+++ b/crates/process/fescuetide_gateway/src/attempts.rs
@@ -45,6 +45,8 @@
                 FlowAction::Refuse(key, refusal) => self.refuse(key, &refusal),
                 FlowAction::Fail(key, failure) => self.fail(key, failure),
                 FlowAction::Probe(vm) => self.start_probe(&vm),
+                FlowAction::SeekOrigin(stream) => self.seek_origin(stream),
+                FlowAction::TellOrigin(stream, origin) => self.tell_origin(stream, origin),
             }
         }
     }
--- a/crates/process/fescuetide_gateway/src/counters.rs
+++ b/crates/process/fescuetide_gateway/src/counters.rs
@@ -100,6 +100,14 @@
     streams_taken_up => "fescuetide_streams_taken_up_total",
     /// Attempts that continue an event stream within its response.
     streams_resumed => "fescuetide_streams_resumed_total",
+    /// Streams that callers took up and about which other gateways were asked.
+    origins_sought => "fescuetide_stream_origins_sought_total",
+    /// Of these, those about which none knew where they began.
+    origins_unknown => "fescuetide_stream_origins_unknown_total",
+    /// Datagrams sent about where streams began.
+    origin_datagrams_sent => "fescuetide_origin_datagrams_sent_total",
+    /// Datagrams received about where streams began.
+    origin_datagrams_received => "fescuetide_origin_datagrams_received_total",
     /// Connections opened to find out whether an upstream is down.
     probes => "fescuetide_probes_total",
     /// Crashes of upstreams that were counted for requests that ran there.
--- a/crates/process/fescuetide_gateway/src/lib.rs
+++ b/crates/process/fescuetide_gateway/src/lib.rs
@@ -60,6 +60,7 @@
 mod log_line_limit;
 mod messages;
 mod monitoring;
+mod origin_exchange;
 mod peer_state;
 mod peers;
 mod process;
--- a/crates/process/fescuetide_gateway/src/load_exchange.rs
+++ b/crates/process/fescuetide_gateway/src/load_exchange.rs
@@ -1,4 +1,5 @@
 //! Exchange with other gateways by datagrams: the loads of upstreams, how recent the list of upstreams is, and rate limits.
+//! Datagrams about the origins of streams, see `origin_exchange`, use the same socket.
 //!
 //! Each gateway sends a digest of what it has newly heard to one other gateway at a time, so what a gateway sends and
 //! receives does not depend on their number. A lost datagram only makes a load known a little later.
@@ -21,6 +22,8 @@
 use fescuetide_wire::limit::LimitDatagram;
 use fescuetide_wire::load::LOAD_DATAGRAM_LIMIT_BYTES;
 use fescuetide_wire::load::LoadDatagram;
+use fescuetide_wire::origin::ORIGIN_DATAGRAM_LIMIT_BYTES;
+use fescuetide_wire::origin::OriginDatagram;
 use mio::Interest;
 use mio::Registry;
 use mio::Token;
@@ -34,19 +37,21 @@
 /// Time between two digests.
 const DIGEST_INTERVAL: SpanMillis = SpanMillis::new(100);
 
-/// Maximum number of datagrams that are used in one interval. On average, one or two arrive. Others are dropped.
+/// Maximum number of digests that are used in one interval. On average, one or two arrive. Others are dropped.
 const DIGESTS_PER_INTERVAL: u32 = 32;
 
 /// Maximum number of datagrams that are read at a time. A peer that sends without end must not keep the traffic thread busy. What
 /// is left is read with the next tick.
 const READS_PER_TURN: usize = 64;
 
-/// Maximum length of a datagram in bytes.
-const DATAGRAM_LIMIT_BYTES: usize = if LIMIT_DATAGRAM_LIMIT_BYTES > LOAD_DATAGRAM_LIMIT_BYTES {
-    LIMIT_DATAGRAM_LIMIT_BYTES
-} else {
-    LOAD_DATAGRAM_LIMIT_BYTES
-};
+/// Maximum length of a datagram in bytes, so that it fits into one packet.
+const DATAGRAM_LIMIT_BYTES: usize = 1_472;
+
+const _: () = assert!(
+    LOAD_DATAGRAM_LIMIT_BYTES <= DATAGRAM_LIMIT_BYTES
+        && LIMIT_DATAGRAM_LIMIT_BYTES <= DATAGRAM_LIMIT_BYTES
+        && ORIGIN_DATAGRAM_LIMIT_BYTES <= DATAGRAM_LIMIT_BYTES
+);
 
 /// The socket for digests and the gateways that get them.
 #[derive(Debug)]
@@ -59,7 +64,7 @@
     next_at: ClockMillis,
     /// Number of digests sent, which together with the own address selects the next peer.
     draws: u64,
-    /// Datagrams received since the last load digest was sent.
+    /// Digests received since the last load digest was sent.
     received: u32,
     /// How recent the list of upstreams is, shared with the thread that reads it.
     listing: SharedListing,
@@ -114,6 +119,11 @@
         }
     }
 
+    /// The addresses of the other gateways for datagrams.
+    pub(crate) fn peers(&self) -> &[SocketAddr] {
+        &self.peers
+    }
+
     /// The ids of this gateway and of its peers, by their addresses for digests.
     pub(crate) fn gateway_ids(&self) -> (GatewayId, Vec<GatewayId>) {
         let id_of = |address: &SocketAddr| GatewayId::of(&address.to_string());
@@ -186,7 +196,7 @@
     }
 
     /// Sends a datagram to a peer, and returns whether that succeeded.
-    fn send_datagram(&mut self, peer: SocketAddr, bytes: &[u8]) -> bool {
+    pub(crate) fn send_datagram(&mut self, peer: SocketAddr, bytes: &[u8]) -> bool {
         let Some(exchange) = &self.load_exchange else {
             return false;
         };
@@ -233,13 +243,15 @@
                     return;
                 }
             };
-            exchange.received += 1;
-            if exchange.received > DIGESTS_PER_INTERVAL {
+            let datagram = &buffer[..length];
+            let is_digest = !OriginDatagram::has_kind(datagram);
+            exchange.received += u32::from(is_digest);
+            if is_digest && exchange.received > DIGESTS_PER_INTERVAL {
                 count(&self.counters.load_digests_rejected);
                 continue;
             }
-            let datagram = &buffer[..length];
             let result = match datagram.first() {
+                _ if !is_digest => self.use_origins(peer, datagram),
                 Some(&LIMIT_DATAGRAM_FORMAT) => self.use_limits(datagram),
                 _ => self.use_loads(datagram),
             };
--- a/crates/process/fescuetide_gateway/src/traffic.rs
+++ b/crates/process/fescuetide_gateway/src/traffic.rs
@@ -45,6 +45,7 @@
 use crate::log_line_limit::LogLineKind;
 use crate::messages::LoopMessage;
 use crate::monitoring::MonitoringListener;
+use crate::origin_exchange::OriginExchange;
 use crate::peers::PeerCommand;
 use crate::shutdown::DrainState;
 use crate::sockets;
@@ -134,6 +135,8 @@
     pub(crate) peer_sender: Option<Sender<PeerCommand>>,
     /// Exchanges loads with other gateways, `None` if peers are disabled.
     pub(crate) load_exchange: Option<LoadExchange>,
+    /// Tells and asks other gateways where streams began.
+    pub(crate) origin_exchange: OriginExchange,
     /// Number of gateways, including this one. 0 until it is known.
     pub(crate) gateway_count: usize,
     /// Takes crash evidence for the platform's log.
@@ -195,6 +198,7 @@
             report_backlog: ReportBacklog::new(report_offset(&settings.vm), ClockMillis::now()),
             peer_sender: None,
             load_exchange: None,
+            origin_exchange: OriginExchange::default(),
             gateway_count: 0,
             report_sender: None,
             signals: LoopSignals::default(),
@@ -235,6 +239,7 @@
             }
             self.finish_reads();
             self.handle_messages();
+            self.exchange_origins();
             self.share_crash_evidence();
             self.report_notices();
             self.resume_input();
--- a/crates/protocol/fescuetide_wire/src/lib.rs
+++ b/crates/protocol/fescuetide_wire/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod limit;
 pub mod load;
 pub mod log;
+pub mod origin;
 pub mod peer;
 pub mod records;
 pub mod rpc;
--- a/crates/tools/fescuetide_model/src/router.rs
+++ b/crates/tools/fescuetide_model/src/router.rs
@@ -383,6 +383,8 @@
                 FlowAction::Probe(vm) => {
                     commands.extend(self.engines.get(&vm).copied().map(RouterCommand::Probe));
                 }
+                // The model has one version.
+                FlowAction::SeekOrigin(_) | FlowAction::TellOrigin(..) => {}
                 FlowAction::Fail(key, _) => {
                     commands.extend(self.finish(key, RequestOutcome::Failed))
                 }
