Do not hold back requests behind one that only some upstreams can serve

Callers would see waits and refusals while upstreams have room: the queue of a pool stands still while its first request waits for upstreams of its version. Cause: the queue stops at the first request that cannot be sent, as if all could go to the same upstreams. Change: it goes on behind requests that may not go to all upstreams. The test failed before (the request behind was not sent).

--- a/crates/coordination/fescuetide_flow/src/flow.rs
+++ b/crates/coordination/fescuetide_flow/src/flow.rs
@@ -101,6 +101,11 @@
         is_safe && self.sent_count < self.request.attempt_limit
     }
 
+    /// Whether some upstreams of its pool are not for this request.
+    pub(crate) fn is_restricted(&self) -> bool {
+        self.version.is_some() || !self.tried.is_empty()
+    }
+
     /// The upstreams that the request may be sent to.
     pub(crate) fn filter(&self) -> UpstreamFilter<'_> {
         UpstreamFilter {
--- a/crates/coordination/fescuetide_flow/src/scheduler/placing.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/placing.rs
@@ -198,7 +198,11 @@
                     continue;
                 }
                 if !self.try_send(key, &name, now) {
-                    break;
+                    match self.flows[&key].is_restricted() {
+                        // Upstreams that it may not be sent to may have room for those behind it.
+                        true => continue,
+                        false => break,
+                    }
                 }
                 self.pools[&name].waiting.remove(key);
             }
--- a/crates/coordination/fescuetide_flow/tests/flow/origins.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/origins.rs
@@ -249,3 +249,31 @@
         assert_eq!(harness.expect_send(key).upstream, in_other.name);
     }
 }
+
+/// Guards against a queue that stands still since its first request waits for a version whose upstreams are full.
+#[test]
+fn request_behind_a_stream_that_waits_for_its_version_is_sent() {
+    let mut harness = SchedulerHarness::with_upstreams(0);
+    let small = |text| UpstreamEntry {
+        slots: 1,
+        ..versioned(text, 0)
+    };
+    let entries = [small("v1"), small("v2")];
+    harness.scheduler.set_upstreams(&entries, harness.now);
+    let mut at_new = Vec::new();
+    for _ in 0..4 {
+        let key = harness.arrive(WorkKind::Once, 1);
+        let command = harness.expect_send(key);
+        if command.upstream.as_str().starts_with("v2") {
+            at_new.push(key);
+        }
+    }
+    harness
+        .scheduler
+        .note_origin(STREAM, origin("v1"), harness.now);
+    harness.arrive_for_stream(true);
+    let behind = harness.arrive(WorkKind::Once, 1);
+    assert_eq!(harness.scheduler.waiting_count(), 2);
+    harness.complete(at_new[0]);
+    harness.expect_send(behind);
+}
