Tell a refused stream when its own version has room

Cause: the time until the retry looked at all upstreams of the pool, also at those that cannot continue the stream, and so was that of no upstream at all. Change: only upstreams of the stream's version count. A version that changes under the same incarnation of an upstream also counts as one that served. The test failed before (no upstream, 700 ms; its turn is in 2 s).

--- a/crates/coordination/fescuetide_flow/src/pool.rs
+++ b/crates/coordination/fescuetide_flow/src/pool.rs
@@ -156,7 +156,10 @@
         if let Some(known) = self.upstreams.get_mut(&entry.name)
             && known.entry.incarnation == entry.incarnation
         {
-            known.version = entry.version.key();
+            let version = std::mem::replace(&mut known.version, entry.version.key());
+            if version != known.version {
+                self.earlier_versions.note(version, now);
+            }
             known.entry = entry;
             return false;
         }
--- a/crates/coordination/fescuetide_flow/src/scheduler/announcing.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/announcing.rs
@@ -13,8 +13,8 @@
 use crate::FlowNotice;
 use crate::RefusalCause;
 use crate::UpstreamAnnouncement;
-use crate::WorkRequest;
 use crate::flow::FlowState;
+use crate::flow::RequestFlow;
 use crate::pool::UpstreamFilter;
 
 impl RequestScheduler {
@@ -113,7 +113,7 @@
         };
         let other = self.choose_pool(&flow.request, now);
         if other == *pool || flow.version.is_some() || flow.is_relayed {
-            let pause = self.pause_left(&flow.request, now);
+            let pause = self.pause_left(flow, now);
             let (cause, retry_after) = match pause.as_millis() {
                 0 => (RefusalCause::NoUpstream, NO_UPSTREAM_RETRY_DELAY),
                 _ if self.rate_limits.has_limits() => (RefusalCause::RateLimited, pause),
@@ -127,20 +127,22 @@
     }
 
     /// Time until an upstream accepts requests like this one again, 0 if one does or if there is none.
-    pub(super) fn pause_left(&self, request: &WorkRequest, now: ClockMillis) -> SpanMillis {
+    pub(super) fn pause_left(&self, flow: &RequestFlow, now: ClockMillis) -> SpanMillis {
         let conditions = self.conditions(now);
+        let filter = UpstreamFilter {
+            tried: &[],
+            version: flow.version,
+        };
         let mut first: Option<ClockMillis> = None;
-        for share in &request.pools {
+        for share in &flow.request.pools {
             let Some(pool) = self
                 .pools
                 .get(&share.pool)
-                .filter(|pool| pool.has_ready(conditions))
+                .filter(|pool| pool.has_untried(filter, conditions))
             else {
                 continue;
             };
-            let Some(turn) =
-                pool.turn_at(pool.waiting.len(), UpstreamFilter::default(), conditions)
-            else {
+            let Some(turn) = pool.turn_at(pool.waiting.len(), filter, conditions) else {
                 return SpanMillis::default();
             };
             first = Some(first.map_or(turn, |first| first.min(turn)));
--- a/crates/coordination/fescuetide_flow/src/scheduler/ending.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/ending.rs
@@ -74,7 +74,7 @@
         let refusal = FlowRefusal {
             evidence,
             cause,
-            retry_after: retry_after.max(self.pause_left(&flow.request, now)),
+            retry_after: retry_after.max(self.pause_left(flow, now)),
         };
         self.actions.push_back(FlowAction::Refuse(key, refusal));
         self.remove(key, now);
--- a/crates/coordination/fescuetide_flow/tests/flow/origins.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/origins.rs
@@ -1,5 +1,6 @@
 //! Upstreams of several software versions: a stream goes on only at the version that began it.
 
+use fescuetide_base::RequestRate;
 use fescuetide_base::SpanMillis;
 use fescuetide_fleet::PoolShare;
 use fescuetide_fleet::RouteEntry;
@@ -15,6 +16,7 @@
 use fescuetide_flow::RefusalCause;
 use fescuetide_flow::StreamKey;
 use fescuetide_flow::StreamOrigin;
+use fescuetide_flow::UpstreamAnnouncement;
 use fescuetide_flow::WorkRequest;
 
 use crate::harness::POOL;
@@ -277,3 +279,30 @@
     harness.complete(at_new[0]);
     harness.expect_send(behind);
 }
+
+/// Guards against a time until the retry that is that of a version which cannot continue the stream.
+#[test]
+fn refused_stream_is_told_when_its_version_has_room() {
+    let mut harness = SchedulerHarness::with_versions(1, 1);
+    harness
+        .scheduler
+        .note_origin(STREAM, origin("v1"), harness.now);
+    let mut refused = None;
+    for _ in 0..4 {
+        let key = harness.arrive_for_stream(true);
+        match harness.next() {
+            Some(FlowAction::Send(_)) => {
+                let announcement = UpstreamAnnouncement {
+                    rate_limit: Some(RequestRate::per_second(0.5)),
+                    ..UpstreamAnnouncement::default()
+                };
+                harness.note(key, AttemptEvent::Announced(announcement));
+            }
+            Some(FlowAction::Refuse(_, refusal)) => refused = Some(refusal),
+            other => panic!("{other:?}"),
+        }
+    }
+    let refusal = refused.expect("more than the limit is refused");
+    assert_eq!(refusal.cause, RefusalCause::RateLimited);
+    assert_eq!(refusal.retry_after, SpanMillis::new(2_000));
+}
