Tell other gateways of a new version before they list it

Callers would see a stream of two versions: gateways read the list of upstreams up to 0.6 s apart. One that does not list the new version yet takes every stream for one of the version that it knows, and asks nobody. Change: the first gateway that lists a new version of a pool tells all others, and for them it counts like a listed one.

--- a/crates/coordination/fescuetide_flow/src/action.rs
+++ b/crates/coordination/fescuetide_flow/src/action.rs
@@ -67,6 +67,9 @@
     SeekOrigin(StreamKey),
     /// Tell other gateways where a stream began, since upstreams of several versions serve its pool.
     TellOrigin(StreamKey, StreamOrigin),
+    /// Tell all other gateways of a version that is new in its pool. They may read the list of upstreams later, and would take
+    /// streams that began there for streams of the version that they know.
+    TellVersion(StreamOrigin),
     /// Report to the caller that the request failed and may have run. Its state is dropped.
     Fail(FlowKey, FlowFailure),
 }
--- a/crates/coordination/fescuetide_flow/src/pool.rs
+++ b/crates/coordination/fescuetide_flow/src/pool.rs
@@ -307,6 +307,16 @@
         versions.all(|version| version == first).then_some(first)
     }
 
+    /// Whether upstreams of a version serve, or did lately.
+    pub(crate) fn knows_version(&self, version: VersionKey, now: ClockMillis) -> bool {
+        let mut current = self.upstreams.values();
+        current.any(|upstream| upstream.version == version)
+            || self
+                .earlier_versions
+                .recent(now)
+                .any(|earlier| earlier == version)
+    }
+
     /// Records a version that another gateway knows in this pool.
     pub(crate) fn note_version(&mut self, version: VersionKey, now: ClockMillis) {
         self.earlier_versions.note(version, now);
--- a/crates/coordination/fescuetide_flow/src/scheduler.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler.rs
@@ -28,7 +28,9 @@
 use crate::FlowKey;
 use crate::FlowNotice;
 use crate::FlowSettings;
+use crate::PoolKey;
 use crate::StreamKey;
+use crate::StreamOrigin;
 use crate::WorkRequest;
 use crate::announcements::AnnouncementTable;
 use crate::crash::CrashEvent;
@@ -160,7 +162,17 @@
                 .pools
                 .entry(entry.pool.clone())
                 .or_insert_with(|| PoolState::new(budget));
-            if pool.insert(entry.clone(), now) {
+            let version = entry.version.key();
+            let is_new_version = !pool.knows_version(version, now);
+            let is_new = pool.insert(entry.clone(), now);
+            if is_new_version && pool.only_version(now).is_none() {
+                let origin = StreamOrigin {
+                    pool: PoolKey::of(&entry.pool),
+                    version,
+                };
+                self.actions.push_back(FlowAction::TellVersion(origin));
+            }
+            if is_new {
                 self.outcomes.remove(&entry.name);
                 self.directory.remove(&entry.name);
                 self.crashes.note_restart(&entry.name, now);
--- a/crates/coordination/fescuetide_flow/src/scheduler/origins.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/origins.rs
@@ -23,17 +23,22 @@
 
     /// Adds where a stream began, as another gateway tells, and continues requests that take it up.
     pub fn note_origin(&mut self, stream: StreamKey, origin: StreamOrigin, now: ClockMillis) {
+        self.note_version(origin, now);
+        self.origins.merge(stream, origin, now);
+        for key in self.take_seekers(stream) {
+            self.continue_at(key, origin, now);
+        }
+    }
+
+    /// Adds a version that serves a pool, as another gateway tells. The list of upstreams that this gateway knows may not have it
+    /// yet.
+    pub fn note_version(&mut self, origin: StreamOrigin, now: ClockMillis) {
         for (name, pool) in &mut self.pools {
             if PoolKey::of(name) == origin.pool {
-                // The list of upstreams may not have the version yet.
                 pool.note_version(origin.version, now);
             }
         }
         self.tell_origins(now);
-        self.origins.merge(stream, origin, now);
-        for key in self.take_seekers(stream) {
-            self.continue_at(key, origin, now);
-        }
     }
 
     /// Refuses the requests that take up a stream, since no gateway knows where it began.
--- a/crates/coordination/fescuetide_flow/tests/flow/fleet.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/fleet.rs
@@ -343,7 +343,9 @@
                     }
                 }
                 // The simulated requests take up no streams.
-                FlowAction::SeekOrigin(_) | FlowAction::TellOrigin(..) => {}
+                FlowAction::SeekOrigin(_)
+                | FlowAction::TellOrigin(..)
+                | FlowAction::TellVersion(_) => {}
                 FlowAction::Relay(key) | FlowAction::Fail(key, _) => {
                     self.crashing_keys.remove(&(gateway, key));
                 }
--- a/crates/coordination/fescuetide_flow/tests/flow/harness.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/harness.rs
@@ -18,6 +18,7 @@
 use fescuetide_flow::FlowSettings;
 use fescuetide_flow::RequestScheduler;
 use fescuetide_flow::SendCommand;
+use fescuetide_flow::StreamOrigin;
 use fescuetide_flow::WorkRequest;
 
 /// The pool that all requests go to.
@@ -66,6 +67,8 @@
     pub(crate) now: ClockMillis,
     /// Upstreams that the scheduler wants probed.
     pub(crate) probes: VecDeque<VmName>,
+    /// Versions that other gateways are to be told of.
+    pub(crate) told_versions: Vec<StreamOrigin>,
 }
 
 impl SchedulerHarness {
@@ -87,6 +90,7 @@
             scheduler,
             now,
             probes: VecDeque::new(),
+            told_versions: Vec::new(),
         }
     }
 
@@ -110,11 +114,13 @@
         self.scheduler.note_attempt(key, event, self.now);
     }
 
-    /// Returns the next action that concerns a request. Probes of upstreams are kept in `probes`.
+    /// Returns the next action that concerns a request. Probes of upstreams and versions are kept in `probes` and
+    /// `told_versions`.
     pub(crate) fn next(&mut self) -> Option<FlowAction> {
         loop {
             match self.scheduler.next_action() {
                 Some(FlowAction::Probe(vm)) => self.probes.push_back(vm),
+                Some(FlowAction::TellVersion(origin)) => self.told_versions.push(origin),
                 other => return other,
             }
         }
--- a/crates/coordination/fescuetide_flow/tests/flow/origins.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/origins.rs
@@ -224,6 +224,24 @@
     assert_eq!(harness.next(), None);
 }
 
+/// Guards against gateways that read the list of upstreams later and take a stream of the new version for one of the old.
+#[test]
+fn new_version_is_told_once_and_counts_before_it_is_listed() {
+    let mut harness = SchedulerHarness::with_versions(2, 0);
+    assert_eq!(harness.next(), None);
+    assert_eq!(harness.told_versions, vec![]);
+    harness.set_versions(2, 1);
+    harness.set_versions(2, 2);
+    assert_eq!(harness.next(), None);
+    assert_eq!(harness.told_versions, vec![origin("v2")]);
+    let mut other = SchedulerHarness::with_versions(2, 0);
+    other.scheduler.note_version(origin("v2"), other.now);
+    other.arrive_for_stream(true);
+    assert_eq!(other.next(), Some(FlowAction::SeekOrigin(STREAM)));
+    other.set_versions(2, 1);
+    assert_eq!((other.next(), other.told_versions), (None, vec![]));
+}
+
 /// Guards against a stream that goes on in another pool of its route.
 #[test]
 fn stream_goes_on_in_its_pool() {
--- a/crates/process/fescuetide_gateway/src/attempts.rs
+++ b/crates/process/fescuetide_gateway/src/attempts.rs
@@ -47,6 +47,7 @@
                 FlowAction::Probe(vm) => self.start_probe(&vm),
                 FlowAction::SeekOrigin(stream) => self.seek_origin(stream),
                 FlowAction::TellOrigin(stream, origin) => self.tell_origin(stream, origin),
+                FlowAction::TellVersion(origin) => self.tell_version(origin),
             }
         }
     }
--- a/crates/protocol/fescuetide_wire/tests/origin.rs
+++ b/crates/protocol/fescuetide_wire/tests/origin.rs
@@ -40,6 +40,10 @@
         told(64),
         OriginDatagram::Sought(keys(3)),
         OriginDatagram::Unknown(keys(64)),
+        OriginDatagram::Versions(vec![StreamOrigin {
+            pool: PoolKey::new(1 << 31),
+            version: VersionKey::new(77),
+        }]),
     ] {
         assert_eq!(send(&datagram), Ok(datagram));
     }
@@ -57,7 +61,7 @@
             assert_eq!(result, Err(OriginDatagramError::WrongLength));
         }
     }
-    for bytes in [&[][..], &[4], &[3, 0], &[7, 0], &[0; 18]] {
+    for bytes in [&[][..], &[4], &[3, 0], &[8, 0], &[0; 18]] {
         let result = OriginDatagram::try_from(bytes);
         assert_eq!(result, Err(OriginDatagramError::WrongKind));
     }
--- a/crates/tools/fescuetide_model/src/router.rs
+++ b/crates/tools/fescuetide_model/src/router.rs
@@ -384,7 +384,9 @@
                     commands.extend(self.engines.get(&vm).copied().map(RouterCommand::Probe));
                 }
                 // The model has one version.
-                FlowAction::SeekOrigin(_) | FlowAction::TellOrigin(..) => {}
+                FlowAction::SeekOrigin(_)
+                | FlowAction::TellOrigin(..)
+                | FlowAction::TellVersion(_) => {}
                 FlowAction::Fail(key, _) => {
                     commands.extend(self.finish(key, RequestOutcome::Failed))
                 }
