--- a/crates/process/fescuetide_gateway/src/load_exchange.rs
+++ b/crates/process/fescuetide_gateway/src/load_exchange.rs
@@ -1,77 +1,18 @@
-//! Exchange with other gateways by datagrams: the loads of upstreams, how recent the list of upstreams is, and rate limits.
-//! Datagrams about the origins of streams, see `origin_exchange`, use the same socket.
-//!
-//! Each gateway sends a digest of what it has newly heard to one other gateway at a time, so what a gateway sends and
-//! receives does not depend on their number. A lost datagram only makes a load known a little later.
+//! Loads of upstreams, and how recent the list of upstreams is, that gateways tell each other.
 
-use std::io;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::Ordering;
 
-use fescuetide_base::ClockMillis;
-use fescuetide_base::SpanMillis;
-use fescuetide_base::StableHash;
 use fescuetide_fleet::ListingView;
-use fescuetide_flow::GatewayId;
-use fescuetide_wire::limit::LIMIT_DATAGRAM_FORMAT;
-use fescuetide_wire::limit::LIMIT_DATAGRAM_LIMIT_BYTES;
-use fescuetide_wire::limit::LimitDatagram;
-use fescuetide_wire::load::LOAD_DATAGRAM_LIMIT_BYTES;
 use fescuetide_wire::load::LoadDatagram;
-use fescuetide_wire::origin::ORIGIN_DATAGRAM_LIMIT_BYTES;
-use fescuetide_wire::origin::OriginDatagram;
-use mio::Interest;
-use mio::Registry;
-use mio::Token;
-use mio::net::UdpSocket;
 
 use crate::codec::HttpCodec;
 use crate::counters::count;
-use crate::log_line_limit::LogLineKind;
 use crate::traffic::TrafficLoop;
 
-/// Time between two digests.
-const DIGEST_INTERVAL: SpanMillis = SpanMillis::new(100);
-
-/// Maximum number of digests that are used in one interval. On average, one or two arrive. Others are dropped.
-const DIGESTS_PER_INTERVAL: u32 = 32;
-
-/// Maximum number of datagrams that are read at a time. A peer that sends without end must not keep the traffic thread busy. What
-/// is left is read with the next tick.
-const READS_PER_TURN: usize = 64;
-
-/// Maximum length of a datagram in bytes, so that it fits into one packet.
-const DATAGRAM_LIMIT_BYTES: usize = 1_472;
-
-const _: () = assert!(
-    LOAD_DATAGRAM_LIMIT_BYTES <= DATAGRAM_LIMIT_BYTES
-        && LIMIT_DATAGRAM_LIMIT_BYTES <= DATAGRAM_LIMIT_BYTES
-        && ORIGIN_DATAGRAM_LIMIT_BYTES <= DATAGRAM_LIMIT_BYTES
-);
-
-/// The socket for digests and the gateways that get them.
-#[derive(Debug)]
-pub(crate) struct LoadExchange {
-    socket: UdpSocket,
-    own: SocketAddr,
-    /// The port for digests of all gateways, `None` if each gets digests at its address for peers.
-    common_port: Option<u16>,
-    peers: Vec<SocketAddr>,
-    next_at: ClockMillis,
-    /// Number of digests sent, which together with the own address selects the next peer.
-    draws: u64,
-    /// Digests received since the last load digest was sent.
-    received: u32,
-    /// How recent the list of upstreams is, shared with the thread that reads it.
-    listing: SharedListing,
-    /// From when on the times in digests are right. While the process was suspended, digests waited in the socket.
-    trusted_from: ClockMillis,
-}
-
 /// How recent the list of upstreams is, shared by the thread that reads the log and the one that talks to peers.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct SharedListing(Arc<Mutex<ListingView>>);
@@ -82,88 +23,13 @@
     }
 }
 
-impl LoadExchange {
-    /// Opens the socket and registers it. `peers` is this gateway's address for peers. `common_port` replaces its port, and
-    /// that of all peers.
-    pub(crate) fn open(
-        registry: &Registry,
-        token: Token,
-        peers: SocketAddr,
-        common_port: Option<u16>,
-        listing: SharedListing,
-    ) -> io::Result<Self> {
-        let mut own = peers;
-        own.set_port(common_port.unwrap_or(peers.port()));
-        let mut socket = UdpSocket::bind(own)?;
-        registry.register(&mut socket, token, Interest::READABLE)?;
-        Ok(Self {
-            socket,
-            own,
-            common_port,
-            peers: Vec::new(),
-            next_at: ClockMillis::default(),
-            draws: 0,
-            received: 0,
-            listing,
-            trusted_from: ClockMillis::default(),
-        })
-    }
-
-    /// Replaces the gateways that get digests, given by their addresses for peers.
-    pub(crate) fn set_peers(&mut self, peers: Vec<SocketAddr>) {
-        self.peers = peers;
-        for peer in &mut self.peers {
-            if let Some(port) = self.common_port {
-                peer.set_port(port);
-            }
-        }
-    }
-
-    /// The addresses of the other gateways for datagrams.
-    pub(crate) fn peers(&self) -> &[SocketAddr] {
-        &self.peers
-    }
-
-    /// The ids of this gateway and of its peers, by their addresses for digests.
-    pub(crate) fn gateway_ids(&self) -> (GatewayId, Vec<GatewayId>) {
-        let id_of = |address: &SocketAddr| GatewayId::of(&address.to_string());
-        (id_of(&self.own), self.peers.iter().map(id_of).collect())
-    }
-
-    /// Records that the process was suspended until `now`.
-    pub(crate) fn note_suspension(&mut self, now: ClockMillis) {
-        self.trusted_from = now + DIGEST_INTERVAL;
-    }
-
-    /// The peer that gets the next digest, if one is due.
-    fn next_peer(&mut self, now: ClockMillis) -> Option<SocketAddr> {
-        if now < self.next_at || self.peers.is_empty() {
-            return None;
-        }
-        self.next_at = now + DIGEST_INTERVAL;
-        self.received = 0;
-        self.draw_peer()
-    }
-
-    /// Chooses a peer at random.
-    fn draw_peer(&mut self) -> Option<SocketAddr> {
-        self.draws += 1;
-        let hash = StableHash::new()
-            .field(self.own.to_string().as_bytes())
-            .field(&self.draws.to_le_bytes())
-            .finish();
-        let index = hash.checked_rem(self.peers.len() as u64)?;
-        self.peers.get(index as usize).copied()
-    }
-}
-
 impl<C: HttpCodec> TrafficLoop<C> {
     /// Sends a digest of newly reported loads to a peer, if one is due.
     pub(crate) fn send_loads(&mut self) {
-        let Some(exchange) = &mut self.load_exchange else {
+        let Some(exchange) = &mut self.datagrams else {
             return;
         };
-        let Some(peer) = exchange.next_peer(self.now) else {
+        let Some(peer) = exchange.next_load_peer(self.now) else {
             return;
         };
         let listing = exchange.listing.lock().news(self.now);
@@ -178,34 +44,21 @@
         }
     }
 
-    /// Sends a digest of rate limits to a peer, if one is due.
-    pub(crate) fn send_limits(&mut self) {
-        let Some(exchange) = &mut self.load_exchange else {
-            return;
-        };
-        let Some(digest) = self.scheduler.take_limit_digest(self.now) else {
-            return;
-        };
-        let Some(peer) = exchange.draw_peer() else {
-            return;
-        };
-        let bytes: Vec<u8> = (&LimitDatagram(digest)).into();
-        if self.send_datagram(peer, &bytes) {
-            count(&self.counters.limit_digests_sent);
-        }
-    }
-
-    /// Sends a datagram to a peer, and returns whether that succeeded.
-    pub(crate) fn send_datagram(&mut self, peer: SocketAddr, bytes: &[u8]) -> bool {
-        let Some(exchange) = &self.load_exchange else {
-            return false;
+    /// Uses a load digest of another gateway.
+    pub(crate) fn use_loads(&mut self, datagram: &[u8]) -> anyhow::Result<()> {
+        let digest = LoadDatagram::try_from(datagram)?;
+        count(&self.counters.load_digests_received);
+        let Some(exchange) = &mut self.datagrams else {
+            return Ok(());
         };
-        if let Err(error) = exchange.socket.send_to(bytes, peer) {
-            count(&self.counters.load_digest_failures);
-            tracing::debug!(%peer, %error, "failed to send a datagram");
-            return false;
+        let listing = digest.listing.filter(|_| exchange.trusts_times(self.now));
+        if let Some(news) = listing
+            && exchange.listing.lock().note_peer(news, self.now)
+        {
+            count(&self.counters.listings_confirmed);
         }
-        true
+        self.scheduler.merge_load_digest(&digest.loads, self.now);
+        Ok(())
     }
 
     /// Updates the metrics that are not counted as events happen.
@@ -224,69 +77,4 @@
         let buffered = self.buffers.total() as u64;
         counters.buffered_bytes.store(buffered, Ordering::Relaxed);
     }
-
-    /// Reads the digests of peers. Must be called periodically, since not all that have arrived may be read at once.
-    pub(crate) fn receive_loads(&mut self) {
-        // One byte more shows that a datagram is too long.
-        let mut buffer = [0; DATAGRAM_LIMIT_BYTES + 1];
-        for _ in 0..READS_PER_TURN {
-            let Some(exchange) = &mut self.load_exchange else {
-                return;
-            };
-            let (length, peer) = match exchange.socket.recv_from(&mut buffer) {
-                Ok(received) => received,
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
-                Err(error) => {
-                    count(&self.counters.load_digest_failures);
-                    tracing::debug!(%error, "failed to receive a load digest");
-                    return;
-                }
-            };
-            let datagram = &buffer[..length];
-            let is_digest = !OriginDatagram::has_kind(datagram);
-            exchange.received += u32::from(is_digest);
-            if is_digest && exchange.received > DIGESTS_PER_INTERVAL {
-                count(&self.counters.load_digests_rejected);
-                continue;
-            }
-            let result = match datagram.first() {
-                _ if !is_digest => self.use_origins(peer, datagram),
-                Some(&LIMIT_DATAGRAM_FORMAT) => self.use_limits(datagram),
-                _ => self.use_loads(datagram),
-            };
-            if let Err(error) = result {
-                count(&self.counters.load_digests_rejected);
-                if self.may_log(LogLineKind::Notice) {
-                    tracing::warn!(%peer, %error, "load digest rejected");
-                }
-            }
-        }
-    }
-
-    fn use_loads(&mut self, datagram: &[u8]) -> anyhow::Result<()> {
-        let digest = LoadDatagram::try_from(datagram)?;
-        count(&self.counters.load_digests_received);
-        let Some(exchange) = &mut self.load_exchange else {
-            return Ok(());
-        };
-        let listing = digest.listing.filter(|_| self.now >= exchange.trusted_from);
-        if let Some(news) = listing
-            && exchange.listing.lock().note_peer(news, self.now)
-        {
-            count(&self.counters.listings_confirmed);
-        }
-        self.scheduler.merge_load_digest(&digest.loads, self.now);
-        Ok(())
-    }
-
-    fn use_limits(&mut self, datagram: &[u8]) -> anyhow::Result<()> {
-        let LimitDatagram(digest) = LimitDatagram::try_from(datagram)?;
-        count(&self.counters.limit_digests_received);
-        let exchange = self.load_exchange.as_ref();
-        if exchange.is_some_and(|exchange| self.now >= exchange.trusted_from) {
-            self.scheduler.merge_limit_digest(&digest, self.now);
-        }
-        Ok(())
-    }
 }
--- a/crates/process/fescuetide_gateway/src/messages.rs
+++ b/crates/process/fescuetide_gateway/src/messages.rs
@@ -68,7 +68,7 @@
 
     fn set_peers(&mut self, peers: Vec<SocketAddr>) {
         let gateways = peers.len() + 1;
-        if let Some(exchange) = &mut self.load_exchange {
+        if let Some(exchange) = &mut self.datagrams {
             exchange.set_peers(peers);
             let (own, others) = exchange.gateway_ids();
             self.scheduler.set_gateways(own, others);
--- a/crates/process/fescuetide_gateway/src/origin_exchange.rs
+++ b/crates/process/fescuetide_gateway/src/origin_exchange.rs
@@ -32,7 +32,7 @@
 
     /// Carries out [`FlowAction::TellVersion`](fescuetide_flow::FlowAction::TellVersion).
     pub(crate) fn tell_version(&mut self, origin: StreamOrigin) {
-        let exchange = self.load_exchange.as_ref();
+        let exchange = self.datagrams.as_ref();
         let peers = exchange.map_or(Vec::new(), |exchange| exchange.peers().to_vec());
         for peer in peers {
             self.send_origins(peer, &OriginDatagram::Versions(vec![origin]));
@@ -42,7 +42,7 @@
     /// Carries out [`FlowAction::SeekOrigin`](fescuetide_flow::FlowAction::SeekOrigin).
     pub(crate) fn seek_origin(&mut self, stream: StreamKey) {
         count(&self.counters.origins_sought);
-        let exchange = self.load_exchange.as_ref();
+        let exchange = self.datagrams.as_ref();
         let peers = exchange.map_or(&[][..], |exchange| exchange.peers());
         self.origin_exchange.search.start(stream, peers, self.now);
     }
@@ -65,7 +65,7 @@
 
     fn send_untold(&mut self) {
         let untold = std::mem::take(&mut self.origin_exchange.untold);
-        let Some(exchange) = &self.load_exchange else {
+        let Some(exchange) = &self.datagrams else {
             return;
         };
         let mut told: IndexMap<SocketAddr, Vec<(StreamKey, StreamOrigin)>> = IndexMap::new();
--- a/crates/process/fescuetide_gateway/src/process.rs
+++ b/crates/process/fescuetide_gateway/src/process.rs
@@ -18,16 +18,16 @@
 use crate::codec::HttpCodec;
 use crate::codec::RecordCodec;
 use crate::crash_reports;
+use crate::datagrams::DatagramExchange;
 use crate::follower;
 use crate::follower::FleetPublisher;
 use crate::follower::FollowIntervals;
-use crate::load_exchange::LoadExchange;
 use crate::load_exchange::SharedListing;
 use crate::log_client::OutageCounter;
 use crate::peer_state::PeerState;
 use crate::peers;
 use crate::sockets;
-use crate::traffic::LOADS_TOKEN;
+use crate::traffic::DATAGRAMS_TOKEN;
 use crate::traffic::LoopListeners;
 use crate::traffic::LoopSignals;
 use crate::traffic::TrafficLoop;
@@ -73,15 +73,15 @@
             let own = listener.local_addr()?;
             let common_port = (settings.load_port != 0).then_some(settings.load_port);
             let registry = traffic.poll.registry();
-            let exchange = LoadExchange::open(
+            let exchange = DatagramExchange::open(
                 registry,
-                LOADS_TOKEN,
+                DATAGRAMS_TOKEN,
                 own,
                 common_port,
                 publisher.listing.clone(),
             )
-            .with_context(|| format!("cannot open the socket for loads at {own}"))?;
-            traffic.load_exchange = Some(exchange);
+            .with_context(|| format!("cannot open the socket for datagrams at {own}"))?;
+            traffic.datagrams = Some(exchange);
             let table = PeerTable::new(own, &settings.seed_addresses(), ClockMillis::now());
             publisher.peer_state = Arc::new(PeerState::new(table));
             let peer_sender =
--- a/crates/process/fescuetide_gateway/src/suspension.rs
+++ b/crates/process/fescuetide_gateway/src/suspension.rs
@@ -25,7 +25,7 @@
             self.drop_idle(token);
         }
         self.input_paused_until = Some(self.now + INPUT_PAUSE);
-        if let Some(exchange) = &mut self.load_exchange {
+        if let Some(exchange) = &mut self.datagrams {
             exchange.note_suspension(self.now);
         }
         if let Some(sender) = &self.refresh_sender
--- a/crates/process/fescuetide_gateway/src/traffic.rs
+++ b/crates/process/fescuetide_gateway/src/traffic.rs
@@ -38,9 +38,9 @@
 use crate::connection::UpstreamConnectionState;
 use crate::counters::count;
 use crate::crash_reports::ReportCommand;
+use crate::datagrams::DatagramExchange;
 use crate::exchange::Exchange;
 use crate::idle::IdleTable;
-use crate::load_exchange::LoadExchange;
 use crate::log_line_limit;
 use crate::log_line_limit::LogLineKind;
 use crate::messages::LoopMessage;
@@ -57,8 +57,8 @@
 const CALLERS_TOKEN: Token = Token(1);
 const READY_TOKEN: Token = Token(2);
 const METRICS_TOKEN: Token = Token(3);
-/// Token of the socket for load digests.
-pub(crate) const LOADS_TOKEN: Token = Token(4);
+/// Token of the socket for datagrams of other gateways.
+pub(crate) const DATAGRAMS_TOKEN: Token = Token(4);
 
 /// Offset between a connection's token in the table and its poll token.
 const FIRST_CONNECTION: usize = 5;
@@ -133,8 +133,8 @@
     pub(crate) report_backlog: ReportBacklog,
     /// Takes crash evidence for peers, `None` if peers are disabled.
     pub(crate) peer_sender: Option<Sender<PeerCommand>>,
-    /// Exchanges loads with other gateways, `None` if peers are disabled.
-    pub(crate) load_exchange: Option<LoadExchange>,
+    /// The datagrams between gateways, `None` if peers are disabled.
+    pub(crate) datagrams: Option<DatagramExchange>,
     /// Tells and asks other gateways where streams began.
     pub(crate) origin_exchange: OriginExchange,
     /// Number of gateways, including this one. 0 until it is known.
@@ -197,7 +197,7 @@
             were_peers_asked: false,
             report_backlog: ReportBacklog::new(report_offset(&settings.vm), ClockMillis::now()),
             peer_sender: None,
-            load_exchange: None,
+            datagrams: None,
             origin_exchange: OriginExchange::default(),
             gateway_count: 0,
             report_sender: None,
@@ -248,7 +248,7 @@
                 self.scheduler.tick(self.now);
                 self.run_actions();
                 self.resume_paused_reads();
-                self.receive_loads();
+                self.receive_datagrams();
                 self.send_loads();
                 self.send_limits();
                 self.sweep();
@@ -264,7 +264,7 @@
             WAKER_TOKEN => {}
             CALLERS_TOKEN => self.accept_callers(),
             READY_TOKEN => self.accept_monitoring(MonitoringListener::Readiness),
-            LOADS_TOKEN => self.receive_loads(),
+            DATAGRAMS_TOKEN => self.receive_datagrams(),
             METRICS_TOKEN => self.accept_monitoring(MonitoringListener::Metrics),
             Token(token) => {
                 let token = token - FIRST_CONNECTION;
--- a/crates/protocol/fescuetide_wire/src/lib.rs
+++ b/crates/protocol/fescuetide_wire/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod codec;
 mod conversion;
 pub mod crash;
+pub mod datagram;
 pub mod frame;
 pub mod limit;
 pub mod load;
--- a/crates/protocol/fescuetide_wire/src/limit.rs
+++ b/crates/protocol/fescuetide_wire/src/limit.rs
@@ -5,8 +5,6 @@
 //! rate (4 bytes each) and its age (1 byte). Rates are requests in 1000 s, and the largest number stands for no limit any more.
 //! Ages are in units of 8 ms. Numbers are little-endian.
 
-use std::fmt;
-
 use fescuetide_base::RequestRate;
 use fescuetide_base::UpstreamLife;
 use fescuetide_flow::DemandEntry;
@@ -16,8 +14,9 @@
 use fescuetide_flow::LimitEntry;
 use fescuetide_flow::PoolKey;
 
-use crate::load::decode_age;
-use crate::load::encode_age;
+use crate::datagram::DatagramError;
+use crate::datagram::decode_age;
+use crate::datagram::encode_age;
 
 /// The first byte of a datagram.
 pub const LIMIT_DATAGRAM_FORMAT: u8 = 3;
@@ -38,26 +37,6 @@
 pub const LIMIT_DATAGRAM_LIMIT_BYTES: usize =
     HEADER_BYTES + LIMIT_DIGEST_LIMIT * (LIMIT_BYTES + DEMAND_BYTES);
 
-/// Why a datagram is not a limit digest.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LimitDatagramError {
-    /// It is empty or of another format.
-    WrongFormat,
-    /// Its length does not match its numbers of entries, or there are too many.
-    WrongLength,
-}
-
-impl fmt::Display for LimitDatagramError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::WrongFormat => write!(f, "not a limit digest"),
-            Self::WrongLength => write!(f, "wrong length for a limit digest"),
-        }
-    }
-}
-
-impl std::error::Error for LimitDatagramError {}
-
 /// A limit digest as a datagram.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct LimitDatagram(pub LimitDigest);
@@ -92,18 +71,18 @@
 }
 
 impl TryFrom<&[u8]> for LimitDatagram {
-    type Error = LimitDatagramError;
+    type Error = DatagramError;
 
-    fn try_from(bytes: &[u8]) -> Result<Self, LimitDatagramError> {
+    fn try_from(bytes: &[u8]) -> Result<Self, DatagramError> {
         let [LIMIT_DATAGRAM_FORMAT, limit_count, demand_count, rest @ ..] = bytes else {
-            return Err(LimitDatagramError::WrongFormat);
+            return Err(DatagramError::WrongKind);
         };
         let (limit_count, demand_count) = (usize::from(*limit_count), usize::from(*demand_count));
         let limit_length = limit_count * LIMIT_BYTES;
         let is_valid = limit_count.max(demand_count) <= LIMIT_DIGEST_LIMIT
             && rest.len() == limit_length + demand_count * DEMAND_BYTES;
         if !is_valid {
-            return Err(LimitDatagramError::WrongLength);
+            return Err(DatagramError::WrongLength);
         }
         let (limits, demands) = rest.split_at(limit_length);
         let mut digest = LimitDigest::default();
--- a/crates/protocol/fescuetide_wire/src/load.rs
+++ b/crates/protocol/fescuetide_wire/src/load.rs
@@ -4,14 +4,16 @@
 //! (1 byte), and then 7 bytes for each upstream: its key (4 bytes), its load (2 bytes) and the age of the report (1 byte).
 //! Times are in units of 8 ms, the longest stands for no list. Numbers are little-endian.
 
-use std::fmt;
-
 use fescuetide_base::SpanMillis;
 use fescuetide_base::UpstreamLife;
 use fescuetide_fleet::ListingNews;
 use fescuetide_flow::LOAD_DIGEST_LIMIT;
 use fescuetide_flow::LoadEntry;
 
+use crate::datagram::DatagramError;
+use crate::datagram::decode_age;
+use crate::datagram::encode_age;
+
 /// Version of the format.
 const VERSION: u8 = 2;
 
@@ -21,32 +23,9 @@
 /// Length of an entry in bytes.
 const ENTRY_BYTES: usize = 7;
 
-/// Unit of the age of a report, in milliseconds.
-const AGE_UNIT_MS: u64 = 8;
-
 /// Maximum length of a datagram in bytes. It fits into one packet.
 pub const LOAD_DATAGRAM_LIMIT_BYTES: usize = 1 + LISTING_BYTES + LOAD_DIGEST_LIMIT * ENTRY_BYTES;
 
-/// Why a datagram is not a load digest.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LoadDatagramError {
-    /// It is empty or of another version.
-    WrongVersion,
-    /// It is too long, or ends within an entry.
-    WrongLength,
-}
-
-impl fmt::Display for LoadDatagramError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::WrongVersion => write!(f, "not a load digest of version {VERSION}"),
-            Self::WrongLength => write!(f, "wrong length for a load digest"),
-        }
-    }
-}
-
-impl std::error::Error for LoadDatagramError {}
-
 /// What one gateway tells another.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct LoadDatagram {
@@ -56,16 +35,6 @@
     pub loads: Vec<LoadEntry>,
 }
 
-/// Encodes a time, rounded up, so that what comes back to a gateway never looks newer than what it knows.
-pub(crate) fn encode_age(age: SpanMillis) -> u8 {
-    let units = age.as_millis().div_ceil(AGE_UNIT_MS);
-    u8::try_from(units).unwrap_or(u8::MAX)
-}
-
-pub(crate) fn decode_age(units: u8) -> SpanMillis {
-    SpanMillis::new(u64::from(units) * AGE_UNIT_MS)
-}
-
 impl From<&LoadDatagram> for Vec<u8> {
     /// Times are rounded up. Loads above the range are told as its end.
     fn from(datagram: &LoadDatagram) -> Self {
@@ -89,18 +58,18 @@
 }
 
 impl TryFrom<&[u8]> for LoadDatagram {
-    type Error = LoadDatagramError;
+    type Error = DatagramError;
 
-    fn try_from(bytes: &[u8]) -> Result<Self, LoadDatagramError> {
+    fn try_from(bytes: &[u8]) -> Result<Self, DatagramError> {
         let Some((&VERSION, rest)) = bytes.split_first() else {
-            return Err(LoadDatagramError::WrongVersion);
+            return Err(DatagramError::WrongKind);
         };
         let Some((listing, entries)) = rest.split_first_chunk::<LISTING_BYTES>() else {
-            return Err(LoadDatagramError::WrongLength);
+            return Err(DatagramError::WrongLength);
         };
         let (entries, rest) = entries.as_chunks::<ENTRY_BYTES>();
         if !rest.is_empty() || entries.len() > LOAD_DIGEST_LIMIT {
-            return Err(LoadDatagramError::WrongLength);
+            return Err(DatagramError::WrongLength);
         }
         let mut digest = Vec::with_capacity(entries.len());
         for [k0, k1, k2, k3, l0, l1, age] in entries {
--- a/crates/protocol/fescuetide_wire/src/origin.rs
+++ b/crates/protocol/fescuetide_wire/src/origin.rs
@@ -4,13 +4,13 @@
 //! if an origin is told, the pool and the version (4 bytes each). An entry about a version has only these. Numbers are
 //! little-endian.
 
-use std::fmt;
-
 use fescuetide_fleet::VersionKey;
 use fescuetide_flow::PoolKey;
 use fescuetide_flow::StreamKey;
 use fescuetide_flow::StreamOrigin;
 
+use crate::datagram::DatagramError;
+
 /// The first bytes of the kinds of datagrams.
 const TOLD: u8 = 4;
 const SOUGHT: u8 = 5;
@@ -35,26 +35,6 @@
 /// Maximum length of a datagram in bytes. It fits into one packet.
 pub const ORIGIN_DATAGRAM_LIMIT_BYTES: usize = HEADER_BYTES + ORIGIN_ENTRY_LIMIT * TOLD_BYTES;
 
-/// Why a datagram is none about the origins of streams.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OriginDatagramError {
-    /// It is empty or of another kind.
-    WrongKind,
-    /// Its length does not match its number of entries, or there are too many.
-    WrongLength,
-}
-
-impl fmt::Display for OriginDatagramError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::WrongKind => write!(f, "not a datagram about the origins of streams"),
-            Self::WrongLength => write!(f, "wrong length for a datagram about origins"),
-        }
-    }
-}
-
-impl std::error::Error for OriginDatagramError {}
-
 /// What a gateway tells or asks another one about the origins of streams.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OriginDatagram {
@@ -117,16 +97,16 @@
 }
 
 impl TryFrom<&[u8]> for OriginDatagram {
-    type Error = OriginDatagramError;
+    type Error = DatagramError;
 
-    fn try_from(bytes: &[u8]) -> Result<Self, OriginDatagramError> {
+    fn try_from(bytes: &[u8]) -> Result<Self, DatagramError> {
         let [
             kind @ (TOLD | SOUGHT | UNKNOWN | VERSIONS),
             count,
             rest @ ..,
         ] = bytes
         else {
-            return Err(OriginDatagramError::WrongKind);
+            return Err(DatagramError::WrongKind);
         };
         let entry_bytes = match *kind {
             TOLD => TOLD_BYTES,
@@ -135,7 +115,7 @@
         };
         let count = usize::from(*count);
         if count > ORIGIN_ENTRY_LIMIT || rest.len() != count * entry_bytes {
-            return Err(OriginDatagramError::WrongLength);
+            return Err(DatagramError::WrongLength);
         }
         let decode_key = |key: [u8; KEY_BYTES]| StreamKey::new(u64::from_le_bytes(key));
         if *kind == TOLD {
--- a/crates/protocol/fescuetide_wire/tests/limit.rs
+++ b/crates/protocol/fescuetide_wire/tests/limit.rs
@@ -9,9 +9,9 @@
 use fescuetide_flow::LimitDigest;
 use fescuetide_flow::LimitEntry;
 use fescuetide_flow::PoolKey;
+use fescuetide_wire::datagram::DatagramError;
 use fescuetide_wire::limit::LIMIT_DATAGRAM_LIMIT_BYTES;
 use fescuetide_wire::limit::LimitDatagram;
-use fescuetide_wire::limit::LimitDatagramError;
 
 fn limit(life: u32, rate: Option<u32>, age_ms: u64) -> LimitEntry {
     LimitEntry {
@@ -30,7 +30,7 @@
     }
 }
 
-fn send(digest: LimitDigest) -> Result<LimitDigest, LimitDatagramError> {
+fn send(digest: LimitDigest) -> Result<LimitDigest, DatagramError> {
     let bytes: Vec<u8> = (&LimitDatagram(digest)).into();
     assert!(bytes.len() <= LIMIT_DATAGRAM_LIMIT_BYTES);
     LimitDatagram::try_from(bytes.as_slice()).map(|datagram| datagram.0)
@@ -82,10 +82,10 @@
         .into();
     for length in 3..bytes.len() {
         let result = LimitDatagram::try_from(&bytes[..length]);
-        assert_eq!(result, Err(LimitDatagramError::WrongLength));
+        assert_eq!(result, Err(DatagramError::WrongLength));
     }
     for bytes in [&[][..], &[3], &[3, 0], &[2, 0, 0], &[0; 9]] {
         let result = LimitDatagram::try_from(bytes);
-        assert_eq!(result, Err(LimitDatagramError::WrongFormat));
+        assert_eq!(result, Err(DatagramError::WrongKind));
     }
 }
--- a/crates/protocol/fescuetide_wire/tests/load.rs
+++ b/crates/protocol/fescuetide_wire/tests/load.rs
@@ -5,9 +5,9 @@
 use fescuetide_fleet::ListingNews;
 use fescuetide_flow::LOAD_DIGEST_LIMIT;
 use fescuetide_flow::LoadEntry;
+use fescuetide_wire::datagram::DatagramError;
 use fescuetide_wire::load::LOAD_DATAGRAM_LIMIT_BYTES;
 use fescuetide_wire::load::LoadDatagram;
-use fescuetide_wire::load::LoadDatagramError;
 
 fn entry(key: u32, load: u32, age_ms: u64) -> LoadEntry {
     LoadEntry {
@@ -76,11 +76,11 @@
     let cut = &bytes[..bytes.len() - 1];
     let long = [bytes.as_slice(), &[0; 7]].concat();
     for (input, error) in [
-        (&[][..], LoadDatagramError::WrongVersion),
-        (b"GET / HTTP/1.1\r\n\r\n", LoadDatagramError::WrongVersion),
-        (cut, LoadDatagramError::WrongLength),
-        (&bytes[..5], LoadDatagramError::WrongLength),
-        (&long, LoadDatagramError::WrongLength),
+        (&[][..], DatagramError::WrongKind),
+        (b"GET / HTTP/1.1\r\n\r\n", DatagramError::WrongKind),
+        (cut, DatagramError::WrongLength),
+        (&bytes[..5], DatagramError::WrongLength),
+        (&long, DatagramError::WrongLength),
     ] {
         assert_eq!(LoadDatagram::try_from(input), Err(error));
     }
--- a/crates/protocol/fescuetide_wire/tests/origin.rs
+++ b/crates/protocol/fescuetide_wire/tests/origin.rs
@@ -4,10 +4,10 @@
 use fescuetide_flow::PoolKey;
 use fescuetide_flow::StreamKey;
 use fescuetide_flow::StreamOrigin;
+use fescuetide_wire::datagram::DatagramError;
 use fescuetide_wire::origin::ORIGIN_DATAGRAM_LIMIT_BYTES;
 use fescuetide_wire::origin::ORIGIN_ENTRY_LIMIT;
 use fescuetide_wire::origin::OriginDatagram;
-use fescuetide_wire::origin::OriginDatagramError;
 
 fn told(count: u64) -> OriginDatagram {
     let entry = |number: u64| {
@@ -26,7 +26,7 @@
         .collect()
 }
 
-fn send(datagram: &OriginDatagram) -> Result<OriginDatagram, OriginDatagramError> {
+fn send(datagram: &OriginDatagram) -> Result<OriginDatagram, DatagramError> {
     let bytes: Vec<u8> = datagram.into();
     assert!(OriginDatagram::has_kind(&bytes) && bytes.len() <= ORIGIN_DATAGRAM_LIMIT_BYTES);
     OriginDatagram::try_from(bytes.as_slice())
@@ -58,11 +58,11 @@
         let bytes: Vec<u8> = (&datagram).into();
         for length in 2..bytes.len() {
             let result = OriginDatagram::try_from(&bytes[..length]);
-            assert_eq!(result, Err(OriginDatagramError::WrongLength));
+            assert_eq!(result, Err(DatagramError::WrongLength));
         }
     }
     for bytes in [&[][..], &[4], &[3, 0], &[8, 0], &[0; 18]] {
         let result = OriginDatagram::try_from(bytes);
-        assert_eq!(result, Err(OriginDatagramError::WrongKind));
+        assert_eq!(result, Err(DatagramError::WrongKind));
     }
 }
