Do not bring an older list of upstreams back after the start of a gateway

Seen: a request reached an upstream 2.4 s after it had said that it leaves (2.0 allowed), from a gateway that had started 6.7 s before. Cause: a listing that arrives just after the period in which a gateway holds upstreams back was not kept, and the end of the period, up to 250 ms later, gave out the listing before it. Change: such a listing ends the holding back.

--- a/crates/state/fescuetide_fleet/src/start_filter.rs
+++ b/crates/state/fescuetide_fleet/src/start_filter.rs
@@ -66,6 +66,8 @@
         now: ClockMillis,
     ) -> Vec<UpstreamEntry> {
         if self.is_over(now) {
+            // Nothing is held back any more, and `finish` must not bring an earlier listing back.
+            self.held_count = 0;
             return entries.to_vec();
         }
         self.first.get_or_insert_with(|| index_entries(entries));
--- a/crates/state/fescuetide_fleet/tests/start.rs
+++ b/crates/state/fescuetide_fleet/tests/start.rs
@@ -75,3 +75,18 @@
     let late = filter.note_listing(&second, at(6_000));
     assert_eq!(late.len(), 4);
 }
+
+/// Guards against an older listing that replaces the first one after the period, so that an upstream that leaves counts as ready
+/// again.
+#[test]
+fn listing_after_the_period_is_not_replaced_by_an_older_one() {
+    let mut filter = StartFilter::new(START);
+    filter.note_peer(&[ready("a"), ready("b")], at(5));
+    let before = [ready("a"), ready("b"), ready("left")];
+    filter.note_listing(&before, at(10));
+    assert_eq!(filter.held_count(), 1);
+    let leaving = entry("b", "engines", UpstreamState::Leaving);
+    let after = [ready("a"), leaving, ready("left")];
+    assert_eq!(filter.note_listing(&after, at(5_050)), after);
+    assert_eq!(filter.finish(at(5_100)), None);
+}
