--- a/crates/coordination/fescuetide_flow/tests/flow/rate_fleet.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/rate_fleet.rs
@@ -364,52 +364,43 @@
     }
 }
 
-/// Guards against limits that are exceeded, or hardly used, when more is asked than all upstreams together take.
-#[test]
-fn limits_are_used_up_when_more_is_asked_than_all_upstreams_take() {
+/// Runs four upstreams with limits of 10, with so many requests per second, and calls `check` with what each run shows.
+fn run_limited_pools(per_second: u64, check: impl Fn(&RateResult, &str)) {
     for seed in seeds() {
         for gateways in [1, 4, 31] {
             for split in [TrafficSplit::Even, TrafficSplit::MostlyOne] {
                 let shape = RateShape {
                     gateways,
                     limits: vec![10.0; 4],
-                    per_second: 100,
+                    per_second,
                     split,
                     change: FleetChange::None,
                 };
                 let result = RateFleet::new(seed, shape.clone()).run();
                 assert_limits_kept(&shape, &result, seed);
-                assert!(result.refused > 0);
-                for times in &result.arrivals {
-                    let used = used_part(times, 10.0);
-                    assert!(used >= 0.7, "seed {seed}, {shape:?}: {used} of the limit");
-                }
+                check(&result, &format!("seed {seed}, {shape:?}"));
             }
         }
     }
 }
 
+/// Guards against limits that are exceeded, or hardly used, when more is asked than all upstreams together take.
+#[test]
+fn limits_are_used_up_when_more_is_asked_than_all_upstreams_take() {
+    run_limited_pools(100, |result, run| {
+        assert!(result.refused > 0, "{run}");
+        for times in &result.arrivals {
+            let used = used_part(times, 10.0);
+            assert!(used >= 0.7, "{run}: {used} of the limit");
+        }
+    });
+}
+
 /// Guards against requests that are refused although the upstreams together take more than is asked.
 #[test]
 fn requests_below_the_limits_of_all_upstreams_are_served() {
-    for seed in seeds() {
-        for gateways in [1, 4, 31] {
-            for split in [TrafficSplit::Even, TrafficSplit::MostlyOne] {
-                let shape = RateShape {
-                    gateways,
-                    limits: vec![10.0; 4],
-                    per_second: 20,
-                    split,
-                    change: FleetChange::None,
-                };
-                let result = RateFleet::new(seed, shape.clone()).run();
-                assert_limits_kept(&shape, &result, seed);
-                let refused = result.refused as f64 / (result.refused + result.served) as f64;
-                assert!(
-                    refused <= 0.05,
-                    "seed {seed}, {shape:?}: {refused} of the requests refused"
-                );
-            }
-        }
-    }
+    run_limited_pools(20, |result, run| {
+        let refused = result.refused as f64 / (result.refused + result.served) as f64;
+        assert!(refused <= 0.05, "{run}: {refused} of the requests refused");
+    });
 }
