Do not tell other gateways of the end of a limit for ever

Cause: each response without a limit renewed the time of the end, which is told for 2 s. So digests went on every 0.2 s as long as the upstream was used. Change: only the response that ends the limit counts. The test failed before.

--- a/crates/coordination/fescuetide_flow/src/rate_limits.rs
+++ b/crates/coordination/fescuetide_flow/src/rate_limits.rs
@@ -165,8 +165,8 @@
     ) -> Option<LimitChange> {
         if rate.is_none() {
             let known = self.limits.get(target.vm)?;
-            let is_held = known.rate.is_some() && now.since(known.at) < LIMIT_HOLD;
-            if is_held || known.incarnation != target.incarnation {
+            let is_held = now.since(known.at) < LIMIT_HOLD;
+            if is_held || known.rate.is_none() || known.incarnation != target.incarnation {
                 return None;
             }
         }
--- a/crates/coordination/fescuetide_flow/tests/flow/rate_limits.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/rate_limits.rs
@@ -164,3 +164,20 @@
     harness.merge_limit(Some(2.0), 60);
     assert_eq!(harness.scheduler.rate_limit_count(), 0);
 }
+
+/// Guards against digests without end: the end of a limit is told for some time only, also while responses go on naming none.
+#[test]
+fn end_of_a_limit_is_told_for_some_time_only() {
+    let mut harness = SchedulerHarness::with_upstreams(1);
+    assert!(harness.serve_with_limit(Some(4.0)));
+    harness.advance(1_500);
+    assert!(harness.serve_with_limit(None));
+    assert!(harness.has_limit_ended());
+    let digest = harness.scheduler.take_limit_digest(harness.now);
+    assert!(digest.is_some_and(|digest| digest.limits[0].rate.is_none()));
+    for _ in 0..100 {
+        assert!(harness.serve_with_limit(None));
+        harness.advance(100);
+    }
+    assert_eq!(harness.scheduler.take_limit_digest(harness.now), None);
+}
