Share only the limits of upstreams that are known

Change: a limit counts while its upstream is listed. It is kept meanwhile, since an entry may be missing for a moment.

--- a/crates/coordination/fescuetide_flow/src/rate_limits.rs
+++ b/crates/coordination/fescuetide_flow/src/rate_limits.rs
@@ -77,11 +77,17 @@
     pub(crate) rate: Option<RequestRate>,
     /// When a response said so.
     at: ClockMillis,
+    /// Whether the upstream is known at present. Its entry may be missing for a moment.
+    is_listed: bool,
     /// This gateway's part.
     bucket: RateBucket,
 }
 
 impl UpstreamLimit {
+    fn is_in_force(&self) -> bool {
+        self.is_listed && self.rate.is_some()
+    }
+
     fn is_remembered(&self, now: ClockMillis) -> bool {
         let retention = match self.rate {
             Some(_) => LIMIT_RETENTION,
@@ -209,6 +215,7 @@
             pool: target.pool,
             rate,
             at,
+            is_listed: true,
             bucket,
         };
         self.limits.insert(target.vm.clone(), limit);
@@ -219,20 +226,27 @@
         }
     }
 
+    /// Records which upstreams are known.
+    pub(crate) fn note_listing(&mut self, is_listed: impl Fn(UpstreamLife) -> bool) {
+        for limit in self.limits.values_mut() {
+            limit.is_listed = is_listed(limit.life);
+        }
+    }
+
     /// Whether any upstream has a limit.
     pub(crate) fn has_limits(&self) -> bool {
-        self.limits.values().any(|limit| limit.rate.is_some())
+        self.limits.values().any(UpstreamLimit::is_in_force)
     }
 
     /// The limits in force.
     pub(crate) fn iter(&self) -> impl Iterator<Item = &UpstreamLimit> {
-        self.limits.values().filter(|limit| limit.rate.is_some())
+        self.limits.values().filter(|limit| limit.is_in_force())
     }
 
     /// The limits in force, to set this gateway's parts.
     pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut UpstreamLimit> {
         let limits = self.limits.values_mut();
-        limits.filter(|limit| limit.rate.is_some())
+        limits.filter(|limit| limit.is_in_force())
     }
 
     /// What is known about limits, without what is as old as `age_limit`.
--- a/crates/coordination/fescuetide_flow/src/scheduler.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler.rs
@@ -190,6 +190,9 @@
                 self.crashes.note_restart(&vm, now);
             }
         }
+        let pools = &self.pools;
+        let is_listed = |life| pools.values().any(|pool| pool.find(life).is_some());
+        self.rate_limits.note_listing(is_listed);
         self.tell_origins(now);
         self.send_waiting(now);
     }
--- a/crates/coordination/fescuetide_flow/src/scheduler/rates.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/rates.rs
@@ -111,7 +111,7 @@
     /// Computes this gateway's parts of limits again, if that is due.
     pub(super) fn share_rate_limits(&mut self, now: ClockMillis) {
         let is_due = now.since(self.share_state.computed_at) >= SHARE_INTERVAL;
-        if is_due && self.share_state.limited_since.is_some() {
+        if is_due && (self.share_state.limited_since.is_some() || self.rate_limits.has_limits()) {
             self.compute_shares(now);
         }
     }
--- a/crates/coordination/fescuetide_flow/tests/flow/rate_limits.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/rate_limits.rs
@@ -181,3 +181,31 @@
     }
     assert_eq!(harness.scheduler.take_limit_digest(harness.now), None);
 }
+
+/// Guards against digests, and parts of limits, for upstreams that are gone.
+#[test]
+fn limit_of_an_upstream_that_is_gone_is_not_shared() {
+    let mut harness = SchedulerHarness::with_upstreams(1);
+    assert!(harness.serve_with_limit(Some(4.0)));
+    let replaced = UpstreamEntry {
+        incarnation: ProcessIncarnation::new(2),
+        ..upstream("vm-0", 8)
+    };
+    harness.scheduler.set_upstreams(&[replaced], harness.now);
+    assert_eq!(harness.scheduler.rate_limit_count(), 0);
+    harness.advance(3_000);
+    assert_eq!(harness.scheduler.take_limit_digest(harness.now), None);
+}
+
+/// Guards against a limit that is forgotten while the entry of its upstream is missing for a moment.
+#[test]
+fn limit_outlives_the_entry_of_its_upstream() {
+    let mut harness = SchedulerHarness::with_upstreams(1);
+    assert!(harness.serve_with_limit(Some(0.5)));
+    assert!(harness.serve_with_limit(Some(0.5)));
+    harness.scheduler.set_upstreams(&[], harness.now);
+    let same = upstream("vm-0", 8);
+    harness.scheduler.set_upstreams(&[same], harness.now);
+    assert_eq!(harness.scheduler.rate_limit_count(), 1);
+    assert!(!harness.serve_with_limit(Some(0.5)));
+}
