Copy cached prompt prefixes within a software version only

Nothing says that what one version has cached fits another. Placement named any upstream that holds a prefix as the one to copy it from. Now it names upstreams of the same version only.

prompt_prefix_is_copied_within_a_version_only failed before (copy from v2-0 to an upstream of v1), passes.

--- a/crates/coordination/fescuetide_flow/src/pool.rs
+++ b/crates/coordination/fescuetide_flow/src/pool.rs
@@ -7,6 +7,7 @@
 use fescuetide_base::UpstreamLife;
 use fescuetide_base::VmName;
 use fescuetide_fleet::UpstreamEntry;
+use fescuetide_fleet::VersionKey;
 use fescuetide_limits::RetryBudget;
 use indexmap::IndexMap;
 
@@ -97,15 +98,16 @@
         removed
     }
 
-    /// All reachable upstreams, including those that are leaving.
+    /// All reachable upstreams of a version, including those that are leaving.
     pub(crate) fn reachable(
         &self,
+        version: VersionKey,
         outcomes: &OutcomeTable,
         now: ClockMillis,
     ) -> Vec<KnownUpstream<'_>> {
         let mut reachable = Vec::with_capacity(self.upstreams.len());
         for (vm, upstream) in &self.upstreams {
-            if !outcomes.is_reachable(vm, now) {
+            if upstream.version != version || !outcomes.is_reachable(vm, now) {
                 continue;
             }
             reachable.push(KnownUpstream {
--- a/crates/coordination/fescuetide_flow/src/scheduler/placing.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/placing.rs
@@ -142,7 +142,7 @@
         let (incarnation, version) = (choice.incarnation, choice.version);
         let copy_from = match shared {
             Some(prefix) if !choice.has_prefix => {
-                let known = pool.reachable(&self.outcomes, now);
+                let known = pool.reachable(version, &self.outcomes, now);
                 let holder = holders
                     .into_iter()
                     .find(|holder| known.iter().any(|upstream| upstream.vm == *holder));
--- a/crates/coordination/fescuetide_flow/tests/flow/origins.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/origins.rs
@@ -18,6 +18,8 @@
 use fescuetide_flow::OriginEntry;
 use fescuetide_flow::OriginSource;
 use fescuetide_flow::PoolKey;
+use fescuetide_flow::PromptPart;
+use fescuetide_flow::PromptShape;
 use fescuetide_flow::RefusalCause;
 use fescuetide_flow::RequestScheduler;
 use fescuetide_flow::StreamKey;
@@ -447,6 +449,25 @@
     }
 }
 
+/// Guards against prefixes that are copied between upstreams of different versions.
+#[test]
+fn prompt_prefix_is_copied_within_a_version_only() {
+    let mut harness = SchedulerHarness::with_versions(1, 1);
+    let parts = [(1, 5_000), (2, 9)];
+    let prompt = PromptShape {
+        parts: parts.map(|(id, tokens)| PromptPart { id, tokens }).into(),
+    };
+    for _ in 0..8 {
+        let request = WorkRequest {
+            prompt: prompt.clone(),
+            ..WorkRequest::of_route(&route(WorkKind::Once, 1), harness.now, None)
+        };
+        let key = harness.scheduler.arrive(request, harness.now);
+        let command = harness.expect_send(key);
+        assert_eq!(command.copy_from, None);
+    }
+}
+
 /// Guards against a stream that goes on in another pool of its route.
 #[test]
 fn stream_goes_on_in_its_pool() {
