Spend less time on each origin of a stream

Cause: for each origin that was told or read, a gateway looked up the versions of its pools and told own streams again where needed, and for each stream that it told, it ranked all gateways anew. Records that had expired were shifted out one by one, each time moving all others. A gateway that reads the log after a start has thousands of origins to add, on VMs with a tenth of a core.

Change: origins are added together; the gateways to tell are ranked when the list of gateways changes (GatewayList); records are dropped in two generations.

--- a/crates/coordination/fescuetide_flow/src/action.rs
+++ b/crates/coordination/fescuetide_flow/src/action.rs
@@ -63,7 +63,7 @@
     /// Open a connection to the upstream, to find out whether it is down.
     Probe(VmName),
     /// Find out where a stream began that a caller takes up, from the log and from other gateways.
-    /// [`note_origin`](crate::RequestScheduler::note_origin),
+    /// [`note_origins`](crate::RequestScheduler::note_origins),
     /// [`settle_origin`](crate::RequestScheduler::settle_origin) or
     /// [`give_up_origin`](crate::RequestScheduler::give_up_origin) must follow.
     SeekOrigin(StreamKey),
--- a/crates/coordination/fescuetide_flow/src/origin_exchange.rs
+++ b/crates/coordination/fescuetide_flow/src/origin_exchange.rs
@@ -9,6 +9,7 @@
 use fescuetide_base::SpanMillis;
 use indexmap::IndexMap;
 
+use crate::GatewayList;
 use crate::OriginCommand;
 use crate::OriginEntry;
 use crate::OriginLogEvent;
@@ -20,47 +21,11 @@
 use crate::StreamOrigin;
 use crate::VersionReading;
 use crate::origin_recorder::OriginRecorder;
-use crate::origin_recorder::rank_gateways;
-use crate::origin_recorder::stream_holders;
 use crate::origin_search::OriginSearch;
 
 /// How much later than the gateway before it in their order a gateway records a version that no other one has recorded.
 const RECORD_STAGGER: SpanMillis = SpanMillis::new(150);
 
-/// The addresses of all gateways, as far as this one knows them.
-#[derive(Clone, Debug, Default)]
-pub struct GatewayList {
-    /// All gateways, this one first. Empty if there is no exchange with others.
-    gateways: Vec<SocketAddr>,
-}
-
-impl GatewayList {
-    /// Creates the list of a gateway and its peers.
-    pub fn new(own: SocketAddr, peers: &[SocketAddr]) -> Self {
-        let mut gateways = Vec::with_capacity(1 + peers.len());
-        gateways.push(own);
-        gateways.extend(peers);
-        Self { gateways }
-    }
-
-    fn own(&self) -> Option<SocketAddr> {
-        self.gateways.first().copied()
-    }
-
-    fn peers(&self) -> &[SocketAddr] {
-        self.gateways.get(1..).unwrap_or_default()
-    }
-
-    /// The place of this gateway among those that may write about a version.
-    fn version_rank(&self, origin: StreamOrigin) -> usize {
-        let ranked = rank_gateways(u64::from(origin.version.get()), &self.gateways);
-        let rank = ranked
-            .iter()
-            .position(|gateway| Some(*gateway) == self.own());
-        rank.unwrap_or(ranked.len())
-    }
-}
-
 /// What a gateway tells, writes and asks about the origins of streams.
 ///
 /// It carries out the actions of a [`RequestScheduler`] that concern origins and versions, and passes on to it what becomes
@@ -120,7 +85,12 @@
 
     /// Carries out [`FlowAction::SeekOrigin`](crate::FlowAction::SeekOrigin).
     pub fn seek_origin(&mut self, stream: StreamKey, now: ClockMillis) {
-        self.search.start(stream, self.gateways.peers(), now);
+        let own = self.gateways.own();
+        let holders = self.gateways.stream_holders(stream).iter();
+        let others = holders.filter(|holder| Some(**holder) != own);
+        let has_peers = !self.gateways.peers().is_empty();
+        self.search
+            .start(stream, others.copied().collect(), has_peers, now);
     }
 
     /// Tells, writes and asks what is due, and ends searches that have failed. `is_log_unavailable` is whether there is no use in
@@ -154,18 +124,18 @@
         let mut to_write = told.clone();
         let own = self.gateways.own();
         for entry in std::mem::take(&mut self.untold) {
-            let holders = stream_holders(entry.stream, &self.gateways.gateways);
-            let writer = self.recorder.choose_writer(&holders, now);
+            let holders = self.gateways.stream_holders(entry.stream);
+            let writer = self.recorder.choose_writer(holders, now);
             let writer = writer.filter(|writer| Some(*writer) != own);
             if let Some(writer) = writer {
                 to_write.entry(writer).or_default().push(entry);
             }
             self.recorder.add_own(entry, writer, now);
             for holder in holders {
-                if Some(holder) == own || Some(holder) == writer {
+                if Some(*holder) == own || Some(*holder) == writer {
                     continue;
                 }
-                told.entry(holder).or_default().push(entry);
+                told.entry(*holder).or_default().push(entry);
             }
         }
         for (writer, entries) in to_write {
@@ -287,8 +257,8 @@
     ) {
         for entry in entries {
             self.search.note_found(entry.stream);
-            scheduler.note_origin(*entry, source, now);
         }
+        scheduler.note_origins(entries, source, now);
     }
 
     fn answer(
--- a/crates/coordination/fescuetide_flow/src/origin_recorder.rs
+++ b/crates/coordination/fescuetide_flow/src/origin_recorder.rs
@@ -4,26 +4,16 @@
 //! depends neither on the number of streams nor on that of gateways. The writer confirms what the log has. What it does not
 //! confirm in time is passed to the next one, and written by the gateway itself if there is no other left.
 
-use std::cmp::Reverse;
 use std::net::SocketAddr;
 
 use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
-use fescuetide_base::StableHash;
-use fescuetide_routing::score_upstream;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
 use crate::OriginEntry;
 use crate::StreamKey;
 
-/// Number of other gateways that are told where a stream began, and that are asked. Some of them may be gone, or not know
-/// each other yet.
-const HOLDER_COUNT: usize = 5;
-
-/// Number of gateways that share a writer.
-const GATEWAYS_PER_WRITER: usize = 32;
-
 /// Shortest time between two appends of a writer. What began within it is not known if all gateways are lost just then.
 const APPEND_INTERVAL: SpanMillis = SpanMillis::new(50);
 
@@ -53,29 +43,9 @@
     }
 }
 
-/// Maximum number of origins that wait to be written, and of those in one batch. The oldest are dropped.
+/// Maximum number of origins that wait to be written, and of those in one batch. The older half of more is dropped.
 const BATCH_LIMIT: usize = 8_192;
 
-/// The gateways among `gateways` that are told where a stream began, the one first that writes it to the log. All gateways find
-/// mostly the same ones, also when one is gone, by rendezvous hashing.
-pub(crate) fn stream_holders(stream: StreamKey, gateways: &[SocketAddr]) -> Vec<SocketAddr> {
-    let writer_count = 1 + gateways.len() / GATEWAYS_PER_WRITER;
-    rank_gateways(stream.get() % writer_count as u64, gateways)
-}
-
-/// The first gateways in an order that is the same at all gateways.
-pub(crate) fn rank_gateways(key: u64, gateways: &[SocketAddr]) -> Vec<SocketAddr> {
-    let mut ranked = gateways.to_vec();
-    let key = StableHash::hash_bytes(&key.to_le_bytes());
-    let score = |gateway: &SocketAddr| {
-        let id = StableHash::hash_bytes(gateway.to_string().as_bytes());
-        Reverse(score_upstream(key, id))
-    };
-    ranked.sort_by_cached_key(score);
-    ranked.truncate(HOLDER_COUNT);
-    ranked
-}
-
 #[derive(Clone, Copy, Debug)]
 struct UnconfirmedOrigin {
     entry: OriginEntry,
@@ -146,7 +116,7 @@
 
     fn add(&mut self, entry: OriginEntry, asker: Option<SocketAddr>) {
         if self.unwritten.len() >= BATCH_LIMIT {
-            self.unwritten.shift_remove_index(0);
+            self.unwritten.drain(..BATCH_LIMIT / 2);
         }
         let askers = Vec::new();
         let unwritten = self.unwritten.entry(entry.stream);
--- a/crates/coordination/fescuetide_flow/src/origin_search.rs
+++ b/crates/coordination/fescuetide_flow/src/origin_search.rs
@@ -7,7 +7,6 @@
 use indexmap::IndexMap;
 
 use crate::StreamKey;
-use crate::origin_recorder::stream_holders;
 
 /// Time after which gateways that have not answered are asked again, since datagrams may be lost.
 const REPEAT_INTERVAL: SpanMillis = SpanMillis::new(60);
@@ -81,11 +80,18 @@
 }
 
 impl OriginSearch {
-    /// Starts to look for the origin of a stream, in the log and at `peers`.
-    pub(crate) fn start(&mut self, stream: StreamKey, peers: &[SocketAddr], now: ClockMillis) {
+    /// Starts to look for the origin of a stream, in the log and at the gateways that were told. `had_peers` is whether there are other
+    /// gateways.
+    pub(crate) fn start(
+        &mut self,
+        stream: StreamKey,
+        holders: Vec<SocketAddr>,
+        had_peers: bool,
+        now: ClockMillis,
+    ) {
         let sought = SoughtStream {
-            unanswered: stream_holders(stream, peers),
-            had_peers: !peers.is_empty(),
+            unanswered: holders,
+            had_peers,
             votes: VersionVotes::default(),
             started_at: now,
             next_at: now,
--- a/crates/coordination/fescuetide_flow/src/origins.rs
+++ b/crates/coordination/fescuetide_flow/src/origins.rs
@@ -14,8 +14,8 @@
 /// How long an origin is remembered after the last part of its stream began; longer than callers wait for a stream.
 pub(crate) const ORIGIN_RETENTION: SpanMillis = SpanMillis::new(60_000);
 
-/// Maximum number of streams that are remembered. The one that began first is forgotten first.
-const ORIGIN_LIMIT: usize = 16_384;
+/// Maximum number of streams that are remembered. Those that began first are forgotten first.
+const ORIGIN_LIMIT: usize = 32_768;
 
 /// The upstreams that can continue a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -96,8 +96,11 @@
 /// The origins of streams that began lately here, or about which other gateways told.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct OriginTable {
-    /// In the order of their times.
     records: IndexMap<StreamKey, OriginRecord>,
+    /// Records from before `renewed_at`, which are dropped together.
+    older: IndexMap<StreamKey, OriginRecord>,
+    /// When the older records were last dropped.
+    renewed_at: ClockMillis,
 }
 
 impl OriginTable {
@@ -141,26 +144,18 @@
     }
 
     fn insert(&mut self, stream: StreamKey, record: OriginRecord, now: ClockMillis) {
-        self.records.shift_remove(&stream);
-        self.drop_oldest(now);
-        self.records.insert(stream, record);
-    }
-
-    /// Removes a few records that are no longer needed. Only one is added at a time.
-    fn drop_oldest(&mut self, now: ClockMillis) {
-        for _ in 0..2 {
-            let Some((_, oldest)) = self.records.first() else {
-                return;
-            };
-            if oldest.is_recent(now) && self.records.len() < ORIGIN_LIMIT {
-                return;
-            }
-            self.records.shift_remove_index(0);
+        let is_full = self.records.len() >= ORIGIN_LIMIT / 2;
+        if is_full || now.since(self.renewed_at) >= ORIGIN_RETENTION {
+            self.older = std::mem::take(&mut self.records);
+            self.renewed_at = now;
         }
+        self.older.swap_remove(&stream);
+        self.records.insert(stream, record);
     }
 
     fn find(&self, stream: StreamKey, now: ClockMillis) -> Option<OriginRecord> {
-        let record = self.records.get(&stream).copied();
+        let record = self.records.get(&stream);
+        let record = record.or_else(|| self.older.get(&stream)).copied();
         record.filter(|record| record.is_recent(now))
     }
 
@@ -181,7 +176,8 @@
         pool: PoolKey,
         now: ClockMillis,
     ) -> impl Iterator<Item = OriginEntry> {
-        let own = self.records.iter().filter(move |(_, record)| {
+        let records = self.older.iter().chain(&self.records);
+        let own = records.filter(move |(_, record)| {
             let is_own = record.source == OriginSource::ThisGateway;
             is_own && record.origin.pool == pool && record.is_recent(now)
         });
--- a/crates/coordination/fescuetide_flow/src/scheduler/origins.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/origins.rs
@@ -3,6 +3,7 @@
 use fescuetide_base::ClockMillis;
 use fescuetide_fleet::VersionKey;
 use fescuetide_fleet::WorkKind;
+use indexmap::IndexSet;
 
 use super::NO_UPSTREAM_RETRY_DELAY;
 use super::RequestScheduler;
@@ -27,12 +28,24 @@
         self.origins.get(stream, now)
     }
 
-    /// Adds where a stream began, as the log or another gateway tells, and continues requests that take it up.
-    pub fn note_origin(&mut self, entry: OriginEntry, source: OriginSource, now: ClockMillis) {
-        self.note_seen_version(entry.origin, now);
-        self.origins.merge(entry, source, now);
-        for key in self.take_seekers(entry.stream) {
-            self.continue_at(key, entry.origin, source, now);
+    /// Adds where streams began, as the log or another gateway tells, and continues requests that take them up.
+    pub fn note_origins(
+        &mut self,
+        entries: &[OriginEntry],
+        source: OriginSource,
+        now: ClockMillis,
+    ) {
+        let versions: IndexSet<StreamOrigin> = entries.iter().map(|entry| entry.origin).collect();
+        self.note_seen_versions(&versions, now);
+        let sought: IndexSet<StreamKey> = self.seeking.values().copied().collect();
+        for entry in entries {
+            self.origins.merge(*entry, source, now);
+            if !sought.contains(&entry.stream) {
+                continue;
+            }
+            for key in self.take_seekers(entry.stream) {
+                self.continue_at(key, entry.origin, source, now);
+            }
         }
     }
 
--- a/crates/coordination/fescuetide_flow/src/scheduler/versions.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/versions.rs
@@ -3,6 +3,7 @@
 use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use super::RequestScheduler;
 use crate::FlowAction;
@@ -126,10 +127,16 @@
         knowledge.is_complete(now) && listing_age <= self.settings.listing_limit
     }
 
-    /// Records a version that serves its pool, as another gateway tells. The list of upstreams may not have it yet.
-    pub(super) fn note_seen_version(&mut self, origin: StreamOrigin, now: ClockMillis) {
-        if let Some(pool) = self.pool_with_key(origin.pool) {
-            pool.versions.note_seen(origin.version, now);
+    /// Records versions that serve their pools, as other gateways tell. The list of upstreams may not have them yet.
+    pub(super) fn note_seen_versions(
+        &mut self,
+        origins: &IndexSet<StreamOrigin>,
+        now: ClockMillis,
+    ) {
+        for origin in origins {
+            if let Some(pool) = self.pool_with_key(origin.pool) {
+                pool.versions.note_seen(origin.version, now);
+            }
         }
         self.tell_origins(now);
     }
