Give upstreams more requests only step by step after a rate limit

Cause: the end of a limit was taken for the end of the need. All gateways used the upstream at once, and more than others, since it had the least load.

Change: after the end of a limit the gateways share what the upstream gets as before, from the highest rate that was named on, doubled every 4 s, for 16 s. Only a preference: if the others are full, the upstream is used.

--- a/crates/coordination/fescuetide_flow/src/pool/upstream.rs
+++ b/crates/coordination/fescuetide_flow/src/pool/upstream.rs
@@ -100,6 +100,11 @@
         bucket.is_none_or(|bucket| bucket.has_token(self.now))
     }
 
+    /// Whether an upstream has got this gateway's part of what it is to get while it recovers after a rate limit.
+    pub(super) fn spares(&self, upstream: &PoolUpstream) -> bool {
+        self.rate_limits.spares(&upstream.entry, self.now)
+    }
+
     pub(super) fn paused_until(&self, upstream: &PoolUpstream) -> Option<ClockMillis> {
         self.announcements.paused_until(&upstream.entry, self.now)
     }
--- a/crates/coordination/fescuetide_flow/src/rate_limits.rs
+++ b/crates/coordination/fescuetide_flow/src/rate_limits.rs
@@ -20,8 +20,12 @@
 /// How long a limit counts that no response has named or ended.
 const LIMIT_RETENTION: SpanMillis = SpanMillis::new(600_000);
 
-/// How long the end of a limit is remembered, so that older news of it does not bring it back.
-const END_RETENTION: SpanMillis = SpanMillis::new(5_000);
+/// For how long after the end of a limit the upstream gets more and more requests. Until then the end is remembered, so that
+/// older news of the limit does not bring it back.
+const RECOVERY_TIME: SpanMillis = SpanMillis::new(16_000);
+
+/// Time in which the rate of requests to a recovering upstream doubles. It is that of the windows in which upstreams count.
+const RECOVERY_DOUBLING_TIME: SpanMillis = SpanMillis::new(4_000);
 
 /// The lowest rate that is used. Without any requests, nobody would learn that a limit has ended.
 const MIN_RATE: RequestRate = RequestRate::per_1000_s(250);
@@ -75,6 +79,8 @@
     pub(crate) pool: PoolKey,
     /// The limit, `None` after its end.
     pub(crate) rate: Option<RequestRate>,
+    /// The highest limit that was named since there was none.
+    highest: RequestRate,
     /// When a response said so.
     at: ClockMillis,
     /// Whether the upstream is known at present. Its entry may be missing for a moment.
@@ -91,14 +97,29 @@
     fn is_remembered(&self, now: ClockMillis) -> bool {
         let retention = match self.rate {
             Some(_) => LIMIT_RETENTION,
-            None => END_RETENTION,
+            None => RECOVERY_TIME,
         };
         now.since(self.at) < retention
     }
 
+    /// The requests per second that all gateways together send to the upstream, `None` without a bound. After the end of a limit, they
+    /// begin with the highest one and become more and more.
+    pub(crate) fn shared_rate(&self, now: ClockMillis) -> Option<RequestRate> {
+        if self.rate.is_some() {
+            return self.rate;
+        }
+        let since = now.since(self.at);
+        if since >= RECOVERY_TIME {
+            return None;
+        }
+        let doublings = since.as_millis() as f64 / RECOVERY_DOUBLING_TIME.as_millis() as f64;
+        let rate = self.highest.as_per_second() * doublings.exp2();
+        Some(RequestRate::per_second(rate))
+    }
+
     /// Sets this gateway's part of the limit.
     pub(crate) fn set_share(&mut self, share: LimitShare, now: ClockMillis) {
-        let Some(limit) = self.rate else {
+        let Some(limit) = self.shared_rate(now) else {
             return;
         };
         let limit = limit.max(MIN_RATE).as_per_second();
@@ -214,6 +235,9 @@
             life: UpstreamLife::of(target.vm, target.incarnation),
             pool: target.pool,
             rate,
+            highest: known
+                .map_or(rate, |known| rate.max(Some(known.highest)))
+                .unwrap_or_default(),
             at,
             is_listed: true,
             bucket,
@@ -238,15 +262,24 @@
         self.limits.values().any(UpstreamLimit::is_in_force)
     }
 
+    /// Whether gateways share the requests to any upstream, which has a limit or recovers after one.
+    pub(crate) fn has_shares(&self, now: ClockMillis) -> bool {
+        let mut limits = self.limits.values();
+        limits.any(|limit| limit.is_listed && limit.is_remembered(now))
+    }
+
     /// The limits in force.
     pub(crate) fn iter(&self) -> impl Iterator<Item = &UpstreamLimit> {
         self.limits.values().filter(|limit| limit.is_in_force())
     }
 
-    /// The limits in force, to set this gateway's parts.
-    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut UpstreamLimit> {
+    /// The limits in force and those that have ended lately, to set this gateway's parts.
+    pub(crate) fn iter_mut(
+        &mut self,
+        now: ClockMillis,
+    ) -> impl Iterator<Item = &mut UpstreamLimit> {
         let limits = self.limits.values_mut();
-        limits.filter(|limit| limit.is_in_force())
+        limits.filter(move |limit| limit.is_listed && limit.is_remembered(now))
     }
 
     /// What is known about limits, without what is as old as `age_limit`.
@@ -281,6 +314,14 @@
         limit.rate.is_some().then_some(&limit.bucket)
     }
 
+    /// Whether an upstream recovers after a limit, and this gateway has sent it its part of what it gets at present.
+    pub(crate) fn spares(&self, entry: &UpstreamEntry, now: ClockMillis) -> bool {
+        let limit = self.find(&entry.name, entry.incarnation);
+        limit.is_some_and(|limit| {
+            limit.rate.is_none() && limit.is_remembered(now) && !limit.bucket.has_token(now)
+        })
+    }
+
     /// Takes a token for a request to an upstream, if it has a limit.
     pub(crate) fn take_token(
         &mut self,
--- a/crates/coordination/fescuetide_flow/src/scheduler/rates.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/rates.rs
@@ -111,7 +111,8 @@
     /// Computes this gateway's parts of limits again, if that is due.
     pub(super) fn share_rate_limits(&mut self, now: ClockMillis) {
         let is_due = now.since(self.share_state.computed_at) >= SHARE_INTERVAL;
-        if is_due && (self.share_state.limited_since.is_some() || self.rate_limits.has_limits()) {
+        if is_due && (self.share_state.limited_since.is_some() || self.rate_limits.has_shares(now))
+        {
             self.compute_shares(now);
         }
     }
@@ -131,7 +132,7 @@
 
     fn compute_shares(&mut self, now: ClockMillis) {
         self.share_state.computed_at = now;
-        if !self.rate_limits.has_limits() {
+        if !self.rate_limits.has_shares(now) {
             self.share_state.limited_since = None;
             return;
         }
@@ -145,8 +146,9 @@
             self.share_state.own_rates.insert(pool, own_rate);
             views.insert(pool, (view, spare));
         }
-        for limit in self.rate_limits.iter_mut() {
-            let (Some(rate), Some((view, spare))) = (limit.rate, views.get(&limit.pool)) else {
+        for limit in self.rate_limits.iter_mut(now) {
+            let shared = limit.shared_rate(now);
+            let (Some(rate), Some((view, spare))) = (shared, views.get(&limit.pool)) else {
                 continue;
             };
             limit.set_share(view.share(limit.life, rate, *spare), now);
@@ -170,7 +172,8 @@
         }
         let mut limits = self.rate_limits.list(DIGEST_AGE_LIMIT, now);
         let mut demands = Vec::new();
-        let mut pools: Vec<PoolKey> = self.rate_limits.iter().map(|limit| limit.pool).collect();
+        let shared = self.rate_limits.iter_mut(now);
+        let mut pools: Vec<PoolKey> = shared.map(|limit| limit.pool).collect();
         pools.sort_unstable();
         pools.dedup();
         for pool in pools {
--- a/crates/coordination/fescuetide_flow/tests/flow/rate_fleet.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/rate_fleet.rs
@@ -44,6 +44,9 @@
 /// When the traffic of one gateway moves to another one, or a gateway is lost, in runs with such a change.
 const CHANGE_AFTER: SpanMillis = SpanMillis::new(12_000);
 
+/// Time for which an upstream that names no limit any more may still be in need, since another cause for one goes on.
+const RECOVERY_TIME: SpanMillis = SpanMillis::new(5_000);
+
 /// Length of the windows in which requests are counted.
 const WINDOW: SpanMillis = SpanMillis::new(4_000);
 
@@ -70,6 +73,8 @@
     TrafficMoves,
     /// The last gateway is gone: it gets no requests and sends no digests.
     GatewayLost,
+    /// Upstreams name no limits any more.
+    LimitsEnd,
 }
 
 /// What a run varies.
@@ -241,7 +246,8 @@
         self.running = running;
         for request in ended {
             let limit = self.shape.limits[request.upstream];
-            let names_limit = limit > 0.0 && self.elapsed() >= LIMITS_AFTER;
+            let has_ended = self.is_changed(FleetChange::LimitsEnd);
+            let names_limit = limit > 0.0 && self.elapsed() >= LIMITS_AFTER && !has_ended;
             let announcement = UpstreamAnnouncement {
                 rate_limit: names_limit.then(|| RequestRate::per_second(limit)),
                 ..UpstreamAnnouncement::default()
@@ -282,10 +288,12 @@
     }
 }
 
-/// The largest number of requests in a window, from the settling time on.
-fn largest_window(times: &[ClockMillis]) -> usize {
-    let from = ClockMillis::new(1_000_000) + LIMITS_AFTER + SETTLING_TIME;
-    let counted: Vec<ClockMillis> = times.iter().copied().filter(|at| *at >= from).collect();
+/// The largest number of requests in a window, from the settling time on, and until `until` after the start.
+fn largest_window(times: &[ClockMillis], until: SpanMillis) -> usize {
+    let started_at = ClockMillis::new(1_000_000);
+    let from = started_at + LIMITS_AFTER + SETTLING_TIME;
+    let is_counted = |at: &ClockMillis| *at >= from && *at < started_at + until;
+    let counted: Vec<ClockMillis> = times.iter().copied().filter(is_counted).collect();
     let mut largest = 0;
     for (index, start) in counted.iter().enumerate() {
         let end = counted.partition_point(|at| at.since(*start) < WINDOW);
@@ -305,8 +313,12 @@
 /// Checks that each upstream with a limit got at most one and a half times what the limit allows, and 5 requests, in any window.
 fn assert_limits_kept(shape: &RateShape, result: &RateResult, seed: u64) {
     let window_s = WINDOW.as_millis() as f64 / 1_000.0;
+    let until = match shape.change {
+        FleetChange::LimitsEnd => CHANGE_AFTER + RECOVERY_TIME,
+        _ => LENGTH,
+    };
     for (limit, times) in shape.limits.iter().zip(&result.arrivals) {
-        let largest = largest_window(times);
+        let largest = largest_window(times, until);
         let allowed = 1.5 * limit * window_s + 5.0;
         assert!(
             *limit == 0.0 || largest as f64 <= allowed,
@@ -321,10 +333,11 @@
     0..count.and_then(|text| text.parse().ok()).unwrap_or(1)
 }
 
-const CHANGES: [FleetChange; 3] = [
+const CHANGES: [FleetChange; 4] = [
     FleetChange::None,
     FleetChange::TrafficMoves,
     FleetChange::GatewayLost,
+    FleetChange::LimitsEnd,
 ];
 
 /// Limits of upstreams from one request in two seconds to 40 per second.
@@ -341,7 +354,9 @@
                     continue;
                 }
                 // Each gateway adds its part of the time that a run takes.
-                if gateways == 103 && change == FleetChange::GatewayLost {
+                if gateways == 103
+                    && matches!(change, FleetChange::GatewayLost | FleetChange::LimitsEnd)
+                {
                     continue;
                 }
                 for split in [TrafficSplit::Even, TrafficSplit::MostlyOne] {
--- a/crates/coordination/fescuetide_flow/tests/flow/rate_limits.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/rate_limits.rs
@@ -18,6 +18,9 @@
 use crate::harness::SchedulerHarness;
 use crate::harness::upstream;
 
+/// Time in which an upstream gets more and more requests after the end of a limit.
+const RECOVERY_TIME: SpanMillis = SpanMillis::new(16_000);
+
 impl SchedulerHarness {
     /// Sends and completes a request whose response names `limit`. Returns whether it was sent.
     fn serve_with_limit(&mut self, limit: Option<f64>) -> bool {
@@ -175,13 +178,27 @@
     assert!(harness.has_limit_ended());
     let digest = harness.scheduler.take_limit_digest(harness.now);
     assert!(digest.is_some_and(|digest| digest.limits[0].rate.is_none()));
-    for _ in 0..100 {
+    for _ in 0..RECOVERY_TIME.as_millis() / 100 {
         assert!(harness.serve_with_limit(None));
         harness.advance(100);
     }
     assert_eq!(harness.scheduler.take_limit_digest(harness.now), None);
 }
 
+/// Guards against requests that wait or are refused for the sake of an upstream that names no limit any more, although only it
+/// has room.
+#[test]
+fn recovering_upstream_gets_what_others_have_no_room_for() {
+    let mut harness = SchedulerHarness::with_upstreams(1);
+    assert!(harness.serve_with_limit(Some(0.5)));
+    harness.advance(1_500);
+    assert!(harness.serve_with_limit(None));
+    for _ in 0..8 {
+        let key = harness.arrive(WorkKind::Repeatable, 1);
+        harness.expect_send(key);
+    }
+}
+
 /// Guards against digests, and parts of limits, for upstreams that are gone.
 #[test]
 fn limit_of_an_upstream_that_is_gone_is_not_shared() {
