--- a/crates/state/fescuetide_fleet/tests/config_view.rs
+++ b/crates/state/fescuetide_fleet/tests/config_view.rs
@@ -102,12 +102,12 @@
             }
         }
         for newest in told {
-            for index in 1..count {
-                let news = ConfigNews {
-                    version: version(newest),
-                    age: SpanMillis::default(),
-                };
-                tell(&mut gateways[index], news, now, &mut random);
+            let news = ConfigNews {
+                version: version(newest),
+                age: SpanMillis::default(),
+            };
+            for gateway in &mut gateways[1..] {
+                tell(gateway, news, now, &mut random);
             }
         }
         for index in 0..count {
--- a/crates/tools/fescuetide_bench/src/lib.rs
+++ b/crates/tools/fescuetide_bench/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod config;
 pub mod demo;
 pub mod deployment;
+pub mod endings;
 pub mod engines;
 pub mod experiment;
 pub mod fault_client;
--- a/crates/tools/fescuetide_bench/src/main.rs
+++ b/crates/tools/fescuetide_bench/src/main.rs
@@ -38,7 +38,8 @@
                     a model of engines, for fescuetide and three baselines
   worth REPORT...   Tables of the worth (score) of a day by request class and
                     cost, from day reports of the users' benchmark; with
-                    --plot also one plot over time
+                    --plot also one plot over time, with --log also how
+                    requests ended that were not served
 
 Options:
   --seed N          Seed of the load (default 1)
@@ -55,12 +56,13 @@
   --rate X          Load: multiple of the usual rates (default 1)
   --multiple X      Load: X in the load cap of an engine, X * mean load + N
   --allowance N     Load: N in the load cap of an engine
+  --log FILE        Worth: log lines of the gateways of a day
   --json            Print one JSON object as the last line
   --plot FOLDER     Write SVG plots of churn, surge or worth
   -h, --help        Print this help
 
 The exit code is 1 when a guarantee was violated or a run failed, and 2 for a
-wrong command line. With FESCUETIDE_KEEP set in the environment, the folders of
+wrong command line or file. With FESCUETIDE_KEEP set in the environment, the folders of
 the fleets (logs, settings files and journals) are not deleted.
 ";
 
@@ -79,6 +81,7 @@
     json: bool,
     plots: Option<PathBuf>,
     reports: Vec<PathBuf>,
+    logs: Vec<PathBuf>,
     load: LoadOptions,
 }
 
@@ -99,7 +102,11 @@
         Ok(_) => ExitCode::FAILURE,
         Err(error) => {
             eprintln!("fescuetide_bench: {error:#}");
-            ExitCode::FAILURE
+            // This command only reads files, so they are at fault.
+            match run.name.as_str() {
+                "worth" => ExitCode::from(USAGE_EXIT_CODE),
+                _ => ExitCode::FAILURE,
+            }
         }
     }
 }
@@ -120,7 +127,7 @@
             });
             return Ok(0);
         }
-        "worth" => return worth::run(&run.reports, plots).map(|()| 0),
+        "worth" => return worth::run(&run.reports, &run.logs, plots).map(|()| 0),
         _ => return demo::run(&run.options),
     };
     if run.json {
@@ -200,6 +207,7 @@
             Arg::Long("rate") => run.load.rate_factor = Some(parser.value()?.parse()?),
             Arg::Long("multiple") => run.load.load_multiple = Some(parser.value()?.parse()?),
             Arg::Long("allowance") => run.load.load_allowance = Some(parser.value()?.parse()?),
+            Arg::Long("log") => run.logs.push(parser.value()?.into()),
             Arg::Long("only") => {
                 for name in parser.value()?.string()?.split(',') {
                     run.only.push(name.parse()?);
--- a/crates/tools/fescuetide_bench/src/worth.rs
+++ b/crates/tools/fescuetide_bench/src/worth.rs
@@ -11,6 +11,7 @@
 use anyhow::Context;
 use fescuetide_platform_report::DayReport;
 
+use crate::endings::EndingTable;
 use crate::plot;
 
 /// Costs that deduct less than this from the worth are omitted from the table.
@@ -22,13 +23,21 @@
     day: DayReport,
 }
 
-/// Prints a table for each report. With a folder, also plots the worth of all reports over time in one SVG file.
+/// Prints a table for each report, and one of the endings of requests for each log. With a folder, also plots the worth of all
+/// reports over time in one SVG file.
 ///
 /// # Errors
 ///
-/// Fails when a report cannot be read or the plot cannot be written.
-pub fn run(reports: &[PathBuf], folder: Option<&Path>) -> anyhow::Result<()> {
-    anyhow::ensure!(!reports.is_empty(), "no reports were given");
+/// Fails when a report or log cannot be read, or the plot cannot be written. Nothing is printed or written then.
+pub fn run(reports: &[PathBuf], logs: &[PathBuf], folder: Option<&Path>) -> anyhow::Result<()> {
+    anyhow::ensure!(
+        !reports.is_empty() || !logs.is_empty(),
+        "no reports were given"
+    );
+    let mut endings = Vec::with_capacity(logs.len());
+    for path in logs {
+        endings.push((path, EndingTable::load(path)?));
+    }
     let mut days = Vec::with_capacity(reports.len());
     for path in reports {
         let name = path
@@ -42,6 +51,9 @@
     for named in &days {
         print!("{}", render(&named.name, &named.day));
     }
+    for (path, table) in &endings {
+        print!("{}", table.render(&path.display().to_string()));
+    }
     let Some(folder) = folder else {
         return Ok(());
     };
