--- a/crates/coordination/fescuetide_flow/tests/flow/main.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/main.rs
@@ -10,6 +10,7 @@
 mod life;
 mod load_digest;
 mod load_fleet;
+mod origin_exchange;
 mod origin_fleet;
 mod origins;
 mod pauses;
--- /dev/null
+++ b/crates/coordination/fescuetide_flow/tests/flow/origin_exchange.rs
@@ -0,0 +1,140 @@
+//! What a gateway tells others, and the log, about the origins of streams.
+
+use std::net::SocketAddr;
+
+use fescuetide_base::ClockMillis;
+use fescuetide_base::SpanMillis;
+use fescuetide_fleet::VersionKey;
+use fescuetide_flow::FlowSettings;
+use fescuetide_flow::GatewayList;
+use fescuetide_flow::OriginCommand;
+use fescuetide_flow::OriginEntry;
+use fescuetide_flow::OriginExchange;
+use fescuetide_flow::OriginLogEvent;
+use fescuetide_flow::OriginMessage;
+use fescuetide_flow::OriginOutput;
+use fescuetide_flow::PoolKey;
+use fescuetide_flow::RequestScheduler;
+use fescuetide_flow::StreamKey;
+use fescuetide_flow::StreamOrigin;
+
+/// Time in which a writer has to confirm what it was told.
+const CONFIRMATION_TIMEOUT: SpanMillis = SpanMillis::new(200);
+
+const ENTRY: OriginEntry = OriginEntry {
+    stream: StreamKey::new(7),
+    origin: StreamOrigin {
+        pool: PoolKey::new(1),
+        version: VersionKey::new(2),
+    },
+    moves: 0,
+};
+
+/// A gateway that knows so many others.
+struct ExchangeHarness {
+    exchange: OriginExchange,
+    scheduler: RequestScheduler,
+    now: ClockMillis,
+}
+
+impl ExchangeHarness {
+    fn with_peers(count: u16) -> Self {
+        let address = |index| SocketAddr::from(([127, 0, 0, 1], 10_000 + index));
+        let peers: Vec<SocketAddr> = (1..=count).map(address).collect();
+        let mut exchange = OriginExchange::default();
+        exchange.set_gateways(GatewayList::new(address(0), &peers));
+        let settings = FlowSettings::default();
+        Self {
+            exchange,
+            scheduler: RequestScheduler::new(settings, "a".parse().unwrap()),
+            now: ClockMillis::new(1_000_000),
+        }
+    }
+
+    /// Returns the gateway that is told to write, if any, and whether this gateway writes itself.
+    fn step(&mut self, millis: u64) -> (Option<SocketAddr>, bool) {
+        self.now = self.now + SpanMillis::new(millis);
+        self.exchange.step(&mut self.scheduler, false, self.now);
+        let mut writer = None;
+        let mut appends = false;
+        for output in self.exchange.take_outputs() {
+            match output {
+                OriginOutput::Send(peer, OriginMessage::ToWrite(entries)) => {
+                    assert_eq!(entries, [ENTRY]);
+                    writer = Some(peer);
+                }
+                OriginOutput::Call(OriginCommand::AppendOrigins(entries)) => {
+                    assert_eq!(entries, [ENTRY]);
+                    appends = true;
+                }
+                _ => {}
+            }
+        }
+        (writer, appends)
+    }
+}
+
+/// A stream and a gateway of which another one is the writer.
+fn harness_with_writer() -> (ExchangeHarness, SocketAddr) {
+    // With many peers, the first in the order is hardly this gateway.
+    let mut harness = ExchangeHarness::with_peers(20);
+    harness.exchange.tell_origin(ENTRY);
+    let (writer, appends) = harness.step(0);
+    assert!(!appends);
+    (harness, writer.expect("another gateway writes"))
+}
+
+/// Guards against origins that are not written since their writer is gone, and against another writer for each lost datagram.
+#[test]
+fn writer_that_does_not_confirm_is_replaced() {
+    let (mut harness, first) = harness_with_writer();
+    let timeout = CONFIRMATION_TIMEOUT.as_millis();
+    assert_eq!(harness.step(timeout - 20), (None, false));
+    assert_eq!(harness.step(20), (Some(first), false));
+    let (second, appends) = harness.step(timeout);
+    assert!(second.is_some_and(|second| second != first) && !appends);
+    // Once all are gone, the gateway writes itself.
+    let mut has_appended = false;
+    for _ in 0..20 {
+        has_appended |= harness.step(timeout).1;
+    }
+    assert!(has_appended);
+}
+
+/// Guards against origins that are written again and again.
+#[test]
+fn confirmed_origin_is_not_told_again() {
+    let (mut harness, writer) = harness_with_writer();
+    let written = OriginMessage::Written(vec![ENTRY.stream]);
+    let ExchangeHarness {
+        exchange,
+        scheduler,
+        now,
+    } = &mut harness;
+    exchange.receive(writer, written, scheduler, *now);
+    assert!(!exchange.is_busy());
+    assert_eq!(harness.step(1_000), (None, false));
+}
+
+/// Guards against origins that are lost with a failed append, and against a confirmation of what the log does not have.
+#[test]
+fn failed_append_is_repeated_and_not_confirmed() {
+    let mut harness = ExchangeHarness::with_peers(1);
+    let asker = SocketAddr::from(([127, 0, 0, 1], 10_001));
+    let ExchangeHarness {
+        exchange,
+        scheduler,
+        now,
+    } = &mut harness;
+    exchange.receive(asker, OriginMessage::ToWrite(vec![ENTRY]), scheduler, *now);
+    assert_eq!(harness.step(100), (None, true));
+    for is_written in [false, true] {
+        let event = OriginLogEvent::Appended(is_written);
+        let scheduler = &mut harness.scheduler;
+        harness.exchange.note_log(event, scheduler, harness.now);
+        let confirmation = OriginMessage::Written(vec![ENTRY.stream]);
+        let confirms = harness.exchange.take_outputs() == [OriginOutput::Send(asker, confirmation)];
+        assert_eq!(confirms, is_written);
+        assert_eq!(harness.step(300), (None, !is_written));
+    }
+}
