Replace records of versions from before a restore of the log

Found by reading: a record of a version says in which era of the log it was written. After a restore, a gateway that starts does not trust such records for a minute, but it counted them as recorded from then on, so they were never written again, and each later start after them would have doubted for a minute, in which streams that nobody knows are refused.

Now such a record only says that the version was there. It is written again once the doubt is over, or removed with its version. records_from_before_a_restore_are_replaced did not compile against the code before, which had no notion of them.

--- a/crates/coordination/fescuetide_flow/src/scheduler/versions.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/versions.rs
@@ -24,8 +24,15 @@
 pub struct VersionReading {
     /// The pools and versions.
     pub versions: Vec<StreamOrigin>,
-    /// Whether the log has come back from an older copy since a record was written, so that others may be missing.
-    pub is_restored: bool,
+    /// Those whose record is from before the log came back from an older copy. If there are any, records of others may be missing.
+    pub stale: Vec<StreamOrigin>,
+}
+
+/// A record of a version in a pool that is not known.
+#[derive(Clone, Copy, Debug)]
+struct UnlistedRecord {
+    is_stale: bool,
+    since: ClockMillis,
 }
 
 /// Whether this gateway knows at which versions streams can have begun.
@@ -37,8 +44,8 @@
     doubtful_until: ClockMillis,
     /// When the list of upstreams was last known to be that of the log.
     listed_at: ClockMillis,
-    /// Records of versions in pools that have no upstream in the list, and since when.
-    unlisted: IndexMap<StreamOrigin, ClockMillis>,
+    /// Records of versions in pools that have no upstream in the list.
+    unlisted: IndexMap<StreamOrigin, UnlistedRecord>,
 }
 
 impl VersionKnowledge {
@@ -58,38 +65,49 @@
     /// Adds the versions that the log has records of.
     pub fn note_version_reading(&mut self, reading: &VersionReading, now: ClockMillis) {
         let knowledge = &mut self.version_knowledge;
-        if reading.is_restored && !knowledge.has_reading {
+        if !reading.stale.is_empty() && !knowledge.has_reading {
             knowledge.doubtful_until = now + ORIGIN_RETENTION;
         }
         knowledge.has_reading = true;
         for origin in &reading.versions {
-            self.note_recorded(*origin, now);
+            self.note_record(*origin, false, now);
+        }
+        for origin in &reading.stale {
+            self.note_record(*origin, true, now);
         }
+        self.tell_origins(now);
     }
 
     /// Records that the log has a record of a version.
     pub fn note_recorded(&mut self, origin: StreamOrigin, now: ClockMillis) {
+        self.note_record(origin, false, now);
+        self.tell_origins(now);
+    }
+
+    fn note_record(&mut self, origin: StreamOrigin, is_stale: bool, now: ClockMillis) {
         let has_room = self.version_knowledge.unlisted.len() < UNLISTED_LIMIT;
         match self.pool_with_key(origin.pool) {
+            Some(pool) if is_stale => pool.versions.note_stale_record(origin.version, now),
             Some(pool) => pool.versions.note_recorded(origin.version, now),
             None if has_room => {
-                let unlisted = &mut self.version_knowledge.unlisted;
-                unlisted.insert(origin, now);
+                let record = UnlistedRecord {
+                    is_stale,
+                    since: now,
+                };
+                self.version_knowledge.unlisted.insert(origin, record);
             }
             None => {}
         }
-        self.tell_origins(now);
     }
 
     /// Adds the records of versions in pools that are listed now.
     pub(super) fn place_unlisted(&mut self, now: ClockMillis) {
-        for (origin, since) in std::mem::take(&mut self.version_knowledge.unlisted) {
-            match self.pool_with_key(origin.pool) {
-                Some(pool) => pool.versions.note_recorded(origin.version, now),
-                None => {
-                    self.version_knowledge.unlisted.insert(origin, since);
-                }
+        for (origin, record) in std::mem::take(&mut self.version_knowledge.unlisted) {
+            if self.pool_with_key(origin.pool).is_some() {
+                self.note_record(origin, record.is_stale, now);
+                continue;
             }
+            self.version_knowledge.unlisted.insert(origin, record);
         }
     }
 
@@ -146,8 +164,8 @@
         if !self.version_knowledge.is_complete(now) {
             return;
         }
-        self.version_knowledge.unlisted.retain(|origin, since| {
-            let keep = now.since(*since) < ORIGIN_RETENTION;
+        self.version_knowledge.unlisted.retain(|origin, record| {
+            let keep = now.since(record.since) < ORIGIN_RETENTION;
             if !keep {
                 self.actions.push_back(FlowAction::ForgetVersion(*origin));
             }
--- a/crates/coordination/fescuetide_flow/src/versions.rs
+++ b/crates/coordination/fescuetide_flow/src/versions.rs
@@ -26,8 +26,10 @@
     listed_since: Option<ClockMillis>,
     /// When an upstream of it was last known to serve, if none is listed.
     seen_at: ClockMillis,
-    /// Whether the log has a record of it.
+    /// Whether the log has a record of it that was written since it last came back from an older copy.
     is_recorded: bool,
+    /// Whether the log has any record of it, which is to be removed in the end.
+    has_record: bool,
     /// When it was last requested to be recorded.
     requested_at: Option<ClockMillis>,
 }
@@ -38,6 +40,7 @@
             listed_since: None,
             seen_at: now,
             is_recorded: false,
+            has_record: false,
             requested_at: None,
         }
     }
@@ -73,7 +76,7 @@
     /// Records that a version serves or did so until now, although it may not be listed.
     pub(crate) fn note_seen(&mut self, version: VersionKey, now: ClockMillis) {
         self.versions
-            .retain(|_, state| state.is_recorded || state.is_recent(now));
+            .retain(|_, state| state.has_record || state.is_recent(now));
         if let Some(state) = self.versions.get_mut(&version) {
             state.seen_at = now;
         } else if self.versions.len() < VERSION_LIMIT {
@@ -88,6 +91,17 @@
         }
         if let Some(state) = self.versions.get_mut(&version) {
             state.is_recorded = true;
+            state.has_record = true;
+        }
+    }
+
+    /// Records that the log has a record of a version from before it came back from an older copy.
+    pub(crate) fn note_stale_record(&mut self, version: VersionKey, now: ClockMillis) {
+        if !self.versions.contains_key(&version) {
+            self.note_seen(version, now);
+        }
+        if let Some(state) = self.versions.get_mut(&version) {
+            state.has_record = true;
         }
     }
 
@@ -159,12 +173,12 @@
         due
     }
 
-    /// Removes the versions at which no stream can have begun that may still be taken up. Returns those that are recorded.
+    /// Removes the versions at which no stream can have begun that may still be taken up. Returns those that the log has records of.
     pub(crate) fn take_expired(&mut self, now: ClockMillis) -> Vec<VersionKey> {
         let mut expired = Vec::new();
         self.versions.retain(|version, state| {
             let keep = state.is_recent(now);
-            if !keep && state.is_recorded {
+            if !keep && state.has_record {
                 expired.push(*version);
             }
             keep
--- a/crates/coordination/fescuetide_flow/tests/flow/origin_fleet/simulation.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/origin_fleet/simulation.rs
@@ -95,7 +95,7 @@
     fn reading(&self) -> VersionReading {
         VersionReading {
             versions: self.versions.iter().copied().collect(),
-            is_restored: false,
+            stale: Vec::new(),
         }
     }
 }
--- a/crates/coordination/fescuetide_flow/tests/flow/origins.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/origins.rs
@@ -189,7 +189,14 @@
         ..entry(after)
     };
     assert_eq!(harness.told_origins, [entry(before), moved]);
-    // News that are older change nothing.
+    // Whichever is heard first, the newer one counts.
+    let mut other = SchedulerHarness::with_versions(1, 1);
+    for news in [entry(before), moved] {
+        let source = OriginSource::OtherGateway;
+        other.scheduler.note_origins(&[news], source, other.now);
+    }
+    let known = other.scheduler.origin(STREAM, other.now);
+    assert_eq!(known, Some(moved));
     let mut other = SchedulerHarness::with_versions(1, 1);
     other
         .scheduler
@@ -369,7 +376,7 @@
     let mut harness = SchedulerHarness::with_versions(2, 0);
     let reading = VersionReading {
         versions: vec![origin("v1"), origin("v2")],
-        is_restored: false,
+        stale: vec![],
     };
     harness
         .scheduler
@@ -391,7 +398,7 @@
     let now = ClockMillis::new(1_000_000);
     let reading = VersionReading {
         versions: vec![origin("v1")],
-        is_restored: false,
+        stale: vec![],
     };
     scheduler.note_version_reading(&reading, now);
     scheduler.set_upstreams(&[versioned("v2", 0)], now);
@@ -417,8 +424,8 @@
     let mut harness = SchedulerHarness::unread();
     harness.set_versions(2, 0);
     let reading = VersionReading {
-        versions: vec![origin("v1")],
-        is_restored: true,
+        versions: vec![],
+        stale: vec![origin("v1")],
     };
     harness
         .scheduler
@@ -435,6 +442,27 @@
     );
 }
 
+/// Guards against doubts at each start for good, since records from before a restore stay in the log.
+#[test]
+fn records_from_before_a_restore_are_replaced() {
+    let mut harness = SchedulerHarness::unread();
+    harness.set_versions(2, 0);
+    let reading = VersionReading {
+        versions: vec![],
+        stale: vec![origin("v1"), origin("v2")],
+    };
+    harness
+        .scheduler
+        .note_version_reading(&reading, harness.now);
+    harness.advance(HISTORY.as_millis() - 100);
+    harness.next();
+    assert_eq!(harness.recorded_versions, []);
+    harness.advance(100);
+    harness.next();
+    assert_eq!(harness.recorded_versions, [origin("v1")]);
+    assert_eq!(harness.forgotten_versions, [origin("v2")]);
+}
+
 /// Guards against refusals with one version while the log is away, and against guesses if another gateway knows more.
 #[test]
 fn stream_goes_on_without_the_log_if_all_gateways_know_one_version() {
--- a/crates/process/fescuetide_gateway/src/origin_log.rs
+++ b/crates/process/fescuetide_gateway/src/origin_log.rs
@@ -149,11 +149,14 @@
 
     /// The versions that the log has records of, as far as this thread has read.
     fn reading(&self) -> VersionReading {
-        let mut eras = self.versions.values();
-        VersionReading {
-            versions: self.versions.keys().copied().collect(),
-            is_restored: eras.any(|era| *era != self.era_text),
+        let mut reading = VersionReading::default();
+        for (origin, era) in &self.versions {
+            match *era == self.era_text {
+                true => reading.versions.push(*origin),
+                false => reading.stale.push(*origin),
+            }
         }
+        reading
     }
 
     /// Lists the versions.
