Read the log for a newer configuration until it answers

Found by reading: a gateway that a peer had told of a newer configuration read the log once. If the log turned it away at that moment, it read again only when no peer had confirmed its old version for 1.5 s. Now it reads until the log answers, and no peer confirms the old version meanwhile. A version that the log then does not have is not asked for again.

log_is_read_for_a_newer_version_until_it_answers fails on the code before at its third check: the next read was due 0.45 s later.

--- a/crates/protocol/fescuetide_wire/src/load.rs
+++ b/crates/protocol/fescuetide_wire/src/load.rs
@@ -2,7 +2,8 @@
 //! configuration are.
 //!
 //! A datagram has one byte for the version of the format, then the hash of the list (8 bytes) and the time since it was read
-//! (1 byte), the same for the version of the configuration, and then 7 bytes for each upstream: its key (4 bytes), its load (2 bytes) and the age of the report (1 byte).
+//! (1 byte), the same for the version of the configuration, and then 7 bytes for each upstream: its key (4 bytes), its load
+//! (2 bytes) and the age of the report (1 byte).
 //! Times are in units of 8 ms, the longest stands for nothing that is told. Numbers are little-endian.
 
 use fescuetide_base::SpanMillis;
--- a/crates/state/fescuetide_fleet/src/config_view.rs
+++ b/crates/state/fescuetide_fleet/src/config_view.rs
@@ -35,8 +35,10 @@
 pub struct ConfigView {
     version: Option<ConfigVersion>,
     confirmed_at: ClockMillis,
-    /// The newest version that a peer has told of.
+    /// A newer version that a peer has told of, until the log was read.
     told: Option<ConfigVersion>,
+    /// The newest version that a peer has told of and the log did not have.
+    disproved: Option<ConfigVersion>,
     is_watcher: bool,
 }
 
@@ -47,6 +49,7 @@
             version: None,
             confirmed_at: ClockMillis::default(),
             told: None,
+            disproved: None,
             is_watcher: true,
         }
     }
@@ -70,6 +73,11 @@
 
     /// Records the newest version after a read of the log, at whose time `read_at` there was no other.
     pub fn note_read(&mut self, version: Option<ConfigVersion>, read_at: ClockMillis) {
+        if let Some(told) = self.told.take()
+            && version.is_none_or(|version| version < told)
+        {
+            self.disproved = Some(told);
+        }
         self.version = version;
         self.confirmed_at = read_at;
     }
@@ -79,10 +87,14 @@
         let Some(version) = self.version else {
             return ConfigVerdict::Known;
         };
-        if news.version > version && self.told.is_none_or(|told| news.version > told) {
+        let known = [Some(version), self.told, self.disproved];
+        if Some(news.version) > known.into_iter().max().flatten() {
             self.told = Some(news.version);
             return ConfigVerdict::Newer;
         }
+        if self.told.is_some() {
+            return ConfigVerdict::Known;
+        }
         let read_at = ClockMillis::new(now.as_millis().saturating_sub(news.age.as_millis()));
         if news.version != version || read_at <= self.confirmed_at {
             return ConfigVerdict::Known;
@@ -99,8 +111,12 @@
         })
     }
 
-    /// When the log is to be read again. `pause` is the longest time between reads, and `draw` a random number.
+    /// When the log is to be read again. `pause` is the longest time between reads, and `draw` a random number. A version that a peer has
+    /// told of is read at once, and again until the log answers.
     pub fn due_at(&self, pause: SpanMillis, draw: u64) -> ClockMillis {
+        if self.told.is_some() {
+            return self.confirmed_at;
+        }
         due_after(self.confirmed_at, pause, draw)
     }
 }
--- a/crates/state/fescuetide_fleet/tests/config_view.rs
+++ b/crates/state/fescuetide_fleet/tests/config_view.rs
@@ -192,3 +192,25 @@
     assert_eq!(view.note_peer(news(5, 0), later), ConfigVerdict::Known);
     assert_eq!(view.news(later), Some(news(4, 100)));
 }
+
+/// Guards against a gateway that reads the log only once for a newer version, at a moment at which the log turns it away, and against one
+/// that reads it without end for a version that the log does not have.
+#[test]
+fn log_is_read_for_a_newer_version_until_it_answers() {
+    let now = ClockMillis::new(10_000);
+    let news = |number| ConfigNews {
+        version: version(number),
+        age: SpanMillis::default(),
+    };
+    let mut view = ConfigView::default();
+    view.set_watcher(false);
+    view.note_read(Some(version(4)), now);
+    let later = now + SpanMillis::new(10);
+    assert!(view.due_at(PAUSE, 0) > later);
+    assert_eq!(view.note_peer(news(u64::MAX), later), ConfigVerdict::Newer);
+    assert_eq!(view.note_peer(news(4), later), ConfigVerdict::Known);
+    assert!(view.due_at(PAUSE, 0) <= later);
+    view.note_read(Some(version(4)), later);
+    assert!(view.due_at(PAUSE, 0) > later);
+    assert_eq!(view.note_peer(news(u64::MAX), later), ConfigVerdict::Known);
+}
