Continue streams from before the start at the version of then

Cause: the streams were from before the kill, when one version was recorded, so no gateway had told of them. Once the second version was recorded, 1.3 s after the gateways listed it, a stream that nobody knows could be one of either.

Change: a gateway remembers which versions were recorded when it started. For 20 s, a stream that neither the log nor other gateways know is from before, and goes on at the version of then, if there was one. What begins at another version is told when it is sent. A read of the log that fails is repeated instead of counting as one that found nothing.

--- a/crates/coordination/fescuetide_flow/src/origin_exchange.rs
+++ b/crates/coordination/fescuetide_flow/src/origin_exchange.rs
@@ -180,9 +180,7 @@
             OriginLogEvent::Read { versions, origins } => {
                 self.use_reading(&versions, origins, scheduler, now);
             }
-            OriginLogEvent::ReadFailed => {
-                self.search.note_read();
-            }
+            OriginLogEvent::ReadFailed => self.search.note_failed_read(),
         }
     }
 
--- a/crates/coordination/fescuetide_flow/src/origin_search.rs
+++ b/crates/coordination/fescuetide_flow/src/origin_search.rs
@@ -45,6 +45,8 @@
     pub stream: StreamKey,
     /// Whether other gateways were asked.
     pub had_peers: bool,
+    /// Whether the log was read, and does not have the stream.
+    pub is_log_read: bool,
     /// What they answered.
     pub votes: VersionVotes,
 }
@@ -58,7 +60,7 @@
     votes: VersionVotes,
     started_at: ClockMillis,
     next_at: ClockMillis,
-    /// Whether a read of the log that began after the search has ended, or there is none to wait for.
+    /// Whether a read of the log that began after the search has ended.
     is_log_read: bool,
 }
 
@@ -134,7 +136,7 @@
         true
     }
 
-    /// Ends a read of the log. Returns the streams that were sought when it began.
+    /// Ends a read of the log that succeeded. Returns the streams that were sought when it began.
     pub(crate) fn note_read(&mut self) -> Vec<StreamKey> {
         let Some(since) = self.reading_since.take() else {
             return Vec::new();
@@ -149,6 +151,11 @@
         read
     }
 
+    /// Ends a read of the log that failed. It is repeated while streams are sought.
+    pub(crate) fn note_failed_read(&mut self) {
+        self.reading_since = None;
+    }
+
     /// Ends the search for a stream, whose origin is known now.
     pub(crate) fn note_found(&mut self, stream: StreamKey) {
         self.sought.swap_remove(&stream);
@@ -187,6 +194,7 @@
                 failed.push(FailedSearch {
                     stream: *stream,
                     had_peers: sought.had_peers,
+                    is_log_read: sought.is_log_read,
                     votes: sought.votes,
                 });
             }
--- a/crates/coordination/fescuetide_flow/src/origins.rs
+++ b/crates/coordination/fescuetide_flow/src/origins.rs
@@ -53,6 +53,8 @@
     OnlyVersion,
     /// The log has no origin of the stream, and a record of one version only.
     OnlyRecordedVersion,
+    /// Neither the log nor a gateway knows the stream, so it is from before this gateway started, when one version was recorded.
+    OnlyVersionBefore,
     /// The log could not be read, and the gateways that answered know of one version only.
     OtherGatewaysAgree,
 }
@@ -66,6 +68,7 @@
             Self::Log => "log",
             Self::OnlyVersion => "only_version",
             Self::OnlyRecordedVersion => "only_recorded_version",
+            Self::OnlyVersionBefore => "only_version_before",
             Self::OtherGatewaysAgree => "other_gateways_agree",
         }
     }
--- a/crates/coordination/fescuetide_flow/src/scheduler/origins.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/origins.rs
@@ -60,8 +60,8 @@
         self.continue_at_only(stream, VersionTable::only_possible, source, now)
     }
 
-    /// Ends the search for the origin of a stream. Its requests are refused, unless the log cannot be read and no gateway knows of
-    /// more than one version.
+    /// Ends the search for the origin of a stream. Its requests are refused, unless the stream can only be from before this gateway
+    /// started, when there was one version, or the log cannot be read and no gateway knows of more than one version.
     pub fn give_up_origin(&mut self, search: &FailedSearch, now: ClockMillis) {
         let VersionVotes { for_one, against } = search.votes;
         let is_vouched = against == 0
@@ -69,6 +69,9 @@
                 true => for_one > 0,
                 false => self.version_knowledge.is_complete(now),
             };
+        if search.is_log_read {
+            self.continue_earlier(search.stream, now);
+        }
         let source = OriginSource::OtherGatewaysAgree;
         if is_vouched && self.continue_at_only(search.stream, VersionTable::only_known, source, now)
         {
@@ -82,6 +85,27 @@
         }
     }
 
+    /// Continues the requests that take up a stream from before this gateway started, if there was one version only.
+    fn continue_earlier(&mut self, stream: StreamKey, now: ClockMillis) {
+        for key in self.take_seekers(stream) {
+            let flow = self.flows.get(&key);
+            let version = flow.and_then(|flow| match &flow.state {
+                FlowState::Waiting(pool) => self
+                    .version_knowledge
+                    .only_version_before(PoolKey::of(pool), now),
+                FlowState::Running(_) => None,
+            });
+            match version {
+                Some(version) => {
+                    self.place_at(key, version, OriginSource::OnlyVersionBefore, now);
+                }
+                None => {
+                    self.seeking.insert(key, stream);
+                }
+            }
+        }
+    }
+
     /// Continues the requests that take up a stream at the version that `only` finds. Returns whether all could be continued.
     fn continue_at_only(
         &mut self,
--- a/crates/coordination/fescuetide_flow/src/scheduler/versions.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/versions.rs
@@ -2,6 +2,7 @@
 
 use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
+use fescuetide_fleet::VersionKey;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
@@ -16,6 +17,9 @@
 /// messages and threads take.
 const SETTLING_MARGIN: SpanMillis = SpanMillis::new(300);
 
+/// Time after the start in which streams are taken up that began before it; longer than callers wait for a stream.
+const EARLIER_STREAMS_TIME: SpanMillis = SpanMillis::new(20_000);
+
 /// Maximum number of records of versions in pools without upstreams.
 const UNLISTED_LIMIT: usize = 1_024;
 
@@ -44,11 +48,31 @@
     doubtful_until: ClockMillis,
     /// When the list of upstreams was last known to be that of the log.
     listed_at: ClockMillis,
+    /// When the records of versions were first read.
+    read_at: ClockMillis,
+    /// The records of versions that were read first.
+    first_records: IndexSet<StreamOrigin>,
     /// Records of versions in pools that have no upstream in the list.
     unlisted: IndexMap<StreamOrigin, UnlistedRecord>,
 }
 
 impl VersionKnowledge {
+    /// The only version of a pool that was recorded when this gateway started, if streams from before are still taken up. Other
+    /// versions have been recorded since, but what began at them is told to others when it is sent.
+    pub(super) fn only_version_before(
+        &self,
+        pool: PoolKey,
+        now: ClockMillis,
+    ) -> Option<VersionKey> {
+        if !self.is_complete(now) || now.since(self.read_at) >= EARLIER_STREAMS_TIME {
+            return None;
+        }
+        let mut records = self.first_records.iter();
+        let first = records.find(|origin| origin.pool == pool)?;
+        let is_only = !records.any(|origin| origin.pool == pool);
+        is_only.then_some(first.version)
+    }
+
     /// Whether all versions are known at which streams can have begun until the list of upstreams was read.
     pub(super) fn is_complete(&self, now: ClockMillis) -> bool {
         self.has_reading && now >= self.doubtful_until
@@ -68,6 +92,10 @@
         if !reading.stale.is_empty() && !knowledge.has_reading {
             knowledge.doubtful_until = now + ORIGIN_RETENTION;
         }
+        if !knowledge.has_reading {
+            knowledge.read_at = now;
+            knowledge.first_records = reading.versions.iter().copied().collect();
+        }
         knowledge.has_reading = true;
         for origin in &reading.versions {
             self.note_record(*origin, false, now);
--- a/crates/coordination/fescuetide_flow/tests/flow/origins.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/origins.rs
@@ -75,6 +75,7 @@
     FailedSearch {
         stream: STREAM,
         had_peers: true,
+        is_log_read: false,
         votes: VersionVotes { for_one, against },
     }
 }
@@ -442,6 +443,45 @@
     );
 }
 
+/// Guards against refusals of streams from before the loss of all gateways, when there was one version, since another one has been
+/// recorded since; and against such a guess for long, or by a gateway that started when there were two.
+#[test]
+fn stream_from_before_the_start_goes_on_at_the_version_of_then() {
+    let search = FailedSearch {
+        is_log_read: true,
+        ..failed_search(0, 3)
+    };
+    for (first, wait_s, goes_on) in [
+        (vec![origin("v1")], 5, true),
+        (vec![origin("v1")], 25, false),
+        (vec![origin("v1"), origin("v2")], 5, false),
+    ] {
+        let mut harness = SchedulerHarness::unread();
+        harness.set_versions(2, 2);
+        let reading = VersionReading {
+            versions: first,
+            stale: vec![],
+        };
+        harness
+            .scheduler
+            .note_version_reading(&reading, harness.now);
+        harness.scheduler.note_recorded(origin("v2"), harness.now);
+        harness.advance(wait_s * 1_000);
+        let key = harness.arrive_for_stream(true);
+        assert_eq!(harness.next(), Some(FlowAction::SeekOrigin(STREAM)));
+        assert!(!harness.scheduler.settle_origin(STREAM, harness.now));
+        harness.scheduler.give_up_origin(&search, harness.now);
+        match harness.next() {
+            Some(FlowAction::Send(command)) => {
+                assert!(goes_on && command.key == key);
+                assert!(command.upstream.as_str().starts_with("v1"));
+            }
+            Some(FlowAction::Refuse(..)) => assert!(!goes_on),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
 /// Guards against doubts at each start for good, since records from before a restore stay in the log.
 #[test]
 fn records_from_before_a_restore_are_replaced() {
