List upstreams that are overloaded while others recover as a known fault

Cause: the recovery after a rate limit spares upstreams until the others are full, whatever the mean load.

--- a/crates/coordination/fescuetide_flow/tests/flow/rate_limits.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/rate_limits.rs
@@ -4,6 +4,7 @@
 use fescuetide_base::RequestRate;
 use fescuetide_base::SpanMillis;
 use fescuetide_base::UpstreamLife;
+use fescuetide_base::VmName;
 use fescuetide_fleet::UpstreamEntry;
 use fescuetide_fleet::WorkKind;
 use fescuetide_flow::AttemptEvent;
@@ -14,6 +15,8 @@
 use fescuetide_flow::LimitEntry;
 use fescuetide_flow::RefusalCause;
 use fescuetide_flow::UpstreamAnnouncement;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use crate::harness::SchedulerHarness;
 use crate::harness::upstream;
@@ -199,6 +202,45 @@
     }
 }
 
+/// Guards against upstreams that are overloaded since most others of the pool recover after rate limits.
+#[test]
+fn others_are_not_overloaded_while_upstreams_recover() {
+    let mut harness = SchedulerHarness::with_upstreams(4);
+    let mut limited: IndexSet<VmName> = IndexSet::new();
+    for _ in 0..40 {
+        let key = harness.arrive(WorkKind::Repeatable, 1);
+        let Some(FlowAction::Send(command)) = harness.next() else {
+            continue;
+        };
+        let is_limited = limited.contains(&command.upstream) || limited.len() < 3;
+        if is_limited {
+            limited.insert(command.upstream);
+        }
+        harness.note_limit(key, is_limited.then_some(0.5));
+        harness.complete(key);
+        harness.advance(40);
+    }
+    harness.advance(8_000);
+    while limited.len() > 1 {
+        let key = harness.arrive(WorkKind::Repeatable, 1);
+        if let Some(FlowAction::Send(command)) = harness.next() {
+            limited.swap_remove(&command.upstream);
+            harness.note_limit(key, None);
+            harness.complete(key);
+        }
+        harness.advance(500);
+    }
+    let mut loads: IndexMap<VmName, u32> = IndexMap::new();
+    for _ in 0..16 {
+        let key = harness.arrive(WorkKind::Repeatable, 1);
+        let command = harness.expect_send(key);
+        *loads.entry(command.upstream).or_default() += 1;
+    }
+    let largest = loads.values().max().copied().unwrap_or_default();
+    // The mean is 4.
+    assert!(largest <= 2 * 4 + 3, "{loads:?}");
+}
+
 /// Guards against digests, and parts of limits, for upstreams that are gone.
 #[test]
 fn limit_of_an_upstream_that_is_gone_is_not_shared() {
