--- a/crates/coordination/fescuetide_flow/tests/flow/main.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/main.rs
@@ -19,3 +19,4 @@
 mod rate_limits;
 mod retry_fleet;
 mod retry_share;
+mod versions;
