--- a/review/tools/kit.rs
+++ b/review/tools/kit.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::os::fd::AsRawFd;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -18,6 +19,7 @@
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -246,9 +248,9 @@
     });
 }
 
-/// A loopback address that was free a moment ago.
+/// A loopback address that was free a moment ago. It is not on 127.0.0.1, where connections take ports as well.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+    let listener = TcpListener::bind("127.1.0.1:0").expect("a loopback port is free");
     listener.local_addr().expect("the listener has an address")
 }
 
@@ -264,7 +266,7 @@
     Reset,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Topic {
     records: Vec<(String, Option<Vec<u8>>)>,
     newest: BTreeMap<String, (Option<Vec<u8>>, u64)>,
@@ -272,8 +274,15 @@
 
 struct StoreState {
     topics: BTreeMap<String, Topic>,
+    /// The header `Store-Era`.
+    era: u64,
+    /// When each engine last checked in.
+    checked_in: BTreeMap<String, Instant>,
 }
 
+/// A copy of all that the store holds.
+pub struct StoreCopy(BTreeMap<String, Topic>);
+
 /// A stand-in for the platform's store, with the calls that `PROTOCOL.md` describes for a log: append, read, newest.
 #[derive(Clone)]
 pub struct Store {
@@ -285,12 +294,35 @@
 pub struct StoreDoor {
     pub address: SocketAddr,
     mode: Arc<Mutex<StoreMode>>,
+    channels: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+unsafe extern "C" {
+    fn setsockopt(fd: i32, level: i32, name: i32, value: *const [i32; 2], length: u32) -> i32;
+}
+
+/// Makes the last close of a socket reset its connection (`SO_LINGER` of 0 seconds, with the numbers of Linux).
+pub fn reset_on_close(stream: &TcpStream) {
+    const SOL_SOCKET: i32 = 1;
+    const SO_LINGER: i32 = 13;
+    let linger = [1, 0];
+    // The value is a `struct linger` of two integers, which outlives the call.
+    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &linger, 8) };
 }
 
 impl StoreDoor {
     pub fn set(&self, mode: StoreMode) {
         *self.mode.lock().unwrap() = mode;
     }
+
+    /// Resets the channels of the machine that no call is waiting on.
+    pub fn reset_channels(&self) {
+        for stream in self.channels.lock().unwrap().drain(..) {
+            reset_on_close(&stream);
+            // Ends the read of the thread that serves the channel, which then closes it.
+            let _ = stream.shutdown(Shutdown::Read);
+        }
+    }
 }
 
 fn encode_base64(bytes: &[u8]) -> String {
@@ -352,31 +384,97 @@
     pub fn new() -> Self {
         let state = StoreState {
             topics: BTreeMap::new(),
+            era: 1,
+            checked_in: BTreeMap::new(),
         };
-        Self {
+        let store = Self {
             shared: Arc::new((Mutex::new(state), Condvar::new())),
+        };
+        let swept = store.clone();
+        thread::spawn(move || {
+            loop {
+                sleep_ms(100);
+                swept.remove_silent();
+            }
+        });
+        store
+    }
+
+    /// Removes the entries of engines that have not checked in for three intervals.
+    fn remove_silent(&self) {
+        let silent = {
+            let mut state = self.shared.0.lock().unwrap();
+            let mut silent = Vec::new();
+            state.checked_in.retain(|id, at| {
+                let keep = at.elapsed() < 3 * HEARTBEAT;
+                if !keep {
+                    silent.push(id.clone());
+                }
+                keep
+            });
+            silent
+        };
+        for id in silent {
+            self.append("keyed.servers", &id, None);
+        }
+    }
+
+    /// Takes a copy of all records.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.shared.0.lock().unwrap().topics.clone())
+    }
+
+    /// Goes on from a copy, as in a drill: what was written since is gone, and the era rises by one.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = self.shared.0.lock().unwrap();
+        state.topics = copy.0;
+        state.era += 1;
+        let ids: Vec<String> = match state.topics.get("keyed.servers") {
+            Some(topic) => topic.newest.keys().cloned().collect(),
+            None => Vec::new(),
+        };
+        for id in ids {
+            state.checked_in.insert(id, Instant::now());
         }
+        self.shared.1.notify_all();
     }
 
     /// Opens an address of the store for one machine.
     pub fn door(&self) -> StoreDoor {
         let mode = Arc::new(Mutex::new(StoreMode::Up));
+        let channels = Arc::<Mutex<Vec<TcpStream>>>::default();
         let (store, own_mode) = (self.clone(), Arc::clone(&mode));
+        let own_channels = Arc::clone(&channels);
         let address = serve(move |stream| {
+            if let Ok(clone) = stream.try_clone() {
+                own_channels.lock().unwrap().push(clone);
+            }
             let _ = store.converse(stream, &own_mode);
         });
-        StoreDoor { address, mode }
+        StoreDoor {
+            address,
+            mode,
+            channels,
+        }
     }
 
     pub fn append(&self, topic: &str, key: &str, value: Option<Vec<u8>>) -> u64 {
         let mut state = self.shared.0.lock().unwrap();
+        let is_server = topic == "keyed.servers";
         let topic = state.topics.entry(topic.to_owned()).or_default();
         let offset = topic.records.len() as u64;
         topic.records.push((key.to_owned(), value.clone()));
+        let is_written = value.is_some();
         match value {
             Some(_) => topic.newest.insert(key.to_owned(), (value, offset)),
             None => topic.newest.remove(key),
         };
+        if is_server {
+            match is_written {
+                true => state.checked_in.insert(key.to_owned(), Instant::now()),
+                false => state.checked_in.remove(key),
+            };
+        }
         self.shared.1.notify_all();
         offset
     }
@@ -412,8 +510,9 @@
                 sleep_ms(60_000);
                 return Ok(());
             }
+            let era = self.shared.0.lock().unwrap().era;
             let answer_head = format!(
-                "HTTP/1.1 {status} Status\r\nContent-Type: {kind}\r\nContent-Length: {}\r\n\r\n",
+                "HTTP/1.1 {status} Status\r\nContent-Type: {kind}\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n",
                 answer.len()
             );
             writer.write_all(answer_head.as_bytes())?;
@@ -592,6 +691,14 @@
     pub born: u64,
     seq: Arc<AtomicU64>,
     state: Arc<Mutex<Option<&'static str>>>,
+    life: Arc<EngineLife>,
+}
+
+/// Whether an engine is down, and its open channels.
+#[derive(Default)]
+struct EngineLife {
+    is_down: AtomicBool,
+    channels: Mutex<Vec<TcpStream>>,
 }
 
 impl Engine {
@@ -602,17 +709,46 @@
         service: &str,
         slots: usize,
         handler: impl Fn(&EngineRequest, &mut EngineWriter) -> std::io::Result<Next> + Send + Sync + 'static,
+    ) -> Self {
+        Self::start_version(store, id, service, slots, "v1", handler)
+    }
+
+    /// Starts an engine of a version of the software.
+    pub fn start_version(
+        store: &Store,
+        id: &str,
+        service: &str,
+        slots: usize,
+        version: &str,
+        handler: impl Fn(&EngineRequest, &mut EngineWriter) -> std::io::Result<Next> + Send + Sync + 'static,
     ) -> Self {
         let running = Arc::<AtomicUsize>::default();
         let own_id = id.to_owned();
-        let address = serve(move |stream| {
-            let _ = converse(stream, &own_id, slots, &running, &handler);
+        let life = Arc::<EngineLife>::default();
+        let own_life = Arc::clone(&life);
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+        let address = listener.local_addr().expect("the listener has an address");
+        let handler = Arc::new(handler);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if own_life.is_down.load(Ordering::SeqCst) {
+                    // The listener is closed, so further channels are refused.
+                    return;
+                }
+                let _ = stream.set_nodelay(true);
+                if let Ok(clone) = stream.try_clone() {
+                    own_life.channels.lock().unwrap().push(clone);
+                }
+                let (id, running, handler) = (own_id.clone(), Arc::clone(&running), Arc::clone(&handler));
+                thread::spawn(move || converse(stream, &id, slots, &running, &*handler));
+            }
         });
         let engine = Self {
             id: id.to_owned(),
             service: service.to_owned(),
             address,
-            version: "v1".to_owned(),
+            version: version.to_owned(),
+            life,
             slots,
             born: unix_millis(),
             seq: Arc::default(),
@@ -643,6 +779,17 @@
         store.append("keyed.servers", &self.id, Some(entry.into_bytes()));
     }
 
+    /// Ends the engine at once: its channels break, new ones are refused, and it checks in no more.
+    pub fn crash(&self) {
+        self.life.is_down.store(true, Ordering::SeqCst);
+        // Wakes the listener, which then closes.
+        let _ = TcpStream::connect(self.address);
+        *self.state.lock().unwrap() = None;
+        for stream in self.life.channels.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     /// Changes the state of the entry; `None` removes it.
     pub fn set_state(&self, store: &Store, state: Option<&'static str>) {
         *self.state.lock().unwrap() = state;
