--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -6,14 +6,17 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use kit::*;
 
 /// Number of requests, one after the other on connections of their own.
-const REQUESTS: usize = 240;
+const REQUESTS: usize = 640;
 
-/// One request in this many loses its answer: 2.5 in 100, the dose of `answer_lost` in the site files.
+/// One request in this many at the first engine loses its answer: 2.5 in 100 at one engine of three. The site file has 0.025 and a
+/// share of 0.45 for `answer_lost`.
 const LOST_EVERY: usize = 40;
 
 /// Time limit of the clients, and of the route, as for `booking-write`.
@@ -30,20 +33,16 @@
 /// The engines that ran each request.
 type Runs = Arc<Mutex<BTreeMap<String, Vec<String>>>>;
 
-fn start_engine(store: &Store, record: &Record, id: &str, runs: &Runs) -> Engine {
+fn start_engine(store: &Store, record: &Record, id: &str, is_disturbed: bool, runs: &Runs) -> Engine {
+    let count = AtomicUsize::new(0);
     let (record, runs) = (record.clone(), Arc::clone(runs));
     Engine::start(store, id, "booking", 6, move |request, writer| {
         let id = request.id().to_owned();
-        let first = {
-            let mut runs = runs.lock().unwrap();
-            let engines = runs.entry(id.clone()).or_default();
-            engines.push(request.engine.clone());
-            engines.len() == 1
-        };
+        runs.lock().unwrap().entry(id.clone()).or_default().push(request.engine.clone());
         record.note(&format!("engine {} runs {id}", request.engine));
         sleep_ms(30);
-        let number: usize = id.trim_start_matches("req-").parse().unwrap_or(0);
-        if has_trouble() && first && number % LOST_EVERY == LOST_EVERY - 1 {
+        let number = count.fetch_add(1, Ordering::SeqCst);
+        if has_trouble() && is_disturbed && number % LOST_EVERY == LOST_EVERY / 2 {
             record.note(&format!("the answer of {} to {id} is lost", request.engine));
             // The engine has done the work; nothing comes on this channel any more.
             sleep_ms(5_000);
@@ -62,7 +61,7 @@
     let runs = Runs::default();
     let mut engines = Vec::new();
     for index in 0..3 {
-        engines.push(start_engine(&store, &record, &format!("i-{index}"), &runs));
+        engines.push(start_engine(&store, &record, &format!("i-{index}"), index == 0, &runs));
     }
     let plan = GatewayPlan::new("front-a-1", store.door().address);
     let mut gateway = Gateway::start(&plan);
@@ -72,10 +71,10 @@
     }
     sleep_ms(500);
     let mut threads = Vec::new();
-    for lane in 0..4 {
+    for lane in 0..8 {
         let (record, address) = (record.clone(), gateway.callers);
         threads.push(std::thread::spawn(move || {
-            for number in (lane..REQUESTS).step_by(4) {
+            for number in (lane..REQUESTS).step_by(8) {
                 let id = format!("req-{number}");
                 let seen = match Client::connect(address) {
                     Ok(mut client) => client.call(
