--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -15,14 +15,14 @@
 use kit::*;
 
 const CLIENTS: usize = 12;
-const REQUESTS: usize = 20;
+const REQUESTS: usize = 40;
 
 /// Events of a stream, and the pause between two of them.
 const EVENTS: usize = 20;
 const PAUSE_MS: u64 = 10;
 
-/// One answer in this many of the faulty engine is truncated: 3 in 100, the dose of `garble` in the site file.
-const TRUNCATED_EVERY: usize = 34;
+/// One answer in this many of the faulty engine is truncated: 2 in 100, the dose of `garble` in the site file.
+const TRUNCATED_EVERY: usize = 50;
 
 const CONFIG: &str = r#"{"version":7,"routes":[
 {"name":"r-draft","host":"app.example","path_prefix":"/draft/","kind":"stream","timeout_ms":15000,"slo_ms":800,"priority":1,
