--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -1,171 +1,216 @@
-//! Half of the channels of one gateway are reset. A second later an engine leaves: its entry is removed. The gateway must stop
-//! sending there within `drain_ms`.
+//! A release replaces all engines by those of another version. A minute after the last old one has gone, the store is down for some
+//! seconds. Later two gateways are killed and started again, one after the other. Clients take up the streams of the second at the
+//! first, which is in touch again. Only one version has served for more than a minute, so the streams must go on.
 
 #[path = "../tools/kit.rs"]
 mod kit;
 
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use kit::*;
 
-/// Number of gateways. One of ten is disturbed: `reset_conns` has a share of 0.1.
-const GATEWAYS: usize = 10;
+const ENGINES: usize = 3;
 
-/// Engines that serve at a time.
-const ENGINES: usize = 4;
+/// Events of a stream, and the pause between two of them. A stream lasts 6 s.
+const EVENTS: usize = 60;
+const PAUSE_MS: u64 = 100;
 
-const ROUNDS: usize = 8;
+/// Streams that are in progress at the second gateway when it is killed, and new streams at the first one meanwhile.
+const STREAMS: usize = 24;
 
-/// Time between the reset and the removal of the engine's entry.
-const RESET_BEFORE: Duration = Duration::from_millis(1_000);
+/// When the store goes down, after the last engine of the old version was removed, and for how long: 4.5 s, as the site files have
+/// it for `platform_down`.
+const OUTAGE_AFTER: Duration = Duration::from_millis(58_500);
+const OUTAGE: Duration = Duration::from_millis(4_500);
 
-/// Bounds of the installation: `drain_ms` and `stable_window_ms`.
-const DRAIN: Duration = Duration::from_millis(2_000);
-const STABLE_WINDOW: Duration = Duration::from_millis(3_000);
-
-/// How long the engine serves after its entry was removed: `drain_ms` and a little longer.
-const LINGER: Duration = Duration::from_millis(5_000);
-
-/// Pause between two requests of the client of a gateway.
-const PAUSE_MS: u64 = 15;
+/// `stable_window_ms`, and some time more.
+const IN_TOUCH: Duration = Duration::from_millis(4_000);
 
 const CONFIG: &str = r#"{"version":7,"routes":[
-{"name":"r-write","host":"app.example","path_prefix":"/write/","kind":"unsafe","timeout_ms":1200,"slo_ms":150,"priority":2,
-"service":"booking","attempts":1,"public":false,"sticky":false,"resumable":false}],
-"services":[{"name":"booking","health_path":"/health","max_conns":110,"protocol":"h1","tls":false}],
+{"name":"r-draft","host":"app.example","path_prefix":"/draft/","kind":"stream","timeout_ms":15000,"slo_ms":800,"priority":1,
+"service":"pool","attempts":2,"public":false,"sticky":true,"resumable":true,"gap_target_ms":300}],
+"services":[{"name":"pool","health_path":"/health","max_conns":620,"protocol":"h1","tls":false}],
 "limits":{"header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
 "tenants":[{"name":"studio","api_keys":["key-one"],"priority":2}]}"#;
 
-/// A request that reached an engine: which, from which gateway, when the client sent it, and when it arrived.
-struct Arrival {
-    engine: String,
-    gateway: usize,
-    arrived: Instant,
-}
-
-type Arrivals = Arc<Mutex<Vec<Arrival>>>;
-
-fn start_engine(store: &Store, id: &str, arrivals: &Arrivals) -> Engine {
-    let arrivals = Arc::clone(arrivals);
-    Engine::start(store, id, "booking", 24, move |request, writer| {
+fn start_engine(store: &Store, record: &Record, id: &str, version: &str) -> Engine {
+    let record = record.clone();
+    Engine::start_version(store, id, "pool", 64, version, move |request, writer| {
         let id = request.id().to_owned();
-        let gateway = id.split('-').nth(1).and_then(|text| text.parse().ok());
-        arrivals.lock().unwrap().push(Arrival {
-            engine: request.engine.clone(),
-            gateway: gateway.unwrap_or(0),
-            arrived: Instant::now(),
-        });
-        sleep_ms(5);
-        let extra = format!("X-Response-Signature: sig.{id}\r\n");
-        writer.answer(200, &id, &extra, b"booked")?;
+        let last = request.head.get("Last-Event-Id");
+        let from: usize = last.and_then(|last| last.parse().ok()).unwrap_or(0);
+        record.note(&format!("engine {} runs {id} from event {}", request.engine, from + 1));
+        writer.begin_stream(&id, &format!("sig.{}.{id}", request.engine))?;
+        for number in from + 1..=EVENTS {
+            writer.chunk(&format!("id: {number}\ndata: piece {number}\n\n"))?;
+            sleep_ms(PAUSE_MS);
+        }
+        writer.end_stream()?;
         Ok(Next::Keep)
     })
 }
 
+/// What became of a stream: the answer to the first request, and whether it went on when it was taken up.
+#[derive(Default)]
+struct Outcome {
+    has_begun: bool,
+    is_whole: bool,
+    has_gone_on: Option<bool>,
+}
+
+fn count_events(body: &[u8]) -> usize {
+    String::from_utf8_lossy(body).matches("\n\n").count()
+}
+
+/// Sends a stream request to `first` and, if the answer breaks off, takes the stream up at `second`.
+fn run_client(record: &Record, id: &str, first: std::net::SocketAddr, second: std::net::SocketAddr) -> Outcome {
+    let mut outcome = Outcome::default();
+    let extra = format!("X-Model: m\r\nX-Token-Count: 100,80\r\nX-Prefix-Hash: a{id}:40,b{id}:40\r\n");
+    let Ok(mut client) = Client::connect(first) else {
+        return outcome;
+    };
+    let seen = client.call(&post("/draft/1", id, 15_000, &extra, "plan"), Duration::from_secs(15));
+    record.note(&format!("client: {id}: {}", seen.describe()));
+    let Seen::Answer { status: 200, body, is_whole, .. } = seen else {
+        return outcome;
+    };
+    outcome.has_begun = true;
+    outcome.is_whole = is_whole;
+    if is_whole {
+        return outcome;
+    }
+    let events = count_events(&body);
+    let extra = format!("{extra}Last-Event-Id: {events}\r\nResumes: {id}\r\n");
+    outcome.has_gone_on = Some(false);
+    // The client retries a few times and honours `Retry-After`.
+    for number in 1..=3 {
+        let own = format!("{id}-again-{number}");
+        let Ok(mut client) = Client::connect(second) else {
+            sleep_ms(200);
+            continue;
+        };
+        let seen = client.call(&post("/draft/1", &own, 10_000, &extra, "plan"), Duration::from_secs(10));
+        record.note(&format!("client: {id} is taken up after event {events} as {own}: {}", seen.describe()));
+        if seen.status() == Some(200) {
+            outcome.has_gone_on = Some(true);
+            break;
+        }
+        let Seen::Answer { head, .. } = &seen else {
+            continue;
+        };
+        let delay: f64 = head.get("Retry-After").and_then(|text| text.parse().ok()).unwrap_or(0.2);
+        thread::sleep(Duration::from_secs_f64(delay.min(3.0)));
+    }
+    outcome
+}
+
 fn main() {
     let record = Record::create(&std::env::args().nth(1).unwrap_or_else(|| ".".to_owned()));
     let store = Store::new();
     store.put_config(CONFIG);
-    let arrivals = Arrivals::default();
-    let mut engines = Vec::new();
+    let mut old = Vec::new();
     for index in 0..ENGINES {
-        engines.push(start_engine(&store, &format!("i-{index}"), &arrivals));
+        old.push(start_engine(&store, &record, &format!("i-old-{index}"), "v1"));
     }
-    let mut gateways = Vec::new();
-    let mut doors = Vec::new();
-    let mut seeds = Vec::new();
-    for index in 0..GATEWAYS {
-        let door = store.door();
-        let mut plan = GatewayPlan::new(&format!("front-a-{index}"), door.address);
-        if seeds.len() < 3 {
-            seeds.push(plan.control);
-        }
+    let doors = [store.door(), store.door()];
+    let mut plans = [
+        GatewayPlan::new("front-a-1", doors[0].address),
+        GatewayPlan::new("front-a-2", doors[1].address),
+    ];
+    let seeds = vec![plans[0].control, plans[1].control];
+    for plan in &mut plans {
         plan.seeds = seeds.clone();
-        gateways.push(Gateway::start(&plan));
-        doors.push(door);
     }
-    for gateway in &gateways {
-        if !gateway.wait_ready(20) {
-            for gateway in &mut gateways {
-                gateway.kill();
-            }
-            finish(&record, 2, "a gateway is not ready");
+    let mut gateways: Vec<Gateway> = plans.iter().map(Gateway::start).collect();
+    let are_ready = |gateways: &[Gateway]| gateways.iter().all(|gateway| gateway.wait_ready(15));
+    if !are_ready(&gateways) {
+        gateways.clear();
+        finish(&record, 2, "a gateway is not ready");
+    }
+    sleep_ms(4_000);
+    record.note("release: engines of version v2 start, those of v1 drain and leave");
+    let mut new = Vec::new();
+    for index in 0..ENGINES {
+        new.push(start_engine(&store, &record, &format!("i-new-{index}"), "v2"));
+    }
+    sleep_ms(2_500);
+    for engine in &old {
+        engine.set_state(&store, Some("draining"));
+    }
+    sleep_ms(2_500);
+    for engine in &old {
+        engine.set_state(&store, None);
+        engine.crash();
+    }
+    let gone_at = Instant::now();
+    record.note("the last engine of v1 has gone");
+    thread::sleep(OUTAGE_AFTER);
+    if has_trouble() {
+        record.note("the store is down");
+        for door in &doors {
+            door.set(StoreMode::Silent);
         }
     }
-    let is_over = Arc::new(AtomicBool::new(false));
-    let mut clients = Vec::new();
-    for (index, gateway) in gateways.iter().enumerate() {
-        let (address, is_over) = (gateway.callers, Arc::clone(&is_over));
-        clients.push(thread::spawn(move || {
-            let mut kept: Option<Client> = None;
-            let mut number = 0;
-            while !is_over.load(Ordering::Relaxed) {
-                number += 1;
-                let id = format!("req-{index}-{number}");
-                let message = post("/write/1", &id, 2_500, "", "one booking");
-                if let Some(mut client) = kept.take().or_else(|| Client::connect(address).ok()) {
-                    let seen = client.call(&message, Duration::from_millis(2_500));
-                    if seen.status() == Some(200) {
-                        kept = Some(client);
-                    }
+    thread::sleep(OUTAGE);
+    for door in &doors {
+        door.set(StoreMode::Up);
+    }
+    record.note(&format!("the store is up, {} ms after v1 has gone", gone_at.elapsed().as_millis()));
+    sleep_ms(1_000);
+    record.note("an engine of v2 is added");
+    new.push(start_engine(&store, &record, "i-added", "v2"));
+    sleep_ms(4_000);
+    record.note("gateway 1 is killed and starts again");
+    gateways[0].kill();
+    sleep_ms(600);
+    gateways[0] = Gateway::start(&plans[0]);
+    if !gateways[0].wait_ready(10) {
+        gateways.clear();
+        finish(&record, 2, "gateway 1 is not ready again");
+    }
+    thread::sleep(IN_TOUCH);
+    let outcomes = Arc::<Mutex<Vec<(bool, Outcome)>>>::default();
+    let mut threads = Vec::new();
+    let (one, two) = (gateways[0].callers, gateways[1].callers);
+    for number in 0..2 * STREAMS {
+        let (record, outcomes) = (record.clone(), Arc::clone(&outcomes));
+        let is_taken_up = number % 2 == 0;
+        threads.push(thread::spawn(move || {
+            let outcome = match is_taken_up {
+                true => run_client(&record, &format!("req-{number}"), two, one),
+                false => {
+                    sleep_ms(2_500);
+                    run_client(&record, &format!("new-{number}"), one, one)
                 }
-                sleep_ms(PAUSE_MS);
-            }
+            };
+            outcomes.lock().unwrap().push((is_taken_up, outcome));
         }));
     }
-    // The gateways find each other, and calm days begin.
-    sleep_ms(8_000);
-    let mut late_count = 0;
-    for round in 0..ROUNDS {
-        let disturbed = round % GATEWAYS;
-        let reset_at = Instant::now();
-        if has_trouble() {
-            record.note(&format!("channels of gateway {disturbed} to the store are reset"));
-            doors[disturbed].reset_channels();
-        }
-        thread::sleep(RESET_BEFORE);
-        let leaving = engines.remove(0);
-        leaving.set_state(&store, None);
-        let removed_at = Instant::now();
-        record.note(&format!("the store has confirmed that {} is gone", leaving.id));
-        engines.push(start_engine(&store, &format!("i-{}", ENGINES + round), &arrivals));
-        thread::sleep(LINGER);
-        let mut latest = Duration::ZERO;
-        let mut late = 0;
-        for arrival in arrivals.lock().unwrap().drain(..) {
-            if arrival.engine != leaving.id || arrival.arrived < removed_at {
-                continue;
-            }
-            let is_in_touch = arrival.gateway != disturbed || arrival.arrived >= reset_at + STABLE_WINDOW;
-            let after = arrival.arrived - removed_at;
-            latest = latest.max(after);
-            // The client sent the request just before, on loopback.
-            if after > DRAIN && is_in_touch {
-                late += 1;
-                record.note(&format!(
-                    "a request reached {} from gateway {} {} ms after that",
-                    leaving.id,
-                    arrival.gateway,
-                    after.as_millis()
-                ));
-            }
-        }
-        late_count += late;
-        record.note(&format!("round {round}: the last request reached {} after {} ms", leaving.id, latest.as_millis()));
-    }
-    is_over.store(true, Ordering::Relaxed);
-    for client in clients {
-        client.join().expect("a client ends");
+    sleep_ms(2_000);
+    record.note("gateway 2 is killed and starts again");
+    gateways[1].kill();
+    sleep_ms(600);
+    gateways[1] = Gateway::start(&plans[1]);
+    for thread in threads {
+        thread.join().expect("a client ends");
     }
     for gateway in &mut gateways {
         gateway.kill();
     }
-    let text = format!("{late_count} requests reached an engine later than {} ms after it was gone", DRAIN.as_millis());
-    finish(&record, i32::from(late_count > 0), &text);
+    let outcomes = outcomes.lock().unwrap();
+    let is_tried = |outcome: &&(bool, Outcome)| outcome.0 && outcome.1.has_gone_on.is_some();
+    let taken_up = outcomes.iter().filter(is_tried).count();
+    let gone_on = outcomes.iter().filter(|(_, outcome)| outcome.has_gone_on == Some(true)).count();
+    let begun = outcomes.iter().filter(|(is_taken_up, outcome)| !is_taken_up && outcome.has_begun).count();
+    if taken_up < 12 || begun < STREAMS / 2 {
+        finish(&record, 2, &format!("{taken_up} streams were taken up, and {begun} new ones began"));
+    }
+    let gone_on_share = gone_on as f64 / taken_up as f64;
+    let begun_share = begun as f64 / STREAMS as f64;
+    let text = format!("{gone_on} of {taken_up} streams that were taken up went on, {begun} of {STREAMS} new ones began");
+    finish(&record, i32::from(gone_on_share < begun_share / 2.0), &text);
 }
