--- /dev/null
+++ b/review/drain/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec sh "$(dirname "$0")/../tools/run.sh" "$(dirname "$0")"
--- a/review/tools/kit.rs
+++ b/review/tools/kit.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::fs::File;
 use std::io::ErrorKind;
 use std::io::Read;
@@ -248,10 +249,19 @@
     });
 }
 
-/// A loopback address that was free a moment ago. It is not on 127.0.0.1, where connections take ports as well.
+/// The ports that [`free_address`] has returned.
+static GIVEN_PORTS: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+
+/// A loopback address that was free a moment ago, another one at each call. It is not on 127.0.0.1, where connections take ports as
+/// well.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.1.0.1:0").expect("a loopback port is free");
-    listener.local_addr().expect("the listener has an address")
+    loop {
+        let listener = TcpListener::bind("127.1.0.1:0").expect("a loopback port is free");
+        let address = listener.local_addr().expect("the listener has an address");
+        if GIVEN_PORTS.lock().unwrap().insert(address.port()) {
+            return address;
+        }
+    }
 }
 
 /// How the store treats the calls of one machine.
