Treat streams that end inside an event as broken off, whatever the framing says

Cause: the end of a stream was taken from the framing of its body, and EventSplitter::finish passed on what was left, whatever it was. Only the path of connections that close asked whether a part of an event was left.

Change: finish fails if the stream has ended inside an event or a line, and all framings end a stream in the same place. The attempt counts as broken: the stream goes on elsewhere if its kind allows it, or else its connection is closed without the end of the body. Blank lines and whole comments behind the last event do not count as a part of one. Lines may end with CR alone, so that such streams are not taken for cut.

--- a/crates/process/fescuetide_gateway/src/relay.rs
+++ b/crates/process/fescuetide_gateway/src/relay.rs
@@ -22,14 +22,18 @@
 const STREAM_BACKLOG_LIMIT_BYTES: usize = 8 * 1_024 * 1_024;
 
 impl<C: HttpCodec> TrafficLoop<C> {
-    /// Relays events of an event stream. Returns false if the stream cannot be used any further.
+    /// Relays events of an event stream. `is_last` is whether the stream ends with `bytes`. Returns false if the stream cannot
+    /// be used any further, or has ended inside an event.
     pub(crate) fn relay_events(&mut self, key: FlowKey, bytes: &[u8], is_last: bool) -> bool {
         let Some(exchange) = self.exchanges.get_mut(&key) else {
             return true;
         };
         let before = exchange.event_splitter.event_count();
         let mut events = Vec::with_capacity(bytes.len());
-        let result = exchange.event_splitter.feed(bytes, &mut events);
+        let mut result = exchange.event_splitter.feed(bytes, &mut events);
+        if is_last && result.is_ok() {
+            result = exchange.event_splitter.finish(&mut events);
+        }
         let is_valid = result.is_ok();
         if let Err(error) = result
             && self
@@ -39,9 +43,6 @@
             let request = exchange.request_id();
             tracing::info!(request, %error, "stream of events cannot be used");
         }
-        if is_last {
-            exchange.event_splitter.finish(&mut events);
-        }
         let new_events = exchange.event_splitter.event_count() - before;
         if new_events > 0 {
             if before == 0 {
--- a/crates/process/fescuetide_gateway/src/upstream_responses.rs
+++ b/crates/process/fescuetide_gateway/src/upstream_responses.rs
@@ -77,23 +77,23 @@
             self.drop_idle(token);
             return;
         };
-        // An event stream without a length that ends in the middle of an event is truncated.
-        let is_cut = self
-            .exchanges
-            .get(key)
-            .is_some_and(|exchange| exchange.event_splitter.has_partial());
+        let key = *key;
         let ends = |decoder: &BodyDecoder| decoder.ends_with_close() && error.is_none();
+        let broken = AttemptEvent::Broken(BreakCause::Closed);
         let event = match response {
             ResponseState::Buffering(buffered) if ends(&buffered.decoder) => ended_by_close(
                 validation::classify_response(&buffered.head, &buffered.fields),
             ),
-            ResponseState::Streaming { decoder, .. } if ends(decoder) && !is_cut => {
-                AttemptEvent::EndedByClose {
-                    status: 200,
-                    load: None,
+            ResponseState::Streaming { decoder, .. } if ends(decoder) => {
+                match self.relay_events(key, &[], true) {
+                    true => AttemptEvent::EndedByClose {
+                        status: 200,
+                        load: None,
+                    },
+                    false => broken,
                 }
             }
-            _ => AttemptEvent::Broken(BreakCause::Closed),
+            _ => broken,
         };
         self.end_attempt(token, event);
     }
--- a/crates/transport/fescuetide_http1/src/event.rs
+++ b/crates/transport/fescuetide_http1/src/event.rs
@@ -18,6 +18,8 @@
     RepeatedId,
     /// More than 64 KiB came without an event.
     NoEvents,
+    /// The stream ended inside an event, so its upstream has not sent all of it.
+    Truncated,
 }
 
 impl fmt::Display for EventError {
@@ -26,6 +28,7 @@
             Self::TooLong => write!(f, "an event is too long"),
             Self::RepeatedId => write!(f, "the ids of events do not grow"),
             Self::NoEvents => write!(f, "too many bytes without an event"),
+            Self::Truncated => write!(f, "the stream ended inside an event"),
         }
     }
 }
@@ -100,14 +103,18 @@
         self.partial.capacity()
     }
 
-    /// Ends the stream and appends the remaining bytes to `out`.
-    pub fn finish(&mut self, out: &mut Vec<u8>) {
+    /// Ends the stream and appends the bytes after its last event to `out`, which can only be blank lines and comments.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`EventError::Truncated`] if the stream ended inside an event, before the blank line at its end, or inside a
+    /// line. Nothing is appended then.
+    pub fn finish(&mut self, out: &mut Vec<u8>) -> Result<(), EventError> {
+        if has_event_part(&self.partial) {
+            return Err(EventError::Truncated);
+        }
         out.append(&mut self.partial);
-    }
-
-    /// Whether an incomplete event is buffered.
-    pub fn has_partial(&self) -> bool {
-        !self.partial.is_empty()
+        Ok(())
     }
 
     /// Discards the incomplete event, because the upstream that resumes the stream sends it again.
@@ -129,19 +136,41 @@
 /// Maximum length of the line ends at the end of an event.
 const EVENT_END_BYTES: usize = 4;
 
+fn is_line_end(byte: &u8) -> bool {
+    matches!(byte, b'\n' | b'\r')
+}
+
 /// The length of the first complete event, including the blank line that ends it. The line ends are not before `from`.
+///
+/// Lines end with LF, CR LF or CR. The byte after a CR decides which of the last two it is, except in a blank line behind a
+/// line that ends with CR.
 fn find_event_end(bytes: &[u8], mut from: usize) -> Option<usize> {
-    while let Some(offset) = bytes[from..].iter().position(|byte| *byte == b'\n') {
-        let next = from + offset + 1;
-        match bytes.get(next) {
-            Some(b'\n') => return Some(next + 1),
-            Some(b'\r') if bytes.get(next + 1) == Some(&b'\n') => return Some(next + 2),
+    while let Some(offset) = bytes[from..].iter().position(is_line_end) {
+        let end = from + offset;
+        let next = match &bytes[end..] {
+            [b'\r', b'\n', ..] => end + 2,
+            _ => end + 1,
+        };
+        let is_bare_return = bytes[next - 1] == b'\r';
+        match &bytes[next..] {
+            [b'\r', b'\n', ..] => return Some(next + 2),
+            [b'\n', ..] | [b'\r', _, ..] => return Some(next + 1),
+            [b'\r'] if is_bare_return => return Some(next + 1),
+            [b'\r'] | [] => return None,
             _ => from = next,
         }
     }
     None
 }
 
+/// Whether the bytes behind the last event contain a part of another one. Blank lines and comments belong to no event, but a
+/// line without its end has been cut off, whatever it is.
+fn has_event_part(bytes: &[u8]) -> bool {
+    let has_cut_line = bytes.last().is_some_and(|byte| !is_line_end(byte));
+    let mut lines = bytes.split(is_line_end);
+    has_cut_line || lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+}
+
 /// What matters of the fields of an event.
 #[derive(Clone, Copy, Debug, Default)]
 struct EventFields {
@@ -153,7 +182,7 @@
 impl EventFields {
     fn parse(event: &[u8]) -> Self {
         let mut fields = Self::default();
-        for line in event.split(|byte| *byte == b'\n') {
+        for line in event.split(is_line_end) {
             fields.has_content |= line.starts_with(b"data");
             let Some(value) = line.strip_prefix(b"id:") else {
                 continue;
--- a/crates/transport/fescuetide_http1/tests/messages.rs
+++ b/crates/transport/fescuetide_http1/tests/messages.rs
@@ -2,6 +2,7 @@
 
 use fescuetide_http1::BodyDecoder;
 use fescuetide_http1::BodyFraming;
+use fescuetide_http1::EventError;
 use fescuetide_http1::EventSplitter;
 use fescuetide_http1::FramingError;
 use fescuetide_http1::HeadError;
@@ -106,3 +107,53 @@
     assert_eq!(splitter.last_id(), Some(2));
     assert!(out.ends_with(b"data: b\r\n\r\n"));
 }
+
+/// Guards against a stream that was cut inside an event, or inside a line, and passes for whole; and against one that is whole and
+/// passes for cut.
+#[test]
+fn stream_is_whole_only_if_it_ends_between_events() {
+    for line_end in ["\n", "\r\n", "\r"] {
+        let event = |number: u32| format!("id: {number}|data: token|event: piece||");
+        let text = format!("{}: note|{}: note||{}", event(1), event(2), event(3));
+        let text = text.replace('|', line_end);
+        let last_event_start = text.len() - event(3).replace('|', line_end).len();
+        for length in 0..=text.len() {
+            let (part, rest) = text.split_at(length);
+            let mut splitter = EventSplitter::default();
+            let mut out = Vec::new();
+            splitter.feed(part.as_bytes(), &mut out).unwrap();
+            let result = splitter.finish(&mut out);
+            // What is missing of the last event is the beginning of the rest.
+            let is_cut = length > last_event_start && !rest.is_empty();
+            if is_cut {
+                assert_eq!(result, Err(EventError::Truncated), "{part:?}");
+                assert_eq!(out.len(), last_event_start, "{part:?}");
+            }
+            if rest.is_empty() {
+                assert_eq!(result, Ok(()), "{part:?}");
+                assert_eq!((splitter.event_count(), out.len()), (3, text.len()));
+            }
+        }
+    }
+}
+
+/// Guards against blank lines and comments behind the last event that make a whole stream pass for cut.
+#[test]
+fn stream_may_end_with_blank_lines_and_comments() {
+    for end in ["", "\n", "\r\n", "\r", ": done\n", "\n: done\r\n\n"] {
+        let text = format!("id: 1\ndata: token\n\n{end}");
+        let mut splitter = EventSplitter::default();
+        let mut out = Vec::new();
+        splitter.feed(text.as_bytes(), &mut out).unwrap();
+        assert_eq!(splitter.finish(&mut out), Ok(()), "{end:?}");
+        assert_eq!(out, text.as_bytes());
+    }
+    for end in [": don", "d", "data: token\n", "retry: 10\n"] {
+        let text = format!("id: 1\ndata: token\n\n{end}");
+        let mut splitter = EventSplitter::default();
+        let mut out = Vec::new();
+        splitter.feed(text.as_bytes(), &mut out).unwrap();
+        let result = splitter.finish(&mut out);
+        assert_eq!(result, Err(EventError::Truncated), "{end:?}");
+    }
+}
