Leave a request that may run once at a silent upstream

Cause: fail_over_silent asked whether the request may be sent again before it noted that the current attempt may have run it. A break notes it first and was right.

Change: an attempt that was sent is only given up for silence if the kind of work allows a second run. One that waits for a connection, or whose upstream says late that it did not run it, goes elsewhere as before, and so do repeatable requests.

request_that_runs_once_stays_at_a_silent_upstream (requests and streams, also after the gateway stood still) and request_that_runs_once_leaves_an_upstream_that_does_not_run_it failed before (the attempt was cancelled), pass now. repeatable_request_leaves_a_silent_upstream guards the other side and passed before.

--- a/crates/coordination/fescuetide_flow/src/flow.rs
+++ b/crates/coordination/fescuetide_flow/src/flow.rs
@@ -99,12 +99,19 @@
         }
     }
 
-    /// Whether its kind, history and attempt limit allow another attempt.
+    /// Whether its kind, history and attempt limit allow another attempt, now that the upstream of the current one does not run
+    /// it any more.
     pub(crate) fn may_send(&self) -> bool {
         let is_safe = self.request.kind.is_repeatable() || !self.may_have_run;
         is_safe && self.sent_count < self.request.attempt_limit
     }
 
+    /// Whether its kind and history allow another attempt while the upstream of the current one may still run it.
+    pub(crate) fn allows_second_run(&self) -> bool {
+        let is_running = self.attempt().is_some_and(|attempt| attempt.is_sent);
+        self.request.kind.is_repeatable() || !(self.may_have_run || is_running)
+    }
+
     /// Whether some upstreams of its pool are not for this request.
     pub(crate) fn is_restricted(&self) -> bool {
         self.version.is_some() || !self.tried.is_empty()
--- a/crates/coordination/fescuetide_flow/src/scheduler/retrying.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/retrying.rs
@@ -202,8 +202,9 @@
         now >= due
     }
 
-    /// Moves a request from a silent upstream to another one. The attempt continues without spare capacity elsewhere or a
-    /// retry left, or if the request may have crashed this upstream after another one.
+    /// Moves a request from a silent upstream to another one. The attempt continues if the upstream may run the request, which
+    /// may run once only, without spare capacity elsewhere or a retry left, or if the request may have crashed this upstream
+    /// after another one.
     pub(super) fn fail_over_silent(&mut self, key: FlowKey, now: ClockMillis) {
         let Some(flow) = self.flows.get_mut(&key) else {
             return;
@@ -216,6 +217,9 @@
         if is_unresponsive {
             self.note_silent(key, now);
         }
+        if !self.flows[&key].allows_second_run() {
+            return;
+        }
         let has_other = self.pools.get(&attempt.pool).is_some_and(|pool| {
             let filter = UpstreamFilter {
                 tried: std::slice::from_ref(&attempt.vm),
--- a/crates/coordination/fescuetide_flow/tests/flow/life.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/life.rs
@@ -1,6 +1,7 @@
 //! Lifecycle of single requests.
 
 use crate::harness::SchedulerHarness;
+use fescuetide_base::SpanMillis;
 use fescuetide_fleet::WorkKind;
 use fescuetide_flow::AttemptEvent;
 use fescuetide_flow::BreakCause;
@@ -166,6 +167,68 @@
     assert!(harness.expect_send(key).is_resumption);
 }
 
+/// Guards against a second run of an at-most-once request whose upstream runs it and is silent, however long the gateway waits
+/// or stood still itself.
+#[test]
+fn request_that_runs_once_stays_at_a_silent_upstream() {
+    for kind in [WorkKind::Once, WorkKind::OnceStream] {
+        for stood_still in [false, true] {
+            let mut harness = SchedulerHarness::with_upstreams(3);
+            let key = harness.arrive(kind, 3);
+            harness.expect_send(key);
+            harness.note(key, AttemptEvent::Sent);
+            if stood_still {
+                harness.now = harness.now + SpanMillis::new(5_000);
+            }
+            harness.advance(4_000);
+            assert_eq!(harness.next(), None, "{kind:?}");
+            harness.note(
+                key,
+                AttemptEvent::Completed {
+                    status: 200,
+                    load: None,
+                },
+            );
+            assert_eq!(harness.next(), Some(FlowAction::Relay(key)), "{kind:?}");
+        }
+    }
+}
+
+/// Guards against an at-most-once request that stays at an upstream that has not received it, or that says late that it did
+/// not run it.
+#[test]
+fn request_that_runs_once_leaves_an_upstream_that_does_not_run_it() {
+    for kind in [WorkKind::Once, WorkKind::OnceStream] {
+        let mut harness = SchedulerHarness::with_upstreams(3);
+        let key = harness.arrive(kind, 3);
+        let unsent = harness.expect_send(key).upstream;
+        harness.advance(1_100);
+        assert_eq!(harness.next(), Some(FlowAction::Cancel(key)), "{kind:?}");
+        let declining = harness.expect_send(key).upstream;
+        assert_ne!(declining, unsent);
+        harness.note(key, AttemptEvent::Sent);
+        harness.advance(2_000);
+        assert_eq!(harness.next(), None, "{kind:?}");
+        harness.note(key, AttemptEvent::Declined(DeclineCause::Full, None));
+        let last = harness.expect_send(key).upstream;
+        assert!(![&unsent, &declining].contains(&&last));
+    }
+}
+
+/// Guards against a repeatable request that stays at a silent upstream until its time limit.
+#[test]
+fn repeatable_request_leaves_a_silent_upstream() {
+    for kind in [WorkKind::Repeatable, WorkKind::ResumableStream] {
+        let mut harness = SchedulerHarness::with_upstreams(3);
+        let key = harness.arrive(kind, 2);
+        let silent = harness.expect_send(key).upstream;
+        harness.note(key, AttemptEvent::Sent);
+        harness.advance(2_000);
+        assert_eq!(harness.next(), Some(FlowAction::Cancel(key)), "{kind:?}");
+        assert_ne!(harness.expect_send(key).upstream, silent);
+    }
+}
+
 /// Guards against a request that waits although no upstream is known.
 #[test]
 fn request_without_upstream_is_refused_at_once() {
