Remove the record of an old version until the log confirms it

Cause: a version that nobody needs any more was dropped from the gateway's table, and its record was to be removed from the log with one call whose result was ignored, by the gateway that ranks first. If that call fails, or that gateway has gone or has started since, the record stays. Gateways that start take its version for recent, and refuse streams that nobody knows.

Change: the version stays in the table, without counting as recent, until its record is gone. The removal is requested every second, not while the log is away, one call at a time; gateways take turns and tell each other. Who knows a version from its record only drops it when the record is gone, unless the log has come back from an older copy. The log may execute a call late, when the version serves again, so the removal holds only if nothing was appended since the record was listed; a version that serves without a record is recorded again.

--- a/crates/coordination/fescuetide_flow/src/action.rs
+++ b/crates/coordination/fescuetide_flow/src/action.rs
@@ -73,6 +73,7 @@
     /// [`note_recorded`](crate::RequestScheduler::note_recorded) must follow.
     RecordVersion(StreamOrigin),
     /// Remove the record of a version from the log, unless another gateway does. No stream that began there can be taken up any more.
+    /// Repeated until [`note_record_removed`](crate::RequestScheduler::note_record_removed) follows.
     ForgetVersion(StreamOrigin),
     /// Report to the caller that the request failed and may have run. Its state is dropped.
     Fail(FlowKey, FlowFailure),
--- a/crates/coordination/fescuetide_flow/src/origin_exchange.rs
+++ b/crates/coordination/fescuetide_flow/src/origin_exchange.rs
@@ -26,6 +26,19 @@
 /// How much later than the gateway before it in their order a gateway records a version that no other one has recorded.
 const RECORD_STAGGER: SpanMillis = SpanMillis::new(150);
 
+/// How much later than the gateway before it in their order a gateway removes the record of a version. They do not notice at the same
+/// time that a version has left.
+const REMOVAL_STAGGER: SpanMillis = SpanMillis::new(1_000);
+
+/// How far the removal of a record is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RemovalState {
+    /// This gateway removes it then.
+    DueAt(ClockMillis),
+    /// The log was called.
+    InProgress,
+}
+
 /// What a gateway tells, writes and asks about the origins of streams.
 ///
 /// It carries out the actions of a [`RequestScheduler`] that concern origins and versions, and passes on to it what becomes
@@ -38,6 +51,8 @@
     search: OriginSearch,
     /// Versions to record, and when this gateway does so.
     unrecorded: IndexMap<StreamOrigin, ClockMillis>,
+    /// Versions whose records are to be removed.
+    obsolete: IndexMap<StreamOrigin, RemovalState>,
     outputs: Vec<OriginOutput>,
     /// Streams that were sought and not found, since the last call.
     failed_count: u64,
@@ -71,16 +86,25 @@
 
     /// Carries out [`FlowAction::RecordVersion`](crate::FlowAction::RecordVersion).
     pub fn record_version(&mut self, origin: StreamOrigin, now: ClockMillis) {
-        let rank = self.gateways.version_rank(origin) as u64;
-        let at = now + SpanMillis::new(rank * RECORD_STAGGER.as_millis());
+        let at = self.turn(origin, RECORD_STAGGER, now);
         self.unrecorded.entry(origin).or_insert(at);
     }
 
+    /// When it is this gateway's turn to write about a version.
+    fn turn(&self, origin: StreamOrigin, stagger: SpanMillis, now: ClockMillis) -> ClockMillis {
+        let rank = self.gateways.version_rank(origin) as u64;
+        now + SpanMillis::new(rank * stagger.as_millis())
+    }
+
     /// Carries out [`FlowAction::ForgetVersion`](crate::FlowAction::ForgetVersion).
-    pub fn forget_version(&mut self, origin: StreamOrigin) {
-        if self.gateways.version_rank(origin) == 0 {
-            self.call(OriginCommand::ForgetVersion(origin));
-        }
+    pub fn forget_version(&mut self, origin: StreamOrigin, now: ClockMillis) {
+        let due = RemovalState::DueAt(self.turn(origin, REMOVAL_STAGGER, now));
+        self.obsolete.entry(origin).or_insert(due);
+    }
+
+    /// Whether [`step`](Self::step) needs to know how recent the list of upstreams is.
+    pub fn has_obsolete(&self) -> bool {
+        !self.obsolete.is_empty()
     }
 
     /// Carries out [`FlowAction::SeekOrigin`](crate::FlowAction::SeekOrigin).
@@ -107,6 +131,7 @@
             self.call(OriginCommand::AppendOrigins(batch));
         }
         self.record_due_versions(scheduler, now);
+        self.remove_due_records(scheduler, is_log_unavailable, now);
         if self.search.take_read(now) {
             self.call(OriginCommand::Read);
         }
@@ -161,6 +186,46 @@
         }
     }
 
+    /// Removes records whose turn has come. What cannot be removed now is requested again by the scheduler.
+    fn remove_due_records(
+        &mut self,
+        scheduler: &RequestScheduler,
+        is_log_unavailable: bool,
+        now: ClockMillis,
+    ) {
+        let mut due = Vec::new();
+        self.obsolete.retain(|origin, state| {
+            let RemovalState::DueAt(at) = *state else {
+                return true;
+            };
+            if is_log_unavailable || !scheduler.is_obsolete(*origin, now) {
+                return false;
+            }
+            if now >= at {
+                due.push(*origin);
+                *state = RemovalState::InProgress;
+            }
+            true
+        });
+        for origin in due {
+            self.call(OriginCommand::ForgetVersion(origin));
+        }
+    }
+
+    fn finish_removal(
+        &mut self,
+        origin: StreamOrigin,
+        is_removed: bool,
+        scheduler: &mut RequestScheduler,
+        now: ClockMillis,
+    ) {
+        self.obsolete.swap_remove(&origin);
+        if is_removed {
+            scheduler.note_record_removed(origin, now);
+            self.send_to_all(&OriginMessage::Forgotten(vec![origin]));
+        }
+    }
+
     /// Handles what became of calls to the log.
     pub fn note_log(
         &mut self,
@@ -172,9 +237,10 @@
             OriginLogEvent::Appended(is_written) => self.finish_append(is_written, now),
             OriginLogEvent::VersionRecorded(origin) => {
                 scheduler.note_recorded(origin, now);
-                for peer in self.gateways.peers().to_vec() {
-                    self.send(peer, OriginMessage::Versions(vec![origin]));
-                }
+                self.send_to_all(&OriginMessage::Versions(vec![origin]));
+            }
+            OriginLogEvent::VersionForgotten { origin, is_removed } => {
+                self.finish_removal(origin, is_removed, scheduler, now);
             }
             OriginLogEvent::Started(versions) => scheduler.note_version_reading(&versions, now),
             OriginLogEvent::Read { versions, origins } => {
@@ -235,6 +301,11 @@
                     scheduler.note_recorded(origin, now);
                 }
             }
+            OriginMessage::Forgotten(origins) => {
+                for origin in origins {
+                    scheduler.note_record_removed(origin, now);
+                }
+            }
             OriginMessage::Unknown {
                 streams,
                 has_one_version,
@@ -286,6 +357,12 @@
         }
     }
 
+    fn send_to_all(&mut self, message: &OriginMessage) {
+        for peer in self.gateways.peers().to_vec() {
+            self.send(peer, message.clone());
+        }
+    }
+
     fn send(&mut self, gateway: SocketAddr, message: OriginMessage) {
         self.outputs.push(OriginOutput::Send(gateway, message));
     }
--- a/crates/coordination/fescuetide_flow/src/origin_message.rs
+++ b/crates/coordination/fescuetide_flow/src/origin_message.rs
@@ -27,6 +27,8 @@
     Written(Vec<StreamKey>),
     /// Versions that the log has records of.
     Versions(Vec<StreamOrigin>),
+    /// Versions whose records were removed from the log.
+    Forgotten(Vec<StreamOrigin>),
 }
 
 /// A call to the log.
@@ -36,7 +38,7 @@
     AppendOrigins(Vec<OriginEntry>),
     /// Append the record of a version. [`OriginLogEvent::VersionRecorded`] follows if that succeeds.
     RecordVersion(StreamOrigin),
-    /// Remove the record of a version.
+    /// Remove the record of a version. [`OriginLogEvent::VersionForgotten`] follows.
     ForgetVersion(StreamOrigin),
     /// Read what is new. [`OriginLogEvent::Read`] or [`OriginLogEvent::ReadFailed`] follows.
     Read,
@@ -49,6 +51,13 @@
     Appended(bool),
     /// The log has a record of a version now.
     VersionRecorded(StreamOrigin),
+    /// The removal of the record of a version has ended.
+    VersionForgotten {
+        /// The version.
+        origin: StreamOrigin,
+        /// Whether the log has no record of it now. Otherwise that is not known.
+        is_removed: bool,
+    },
     /// The versions were read after the start.
     Started(VersionReading),
     /// All that was in the log when the read began.
--- a/crates/coordination/fescuetide_flow/src/scheduler/versions.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/versions.rs
@@ -12,6 +12,7 @@
 use crate::StreamOrigin;
 use crate::origins::ORIGIN_RETENTION;
 use crate::pool::PoolState;
+use crate::versions::RECORD_RETRY;
 
 /// Time from the moment at which a list that lacks a version is too old until the version may be recorded, for what
 /// messages and threads take.
@@ -30,6 +31,8 @@
     pub versions: Vec<StreamOrigin>,
     /// Those whose record is from before the log came back from an older copy. If there are any, records of others may be missing.
     pub stale: Vec<StreamOrigin>,
+    /// Whether the log has come back from an older copy since it was first read, so that what it lacks may have been lost.
+    pub is_restored: bool,
 }
 
 /// A record of a version in a pool that is not known.
@@ -37,6 +40,14 @@
 struct UnlistedRecord {
     is_stale: bool,
     since: ClockMillis,
+    /// When it was last requested to be removed.
+    removal_requested_at: Option<ClockMillis>,
+}
+
+impl UnlistedRecord {
+    fn is_obsolete(&self, now: ClockMillis) -> bool {
+        now.since(self.since) >= ORIGIN_RETENTION
+    }
 }
 
 /// Whether this gateway knows at which versions streams can have begun.
@@ -97,6 +108,9 @@
             knowledge.first_records = reading.versions.iter().copied().collect();
         }
         knowledge.has_reading = true;
+        if !reading.is_restored {
+            self.drop_unrecorded(reading, now);
+        }
         for origin in &reading.versions {
             self.note_record(*origin, false, now);
         }
@@ -106,6 +120,43 @@
         self.tell_origins(now);
     }
 
+    /// Drops what is known from records only that the log does not have any more.
+    fn drop_unrecorded(&mut self, reading: &VersionReading, now: ClockMillis) {
+        let mut recorded: IndexSet<StreamOrigin> = reading.versions.iter().copied().collect();
+        recorded.extend(&reading.stale);
+        let unlisted = &mut self.version_knowledge.unlisted;
+        unlisted.retain(|origin, _| recorded.contains(origin));
+        for (name, pool) in &mut self.pools {
+            let key = PoolKey::of(name);
+            let of_pool = recorded.iter().filter(|origin| origin.pool == key);
+            let versions = of_pool.map(|origin| origin.version).collect();
+            pool.versions.note_reading(&versions, now);
+        }
+    }
+
+    /// Records that the log has lost the record of a version, since no stream that began there can be taken up any more.
+    pub fn note_record_removed(&mut self, origin: StreamOrigin, now: ClockMillis) {
+        self.version_knowledge.unlisted.swap_remove(&origin);
+        if let Some(pool) = self.pool_with_key(origin.pool) {
+            pool.versions.note_removed(origin.version, now);
+        }
+        self.tell_origins(now);
+    }
+
+    /// Whether the log has a record of a version at which no stream can have begun that may still be taken up. The list of upstreams
+    /// is recent enough to tell.
+    pub(crate) fn is_obsolete(&self, origin: StreamOrigin, now: ClockMillis) -> bool {
+        if !self.knows_versions(now) {
+            return false;
+        }
+        let unlisted = self.version_knowledge.unlisted.get(&origin);
+        let mut pools = self.pools.iter();
+        unlisted.is_some_and(|record| record.is_obsolete(now))
+            || pools.any(|(name, pool)| {
+                PoolKey::of(name) == origin.pool && pool.versions.is_obsolete(origin.version, now)
+            })
+    }
+
     /// Records that the log has a record of a version.
     pub fn note_recorded(&mut self, origin: StreamOrigin, now: ClockMillis) {
         self.note_record(origin, false, now);
@@ -118,11 +169,13 @@
             Some(pool) if is_stale => pool.versions.note_stale_record(origin.version, now),
             Some(pool) => pool.versions.note_recorded(origin.version, now),
             None if has_room => {
-                let record = UnlistedRecord {
+                let unlisted = self.version_knowledge.unlisted.entry(origin);
+                let record = unlisted.or_insert(UnlistedRecord {
                     is_stale,
                     since: now,
-                };
-                self.version_knowledge.unlisted.insert(origin, record);
+                    removal_requested_at: None,
+                });
+                record.is_stale &= is_stale;
             }
             None => {}
         }
@@ -187,18 +240,21 @@
         self.tell_origins(now);
     }
 
-    /// Requests that the log gets the versions that it lacks, and loses those that it needs no more.
+    /// Requests that the log gets the versions that it lacks, and loses those that it needs no more, again and again until it has
+    /// done so.
     pub(super) fn record_versions(&mut self, now: ClockMillis) {
         if !self.version_knowledge.is_complete(now) {
             return;
         }
-        self.version_knowledge.unlisted.retain(|origin, record| {
-            let keep = now.since(record.since) < ORIGIN_RETENTION;
-            if !keep {
+        for (origin, record) in &mut self.version_knowledge.unlisted {
+            let is_requested = record
+                .removal_requested_at
+                .is_some_and(|at| now.since(at) < RECORD_RETRY);
+            if record.is_obsolete(now) && !is_requested {
+                record.removal_requested_at = Some(now);
                 self.actions.push_back(FlowAction::ForgetVersion(*origin));
             }
-            keep
-        });
+        }
         let settling_time = self.settings.listing_limit + SETTLING_MARGIN;
         for (name, pool) in &mut self.pools {
             let pool_key = PoolKey::of(name);
@@ -209,7 +265,7 @@
                 };
                 self.actions.push_back(FlowAction::RecordVersion(origin));
             }
-            for version in pool.versions.take_expired(now) {
+            for version in pool.versions.take_obsolete(now) {
                 let origin = StreamOrigin {
                     pool: pool_key,
                     version,
--- a/crates/coordination/fescuetide_flow/src/versions.rs
+++ b/crates/coordination/fescuetide_flow/src/versions.rs
@@ -17,8 +17,9 @@
 /// the memory.
 const VERSION_LIMIT: usize = 1_024;
 
-/// Time after which a version that is not recorded yet is to be recorded again.
-const RECORD_RETRY: SpanMillis = SpanMillis::new(1_000);
+/// Time after which a version that is not recorded yet is to be recorded again, and the record of one that is obsolete is to be
+/// removed again.
+pub(crate) const RECORD_RETRY: SpanMillis = SpanMillis::new(1_000);
 
 #[derive(Clone, Copy, Debug)]
 struct VersionState {
@@ -30,8 +31,12 @@
     is_recorded: bool,
     /// Whether the log has any record of it, which is to be removed in the end.
     has_record: bool,
+    /// Whether this gateway has listed it or heard of a stream there. Otherwise it knows of it from a record only.
+    is_witnessed: bool,
     /// When it was last requested to be recorded.
     requested_at: Option<ClockMillis>,
+    /// When its record was last requested to be removed.
+    removal_requested_at: Option<ClockMillis>,
 }
 
 impl VersionState {
@@ -41,7 +46,9 @@
             seen_at: now,
             is_recorded: false,
             has_record: false,
+            is_witnessed: false,
             requested_at: None,
+            removal_requested_at: None,
         }
     }
 
@@ -49,6 +56,11 @@
     fn is_recent(&self, now: ClockMillis) -> bool {
         self.listed_since.is_some() || now.since(self.seen_at) < ORIGIN_RETENTION
     }
+
+    /// Whether the log has a record of it that nobody needs any more.
+    fn is_obsolete(&self, now: ClockMillis) -> bool {
+        self.has_record && !self.is_recent(now)
+    }
 }
 
 /// The versions of a pool.
@@ -70,26 +82,38 @@
             let state = self.versions.entry(*version);
             let state = state.or_insert_with(|| VersionState::new(now));
             state.listed_since.get_or_insert(now);
+            state.is_witnessed = true;
         }
     }
 
     /// Records that a version serves or did so until now, although it may not be listed.
     pub(crate) fn note_seen(&mut self, version: VersionKey, now: ClockMillis) {
-        self.versions
-            .retain(|_, state| state.has_record || state.is_recent(now));
-        if let Some(state) = self.versions.get_mut(&version) {
+        if let Some(state) = self.find_or_insert(version, now) {
             state.seen_at = now;
-        } else if self.versions.len() < VERSION_LIMIT {
-            self.versions.insert(version, VersionState::new(now));
+            state.is_witnessed = true;
         }
     }
 
-    /// Records that the log has a record of a version.
-    pub(crate) fn note_recorded(&mut self, version: VersionKey, now: ClockMillis) {
+    /// The state of a version, `None` if it is not known and there are too many.
+    fn find_or_insert(
+        &mut self,
+        version: VersionKey,
+        now: ClockMillis,
+    ) -> Option<&mut VersionState> {
         if !self.versions.contains_key(&version) {
-            self.note_seen(version, now);
+            self.versions
+                .retain(|_, state| state.has_record || state.is_recent(now));
+            if self.versions.len() >= VERSION_LIMIT {
+                return None;
+            }
         }
-        if let Some(state) = self.versions.get_mut(&version) {
+        let state = self.versions.entry(version);
+        Some(state.or_insert_with(|| VersionState::new(now)))
+    }
+
+    /// Records that the log has a record of a version.
+    pub(crate) fn note_recorded(&mut self, version: VersionKey, now: ClockMillis) {
+        if let Some(state) = self.find_or_insert(version, now) {
             state.is_recorded = true;
             state.has_record = true;
         }
@@ -97,14 +121,41 @@
 
     /// Records that the log has a record of a version from before it came back from an older copy.
     pub(crate) fn note_stale_record(&mut self, version: VersionKey, now: ClockMillis) {
-        if !self.versions.contains_key(&version) {
-            self.note_seen(version, now);
-        }
-        if let Some(state) = self.versions.get_mut(&version) {
+        if let Some(state) = self.find_or_insert(version, now) {
             state.has_record = true;
         }
     }
 
+    /// Records that the log has no record of a version any more: a gateway found it obsolete. If the version serves again, it is to
+    /// be recorded again.
+    pub(crate) fn note_removed(&mut self, version: VersionKey, now: ClockMillis) {
+        let Some(state) = self.versions.get_mut(&version) else {
+            return;
+        };
+        state.is_recorded = false;
+        state.has_record = false;
+        state.requested_at = None;
+        let is_needed =
+            state.listed_since.is_some() || (state.is_witnessed && state.is_recent(now));
+        if !is_needed {
+            self.versions.swap_remove(&version);
+        }
+    }
+
+    /// Removes the versions that were known from records only, which the log does not have any more, and those whose record was to
+    /// be removed. `recorded` are all versions that it has records of.
+    pub(crate) fn note_reading(&mut self, recorded: &IndexSet<VersionKey>, now: ClockMillis) {
+        let mut removed = Vec::new();
+        for (version, state) in &self.versions {
+            if state.has_record && state.listed_since.is_none() && !recorded.contains(version) {
+                removed.push(*version);
+            }
+        }
+        for version in removed {
+            self.note_removed(version, now);
+        }
+    }
+
     /// Records that the log may have lost its records.
     pub(crate) fn forget_records(&mut self) {
         for state in self.versions.values_mut() {
@@ -113,6 +164,12 @@
         }
     }
 
+    /// Whether the log has a record of a version that nobody needs any more.
+    pub(crate) fn is_obsolete(&self, version: VersionKey, now: ClockMillis) -> bool {
+        let state = self.versions.get(&version);
+        state.is_some_and(|state| state.is_obsolete(now))
+    }
+
     /// Whether the log has a record of a version.
     pub(crate) fn is_recorded(&self, version: VersionKey) -> bool {
         let state = self.versions.get(&version);
@@ -173,17 +230,23 @@
         due
     }
 
-    /// Removes the versions at which no stream can have begun that may still be taken up. Returns those that the log has records of.
-    pub(crate) fn take_expired(&mut self, now: ClockMillis) -> Vec<VersionKey> {
-        let mut expired = Vec::new();
-        self.versions.retain(|version, state| {
-            let keep = state.is_recent(now);
-            if !keep && state.has_record {
-                expired.push(*version);
+    /// Removes the versions at which no stream can have begun that may still be taken up. Those that the log has records of stay until
+    /// it has lost them; returns those whose records are to be removed now.
+    pub(crate) fn take_obsolete(&mut self, now: ClockMillis) -> Vec<VersionKey> {
+        self.versions
+            .retain(|_, state| state.has_record || state.is_recent(now));
+        let mut due = Vec::new();
+        for (version, state) in &mut self.versions {
+            let is_requested = state
+                .removal_requested_at
+                .is_some_and(|at| now.since(at) < RECORD_RETRY);
+            if !state.is_obsolete(now) || is_requested {
+                continue;
             }
-            keep
-        });
-        expired
+            state.removal_requested_at = Some(now);
+            due.push(*version);
+        }
+        due
     }
 }
 
--- a/crates/coordination/fescuetide_flow/tests/flow/origin_exchange.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/origin_exchange.rs
@@ -5,6 +5,7 @@
 use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
 use fescuetide_fleet::VersionKey;
+use fescuetide_flow::FlowAction;
 use fescuetide_flow::FlowSettings;
 use fescuetide_flow::GatewayList;
 use fescuetide_flow::OriginCommand;
@@ -17,6 +18,12 @@
 use fescuetide_flow::RequestScheduler;
 use fescuetide_flow::StreamKey;
 use fescuetide_flow::StreamOrigin;
+use fescuetide_flow::VersionReading;
+
+use crate::origins::HISTORY;
+use crate::origins::LISTING_LIMIT;
+use crate::origins::origin;
+use crate::origins::versioned;
 
 /// Time in which a writer has to confirm what it was told.
 const CONFIRMATION_TIMEOUT: SpanMillis = SpanMillis::new(200);
@@ -138,3 +145,68 @@
         assert_eq!(harness.step(300), (None, !is_written));
     }
 }
+
+/// A gateway without peers that has requested the removal of the record of v2, which it has not listed for a minute.
+fn harness_with_obsolete_record() -> ExchangeHarness {
+    let mut harness = ExchangeHarness::with_peers(0);
+    let reading = VersionReading {
+        versions: vec![origin("v1"), origin("v2")],
+        ..VersionReading::default()
+    };
+    harness
+        .scheduler
+        .set_upstreams(&[versioned("v1", 0)], harness.now);
+    harness
+        .scheduler
+        .note_version_reading(&reading, harness.now);
+    harness.now = harness.now + HISTORY;
+    harness.scheduler.note_listing_time(harness.now);
+    harness.scheduler.tick(harness.now);
+    let action = harness.scheduler.next_action();
+    assert_eq!(action, Some(FlowAction::ForgetVersion(origin("v2"))));
+    harness.exchange.forget_version(origin("v2"), harness.now);
+    harness
+}
+
+impl ExchangeHarness {
+    /// Whether the log is called to remove the record of v2.
+    fn removes(&mut self, is_log_unavailable: bool) -> bool {
+        self.exchange
+            .step(&mut self.scheduler, is_log_unavailable, self.now);
+        let call = OriginOutput::Call(OriginCommand::ForgetVersion(origin("v2")));
+        self.exchange.take_outputs().contains(&call)
+    }
+}
+
+/// Guards against calls that pile up while the log does not answer, and against a failed removal that is not repeated.
+#[test]
+fn record_is_removed_with_one_call_at_a_time() {
+    let mut harness = harness_with_obsolete_record();
+    assert!(harness.removes(false));
+    for is_removed in [false, true] {
+        harness.exchange.forget_version(origin("v2"), harness.now);
+        assert!(!harness.removes(false));
+        let event = OriginLogEvent::VersionForgotten {
+            origin: origin("v2"),
+            is_removed,
+        };
+        let scheduler = &mut harness.scheduler;
+        harness.exchange.note_log(event, scheduler, harness.now);
+        harness.exchange.forget_version(origin("v2"), harness.now);
+        assert_eq!(harness.removes(false), !is_removed);
+    }
+}
+
+/// Guards against calls to a log that is away, and against the removal of a record whose version serves again, or may do so as far as an
+/// old list of upstreams tells.
+#[test]
+fn record_is_not_removed_unless_the_version_is_known_to_have_left() {
+    assert!(!harness_with_obsolete_record().removes(true));
+    let mut harness = harness_with_obsolete_record();
+    let entries = [versioned("v1", 0), versioned("v2", 0)];
+    harness.scheduler.set_upstreams(&entries, harness.now);
+    assert!(!harness.removes(false));
+    let mut harness = harness_with_obsolete_record();
+    harness.now = harness.now + SpanMillis::new(LISTING_LIMIT.as_millis() + 1);
+    assert!(!harness.removes(false));
+}
--- a/crates/coordination/fescuetide_flow/tests/flow/origin_fleet.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/origin_fleet.rs
@@ -2,7 +2,8 @@
 
 mod simulation;
 
-use simulation::LENGTH;
+use fescuetide_base::SpanMillis;
+
 use simulation::OriginFleet;
 use simulation::Scenario;
 
@@ -28,7 +29,7 @@
             assert!(result.mixed <= ALLOWED_MIXED, "{run}");
             let went_on = result.went_on as f64 / result.taken_up as f64;
             assert!(went_on >= share, "{went_on}, {run}");
-            let appends_per_second = result.appends * 1_000 / LENGTH.as_millis();
+            let appends_per_second = result.appends * 1_000 / scenario.length.as_millis();
             assert!(appends_per_second <= APPENDS_PER_SECOND, "{run}");
         }
     }
@@ -119,3 +120,85 @@
     };
     run_fleets(scenario, 1.0);
 }
+
+/// A release whose last upstreams of the old version have left 3 s after the start, so that its record becomes obsolete a minute later.
+const OLD_RELEASE: Scenario = Scenario {
+    gateways: 2,
+    length: SpanMillis::new(78_000),
+    streams_from: 69_500,
+    releases: &[1_500],
+    old_leaves: Some(3_000),
+    old_returns: None,
+    all_killed: &[],
+    some_killed: &[],
+    killed: &[],
+    log_away: None,
+    log_turns_away: None,
+};
+
+/// Runs a scenario with two gateways and checks that `share` of the counted streams go on, and how many versions have records in the
+/// end.
+fn run_old_release(scenario: Scenario, share: f64, recorded_versions: usize) {
+    for seed in 0..4 {
+        let result = OriginFleet::new(seed, scenario).run();
+        let run = format!("seed {seed}, {scenario:?}: {result:?}");
+        assert!(result.taken_up > 200, "{run}");
+        assert!(result.mixed <= ALLOWED_MIXED, "{run}");
+        let went_on = result.went_on as f64 / result.taken_up as f64;
+        assert!(went_on >= share, "{went_on}, {run}");
+        assert_eq!(result.recorded_versions, recorded_versions, "{run}");
+    }
+}
+
+/// Guards against the record of an old version that stays in the log since one call failed. A gateway that starts later would take
+/// the version for a recent one, and refuse streams that began at gateways that are gone.
+#[test]
+fn obsolete_record_is_removed_after_an_outage_of_the_log() {
+    for killed in [&[(0, 69_000), (1, 72_000)], &[(1, 69_000), (0, 72_000)]] {
+        let scenario = Scenario {
+            log_away: Some((62_500, 67_000)),
+            killed,
+            ..OLD_RELEASE
+        };
+        run_old_release(scenario, 1.0, 1);
+    }
+}
+
+/// Guards against the same if the gateway whose turn it is to remove the record is down at that moment.
+#[test]
+fn obsolete_record_is_removed_without_the_gateway_that_comes_first() {
+    for killed in [&[(0, 62_900), (1, 72_000)], &[(1, 62_900), (0, 72_000)]] {
+        let scenario = Scenario {
+            killed,
+            ..OLD_RELEASE
+        };
+        run_old_release(scenario, 1.0, 1);
+    }
+}
+
+/// Guards against a gateway that read the record before it was removed, and takes the version for a recent one for longer than the
+/// others do.
+#[test]
+fn gateway_that_read_an_obsolete_record_learns_of_its_removal() {
+    for killed in [&[(0, 40_000), (1, 72_000)], &[(1, 40_000), (0, 72_000)]] {
+        let scenario = Scenario {
+            killed,
+            ..OLD_RELEASE
+        };
+        run_old_release(scenario, 1.0, 1);
+    }
+}
+
+/// Guards against the removal of a record that is needed again, since the version serves again while the removal is due.
+#[test]
+fn record_of_a_version_that_serves_again_stays() {
+    for returns in [62_900, 64_000, 66_900, 67_200] {
+        let scenario = Scenario {
+            old_returns: Some(returns),
+            log_away: Some((62_500, 67_000)),
+            all_killed: &[72_000],
+            ..OLD_RELEASE
+        };
+        run_old_release(scenario, GO_ON, 2);
+    }
+}
--- a/crates/coordination/fescuetide_flow/tests/flow/origin_fleet/simulation.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/origin_fleet/simulation.rs
@@ -55,8 +55,8 @@
 /// One stream in so many breaks off again after it was taken up.
 const BREAKS_AGAIN: u64 = 3;
 
-/// Length of a run.
-pub(super) const LENGTH: SpanMillis = SpanMillis::new(14_000);
+/// Length of a run, unless its scenario has another one.
+const DEFAULT_LENGTH: SpanMillis = SpanMillis::new(14_000);
 
 /// Longest time between two reads of the list of upstreams.
 const LISTING_INTERVAL: SpanMillis = SpanMillis::new(600);
@@ -68,22 +68,47 @@
 const CALL_TIMEOUT: SpanMillis = SpanMillis::new(300);
 
 /// What happens in a run, with times since its start in ms.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub(super) struct Scenario {
     pub(super) gateways: usize,
+    pub(super) length: SpanMillis,
+    /// From when on streams begin.
+    pub(super) streams_from: u64,
     /// When upstreams of another version join, and when those of the first leave, if they do.
     pub(super) releases: &'static [u64],
     pub(super) old_leaves: Option<u64>,
+    /// When upstreams of the first version join again.
+    pub(super) old_returns: Option<u64>,
     /// When all gateways are killed.
     pub(super) all_killed: &'static [u64],
     /// When two in five are killed.
     pub(super) some_killed: &'static [u64],
+    /// Single gateways that are killed, and when.
+    pub(super) killed: &'static [(usize, u64)],
     /// When the log is away.
     pub(super) log_away: Option<(u64, u64)>,
     /// When the log turns every second gateway away.
     pub(super) log_turns_away: Option<(u64, u64)>,
 }
 
+impl Default for Scenario {
+    fn default() -> Self {
+        Self {
+            gateways: 0,
+            length: DEFAULT_LENGTH,
+            streams_from: 0,
+            releases: &[],
+            old_leaves: None,
+            old_returns: None,
+            all_killed: &[],
+            some_killed: &[],
+            killed: &[],
+            log_away: None,
+            log_turns_away: None,
+        }
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct SimulatedLog {
     versions: IndexSet<StreamOrigin>,
@@ -95,7 +120,7 @@
     fn reading(&self) -> VersionReading {
         VersionReading {
             versions: self.versions.iter().copied().collect(),
-            stale: Vec::new(),
+            ..VersionReading::default()
         }
     }
 }
@@ -147,6 +172,8 @@
     pub(super) went_on: u64,
     pub(super) mixed: u64,
     pub(super) appends: u64,
+    /// Number of versions that the log has records of at the end.
+    pub(super) recorded_versions: usize,
 }
 
 struct TakenUp {
@@ -230,7 +257,7 @@
     }
 
     pub(super) fn run(mut self) -> OriginResult {
-        let end = self.started_at + LENGTH;
+        let end = self.started_at + self.scenario.length;
         while self.now < end {
             self.now = self.now + STEP;
             self.change_fleet();
@@ -238,13 +265,16 @@
             for gateway in 0..self.gateways.len() {
                 self.step_gateway(gateway);
             }
-            for _ in 0..STREAMS_PER_STEP {
-                self.begin_stream();
+            if self.now.since(self.started_at).as_millis() >= self.scenario.streams_from {
+                for _ in 0..STREAMS_PER_STEP {
+                    self.begin_stream();
+                }
             }
             self.relay_first_events();
             self.take_up_streams();
         }
         self.result.appends = self.log.appends;
+        self.result.recorded_versions = self.log.versions.len();
         self.result
     }
 
@@ -275,6 +305,14 @@
             let old = SoftwareVersion::from("v1".to_owned());
             self.entries.retain(|entry| entry.version != old);
         }
+        if self.scenario.old_returns == Some(elapsed) {
+            self.entries.extend(entries_of(1));
+        }
+        for (gateway, at) in self.scenario.killed {
+            if *at == elapsed {
+                self.kill(*gateway);
+            }
+        }
         if self.is_at(self.scenario.all_killed) {
             for gateway in 0..self.gateways.len() {
                 self.kill(gateway);
@@ -403,16 +441,19 @@
                 }
                 OriginLogEvent::Appended(is_answered)
             }
-            OriginCommand::RecordVersion(_) | OriginCommand::ForgetVersion(_) if !is_answered => {
-                return;
-            }
+            OriginCommand::RecordVersion(_) if !is_answered => return,
             OriginCommand::RecordVersion(origin) => {
                 self.log.versions.insert(origin);
                 OriginLogEvent::VersionRecorded(origin)
             }
             OriginCommand::ForgetVersion(origin) => {
-                self.log.versions.swap_remove(&origin);
-                return;
+                if is_answered {
+                    self.log.versions.swap_remove(&origin);
+                }
+                OriginLogEvent::VersionForgotten {
+                    origin,
+                    is_removed: is_answered,
+                }
             }
             OriginCommand::Read if !is_answered => OriginLogEvent::ReadFailed,
             OriginCommand::Read => {
@@ -594,7 +635,7 @@
     match action {
         FlowAction::TellOrigin(entry) => exchange.tell_origin(entry),
         FlowAction::RecordVersion(origin) => exchange.record_version(origin, now),
-        FlowAction::ForgetVersion(origin) => exchange.forget_version(origin),
+        FlowAction::ForgetVersion(origin) => exchange.forget_version(origin, now),
         FlowAction::SeekOrigin(stream) => exchange.seek_origin(stream, now),
         _ => {}
     }
--- a/crates/coordination/fescuetide_flow/tests/flow/versions.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/versions.rs
@@ -77,6 +77,7 @@
     let reading = VersionReading {
         versions: vec![origin("v1"), origin("v2")],
         stale: vec![],
+        ..VersionReading::default()
     };
     harness
         .scheduler
@@ -90,6 +91,92 @@
     assert_eq!(harness.forgotten_versions, [origin("v2")]);
 }
 
+/// A gateway that lists v1 only, and has read records of v1 and of v2.
+fn harness_with_old_record() -> SchedulerHarness {
+    let mut harness = SchedulerHarness::with_versions(2, 0);
+    let reading = VersionReading {
+        versions: vec![origin("v1"), origin("v2")],
+        ..VersionReading::default()
+    };
+    harness
+        .scheduler
+        .note_version_reading(&reading, harness.now);
+    harness
+}
+
+/// Guards against a record that stays since a call failed, against streams that are refused until it is gone, and against calls after
+/// that.
+#[test]
+fn removal_is_requested_until_the_record_is_gone() {
+    let mut harness = harness_with_old_record();
+    harness.advance(HISTORY.as_millis() + 3_000);
+    harness.scheduler.note_listing_time(harness.now);
+    let key = harness.arrive_for_stream(true);
+    harness.expect_send(key);
+    let requests = harness.forgotten_versions.len();
+    assert!(requests >= 3, "{requests} requests in 3 s");
+    harness
+        .scheduler
+        .note_record_removed(origin("v2"), harness.now);
+    harness.advance(3_000);
+    harness.next();
+    assert_eq!(harness.forgotten_versions.len(), requests);
+}
+
+/// Guards against the removal of a record whose version serves again.
+#[test]
+fn removal_is_not_requested_once_the_version_serves_again() {
+    let mut harness = harness_with_old_record();
+    harness.advance(HISTORY.as_millis());
+    harness.next();
+    assert_eq!(harness.forgotten_versions, [origin("v2")]);
+    harness.set_versions(2, 1);
+    harness.advance(3_000);
+    harness.next();
+    assert_eq!(harness.forgotten_versions, [origin("v2")]);
+}
+
+/// Guards against a version that serves without a record, since the removal of the old one was executed late.
+#[test]
+fn version_that_serves_is_recorded_again_after_its_record_was_removed() {
+    let mut harness = harness_with_old_record();
+    harness.set_versions(2, 2);
+    harness.advance(3_000);
+    harness.next();
+    assert_eq!(harness.recorded_versions, []);
+    harness
+        .scheduler
+        .note_record_removed(origin("v2"), harness.now);
+    harness.advance(20);
+    harness.next();
+    assert_eq!(harness.recorded_versions, [origin("v2")]);
+}
+
+/// Guards against refusals by a gateway that started before another one removed the record of an old version; and against guesses if
+/// the log may have lost that record.
+#[test]
+fn version_counts_no_more_once_its_record_was_removed() {
+    for is_restored in [false, true] {
+        let mut harness = harness_with_old_record();
+        let key = harness.arrive_for_stream(true);
+        assert_eq!(harness.next(), Some(FlowAction::SeekOrigin(STREAM)));
+        let reading = VersionReading {
+            versions: vec![origin("v1")],
+            is_restored,
+            ..VersionReading::default()
+        };
+        harness
+            .scheduler
+            .note_version_reading(&reading, harness.now);
+        let goes_on = harness.scheduler.settle_origin(STREAM, harness.now);
+        assert_eq!(goes_on, !is_restored);
+        if goes_on {
+            let command = harness.expect_send(key);
+            assert!(command.upstream.as_str().starts_with("v1"));
+        }
+    }
+}
+
 /// Guards against records of versions that are lost since the log was read before the list of upstreams.
 #[test]
 fn version_that_was_read_before_the_list_of_upstreams_counts() {
@@ -99,6 +186,7 @@
     let reading = VersionReading {
         versions: vec![origin("v1")],
         stale: vec![],
+        ..VersionReading::default()
     };
     scheduler.note_version_reading(&reading, now);
     scheduler.set_upstreams(&[versioned("v2", 0)], now);
@@ -126,6 +214,7 @@
     let reading = VersionReading {
         versions: vec![],
         stale: vec![origin("v1")],
+        ..VersionReading::default()
     };
     harness
         .scheduler
@@ -160,6 +249,7 @@
         let reading = VersionReading {
             versions: first,
             stale: vec![],
+            ..VersionReading::default()
         };
         harness
             .scheduler
@@ -189,6 +279,7 @@
     let reading = VersionReading {
         versions: vec![],
         stale: vec![origin("v1"), origin("v2")],
+        ..VersionReading::default()
     };
     harness
         .scheduler
--- a/crates/process/fescuetide_gateway/src/attempts.rs
+++ b/crates/process/fescuetide_gateway/src/attempts.rs
@@ -53,7 +53,9 @@
                 FlowAction::RecordVersion(origin) => {
                     self.origin_exchange.record_version(origin, self.now);
                 }
-                FlowAction::ForgetVersion(origin) => self.origin_exchange.forget_version(origin),
+                FlowAction::ForgetVersion(origin) => {
+                    self.origin_exchange.forget_version(origin, self.now);
+                }
             }
         }
     }
--- a/crates/process/fescuetide_gateway/src/callers.rs
+++ b/crates/process/fescuetide_gateway/src/callers.rs
@@ -236,10 +236,8 @@
             }
         };
         self.log_resumption(&exchange);
-        if request.is_taken_up
-            && let Some(listed_at) = self.listing.lock().confirmed_at()
-        {
-            self.scheduler.note_listing_time(listed_at);
+        if request.is_taken_up {
+            self.note_listing_time();
         }
         let key = self.scheduler.arrive(request, self.now);
         self.exchanges.insert(key, exchange);
--- a/crates/process/fescuetide_gateway/src/codec.rs
+++ b/crates/process/fescuetide_gateway/src/codec.rs
@@ -169,8 +169,9 @@
     /// `wait`.
     fn read_target(&self, stream: FleetStream, from: LogOffset, wait: SpanMillis) -> String;
 
-    /// Path and query of a call that appends records.
-    fn append_target(&self, stream: FleetStream) -> String;
+    /// Path and query of a call that appends records. With `end`, the log appends them only if its stream ends there, also if the
+    /// call is executed late. Otherwise it responds with status 412.
+    fn append_target(&self, stream: FleetStream, end: Option<LogOffset>) -> String;
 
     /// The era of the log as a response to a call states it, `None` if it does not.
     fn era_field<'a>(&self, head: &'a ResponseHead) -> Option<&'a str>;
--- a/crates/process/fescuetide_gateway/src/log_era.rs
+++ b/crates/process/fescuetide_gateway/src/log_era.rs
@@ -18,6 +18,7 @@
     tracker: EraTracker,
     /// Whether a defect of the era was logged.
     has_logged_defect: bool,
+    was_restored: bool,
 }
 
 impl EraWatch {
@@ -26,9 +27,15 @@
             stream,
             tracker: EraTracker::default(),
             has_logged_defect: false,
+            was_restored: false,
         }
     }
 
+    /// Whether the log may have come back from an older copy since the first response.
+    pub(crate) fn was_restored(&self) -> bool {
+        self.was_restored
+    }
+
     /// Checks the head of a response, if there was one. `position` is where the reader would go on.
     ///
     /// # Errors
@@ -68,6 +75,7 @@
                 }
             }
         }
+        self.was_restored = true;
         // Ends reads that wait for records, whose position is not valid either.
         publisher.outages.increment();
         Err(CallError::Restored)
--- a/crates/process/fescuetide_gateway/src/origin_exchange.rs
+++ b/crates/process/fescuetide_gateway/src/origin_exchange.rs
@@ -16,6 +16,9 @@
 impl<C: HttpCodec> TrafficLoop<C> {
     /// Tells, writes and asks what is due.
     pub(crate) fn exchange_origins(&mut self) {
+        if self.origin_exchange.has_obsolete() {
+            self.note_listing_time();
+        }
         let exchange = &mut self.origin_exchange;
         exchange.step(&mut self.scheduler, self.is_log_unavailable, self.now);
         let failed = exchange.take_failed_count();
@@ -25,6 +28,13 @@
         self.run_actions();
     }
 
+    /// Tells the scheduler how recent the list of upstreams is.
+    pub(crate) fn note_listing_time(&mut self) {
+        if let Some(listed_at) = self.listing.lock().confirmed_at() {
+            self.scheduler.note_listing_time(listed_at);
+        }
+    }
+
     /// Handles what became of calls to the log.
     pub(crate) fn handle_origin_log(&mut self, event: OriginLogEvent) {
         self.origin_exchange
--- a/crates/process/fescuetide_gateway/src/origin_log.rs
+++ b/crates/process/fescuetide_gateway/src/origin_log.rs
@@ -97,7 +97,8 @@
 
     fn list_at_start(&mut self) {
         match self.list() {
-            Ok(()) => {
+            Ok(_) => {
+                self.has_listing = true;
                 let event = OriginLogEvent::Started(self.reading());
                 self.publisher.send(LoopMessage::OriginLog(event));
             }
@@ -117,8 +118,12 @@
                 is_written.then_some(OriginLogEvent::VersionRecorded(origin))
             }
             OriginCommand::ForgetVersion(origin) => {
-                self.append(&OriginRecord::Forgotten(origin));
-                None
+                let result = self.forget(origin);
+                if let Err(error) = &result {
+                    self.report_failure("cannot remove the record of a version", error);
+                }
+                let is_removed = result.is_ok();
+                Some(OriginLogEvent::VersionForgotten { origin, is_removed })
             }
             OriginCommand::Read => Some(match self.read() {
                 Ok(origins) => OriginLogEvent::Read {
@@ -134,22 +139,51 @@
     }
 
     fn append(&mut self, record: &OriginRecord) -> bool {
+        let result = self.append_at(record, None);
+        if let Err(error) = &result {
+            self.report_failure("cannot append the origins of streams", error);
+        }
+        result.is_ok()
+    }
+
+    fn append_at(
+        &mut self,
+        record: &OriginRecord,
+        end: Option<LogOffset>,
+    ) -> Result<(), CallError> {
         let record = LogRecord {
             key: record.key(),
             value: record.value(),
         };
         let body = self.codec.encode_records(&[record]);
-        let target = self.codec.append_target(FleetStream::StreamOrigins);
-        let result = self.call(|client| client.post(&target, &body).map(|()| Vec::new()));
-        if let Err(error) = &result {
-            self.report_failure("cannot append the origins of streams", error);
+        let target = self.codec.append_target(FleetStream::StreamOrigins, end);
+        self.call(|client| client.post(&target, &body).map(|()| Vec::new()))
+            .map(drop)
+    }
+
+    /// Removes the record of a version, if there is one. The log may execute a call seconds after it was given up. The version may
+    /// serve again then, so nothing may have been appended since it was found to be obsolete.
+    fn forget(&mut self, origin: StreamOrigin) -> Result<(), CallError> {
+        let end = self.list()?;
+        if !self.versions.contains_key(&origin) {
+            return Ok(());
         }
-        result.is_ok()
+        self.append_at(&OriginRecord::Forgotten(origin), Some(end))?;
+        self.versions.swap_remove(&origin);
+        tracing::info!(
+            pool = origin.pool.get(),
+            version = origin.version.get(),
+            "removed the record of a version that has left"
+        );
+        Ok(())
     }
 
     /// The versions that the log has records of, as far as this thread has read.
     fn reading(&self) -> VersionReading {
-        let mut reading = VersionReading::default();
+        let mut reading = VersionReading {
+            is_restored: self.era.was_restored(),
+            ..VersionReading::default()
+        };
         for (origin, era) in &self.versions {
             match *era == self.era_text {
                 true => reading.versions.push(*origin),
@@ -159,9 +193,10 @@
         reading
     }
 
-    /// Lists the versions.
-    fn list(&mut self) -> Result<(), CallError> {
+    /// Lists the versions. Returns an offset up to which all records are taken into account.
+    fn list(&mut self) -> Result<LogOffset, CallError> {
         let mut records: Vec<LogRecord> = Vec::new();
+        let mut end = None;
         loop {
             let after = records.last().map(|record| record.key.as_str());
             let target = self.codec.listing_target(FleetStream::StreamOrigins, after);
@@ -170,20 +205,21 @@
             let page = page.map_err(CallError::Undecodable)?;
             let is_last = !page.has_more || page.records.is_empty();
             records.extend(page.records);
+            // Later pages may lack what was appended since the first one.
+            let end = *end.get_or_insert(page.end);
             if is_last {
-                break;
+                self.versions.clear();
+                self.apply(&records);
+                return Ok(end);
             }
         }
-        self.versions.clear();
-        self.apply(&records);
-        self.has_listing = true;
-        Ok(())
     }
 
     /// Reads to the end of the stream. Returns the origins.
     fn read(&mut self) -> Result<Vec<OriginEntry>, CallError> {
         if !self.has_listing {
             self.list()?;
+            self.has_listing = true;
         }
         let mut result = self.read_to_end();
         if let Err(CallError::Status(GONE_STATUS)) = result {
--- a/crates/process/fescuetide_gateway/src/report_appender.rs
+++ b/crates/process/fescuetide_gateway/src/report_appender.rs
@@ -177,7 +177,7 @@
                 let key = key.clone();
                 records.push(LogRecord { key, value });
             }
-            let target = self.codec.append_target(FleetStream::CrashReports);
+            let target = self.codec.append_target(FleetStream::CrashReports, None);
             let body = self.codec.encode_records(&records);
             count(&self.publisher.counters.log_calls);
             let result = self.client.post(&target, &body);
--- a/crates/protocol/fescuetide_wire/src/origin.rs
+++ b/crates/protocol/fescuetide_wire/src/origin.rs
@@ -21,9 +21,10 @@
 const UNKNOWN_AT_ONE: u8 = 8;
 const TO_WRITE: u8 = 9;
 const WRITTEN: u8 = 10;
+const FORGOTTEN: u8 = 12;
 
 /// The kinds of datagrams.
-const KINDS: [u8; 7] = [
+const KINDS: [u8; 8] = [
     TOLD,
     SOUGHT,
     UNKNOWN,
@@ -31,6 +32,7 @@
     UNKNOWN_AT_ONE,
     TO_WRITE,
     WRITTEN,
+    FORGOTTEN,
 ];
 
 /// Length of the kind and the number of entries, in bytes.
@@ -73,6 +75,7 @@
             OriginMessage::Sought(streams) => chunks(&streams, OriginMessage::Sought),
             OriginMessage::Written(streams) => chunks(&streams, OriginMessage::Written),
             OriginMessage::Versions(origins) => chunks(&origins, OriginMessage::Versions),
+            OriginMessage::Forgotten(origins) => chunks(&origins, OriginMessage::Forgotten),
             OriginMessage::Unknown {
                 streams,
                 has_one_version,
@@ -135,6 +138,7 @@
             OriginMessage::Unknown { streams, .. } => encode(UNKNOWN, streams, encode_key),
             OriginMessage::Written(keys) => encode(WRITTEN, keys, encode_key),
             OriginMessage::Versions(origins) => encode(VERSIONS, origins, encode_origin),
+            OriginMessage::Forgotten(origins) => encode(FORGOTTEN, origins, encode_origin),
         }
     }
 }
@@ -172,7 +176,7 @@
         }
         let entry_bytes = match *kind {
             TOLD | TO_WRITE => TOLD_BYTES,
-            VERSIONS => ORIGIN_BYTES,
+            VERSIONS | FORGOTTEN => ORIGIN_BYTES,
             _ => KEY_BYTES,
         };
         let count = usize::from(*count);
@@ -181,6 +185,7 @@
         }
         let chunks = || rest.as_chunks::<KEY_BYTES>().0.iter().copied();
         let keys = || chunks().map(decode_key).collect();
+        let origins = || chunks().map(decode_origin).collect();
         Ok(Self(match *kind {
             TOLD => OriginMessage::Told(decode_told(rest)?),
             TO_WRITE => OriginMessage::ToWrite(decode_told(rest)?),
@@ -190,7 +195,8 @@
                 streams: keys(),
                 has_one_version: *kind == UNKNOWN_AT_ONE,
             },
-            VERSIONS => OriginMessage::Versions(chunks().map(decode_origin).collect()),
+            VERSIONS => OriginMessage::Versions(origins()),
+            FORGOTTEN => OriginMessage::Forgotten(origins()),
             _ => return Err(DatagramError::WrongKind),
         }))
     }
--- a/crates/protocol/fescuetide_wire/tests/origin.rs
+++ b/crates/protocol/fescuetide_wire/tests/origin.rs
@@ -60,6 +60,7 @@
         unknown(64, false),
         unknown(2, true),
         OriginMessage::Versions(vec![ORIGIN]),
+        OriginMessage::Forgotten(vec![ORIGIN; 3]),
     ] {
         let datagram = OriginDatagram(message);
         let bytes = encode(&datagram);
