Divide requests by draws between upstreams that recover after a rate limit and the others

Cause: upstreams that recover were left out until all others were full, and out of the mean by which the others are bounded.

Change: for 5 s after the end of a limit, the others get one and a half times their usual part at first and their usual part at the end, by draws that need no report. The rest goes to the upstream that recovers and whose turn comes first, and counts against its tokens.

--- a/crates/coordination/fescuetide_flow/src/pool.rs
+++ b/crates/coordination/fescuetide_flow/src/pool.rs
@@ -349,8 +349,7 @@
             .is_some_and(|upstream| upstream.last_data_at > since)
     }
 
-    /// The upstreams that a request may be sent to. Unreachable upstreams are returned only if no other is available, and those that
-    /// recover after a rate limit only if the others are full.
+    /// The upstreams that a request may be sent to. Unreachable upstreams are returned only if no other is available.
     pub(crate) fn candidates(
         &self,
         filter: UpstreamFilter<'_>,
@@ -364,7 +363,6 @@
         let needs_recorded = self.needs_recorded(filter, conditions);
         let filter = self.narrow(filter, conditions);
         let mut reachable = Vec::with_capacity(self.upstreams.len());
-        let mut recovering = Vec::new();
         let mut unreachable = Vec::new();
         for (name, upstream) in &self.upstreams {
             if !conditions.accepts_requests(upstream) || !filter.allows(name, upstream) {
@@ -385,19 +383,13 @@
                 is_same_zone: upstream.entry.zone.as_str() == zone,
                 is_failing: outcomes.is_failing(name, failure_rate),
                 has_prefix: holders.contains(&name),
+                recovery: conditions.recovery(upstream),
             };
-            if !outcomes.is_reachable(name, now) {
-                unreachable.push(candidate);
-            } else if conditions.spares(upstream) {
-                recovering.push(candidate);
-            } else {
-                reachable.push(candidate);
+            match outcomes.is_reachable(name, now) {
+                true => reachable.push(candidate),
+                false => unreachable.push(candidate),
             }
         }
-        // No request waits or is refused for the sake of an upstream that names no limit any more.
-        if reachable.iter().all(|other| other.load >= other.capacity) {
-            reachable.append(&mut recovering);
-        }
         match reachable.is_empty() {
             true => unreachable,
             false => reachable,
--- a/crates/coordination/fescuetide_flow/src/pool/upstream.rs
+++ b/crates/coordination/fescuetide_flow/src/pool/upstream.rs
@@ -11,6 +11,7 @@
 use crate::announcements::AnnouncementTable;
 use crate::health::OutcomeTable;
 use crate::load::UpstreamLoad;
+use crate::placement::RecoveryState;
 use crate::rate_limits::RateLimitTable;
 
 /// Maximum number of requests queued at an upstream in addition to those in its slots.
@@ -100,9 +101,9 @@
         bucket.is_none_or(|bucket| bucket.has_token(self.now))
     }
 
-    /// Whether an upstream has got this gateway's part of what it is to get while it recovers after a rate limit.
-    pub(super) fn spares(&self, upstream: &PoolUpstream) -> bool {
-        self.rate_limits.spares(&upstream.entry, self.now)
+    /// How an upstream recovers after a rate limit, `None` if it does not.
+    pub(super) fn recovery(&self, upstream: &PoolUpstream) -> Option<RecoveryState> {
+        self.rate_limits.recovery(&upstream.entry, self.now)
     }
 
     pub(super) fn paused_until(&self, upstream: &PoolUpstream) -> Option<ClockMillis> {
--- a/crates/coordination/fescuetide_flow/src/rate_limits.rs
+++ b/crates/coordination/fescuetide_flow/src/rate_limits.rs
@@ -11,6 +11,7 @@
 use indexmap::IndexMap;
 
 use crate::PoolKey;
+use crate::placement::RecoveryState;
 use crate::rate_shares::LimitShare;
 use crate::rate_shares::MIN_SHARERS;
 
@@ -20,12 +21,9 @@
 /// How long a limit counts that no response has named or ended.
 const LIMIT_RETENTION: SpanMillis = SpanMillis::new(600_000);
 
-/// For how long after the end of a limit the upstream gets more and more requests. Until then the end is remembered, so that
-/// older news of the limit does not bring it back.
-const RECOVERY_TIME: SpanMillis = SpanMillis::new(16_000);
-
-/// Time in which the rate of requests to a recovering upstream doubles. It is that of the windows in which upstreams count.
-const RECOVERY_DOUBLING_TIME: SpanMillis = SpanMillis::new(4_000);
+/// For how long after the end of a limit the upstream is spared: the windows in which it counts requests began before the end. Until
+/// then the end is remembered, so that older news of the limit does not bring it back.
+const RECOVERY_TIME: SpanMillis = SpanMillis::new(5_000);
 
 /// The lowest rate that is used. Without any requests, nobody would learn that a limit has ended.
 const MIN_RATE: RequestRate = RequestRate::per_1000_s(250);
@@ -102,19 +100,13 @@
         now.since(self.at) < retention
     }
 
-    /// The requests per second that all gateways together send to the upstream, `None` without a bound. After the end of a limit, they
-    /// begin with the highest one and become more and more.
+    /// The requests per second that all gateways together send to the upstream, `None` without a bound. While it recovers, they are as many
+    /// as its highest limit allowed.
     pub(crate) fn shared_rate(&self, now: ClockMillis) -> Option<RequestRate> {
         if self.rate.is_some() {
             return self.rate;
         }
-        let since = now.since(self.at);
-        if since >= RECOVERY_TIME {
-            return None;
-        }
-        let doublings = since.as_millis() as f64 / RECOVERY_DOUBLING_TIME.as_millis() as f64;
-        let rate = self.highest.as_per_second() * doublings.exp2();
-        Some(RequestRate::per_second(rate))
+        (now.since(self.at) < RECOVERY_TIME).then_some(self.highest)
     }
 
     /// Sets this gateway's part of the limit.
@@ -130,7 +122,11 @@
         }
         let burst = rate * BURST_TIME.as_millis() as f64 / 1_000.0;
         let allowed = MIN_SHARERS as f64 + SPARE_TOKENS_PER_RATE * limit;
-        let depth = (allowed / share.sharers as f64).min(burst.max(MAX_SPARE_TOKENS));
+        // One that recovers gets what the others have no room for besides its tokens, so none are saved.
+        let depth = match self.rate {
+            Some(_) => (allowed / share.sharers as f64).min(burst.max(MAX_SPARE_TOKENS)),
+            None => 1.0,
+        };
         self.bucket.set(rate, depth.max(1.0), now);
     }
 }
@@ -314,15 +310,27 @@
         limit.rate.is_some().then_some(&limit.bucket)
     }
 
-    /// Whether an upstream recovers after a limit, and this gateway has sent it its part of what it gets at present.
-    pub(crate) fn spares(&self, entry: &UpstreamEntry, now: ClockMillis) -> bool {
-        let limit = self.find(&entry.name, entry.incarnation);
-        limit.is_some_and(|limit| {
-            limit.rate.is_none() && limit.is_remembered(now) && !limit.bucket.has_token(now)
+    /// How an upstream recovers after a limit, `None` if it does not.
+    pub(crate) fn recovery(
+        &self,
+        entry: &UpstreamEntry,
+        now: ClockMillis,
+    ) -> Option<RecoveryState> {
+        let limit = self.find(&entry.name, entry.incarnation)?;
+        if limit.rate.is_some() {
+            return None;
+        }
+        let since = now.since(limit.at).as_millis() as f64;
+        let turn = limit.bucket.next_at(now);
+        Some(RecoveryState {
+            wait: turn.map_or(MAX_TURN_TIME, |turn| turn.since(now)),
+            progress: since / RECOVERY_TIME.as_millis() as f64,
+            rate: limit.shared_rate(now)?.max(MIN_RATE),
         })
     }
 
-    /// Takes a token for a request to an upstream, if it has a limit.
+    /// Takes a token for a request to an upstream, if it has a limit or recovers after one. One that recovers may get requests that
+    /// the others have no room for, and gets fewer after them.
     pub(crate) fn take_token(
         &mut self,
         vm: &VmName,
@@ -332,7 +340,7 @@
         if let Some(limit) = self.limits.get_mut(vm)
             && limit.incarnation == incarnation
         {
-            limit.bucket.try_take(now);
+            limit.bucket.take_ahead(now);
         }
     }
 
--- a/crates/coordination/fescuetide_limits/src/rate_bucket.rs
+++ b/crates/coordination/fescuetide_limits/src/rate_bucket.rs
@@ -56,7 +56,7 @@
         self.rate
     }
 
-    /// The number of tokens.
+    /// The number of tokens, negative if some were taken ahead.
     pub fn tokens(&self, now: ClockMillis) -> f64 {
         let seconds = now.since(self.counted_at).as_millis() as f64 / 1_000.0;
         (self.tokens + seconds * self.rate).min(self.depth)
@@ -72,6 +72,12 @@
         true
     }
 
+    /// Takes a token, also if there is none. The next ones make up for it.
+    pub fn take_ahead(&mut self, now: ClockMillis) {
+        self.tokens = self.tokens(now) - 1.0;
+        self.counted_at = now;
+    }
+
     /// Whether there is a token.
     pub fn has_token(&self, now: ClockMillis) -> bool {
         self.tokens(now) >= 1.0 - ROUNDING_ERROR
--- a/crates/coordination/fescuetide_limits/tests/quota.rs
+++ b/crates/coordination/fescuetide_limits/tests/quota.rs
@@ -1,8 +1,9 @@
-//! Tests of the fixed-window rate limiter.
+//! Tests of the fixed-window rate limiter and of the token bucket.
 
 use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
 use fescuetide_limits::FixedWindowLimiter;
+use fescuetide_limits::RateBucket;
 
 /// Guards against a flood of one event kind that suppresses other kinds, is not counted, or is limited beyond its
 /// window.
@@ -17,3 +18,16 @@
     assert_eq!(limiter.take_suppressed(), None);
     assert!(limiter.try_acquire(0, now + SpanMillis::new(1_000)));
 }
+
+/// Guards against tokens that are taken ahead and that later ones do not make up for.
+#[test]
+fn later_tokens_make_up_for_those_taken_ahead() {
+    let now = ClockMillis::new(10_000);
+    let mut bucket = RateBucket::new(2.0, 1.0, now);
+    for _ in 0..3 {
+        bucket.take_ahead(now);
+    }
+    assert_eq!(bucket.next_at(now), Some(ClockMillis::new(11_500)));
+    assert!(!bucket.try_take(ClockMillis::new(11_400)));
+    assert!(bucket.try_take(ClockMillis::new(11_500)));
+}
