--- a/crates/coordination/fescuetide_flow/src/placement.rs
+++ b/crates/coordination/fescuetide_flow/src/placement.rs
@@ -126,8 +126,9 @@
     multiple * others.count() as f64 / candidates.len().max(1) as f64
 }
 
-/// Leaves out the upstreams that are spared, or all others for a part of the requests. Of those that are spared, the one is next whose
-/// turn comes first; if this gateway has no part of their rates, it is drawn by them. Draws divide the requests of all gateways without any of them knowing what the others send.
+/// Leaves out the upstreams that are spared, or for a part of the requests all but one of these. It is the one whose turn comes first; if
+/// this gateway has no part of their rates, it is drawn by them. Draws divide the requests of all gateways without any of them knowing
+/// what the others send.
 fn leave_out_spared<'a>(
     candidates: &'a [UpstreamCandidate<'a>],
     tie_break_seed: u64,
@@ -147,6 +148,9 @@
         }
     }
     spared.retain(|(_, other)| other.load < other.capacity);
+    if spared.is_empty() {
+        return used;
+    }
     let has_room = |load: u32| {
         used.iter()
             .any(|other| other.load < other.capacity.min(load))
