--- a/crates/coordination/fescuetide_flow/tests/flow/origin_fleet.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/origin_fleet.rs
@@ -1,11 +1,12 @@
 //! A fleet of gateways whose callers take up streams while upstreams of two versions serve, with all that may go wrong meanwhile.
 
+mod scenario;
 mod simulation;
 
 use fescuetide_base::SpanMillis;
 
+use scenario::Scenario;
 use simulation::OriginFleet;
-use simulation::Scenario;
 
 /// Number of streams that may hold events of two versions.
 const ALLOWED_MIXED: u64 = 2;
@@ -45,7 +46,7 @@
     let scenario = Scenario {
         releases: &[1_500],
         some_killed: &[1_600, 2_900, 4_000, 6_000, 9_000],
-        ..Scenario::default()
+        ..Scenario::QUIET
     };
     run_fleets(scenario, GO_ON);
 }
@@ -56,7 +57,7 @@
     let scenario = Scenario {
         releases: &[1_500, 8_000],
         all_killed: &[1_400, 1_700, 2_700, 3_900, 7_000, 8_200, 11_000],
-        ..Scenario::default()
+        ..Scenario::QUIET
     };
     run_fleets(scenario, GO_ON);
 }
@@ -68,7 +69,7 @@
         releases: &[1_500],
         old_leaves: Some(5_000),
         all_killed: &[4_990, 5_700, 8_000],
-        ..Scenario::default()
+        ..Scenario::QUIET
     };
     run_fleets(scenario, GO_ON);
 }
@@ -82,7 +83,7 @@
         log_away: Some((1_900, 6_000)),
         all_killed: &[5_000],
         some_killed: &[2_500, 3_500],
-        ..Scenario::default()
+        ..Scenario::QUIET
     };
     run_fleets(scenario, 0.5);
 }
@@ -94,7 +95,7 @@
         releases: &[1_500],
         log_turns_away: Some((1_300, 8_000)),
         some_killed: &[3_500, 5_000],
-        ..Scenario::default()
+        ..Scenario::QUIET
     };
     run_fleets(scenario, 0.5);
 }
@@ -105,7 +106,7 @@
     let scenario = Scenario {
         some_killed: &[2_000, 5_000],
         all_killed: &[3_000, 8_000],
-        ..Scenario::default()
+        ..Scenario::QUIET
     };
     run_fleets(scenario, 1.0);
 }
@@ -116,7 +117,7 @@
     let scenario = Scenario {
         some_killed: &[5_000],
         log_away: Some((3_000, 9_000)),
-        ..Scenario::default()
+        ..Scenario::QUIET
     };
     run_fleets(scenario, 1.0);
 }
@@ -128,12 +129,7 @@
     streams_from: 69_500,
     releases: &[1_500],
     old_leaves: Some(3_000),
-    old_returns: None,
-    all_killed: &[],
-    some_killed: &[],
-    killed: &[],
-    log_away: None,
-    log_turns_away: None,
+    ..Scenario::QUIET
 };
 
 /// Runs a scenario with two gateways and checks that `share` of the counted streams go on, and how many versions have records in the
@@ -150,43 +146,40 @@
     }
 }
 
-/// Guards against the record of an old version that stays in the log since one call failed. A gateway that starts later would take
-/// the version for a recent one, and refuse streams that began at gateways that are gone.
-#[test]
-fn obsolete_record_is_removed_after_an_outage_of_the_log() {
-    for killed in [&[(0, 69_000), (1, 72_000)], &[(1, 69_000), (0, 72_000)]] {
+/// Runs a scenario in which one of two gateways is killed at `first_at`, and the other one when streams have begun there, and checks that
+/// all streams go on, and that the record of the old version is removed.
+fn lose_gateways_in_turn(first_at: u64, scenario: Scenario) {
+    for (first, second) in [(0, 1), (1, 0)] {
         let scenario = Scenario {
-            log_away: Some((62_500, 67_000)),
-            killed,
-            ..OLD_RELEASE
+            killed_in_turn: Some([(first, first_at), (second, 72_000)]),
+            ..scenario
         };
         run_old_release(scenario, 1.0, 1);
     }
 }
 
+/// Guards against the record of an old version that stays in the log since one call failed. A gateway that starts later would take
+/// the version for a recent one, and refuse streams that began at gateways that are gone.
+#[test]
+fn obsolete_record_is_removed_after_an_outage_of_the_log() {
+    let scenario = Scenario {
+        log_away: Some((62_500, 67_000)),
+        ..OLD_RELEASE
+    };
+    lose_gateways_in_turn(69_000, scenario);
+}
+
 /// Guards against the same if the gateway whose turn it is to remove the record is down at that moment.
 #[test]
 fn obsolete_record_is_removed_without_the_gateway_that_comes_first() {
-    for killed in [&[(0, 62_900), (1, 72_000)], &[(1, 62_900), (0, 72_000)]] {
-        let scenario = Scenario {
-            killed,
-            ..OLD_RELEASE
-        };
-        run_old_release(scenario, 1.0, 1);
-    }
+    lose_gateways_in_turn(62_900, OLD_RELEASE);
 }
 
 /// Guards against a gateway that read the record before it was removed, and takes the version for a recent one for longer than the
 /// others do.
 #[test]
 fn gateway_that_read_an_obsolete_record_learns_of_its_removal() {
-    for killed in [&[(0, 40_000), (1, 72_000)], &[(1, 40_000), (0, 72_000)]] {
-        let scenario = Scenario {
-            killed,
-            ..OLD_RELEASE
-        };
-        run_old_release(scenario, 1.0, 1);
-    }
+    lose_gateways_in_turn(40_000, OLD_RELEASE);
 }
 
 /// Guards against the removal of a record that is needed again, since the version serves again while the removal is due.
--- a/crates/coordination/fescuetide_flow/tests/flow/origin_fleet/simulation.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/origin_fleet/simulation.rs
@@ -33,6 +33,7 @@
 
 use crate::harness::route;
 use crate::harness::upstream;
+use crate::origin_fleet::scenario::Scenario;
 
 /// Simulated time per step.
 const STEP: SpanMillis = SpanMillis::new(10);
@@ -55,9 +56,6 @@
 /// One stream in so many breaks off again after it was taken up.
 const BREAKS_AGAIN: u64 = 3;
 
-/// Length of a run, unless its scenario has another one.
-const DEFAULT_LENGTH: SpanMillis = SpanMillis::new(14_000);
-
 /// Longest time between two reads of the list of upstreams.
 const LISTING_INTERVAL: SpanMillis = SpanMillis::new(600);
 
@@ -67,48 +65,6 @@
 /// How long a call to a log that does not answer takes.
 const CALL_TIMEOUT: SpanMillis = SpanMillis::new(300);
 
-/// What happens in a run, with times since its start in ms.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Scenario {
-    pub(super) gateways: usize,
-    pub(super) length: SpanMillis,
-    /// From when on streams begin.
-    pub(super) streams_from: u64,
-    /// When upstreams of another version join, and when those of the first leave, if they do.
-    pub(super) releases: &'static [u64],
-    pub(super) old_leaves: Option<u64>,
-    /// When upstreams of the first version join again.
-    pub(super) old_returns: Option<u64>,
-    /// When all gateways are killed.
-    pub(super) all_killed: &'static [u64],
-    /// When two in five are killed.
-    pub(super) some_killed: &'static [u64],
-    /// Single gateways that are killed, and when.
-    pub(super) killed: &'static [(usize, u64)],
-    /// When the log is away.
-    pub(super) log_away: Option<(u64, u64)>,
-    /// When the log turns every second gateway away.
-    pub(super) log_turns_away: Option<(u64, u64)>,
-}
-
-impl Default for Scenario {
-    fn default() -> Self {
-        Self {
-            gateways: 0,
-            length: DEFAULT_LENGTH,
-            streams_from: 0,
-            releases: &[],
-            old_leaves: None,
-            old_returns: None,
-            all_killed: &[],
-            some_killed: &[],
-            killed: &[],
-            log_away: None,
-            log_turns_away: None,
-        }
-    }
-}
-
 #[derive(Clone, Debug, Default)]
 struct SimulatedLog {
     versions: IndexSet<StreamOrigin>,
@@ -308,9 +264,9 @@
         if self.scenario.old_returns == Some(elapsed) {
             self.entries.extend(entries_of(1));
         }
-        for (gateway, at) in self.scenario.killed {
-            if *at == elapsed {
-                self.kill(*gateway);
+        for (gateway, at) in self.scenario.killed_in_turn.into_iter().flatten() {
+            if at == elapsed {
+                self.kill(gateway);
             }
         }
         if self.is_at(self.scenario.all_killed) {
