--- a/review/tools-2/kit.rs
+++ b/review/tools-2/kit.rs
@@ -833,11 +833,19 @@
         lock(&run().children)[self.child].id()
     }
 
-    /// Sends a signal, by its name for `kill`.
+    /// Sends the signal `HUP`, `KILL` or `TERM`.
     pub fn signal(&self, name: &str) {
-        let id = self.process_id().to_string();
-        let status = Command::new("kill").args(["-s", name, &id]).status();
-        assert!(status.is_ok_and(|status| status.success()), "kill -s {name}");
+        unsafe extern "C" {
+            fn kill(process: i32, signal: i32) -> i32;
+        }
+        let number = match name {
+            "HUP" => 1,
+            "KILL" => 9,
+            "TERM" => 15,
+            other => panic!("unknown signal {other}"),
+        };
+        let result = unsafe { kill(self.process_id() as i32, number) };
+        assert!(result == 0, "cannot send {name}");
     }
 
     /// The exit status, if the process has ended.
