--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,5 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/release/fescuetided ] && [ -x target/review-2/case-8 ] || { echo "not built"; exit 2; }
+export TROUBLE="${TROUBLE:-1}"
 exec target/review-2/case-8 "$here"
