Take fractions in all bounds of a gateway's settings

Cause: the template of the settings multiplied seconds by appending 000, and the settings took whole numbers only. A grace period below 1 s was out of range as well, and a shutdown would have accepted connections for longer than it.

Evidence: "gateway.grace_ms": invalid type: floating point `7.5`, expected u64.

Short grace periods leave half of their time to requests. Negative, infinite and too large figures are still refused with their line.

--- a/crates/process/fescuetide_gateway/src/settings.rs
+++ b/crates/process/fescuetide_gateway/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a gateway.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 use fescuetide_base::ByteCount;
 use fescuetide_base::FindingList;
@@ -9,10 +10,11 @@
 use fescuetide_limits::BudgetSettings;
 use serde::Deserialize;
 
-/// Allowed range of `grace_ms`.
-const GRACE_RANGE_MS: (u64, u64) = (1_000, 600_000);
+/// Allowed range of `grace_ms`. Operators may give processes little time, or none, to end.
+const GRACE_RANGE_MS: RangeInclusive<f64> = 0.0..=600_000.0;
 
-/// Settings of a gateway.
+/// Settings of a gateway. Times in milliseconds may have a fraction, which is rounded, since bounds that are given in seconds
+/// may have one.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct GatewaySettings {
@@ -37,19 +39,19 @@
     /// Address of the platform's log.
     pub log_service: String,
     /// Time between a termination signal and the kill that follows it, in milliseconds.
-    pub grace_ms: u64,
+    pub grace_ms: f64,
     /// Maximum ratio of retries to requests, over all gateways together.
     pub retry_ratio: f64,
     /// Capacity of the retry budget that all gateways share for each pool: the retries that they may make in one burst.
     /// Each request refills it by `retry_ratio`.
-    pub retry_burst: u32,
+    pub retry_burst: f64,
     /// Time in which the retries of all gateways are limited, in milliseconds. A gateway has no part of `retry_burst` for so
     /// long after its start, since the process before it may just have used it.
-    pub retry_window_ms: u64,
+    pub retry_window_ms: f64,
     /// Time within which an upstream that is marked as leaving must stop receiving new requests, in milliseconds.
-    pub leave_limit_ms: u64,
+    pub leave_limit_ms: f64,
     /// Time within which a published configuration must take effect, in milliseconds.
-    pub config_limit_ms: u64,
+    pub config_limit_ms: f64,
     /// Maximum size of all messages that are buffered because they are incomplete or not yet sent on, in MiB.
     pub buffer_limit_mb: u64,
     /// Maximum load of an engine, as a multiple of the mean load of its pool.
@@ -68,12 +70,12 @@
             load_port: 0,
             seeds: Vec::new(),
             log_service: String::new(),
-            grace_ms: 8_000,
+            grace_ms: 8_000.0,
             retry_ratio: 0.2,
-            retry_burst: 40,
-            retry_window_ms: 10_000,
-            leave_limit_ms: 2_000,
-            config_limit_ms: 2_000,
+            retry_burst: 40.0,
+            retry_window_ms: 10_000.0,
+            leave_limit_ms: 2_000.0,
+            config_limit_ms: 2_000.0,
             buffer_limit_mb: 40,
             load_multiple: FlowSettings::default().load_multiple,
         }
@@ -81,7 +83,7 @@
 }
 
 /// Allowed range of `leave_limit_ms` and `config_limit_ms`.
-const PROPAGATION_LIMIT_RANGE_MS: (u64, u64) = (500, 600_000);
+const PROPAGATION_LIMIT_RANGE_MS: RangeInclusive<f64> = 500.0..=600_000.0;
 
 /// Allowed range of `buffer_limit_mb`. The least holds two of the largest responses.
 const BUFFER_LIMIT_RANGE_MB: (u64, u64) = (32, 65_536);
@@ -122,23 +124,15 @@
                 );
             }
         }
-        list.check_range(
-            "grace_ms",
-            self.grace_ms,
-            GRACE_RANGE_MS.0..=GRACE_RANGE_MS.1,
-        );
+        list.check_range("grace_ms", self.grace_ms, GRACE_RANGE_MS);
         list.check_range("retry_ratio", self.retry_ratio, 0.0..=10.0);
-        list.check_range("retry_burst", self.retry_burst, 0..=1_000_000);
-        list.check_range("retry_window_ms", self.retry_window_ms, 0..=600_000);
+        list.check_range("retry_burst", self.retry_burst, 0.0..=1_000_000.0);
+        list.check_range("retry_window_ms", self.retry_window_ms, 0.0..=600_000.0);
         for (key, value) in [
             ("leave_limit_ms", self.leave_limit_ms),
             ("config_limit_ms", self.config_limit_ms),
         ] {
-            list.check_range(
-                key,
-                value,
-                PROPAGATION_LIMIT_RANGE_MS.0..=PROPAGATION_LIMIT_RANGE_MS.1,
-            );
+            list.check_range(key, value, PROPAGATION_LIMIT_RANGE_MS);
         }
         list.check_range(
             "buffer_limit_mb",
@@ -157,7 +151,7 @@
 
     /// The grace period of a shutdown.
     pub fn grace(&self) -> SpanMillis {
-        SpanMillis::new(self.grace_ms)
+        round_millis(self.grace_ms)
     }
 
     /// Maximum size of all buffered messages together.
@@ -168,14 +162,14 @@
     /// Pause between two reads of the upstreams' registrations in the log. Together with the response time it must stay
     /// well below `leave_limit_ms`.
     pub(crate) fn upstream_pause(&self) -> SpanMillis {
-        SpanMillis::new(self.leave_limit_ms * 3 / 10)
+        round_millis(self.leave_limit_ms * 0.3)
     }
 
     /// How long a read of configurations waits for a new one. Publishing a configuration normally ends a waiting read
     /// at once. If it does not, the configuration is seen only when the wait is over, so the wait must be shorter than
     /// `config_limit_ms`.
     pub(crate) fn config_wait(&self) -> SpanMillis {
-        SpanMillis::new(self.config_limit_ms * 3 / 4)
+        round_millis(self.config_limit_ms * 0.75)
     }
 
     /// Settings of the request scheduler.
@@ -184,11 +178,16 @@
             load_multiple: self.load_multiple,
             retries: BudgetSettings {
                 ratio: self.retry_ratio * RETRY_RATIO_FRACTION,
-                burst: f64::from(self.retry_burst) * RETRY_BURST_FRACTION,
+                burst: self.retry_burst * RETRY_BURST_FRACTION,
             },
-            retry_window: SpanMillis::new(self.retry_window_ms),
-            listing_limit: SpanMillis::new(self.leave_limit_ms / 2),
+            retry_window: round_millis(self.retry_window_ms),
+            listing_limit: round_millis(self.leave_limit_ms / 2.0),
             ..FlowSettings::default()
         }
     }
 }
+
+/// Rounds milliseconds with a fraction. [`GatewaySettings::check`] reports those that are no time.
+fn round_millis(millis: f64) -> SpanMillis {
+    SpanMillis::new(millis.round() as u64)
+}
--- a/crates/process/fescuetide_gateway/src/shutdown.rs
+++ b/crates/process/fescuetide_gateway/src/shutdown.rs
@@ -10,8 +10,8 @@
 use crate::connection::Connection;
 use crate::traffic::TrafficLoop;
 
-/// How long new connections are still accepted. The load balancer notices within this time that the process is not
-/// ready.
+/// How long new connections are still accepted, if the grace period is long enough. The load balancer notices within this time
+/// that the process is not ready.
 const ACCEPT_PERIOD: SpanMillis = SpanMillis::new(2_500);
 
 /// The process exits this long before the end of the grace period, when it would be killed.
@@ -43,7 +43,10 @@
             return false;
         };
         let elapsed = self.now.since(drain.since);
-        if elapsed < ACCEPT_PERIOD {
+        let limit = SpanMillis::new(self.grace.as_millis().saturating_sub(KILL_MARGIN_MS));
+        // Half of a short grace period is left to requests that were accepted.
+        let accept_period = ACCEPT_PERIOD.min(SpanMillis::new(limit.as_millis() / 2));
+        if elapsed < accept_period {
             return false;
         }
         if !drain.is_closed {
@@ -56,8 +59,7 @@
             });
         }
         self.close_idle_callers();
-        let limit = self.grace.as_millis().saturating_sub(KILL_MARGIN_MS);
-        let is_over = elapsed.as_millis() >= limit;
+        let is_over = elapsed >= limit;
         if self.exchanges.is_empty() && !self.has_callers() || is_over {
             tracing::info!(
                 requests = self.exchanges.len(),
