Refuse streams of unknown origin if nobody vouches for one version

What callers saw: streams that began at v2 at one gateway were taken up at another one that the log turned away.

Cause: a search for the origin of a stream that failed counted the gateway's own table of versions as proof if it knew no other gateway, although its list of upstreams was too old.

Evidence: the gateway's log has source other_gateways_agree with no other gateway known.

Why this works: only the log or another gateway can tell what was listed since. A gateway needs no search for streams that it began, and a recent list or a readable log is proof as before (stream_goes_on_without_other_gateways_if_the_log_is_read).

--- a/crates/coordination/fescuetide_flow/src/origin_exchange.rs
+++ b/crates/coordination/fescuetide_flow/src/origin_exchange.rs
@@ -112,9 +112,7 @@
         let own = self.gateways.own();
         let holders = self.gateways.stream_holders(stream).iter();
         let others = holders.filter(|holder| Some(**holder) != own);
-        let has_peers = !self.gateways.peers().is_empty();
-        self.search
-            .start(stream, others.copied().collect(), has_peers, now);
+        self.search.start(stream, others.copied().collect(), now);
     }
 
     /// Tells, writes and asks what is due, and ends searches that have failed. `is_log_unavailable` is whether there is no use in
--- a/crates/coordination/fescuetide_flow/src/origin_search.rs
+++ b/crates/coordination/fescuetide_flow/src/origin_search.rs
@@ -43,8 +43,6 @@
 pub struct FailedSearch {
     /// The stream.
     pub stream: StreamKey,
-    /// Whether other gateways were asked.
-    pub had_peers: bool,
     /// Whether the log was read, and does not have the stream.
     pub is_log_read: bool,
     /// What they answered.
@@ -56,7 +54,6 @@
 struct SoughtStream {
     /// The gateways that have not answered.
     unanswered: Vec<SocketAddr>,
-    had_peers: bool,
     votes: VersionVotes,
     started_at: ClockMillis,
     next_at: ClockMillis,
@@ -82,18 +79,10 @@
 }
 
 impl OriginSearch {
-    /// Starts to look for the origin of a stream, in the log and at the gateways that were told. `had_peers` is whether there are other
-    /// gateways.
-    pub(crate) fn start(
-        &mut self,
-        stream: StreamKey,
-        holders: Vec<SocketAddr>,
-        had_peers: bool,
-        now: ClockMillis,
-    ) {
+    /// Starts to look for the origin of a stream, in the log and at the gateways that were told.
+    pub(crate) fn start(&mut self, stream: StreamKey, holders: Vec<SocketAddr>, now: ClockMillis) {
         let sought = SoughtStream {
             unanswered: holders,
-            had_peers,
             votes: VersionVotes::default(),
             started_at: now,
             next_at: now,
@@ -193,7 +182,6 @@
             if is_over {
                 failed.push(FailedSearch {
                     stream: *stream,
-                    had_peers: sought.had_peers,
                     is_log_read: sought.is_log_read,
                     votes: sought.votes,
                 });
--- a/crates/coordination/fescuetide_flow/src/scheduler/origins.rs
+++ b/crates/coordination/fescuetide_flow/src/scheduler/origins.rs
@@ -61,14 +61,13 @@
     }
 
     /// Ends the search for the origin of a stream. Its requests are refused, unless the stream can only be from before this gateway
-    /// started, when there was one version, or the log cannot be read and no gateway knows of more than one version.
+    /// started, when there was one version, or the log cannot be read and the other gateways that answer know of one version only.
+    ///
+    /// What this gateway knows by itself is no proof: while it cannot read the log, another gateway may have listed a new version
+    /// and have begun the stream there.
     pub fn give_up_origin(&mut self, search: &FailedSearch, now: ClockMillis) {
         let VersionVotes { for_one, against } = search.votes;
-        let is_vouched = against == 0
-            && match search.had_peers {
-                true => for_one > 0,
-                false => self.version_knowledge.is_complete(now),
-            };
+        let is_vouched = against == 0 && for_one > 0;
         if search.is_log_read {
             self.continue_earlier(search.stream, now);
         }
--- a/crates/coordination/fescuetide_flow/tests/flow/origin_exchange.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/origin_exchange.rs
@@ -6,6 +6,7 @@
 use fescuetide_base::SpanMillis;
 use fescuetide_fleet::VersionKey;
 use fescuetide_flow::FlowAction;
+use fescuetide_flow::FlowKey;
 use fescuetide_flow::FlowSettings;
 use fescuetide_flow::GatewayList;
 use fescuetide_flow::OriginCommand;
@@ -15,13 +16,16 @@
 use fescuetide_flow::OriginMessage;
 use fescuetide_flow::OriginOutput;
 use fescuetide_flow::PoolKey;
+use fescuetide_flow::RefusalCause;
 use fescuetide_flow::RequestScheduler;
 use fescuetide_flow::StreamKey;
 use fescuetide_flow::StreamOrigin;
 use fescuetide_flow::VersionReading;
 
+use crate::harness::SchedulerHarness;
 use crate::origins::HISTORY;
 use crate::origins::LISTING_LIMIT;
+use crate::origins::STREAM;
 use crate::origins::origin;
 use crate::origins::versioned;
 
@@ -210,3 +214,48 @@
     harness.now = harness.now + SpanMillis::new(LISTING_LIMIT.as_millis() + 1);
     assert!(!harness.removes(false));
 }
+
+/// A stream that is taken up at a gateway that hears from no other one, knows one version, and has a list of upstreams that is too old.
+fn harness_with_sought_stream() -> (SchedulerHarness, OriginExchange, FlowKey) {
+    let mut harness = SchedulerHarness::with_versions(2, 0);
+    harness.scheduler.note_listing_time(harness.now);
+    harness.advance(LISTING_LIMIT.as_millis() + 100);
+    let key = harness.arrive_for_stream(true);
+    assert_eq!(harness.next(), Some(FlowAction::SeekOrigin(STREAM)));
+    let mut exchange = OriginExchange::default();
+    exchange.seek_origin(STREAM, harness.now);
+    (harness, exchange, key)
+}
+
+/// Guards against a stream that is joined from two versions: a gateway that the log turns away does not know the version that began
+/// it at another gateway, which it does not know either.
+#[test]
+fn stream_is_refused_if_neither_the_log_nor_a_gateway_answers() {
+    for is_log_unavailable in [true, false] {
+        let (mut harness, mut exchange, key) = harness_with_sought_stream();
+        for _ in 0..50 {
+            exchange.step(&mut harness.scheduler, is_log_unavailable, harness.now);
+            harness.advance(10);
+        }
+        let refusal = harness.expect_refusal(key);
+        assert_eq!(refusal.cause, RefusalCause::UnknownStream);
+    }
+}
+
+/// Guards against a stream that a gateway alone refuses although the log shows that there is one version only.
+#[test]
+fn stream_goes_on_without_other_gateways_if_the_log_is_read() {
+    let (mut harness, mut exchange, key) = harness_with_sought_stream();
+    exchange.step(&mut harness.scheduler, false, harness.now);
+    let call = OriginOutput::Call(OriginCommand::Read);
+    assert_eq!(exchange.take_outputs(), [call]);
+    let event = OriginLogEvent::Read {
+        versions: VersionReading {
+            versions: vec![origin("v1")],
+            ..VersionReading::default()
+        },
+        origins: Vec::new(),
+    };
+    exchange.note_log(event, &mut harness.scheduler, harness.now);
+    harness.expect_send(key);
+}
--- a/crates/coordination/fescuetide_flow/tests/flow/origins.rs
+++ b/crates/coordination/fescuetide_flow/tests/flow/origins.rs
@@ -70,7 +70,6 @@
 pub(crate) fn failed_search(for_one: usize, against: usize) -> FailedSearch {
     FailedSearch {
         stream: STREAM,
-        had_peers: true,
         is_log_read: false,
         votes: VersionVotes { for_one, against },
     }
