Let gateways find each other in the log

Cause: the addresses of gateways came from the settings only. What gateways told each other about peers had no age, so one that was gone could count as live again, and in fleets of hundreds live ones were dropped.

Evidence: the logs say 1 gateway from 66 s on, when the stale seeds expire.

Change: each gateway keeps a record with its address in the log and lists those of others. A record only says whom to ask; a sign of life makes a gateway count. Signs of life have ages when they are told.

The listing of a log stream, which stood twice, and the random numbers of the followers are pieces of their own now.

--- a/crates/base/fescuetide_base/src/lib.rs
+++ b/crates/base/fescuetide_base/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod apply;
 mod clock;
+mod draw;
 mod finding;
 mod hash;
 mod id;
@@ -24,6 +25,7 @@
 pub use apply::ApplyError;
 pub use clock::ClockMillis;
 pub use clock::SpanMillis;
+pub use draw::DrawSequence;
 pub use finding::FindingList;
 pub use finding::InputFinding;
 pub use hash::StableHash;
@@ -36,6 +38,7 @@
 /// The most commonly used types of this crate.
 pub mod prelude {
     pub use crate::ClockMillis;
+    pub use crate::DrawSequence;
     pub use crate::FindingList;
     pub use crate::InputFinding;
     pub use crate::RequestRate;
--- a/crates/process/fescuetide_gateway/src/codec.rs
+++ b/crates/process/fescuetide_gateway/src/codec.rs
@@ -104,6 +104,8 @@
     CrashReports,
     /// Where event streams began.
     StreamOrigins,
+    /// The addresses of gateways.
+    Gateways,
 }
 
 impl fmt::Display for FleetStream {
@@ -113,6 +115,7 @@
             Self::Upstreams => "upstreams",
             Self::CrashReports => "crash-reports",
             Self::StreamOrigins => "stream-origins",
+            Self::Gateways => "gateways",
         })
     }
 }
--- a/crates/process/fescuetide_gateway/src/datagrams.rs
+++ b/crates/process/fescuetide_gateway/src/datagrams.rs
@@ -5,6 +5,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
@@ -22,8 +23,10 @@
 
 use crate::codec::HttpCodec;
 use crate::counters::count;
+use crate::follower::FleetPublisher;
 use crate::load_exchange::SharedListing;
 use crate::log_line_limit::LogLineKind;
+use crate::peer_state::PeerState;
 use crate::traffic::TrafficLoop;
 
 /// Time between two load digests.
@@ -53,6 +56,10 @@
     /// The port for datagrams of all gateways, `None` if each gets them at its address for peers.
     common_port: Option<u16>,
     peers: Vec<SocketAddr>,
+    /// The addresses of the same gateways for peers.
+    interfaces: Vec<SocketAddr>,
+    /// Shared with the threads that query peers.
+    peer_state: Arc<PeerState>,
     /// When the next load digest is sent.
     next_at: ClockMillis,
     /// Number of digests sent, which together with the own address selects the next peer.
@@ -73,7 +80,7 @@
         token: Token,
         peers: SocketAddr,
         common_port: Option<u16>,
-        listing: SharedListing,
+        publisher: &FleetPublisher,
     ) -> io::Result<Self> {
         let mut own = peers;
         own.set_port(common_port.unwrap_or(peers.port()));
@@ -84,16 +91,19 @@
             own,
             common_port,
             peers: Vec::new(),
+            interfaces: Vec::new(),
+            peer_state: Arc::clone(&publisher.peer_state),
             next_at: ClockMillis::default(),
             draws: 0,
             received: 0,
-            listing,
+            listing: publisher.listing.clone(),
             trusted_from: ClockMillis::default(),
         })
     }
 
     /// Replaces the other gateways, given by their addresses for peers.
     pub(crate) fn set_peers(&mut self, peers: Vec<SocketAddr>) {
+        self.interfaces.clone_from(&peers);
         self.peers = peers;
         for peer in &mut self.peers {
             if let Some(port) = self.common_port {
@@ -118,6 +128,14 @@
         (id_of(&self.own), self.peers.iter().map(id_of).collect())
     }
 
+    /// Records that a datagram came from a gateway, which therefore lives.
+    fn note_sender(&self, sender: SocketAddr, now: ClockMillis) {
+        let index = self.peers.iter().position(|peer| *peer == sender);
+        if let Some(interface) = index.and_then(|index| self.interfaces.get(index)) {
+            self.peer_state.refresh_peer(*interface, now);
+        }
+    }
+
     /// Records that the process was suspended until `now`.
     pub(crate) fn note_suspension(&mut self, now: ClockMillis) {
         self.trusted_from = now + DIGEST_INTERVAL;
@@ -182,6 +200,7 @@
                     return;
                 }
             };
+            exchange.note_sender(peer, self.now);
             let datagram = &buffer[..length];
             let is_digest = !OriginDatagram::has_kind(datagram);
             exchange.received += u32::from(is_digest);
--- a/crates/process/fescuetide_gateway/src/follower.rs
+++ b/crates/process/fescuetide_gateway/src/follower.rs
@@ -8,8 +8,8 @@
 use crossbeam::channel::RecvTimeoutError;
 use crossbeam::channel::Sender;
 use fescuetide_base::ClockMillis;
+use fescuetide_base::DrawSequence;
 use fescuetide_base::SpanMillis;
-use fescuetide_base::StableHash;
 use fescuetide_fleet::ConfigVersion;
 use fescuetide_fleet::FleetUpdate;
 use fescuetide_fleet::UpstreamChange;
@@ -63,6 +63,8 @@
     pub(crate) config_view: SharedConfigView,
     /// The outages of the log that the followers of the fleet have noticed.
     pub(crate) outages: OutageCounter,
+    /// Tells the thread that keeps the record of this gateway of restores of the log, `None` if there is no such thread.
+    pub(crate) restores: Option<Sender<()>>,
 }
 
 impl FleetPublisher {
@@ -72,6 +74,14 @@
         self.send(LoopMessage::Fleet(update));
     }
 
+    /// Records that the log may have come back from an older copy, and so have lost the record of this gateway.
+    pub(crate) fn note_restore(&self) {
+        let restores = self.restores.as_ref();
+        if restores.is_some_and(|restores| restores.send(()).is_err()) {
+            tracing::error!("cannot write the record of this gateway again: the thread has ended");
+        }
+    }
+
     /// Sends a message to the traffic thread and wakes it.
     pub(crate) fn send(&self, message: LoopMessage) {
         if self.sender.send(message).is_err() {
@@ -116,10 +126,10 @@
 ) {
     let view = follower.publisher.config_view.clone();
     let mut version: Option<ConfigVersion> = None;
-    let mut draws = ReadDraws::new(intervals.seed);
+    let mut draws = DrawSequence::new(intervals.seed);
     loop {
         if !view.lock().watches() {
-            let draw = draws.next();
+            let draw = draws.next_number();
             let due_at = || view.lock().due_at(intervals.config_wait, draw);
             if wait_until_due(due_at, refresh_requests).is_err() {
                 // The traffic thread has ended, so the process is exiting.
@@ -171,26 +181,6 @@
     }
 }
 
-/// Random numbers by which gateways read at different times.
-struct ReadDraws {
-    seed: u64,
-    count: u64,
-}
-
-impl ReadDraws {
-    fn new(seed: u64) -> Self {
-        Self { seed, count: 0 }
-    }
-
-    fn next(&mut self) -> u64 {
-        self.count += 1;
-        StableHash::new()
-            .field(&self.seed.to_le_bytes())
-            .field(&self.count.to_le_bytes())
-            .finish()
-    }
-}
-
 /// Publishes the upstreams whenever one of them changed.
 fn follow_upstreams<C: RecordCodec>(
     follower: StreamFollower<C>,
@@ -206,7 +196,7 @@
         follower,
         table: UpstreamTable::default(),
     };
-    let mut draws = ReadDraws::new(seed);
+    let mut draws = DrawSequence::new(seed);
     loop {
         let before: Vec<_> = reader.table.iter().cloned().collect();
         let read_at = ClockMillis::now();
@@ -222,7 +212,7 @@
         let is_available = !reader.follower.outage.is_unavailable();
         let listing = &reader.follower.publisher.listing;
         listing.lock().note_read(reader.listing_hash(), read_at);
-        let draw = draws.next();
+        let draw = draws.next_number();
         let due_at = || listing.lock().due_at(pause, draw);
         if is_available && wait_until_due(due_at, refresh_requests).is_err() {
             // The traffic thread has ended, so the process is exiting.
--- a/crates/process/fescuetide_gateway/src/log_era.rs
+++ b/crates/process/fescuetide_gateway/src/log_era.rs
@@ -75,6 +75,7 @@
                 }
             }
         }
+        publisher.note_restore();
         self.was_restored = true;
         // Ends reads that wait for records, whose position is not valid either.
         publisher.outages.increment();
--- a/crates/process/fescuetide_gateway/src/messages.rs
+++ b/crates/process/fescuetide_gateway/src/messages.rs
@@ -25,7 +25,7 @@
     PeerEvidence(Vec<CrashEvidence>),
     /// The log has come back from an older copy, so crash reports may be lost. Those that it still has follow.
     CrashReportsLost,
-    /// All seed peers were asked for their evidence, whether or not they answered.
+    /// The peers that could be found were asked for their evidence, whether or not they answered.
     PeersAsked,
     /// What is new in the crash reports in the log; empty if they cannot be read.
     CrashReports(Vec<CrashEvidence>),
--- a/crates/process/fescuetide_gateway/src/origin_log.rs
+++ b/crates/process/fescuetide_gateway/src/origin_log.rs
@@ -28,6 +28,7 @@
 use crate::log_client::CallError;
 use crate::log_client::PlatformLogClient;
 use crate::log_era::EraWatch;
+use crate::log_listing::LogListing;
 use crate::messages::LoopMessage;
 use crate::stream_follower::GONE_STATUS;
 
@@ -195,24 +196,13 @@
 
     /// Lists the versions. Returns an offset up to which all records are taken into account.
     fn list(&mut self) -> Result<LogOffset, CallError> {
-        let mut records: Vec<LogRecord> = Vec::new();
-        let mut end = None;
-        loop {
-            let after = records.last().map(|record| record.key.as_str());
-            let target = self.codec.listing_target(FleetStream::StreamOrigins, after);
-            let body = self.get(&target)?;
-            let page = self.codec.decode_listing(&body);
-            let page = page.map_err(CallError::Undecodable)?;
-            let is_last = !page.has_more || page.records.is_empty();
-            records.extend(page.records);
-            // Later pages may lack what was appended since the first one.
-            let end = *end.get_or_insert(page.end);
-            if is_last {
-                self.versions.clear();
-                self.apply(&records);
-                return Ok(end);
-            }
-        }
+        let codec = self.codec.clone();
+        let listing = LogListing::read(&codec, FleetStream::StreamOrigins, |target| {
+            self.get(target)
+        })?;
+        self.versions.clear();
+        self.apply(&listing.records);
+        Ok(listing.end)
     }
 
     /// Reads to the end of the stream. Returns the origins.
--- a/crates/process/fescuetide_gateway/src/peer_state.rs
+++ b/crates/process/fescuetide_gateway/src/peer_state.rs
@@ -11,6 +11,7 @@
 use fescuetide_fleet::FleetConfig;
 use fescuetide_fleet::FleetSnapshot;
 use fescuetide_fleet::FleetUpdate;
+use fescuetide_fleet::PeerNews;
 use fescuetide_fleet::PeerTable;
 use fescuetide_fleet::UpstreamEntry;
 use fescuetide_limits::CrashEvidence;
@@ -23,6 +24,8 @@
     evidence: Vec<CrashEvidence>,
     evidence_at: ClockMillis,
     peers: PeerTable,
+    /// The live peers that the event loop was told last.
+    published_peers: Option<Vec<SocketAddr>>,
 }
 
 /// What this gateway reports to peers and has learned from them. Shared between the control threads.
@@ -105,20 +108,46 @@
         list
     }
 
-    /// Records a peer that sent a query or a reply, and the addresses of the peers that it reports.
-    pub(crate) fn record_peer(&self, peer: SocketAddr, known: &[SocketAddr], now: ClockMillis) {
+    /// Records a peer that sent a query or a reply, and the peers that it reports.
+    pub(crate) fn record_peer(&self, peer: SocketAddr, known: &[PeerNews], now: ClockMillis) {
         let mut state = self.lock();
         state.peers.record_contact(peer, now);
-        for address in known {
-            state.peers.add_if_unknown(*address, now);
+        for news in known {
+            state.peers.merge(*news, now);
         }
     }
 
+    /// Records a sign of life of a peer that is known.
+    pub(crate) fn refresh_peer(&self, peer: SocketAddr, now: ClockMillis) {
+        self.lock().peers.refresh(peer, now);
+    }
+
+    /// What to tell other gateways about peers.
+    pub(crate) fn peer_news(&self, now: ClockMillis) -> Vec<PeerNews> {
+        self.lock().peers.news(now)
+    }
+
+    /// Whether another gateway is known to live, by more than the settings.
+    pub(crate) fn has_contact(&self, now: ClockMillis) -> bool {
+        self.lock().peers.has_contact(now)
+    }
+
+    /// The live peers, if they are others than when this was last called.
+    pub(crate) fn take_changed_peers(&self, now: ClockMillis) -> Option<Vec<SocketAddr>> {
+        let mut state = self.lock();
+        let peers = state.peers.list_recent(now);
+        if state.published_peers.as_ref() == Some(&peers) {
+            return None;
+        }
+        state.published_peers = Some(peers.clone());
+        Some(peers)
+    }
+
     pub(crate) fn next_peer(&self, now: ClockMillis) -> Option<SocketAddr> {
         self.lock().peers.next_peer(now)
     }
 
-    /// The peers that sent a message to this gateway recently.
+    /// The peers that count as live.
     pub(crate) fn live_peers(&self, now: ClockMillis) -> Vec<SocketAddr> {
         self.lock().peers.list_recent(now)
     }
--- a/crates/process/fescuetide_gateway/src/peers.rs
+++ b/crates/process/fescuetide_gateway/src/peers.rs
@@ -24,12 +24,26 @@
 use fescuetide_wire::peer::FleetWire;
 use fescuetide_wire::peer::PeerAsk;
 use fescuetide_wire::peer::PeerReply;
+use fescuetide_wire::peer::join_news;
+use fescuetide_wire::peer::split_news;
 use fescuetide_wire::rpc::EvidenceWire;
 
 use crate::counters::count;
 use crate::follower::FleetPublisher;
 use crate::messages::LoopMessage;
 
+/// Time after the start in which the log may tell which gateways there are, if no seed answers.
+const LISTING_TIME: SpanMillis = SpanMillis::new(1_000);
+
+/// Maximum number of gateways that are asked at a time of those that were found in the log. Some of them may be gone.
+const FOUND_QUERY_LIMIT: usize = 8;
+
+/// The same while other gateways are known, since each one that is gone delays what is to be sent to the others.
+const MORE_FOUND_QUERY_LIMIT: usize = 2;
+
+/// Number of gateways of those that were found in the log that have to answer. They report all others.
+const FOUND_ANSWERS: usize = 3;
+
 /// Timeout for connecting to a peer.
 const CONNECT_TIMEOUT: SpanMillis = SpanMillis::new(400);
 
@@ -63,6 +77,8 @@
     Evidence(Vec<CrashEvidence>),
     /// Send the evidence to all peers now.
     Broadcast,
+    /// These gateways have records in the log, the ones to ask first at the beginning.
+    Found(Vec<SocketAddr>),
 }
 
 /// Starts the thread that answers peers at `listener` and the thread that queries them.
@@ -107,21 +123,47 @@
     let mut stream = FramedStream::new(stream)?;
     let query: PeerAsk = stream.receive(Some(READ_TIMEOUT))?;
     let now = ClockMillis::now();
-    publisher
-        .peer_state
-        .record_peer(query.sender, &query.known, now);
+    let news = join_news(&query.known, &query.ages_ms);
+    publisher.peer_state.record_peer(query.sender, &news, now);
+    publisher.publish_peers();
     publisher.publish_peer_evidence(query.suspects);
     let fleet = match query.wants_fleet {
         true => FleetWire::from_snapshot(&publisher.peer_state.fleet(), now),
         false => None,
     };
+    let (known, ages_ms) = split_news(&publisher.peer_state.peer_news(now));
     stream.send(&PeerReply {
-        known: publisher.peer_state.live_peers(now),
+        known,
         suspects: list_evidence(publisher, now),
         fleet,
+        ages_ms,
     })
 }
 
+/// What became of a query.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum QueryOutcome {
+    Failed,
+    Answered { has_fleet: bool },
+}
+
+/// The time after the start until the gateways have been asked that can be found.
+struct StartPhase {
+    /// When it ends at the latest, `None` once it has ended.
+    ends_at: Option<ClockMillis>,
+    /// Whether the gateways were asked that have records in the log.
+    has_listing: bool,
+}
+
+impl StartPhase {
+    fn until(ends_at: ClockMillis) -> Self {
+        Self {
+            ends_at: Some(ends_at),
+            has_listing: false,
+        }
+    }
+}
+
 struct PeerClient {
     own: SocketAddr,
     publisher: FleetPublisher,
@@ -130,32 +172,49 @@
 
 impl PeerClient {
     fn run(self, commands: &Receiver<PeerCommand>) {
-        self.query_seeds();
+        self.query_all(&self.publisher.peer_state.all_peers(), usize::MAX);
+        self.publisher.publish_peers();
+        let mut start = StartPhase::until(self.started + LISTING_TIME);
         let mut next_query_at = self.started + PEER_QUERY_DELAY;
         let mut interval = INITIAL_INTERVAL;
-        let mut known = Vec::new();
         loop {
-            let wait = next_query_at.since(ClockMillis::now());
+            self.advance_start(&mut start);
+            let due_at = start
+                .ends_at
+                .map_or(next_query_at, |at| at.min(next_query_at));
+            let wait = due_at.since(ClockMillis::now());
             match commands.recv_timeout(wait.into()) {
                 Ok(PeerCommand::Evidence(list)) => {
                     let peer_state = &self.publisher.peer_state;
                     peer_state.record_evidence(list, ClockMillis::now());
                 }
                 Ok(PeerCommand::Broadcast) => self.broadcast_evidence(),
-                Err(RecvTimeoutError::Timeout) => {
-                    self.query_next();
-                    let now = ClockMillis::now();
-                    next_query_at = now + self.next_interval(interval);
-                    interval = (interval + interval).min(MAX_INTERVAL);
-                    let peers = self.publisher.peer_state.live_peers(now);
-                    if peers != known || known.is_empty() {
-                        known.clone_from(&peers);
-                        self.publisher.send(LoopMessage::Peers(peers));
-                    }
+                Ok(PeerCommand::Found(gateways)) => {
+                    self.query_found(&gateways);
+                    start.has_listing = true;
                 }
+                Err(RecvTimeoutError::Timeout) => {}
                 // The traffic thread has ended, so the process is exiting.
                 Err(RecvTimeoutError::Disconnected) => return,
             }
+            if ClockMillis::now() >= next_query_at {
+                self.query_next();
+                next_query_at = ClockMillis::now() + self.next_interval(interval);
+                interval = (interval + interval).min(MAX_INTERVAL);
+            }
+            self.publisher.publish_peers();
+        }
+    }
+
+    /// Tells the event loop once the gateways have been asked that can be found. The log is waited for if no seed has answered.
+    fn advance_start(&self, start: &mut StartPhase) {
+        let now = ClockMillis::now();
+        let Some(ends_at) = start.ends_at else {
+            return;
+        };
+        if start.has_listing || now >= ends_at || self.publisher.peer_state.has_contact(now) {
+            start.ends_at = None;
+            self.publisher.send(LoopMessage::PeersAsked);
         }
     }
 
@@ -187,14 +246,34 @@
         }
     }
 
-    /// Asks the seed peers what they know about requests that crash upstreams, and for their configuration. The log may lack
-    /// both, if it has come back from an older copy.
-    fn query_seeds(&self) {
+    /// Asks peers what they know about requests that crash upstreams, and one of them for its configuration, until so many have
+    /// answered. The log may lack both, if it has come back from an older copy.
+    fn query_all(&self, peers: &[SocketAddr], answers: usize) {
         let mut has_fleet = false;
-        for peer in self.publisher.peer_state.all_peers() {
-            has_fleet |= self.query(peer, !has_fleet);
+        let mut answered = 0;
+        for peer in peers {
+            if answered == answers {
+                return;
+            }
+            if let QueryOutcome::Answered { has_fleet: has } = self.query(*peer, !has_fleet) {
+                answered += 1;
+                has_fleet |= has;
+            }
         }
-        self.publisher.send(LoopMessage::PeersAsked);
+    }
+
+    /// Asks some of the gateways that were found in the log and are not known to live.
+    fn query_found(&self, gateways: &[SocketAddr]) {
+        let now = ClockMillis::now();
+        let peer_state = &self.publisher.peer_state;
+        let live = peer_state.live_peers(now);
+        let mut unknown: Vec<SocketAddr> = gateways.to_vec();
+        unknown.retain(|gateway| !live.contains(gateway));
+        unknown.truncate(match peer_state.has_contact(now) {
+            true => MORE_FOUND_QUERY_LIMIT,
+            false => FOUND_QUERY_LIMIT,
+        });
+        self.query_all(&unknown, FOUND_ANSWERS);
     }
 
     fn query_next(&self) {
@@ -204,19 +283,19 @@
         self.query(peer, self.publisher.peer_state.wants_fleet());
     }
 
-    /// Asks a peer and handles its reply. Returns whether the reply has a fleet.
-    fn query(&self, peer: SocketAddr, wants_fleet: bool) -> bool {
+    /// Asks a peer and handles its reply.
+    fn query(&self, peer: SocketAddr, wants_fleet: bool) -> QueryOutcome {
         count(&self.publisher.counters.peer_queries);
         match self.request_reply(peer, wants_fleet) {
             Ok(reply) => {
                 let has_fleet = reply.fleet.is_some();
                 self.handle_reply(peer, reply);
-                has_fleet
+                QueryOutcome::Answered { has_fleet }
             }
             Err(error) => {
                 count(&self.publisher.counters.peer_failures);
                 tracing::debug!(%peer, %error, "failed to query a peer");
-                false
+                QueryOutcome::Failed
             }
         }
     }
@@ -224,20 +303,21 @@
     fn request_reply(&self, peer: SocketAddr, wants_fleet: bool) -> Result<PeerReply, FrameError> {
         let now = ClockMillis::now();
         let mut stream = FramedStream::connect(peer, CONNECT_TIMEOUT)?;
+        let (known, ages_ms) = split_news(&self.publisher.peer_state.peer_news(now));
         stream.send(&PeerAsk {
             sender: self.own,
-            known: self.publisher.peer_state.live_peers(now),
+            known,
             suspects: list_evidence(&self.publisher, now),
             wants_fleet,
+            ages_ms,
         })?;
         stream.receive(Some(READ_TIMEOUT))
     }
 
     fn handle_reply(&self, peer: SocketAddr, reply: PeerReply) {
         let now = ClockMillis::now();
-        self.publisher
-            .peer_state
-            .record_peer(peer, &reply.known, now);
+        let news = join_news(&reply.known, &reply.ages_ms);
+        self.publisher.peer_state.record_peer(peer, &news, now);
         self.publisher.publish_peer_evidence(reply.suspects);
         let Some(fleet) = reply.fleet else {
             return;
@@ -262,6 +342,13 @@
 }
 
 impl FleetPublisher {
+    /// Tells the event loop which peers live, if that has changed.
+    fn publish_peers(&self) {
+        if let Some(peers) = self.peer_state.take_changed_peers(ClockMillis::now()) {
+            self.send(LoopMessage::Peers(peers));
+        }
+    }
+
     /// Tells the event loop what a peer knows about requests that crash upstreams.
     fn publish_peer_evidence(&self, suspects: Vec<EvidenceWire>) {
         if suspects.is_empty() {
--- a/crates/process/fescuetide_gateway/src/process.rs
+++ b/crates/process/fescuetide_gateway/src/process.rs
@@ -30,6 +30,7 @@
 use crate::origin_log;
 use crate::peer_state::PeerState;
 use crate::peers;
+use crate::registry::GatewayRegistry;
 use crate::sockets;
 use crate::traffic::DATAGRAMS_TOKEN;
 use crate::traffic::LoopListeners;
@@ -73,29 +74,41 @@
             outages: OutageCounter::default(),
             listing: SharedListing::default(),
             config_view: SharedConfigView::default(),
+            restores: None,
         };
+        let log_service = parse_address("log_service", &settings.log_service)?;
         if let Some(listener) = open_peer_listener(settings)? {
             let own = listener.local_addr()?;
+            let table = PeerTable::new(own, &settings.seed_addresses(), ClockMillis::now());
+            publisher.peer_state = Arc::new(PeerState::new(table));
             let common_port = (settings.load_port != 0).then_some(settings.load_port);
             let registry = traffic.poll.registry();
-            let exchange = DatagramExchange::open(
-                registry,
-                DATAGRAMS_TOKEN,
-                own,
-                common_port,
-                publisher.listing.clone(),
-            )
-            .with_context(|| format!("cannot open the socket for datagrams at {own}"))?;
+            let exchange =
+                DatagramExchange::open(registry, DATAGRAMS_TOKEN, own, common_port, &publisher)
+                    .with_context(|| format!("cannot open the socket for datagrams at {own}"))?;
             let gateways = GatewayList::new(exchange.own(), exchange.peers());
             traffic.origin_exchange.set_gateways(gateways);
             traffic.datagrams = Some(exchange);
-            let table = PeerTable::new(own, &settings.seed_addresses(), ClockMillis::now());
-            publisher.peer_state = Arc::new(PeerState::new(table));
+            let (restore_sender, restores) = channel::unbounded();
+            let is_reachable = !own.ip().is_unspecified();
+            publisher.restores = is_reachable.then_some(restore_sender);
             let peer_sender =
                 peers::start(listener, &publisher).context("cannot start a peer thread")?;
-            traffic.peer_sender = Some(peer_sender);
+            traffic.peer_sender = Some(peer_sender.clone());
+            if is_reachable {
+                GatewayRegistry::start(
+                    log_service,
+                    own,
+                    records,
+                    &publisher,
+                    peer_sender,
+                    restores,
+                )
+                .context("cannot start a control thread")?;
+            } else {
+                tracing::warn!(%own, "other gateways cannot find this one, since it listens at no particular address");
+            }
         }
-        let log_service = parse_address("log_service", &settings.log_service)?;
         let intervals = FollowIntervals {
             config_wait: settings.config_wait(),
             upstream_pause: settings.upstream_pause(),
--- a/crates/process/fescuetide_gateway/src/stream_follower.rs
+++ b/crates/process/fescuetide_gateway/src/stream_follower.rs
@@ -19,6 +19,7 @@
 use crate::log_client::CallError;
 use crate::log_client::PlatformLogClient;
 use crate::log_era::EraWatch;
+use crate::log_listing::LogListing;
 
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -131,31 +132,19 @@
                 self.publisher.publish(update);
             }
             // Not a part of the fleet. The other followers notice an outage at least as soon.
-            FleetStream::CrashReports | FleetStream::StreamOrigins => {}
+            FleetStream::CrashReports | FleetStream::StreamOrigins | FleetStream::Gateways => {}
         }
     }
 
+    /// Lists the newest records. Those that change during the listing are read again: reading continues from the end offset of
+    /// the first page.
     fn list(&mut self) -> Result<Vec<LogRecord>, CallError> {
-        let mut records: Vec<LogRecord> = Vec::new();
-        let mut end = None;
-        loop {
-            let after = records.last().map(|record| record.key.as_str());
-            let target = self.codec.listing_target(self.stream, after);
-            let body = self.call(&target, SpanMillis::default())?;
-            let page = self
-                .codec
-                .decode_listing(&body)
-                .map_err(CallError::Undecodable)?;
-            // Records that change during the listing are read again: reading continues from the end offset of the
-            // first page.
-            end.get_or_insert(page.end);
-            let is_last = !page.has_more || page.records.is_empty();
-            records.extend(page.records);
-            if is_last {
-                self.next = end;
-                return Ok(records);
-            }
-        }
+        let codec = self.codec.clone();
+        let listing = LogListing::read(&codec, self.stream, |target| {
+            self.call(target, SpanMillis::default())
+        })?;
+        self.next = Some(listing.end);
+        Ok(listing.records)
     }
 
     fn read(&mut self, from: LogOffset, wait: SpanMillis) -> Result<Vec<LogRecord>, CallError> {
--- a/crates/protocol/fescuetide_wire/src/lib.rs
+++ b/crates/protocol/fescuetide_wire/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod crash;
 pub mod datagram;
 pub mod frame;
+pub mod gateway;
 pub mod limit;
 pub mod load;
 pub mod log;
--- a/crates/protocol/fescuetide_wire/src/peer.rs
+++ b/crates/protocol/fescuetide_wire/src/peer.rs
@@ -20,6 +20,7 @@
 use fescuetide_fleet::ConfigVersion;
 use fescuetide_fleet::FleetConfig;
 use fescuetide_fleet::FleetSnapshot;
+use fescuetide_fleet::PeerNews;
 use fescuetide_fleet::PoolEntry;
 use fescuetide_fleet::PoolShare;
 use fescuetide_fleet::RouteEntry;
@@ -30,6 +31,7 @@
 use fescuetide_fleet::WorkKind;
 use fescuetide_fleet::WorkspaceEntry;
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
 
 use crate::rpc::EvidenceWire;
@@ -45,6 +47,10 @@
     pub suspects: Vec<EvidenceWire>,
     /// Whether the sender requests the configuration and the upstreams, because it has not read them from the log yet.
     pub wants_fleet: bool,
+    /// For each address in `known`, the time since that peer was last known to live, in milliseconds. Empty if the sender is of
+    /// an earlier version, whose messages end before this field.
+    #[serde(deserialize_with = "last_field")]
+    pub ages_ms: Vec<u32>,
 }
 
 /// The response of a peer to [`PeerAsk`].
@@ -56,6 +62,39 @@
     pub suspects: Vec<EvidenceWire>,
     /// The configuration and the upstreams, if they were requested and the responder has them.
     pub fleet: Option<FleetWire>,
+    /// As in [`PeerAsk::ages_ms`].
+    #[serde(deserialize_with = "last_field")]
+    pub ages_ms: Vec<u32>,
+}
+
+/// Reads a field that is missing at the end of messages of an earlier version.
+fn last_field<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<u32>, D::Error> {
+    Ok(Vec::deserialize(deserializer).unwrap_or_default())
+}
+
+/// Splits news of peers into the addresses and the ages of a message.
+pub fn split_news(news: &[PeerNews]) -> (Vec<SocketAddr>, Vec<u32>) {
+    let mut known = Vec::with_capacity(news.len());
+    let mut ages_ms = Vec::with_capacity(news.len());
+    for PeerNews { address, age } in news {
+        known.push(*address);
+        let age = age.unwrap_or_default().as_millis();
+        ages_ms.push(u32::try_from(age).unwrap_or(u32::MAX));
+    }
+    (known, ages_ms)
+}
+
+/// Joins the addresses and the ages of a message.
+pub fn join_news(known: &[SocketAddr], ages_ms: &[u32]) -> Vec<PeerNews> {
+    let mut news = Vec::with_capacity(known.len());
+    for (index, address) in known.iter().enumerate() {
+        let age = ages_ms.get(index);
+        news.push(PeerNews {
+            address: *address,
+            age: age.map(|age| SpanMillis::new(u64::from(*age))),
+        });
+    }
+    news
 }
 
 /// The configuration that all gateways share, and the list of upstreams.
