Take no part of a service's response for the whole one

What callers saw on the native path: an upload to a service that answered at once with a 200 without a length, sent a part of its body and reset its connection, was answered with that part as a complete 200.

Cause: the HTTP client of the side process takes the end of a connection for the end of a body without a length, also if the connection was reset, or if the request could not be written whole.

Gateways pass on none of them (response_that_breaks_off_during_an_upload_is_no_success, also with several uploads at a time and in chunks, passes before and after).

Change: each call of a side process watches its own connection for failed reads and writes, and a body without a length is complete only if there were none. This works since the watch sees the errors that the client hides. Whole responses without a length, and early ones with a length, are passed on as before (response_that_ends_with_its_connection_is_complete).

--- a/crates/process/fescuetide_side/src/lib.rs
+++ b/crates/process/fescuetide_side/src/lib.rs
@@ -16,6 +16,7 @@
 mod server;
 mod settings;
 mod upstream;
+mod watched;
 
 use std::net::TcpListener;
 use std::sync::Arc;
--- a/crates/process/fescuetide_side/src/upstream.rs
+++ b/crates/process/fescuetide_side/src/upstream.rs
@@ -23,12 +23,15 @@
 use serde_json::Value;
 use ureq::Agent;
 use ureq::Body;
+use ureq::config::Config;
 use ureq::http::Request;
 use ureq::http::Response;
 
 use crate::SideSettings;
 use crate::UpstreamKind;
 use crate::response::ResponseBuffer;
+use crate::watched::ConnectionWatch;
+use crate::watched::has_length;
 
 /// Timeout of connecting to the upstream, which is on the same VM.
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
@@ -58,7 +61,7 @@
 /// Client of one upstream.
 #[derive(Debug)]
 pub(crate) struct UpstreamClient {
-    agent: Agent,
+    config: Config,
     base: String,
     kind: UpstreamKind,
     pause: Mutex<RequestPause>,
@@ -77,13 +80,18 @@
             .max_redirects_will_error(false)
             .build();
         Self {
-            agent: config.into(),
+            config,
             base: settings.upstream_url.clone(),
             kind: settings.kind,
             pause: Mutex::default(),
         }
     }
 
+    /// The agent of a call whose response has no body that matters.
+    fn agent(&self) -> Agent {
+        ConnectionWatch::default().agent(&self.config)
+    }
+
     /// Time for which the upstream still wants no requests, or `None` if it accepts them.
     pub(crate) fn pause_left(&self, now: ClockMillis) -> Option<SpanMillis> {
         let end = self.lock_pause().end(now)?;
@@ -148,29 +156,32 @@
     /// Exports the longest cached prefix of a request from the engine. Returns an empty blob if there is none, the call
     /// fails or it takes longer than `limit`.
     pub(crate) fn export_prefix(&self, body: &[u8], limit: SpanMillis) -> Vec<u8> {
-        let result = self
-            .agent
+        let watch = ConnectionWatch::default();
+        let result = watch
+            .agent(&self.config)
             .post(format!("{}/kv/export", self.base))
             .config()
             .timeout_global(Some(limit.into()))
             .build()
             .send(body);
-        match result {
-            Ok(mut response) if response.status() == 200 => response
-                .body_mut()
-                .with_config()
-                // The blob is sent as one frame, which must stay below the frame limit.
-                .limit(FRAME_LIMIT_BYTES as u64 / 2)
-                .read_to_vec()
-                .unwrap_or_default(),
-            Ok(_) | Err(_) => Vec::new(),
+        let mut response = match result {
+            Ok(response) if response.status() == 200 => response,
+            Ok(_) | Err(_) => return Vec::new(),
+        };
+        let has_length = has_length(&response);
+        // The blob is sent as one frame, which must stay below the frame limit.
+        let limited = response.body_mut().with_config();
+        let blob = limited.limit(FRAME_LIMIT_BYTES as u64 / 2).read_to_vec();
+        match (blob, watch.check_end(has_length)) {
+            (Ok(blob), Ok(())) => blob,
+            _ => Vec::new(),
         }
     }
 
     /// Imports a prefix exported by another engine. Returns whether the engine accepted it.
     pub(crate) fn import_prefix(&self, blob: &[u8], limit: SpanMillis) -> bool {
         let result = self
-            .agent
+            .agent()
             .post(format!("{}/kv/import", self.base))
             .config()
             .timeout_global(Some(limit.into()))
@@ -187,7 +198,7 @@
         let url = format!("{}/v1/requests/{}", self.base, tag.attempt);
         let timeout: Duration = SpanMillis::new(CANCEL_TIMEOUT_MS).into();
         let request = self
-            .agent
+            .agent()
             .delete(url)
             .config()
             .timeout_global(Some(timeout))
@@ -198,17 +209,20 @@
     }
 
     fn run_service_call(&self, request: Request<&[u8]>, buffer: &ResponseBuffer) -> AttemptEnding {
-        let response = match self.agent.run(request) {
+        let watch = ConnectionWatch::default();
+        let response = match watch.agent(&self.config).run(request) {
             Ok(response) => response,
             Err(error) => return ending_from_error(&error),
         };
         self.note_pause(&response);
-        buffer.set_head(response.status().as_u16(), response_content_type(&response));
+        let status = response.status().as_u16();
+        buffer.set_head(status, response_content_type(&response));
+        let has_length = has_length(&response);
         let mut reader = response.into_body().into_reader();
         let mut part = vec![0; READ_PART_BYTES];
         loop {
             match reader.read(&mut part) {
-                Ok(0) => return completed(0, 0, 0),
+                Ok(0) => return ending_of_body(&watch, has_length),
                 Ok(length) => buffer.append(&part[..length]),
                 Err(error) => {
                     return AttemptEnding::Failed(format!("reading the response failed: {error}"));
@@ -228,8 +242,9 @@
             Ok(body) => body,
             Err(error) => return AttemptEnding::NotRun(format!("body is malformed: {error}")),
         };
-        let result = self
-            .agent
+        let watch = ConnectionWatch::default();
+        let result = watch
+            .agent(&self.config)
             .post(format!("{}/v1/chat/completions", self.base))
             .header("content-type", "application/json")
             .header(ATTEMPT_HEADER, dispatch.tag.attempt.to_string())
@@ -242,26 +257,39 @@
         self.note_pause(&response);
         let status = response.status().as_u16();
         if status != 200 {
-            return self.relay_error(response, buffer);
+            return relay_error(response, &watch, buffer);
         }
         buffer.set_head(status, "text/plain".to_owned());
         relay_events(response, buffer)
     }
+}
 
-    /// Relays an error response of the engine as the response to the request. Server errors fail the attempt instead.
-    fn relay_error(&self, mut response: Response<Body>, buffer: &ResponseBuffer) -> AttemptEnding {
-        let status = response.status().as_u16();
-        if status >= 500 {
-            return AttemptEnding::Failed(format!("engine answered with status {status}"));
-        }
-        buffer.set_head(status, response_content_type(&response));
-        match response.body_mut().read_to_vec() {
-            Ok(bytes) => buffer.append(&bytes),
-            Err(error) => {
-                return AttemptEnding::Failed(format!("reading the response failed: {error}"));
-            }
+/// Relays an error response of the engine as the response to the request. Server errors fail the attempt instead.
+fn relay_error(
+    mut response: Response<Body>,
+    watch: &ConnectionWatch,
+    buffer: &ResponseBuffer,
+) -> AttemptEnding {
+    let status = response.status().as_u16();
+    if status >= 500 {
+        return AttemptEnding::Failed(format!("engine answered with status {status}"));
+    }
+    buffer.set_head(status, response_content_type(&response));
+    let has_length = has_length(&response);
+    match response.body_mut().read_to_vec() {
+        Ok(bytes) => buffer.append(&bytes),
+        Err(error) => {
+            return AttemptEnding::Failed(format!("reading the response failed: {error}"));
         }
-        completed(0, 0, 0)
+    }
+    ending_of_body(watch, has_length)
+}
+
+/// The ending of an attempt whose response has ended as far as the client can tell.
+fn ending_of_body(watch: &ConnectionWatch, has_length: bool) -> AttemptEnding {
+    match watch.check_end(has_length) {
+        Ok(()) => completed(0, 0, 0),
+        Err(error) => AttemptEnding::Failed(format!("reading the response failed: {error}")),
     }
 }
 
--- a/crates/tools/fescuetide_standin/src/lib.rs
+++ b/crates/tools/fescuetide_standin/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod answer;
 pub mod cache_events;
+pub mod early;
 pub mod engine;
 pub mod faults;
 pub mod http;
