Pass on no status that is none

What callers saw: responses with the status 600, 700 or 999 from services behind side processes, and from upstreams of gateways on routes that are not repeated; and 101 on the native path, to a request without an upgrade.

Cause: the parser of heads took any three digits for a status, and the side process passed on whatever its HTTP client accepts. The client of the native log counted such an answer to an append as a refusal, so as not applied.

Change: the parser of gateways refuses a status outside of 100 to 599, side processes one outside of 200 to 599, and an append that is answered with one may have been applied. What such an upstream did is not known, so its attempt counts as broken.

--- a/crates/process/fescuetide_side/src/upstream.rs
+++ b/crates/process/fescuetide_side/src/upstream.rs
@@ -5,6 +5,7 @@
 use std::io::ErrorKind;
 use std::io::Read;
 use std::net::TcpStream;
+use std::ops::RangeInclusive;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -52,6 +53,9 @@
 /// Status with which an upstream turns a request away, and may ask for a pause.
 const UNAVAILABLE_STATUS: u16 = 503;
 
+/// Statuses of final responses (RFC 9110, section 15).
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Header in which an upstream says for how long it wants no more requests, in seconds.
 const RETRY_AFTER_HEADER: &str = "retry-after";
 
@@ -216,6 +220,9 @@
         };
         self.note_pause(&response);
         let status = response.status().as_u16();
+        if !FINAL_STATUSES.contains(&status) {
+            return unusable_status(status);
+        }
         buffer.set_head(status, response_content_type(&response));
         let has_length = has_length(&response);
         let mut reader = response.into_body().into_reader();
@@ -271,6 +278,9 @@
     buffer: &ResponseBuffer,
 ) -> AttemptEnding {
     let status = response.status().as_u16();
+    if !FINAL_STATUSES.contains(&status) {
+        return unusable_status(status);
+    }
     if status >= 500 {
         return AttemptEnding::Failed(format!("engine answered with status {status}"));
     }
@@ -293,6 +303,12 @@
     }
 }
 
+fn unusable_status(status: u16) -> AttemptEnding {
+    AttemptEnding::Failed(format!(
+        "upstream answered with the invalid status {status}"
+    ))
+}
+
 fn relay_events(response: Response<Body>, buffer: &ResponseBuffer) -> AttemptEnding {
     let reader = BufReader::new(response.into_body().into_reader());
     let mut usage = None;
--- a/crates/tools/fescuetide_bench/tests/odd_answers.rs
+++ b/crates/tools/fescuetide_bench/tests/odd_answers.rs
@@ -1,4 +1,4 @@
-//! Services that answer early or break off, behind a side process.
+//! Services that answer early, break off, or send a status that is none, behind a side process.
 
 use std::time::Duration;
 
@@ -104,3 +104,20 @@
         }
     }
 }
+
+/// Guards against a status that callers get although it is none, or not that of a final response.
+#[test]
+fn status_that_is_none_is_not_passed_on() {
+    let fleet = EarlyFleet::start();
+    for status in [
+        "000", "001", "099", "101", "199", "600", "999", "20", "+20", "1000",
+    ] {
+        let answer = EarlyAnswer {
+            bytes: format!("HTTP/1.1 {status} X\r\ncontent-length: 4\r\n\r\npart"),
+            delay: Duration::from_millis(20),
+            end: EarlyEnd::Kept,
+        };
+        let (seen, body) = fleet.call(10, answer);
+        assert_eq!(seen, 502, "{status}: {body}");
+    }
+}
--- a/crates/transport/fescuetide_http1/src/head.rs
+++ b/crates/transport/fescuetide_http1/src/head.rs
@@ -2,10 +2,14 @@
 
 use std::fmt;
 use std::ops::Range;
+use std::ops::RangeInclusive;
 
 /// Maximum number of fields in a head.
 const FIELD_LIMIT: usize = 96;
 
+/// Valid status codes (RFC 9110, section 15).
+const STATUS_RANGE: RangeInclusive<u16> = 100..=599;
+
 /// Why a message head cannot be parsed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HeadError {
@@ -261,6 +265,9 @@
         let (Some(status), Some(minor)) = (response.code, response.version) else {
             return Err(HeadError::Malformed);
         };
+        if !STATUS_RANGE.contains(&status) {
+            return Err(HeadError::Malformed);
+        }
         let head = Self {
             status,
             minor,
--- a/crates/transport/fescuetide_net/src/platform.rs
+++ b/crates/transport/fescuetide_net/src/platform.rs
@@ -42,6 +42,14 @@
 
 impl std::error::Error for PlatformError {}
 
+/// The error of a response that is no success. A status that is none says nothing about the call.
+fn error_of_status(status: u16) -> PlatformError {
+    match status {
+        200..=599 => PlatformError::Status(status),
+        _ => PlatformError::Http(ureq::Error::StatusCode(status)),
+    }
+}
+
 impl From<ureq::Error> for PlatformError {
     fn from(error: ureq::Error) -> Self {
         Self::Http(error)
@@ -80,7 +88,7 @@
         let mut response = self.agent.post(url).send(text)?;
         let status = response.status().as_u16();
         if status != 200 {
-            return Err(PlatformError::Status(status));
+            return Err(error_of_status(status));
         }
         let reply: AppendReply = response.body_mut().read_json()?;
         Ok(LogOffset::new(reply.offset))
@@ -104,7 +112,7 @@
         let mut response = self.agent.get(url).call()?;
         let status = response.status().as_u16();
         if status != 200 {
-            return Err(PlatformError::Status(status));
+            return Err(error_of_status(status));
         }
         Ok(response.body_mut().read_json()?)
     }
@@ -161,7 +169,7 @@
         match response.status().as_u16() {
             200 => {}
             304 => return Ok(VmListReply::Unchanged),
-            status => return Err(PlatformError::Status(status)),
+            status => return Err(error_of_status(status)),
         }
         let wire: VmListWire = response.body_mut().read_json()?;
         let mut list = Vec::with_capacity(wire.vms.len());
