Keep the record of a gateway with few calls and no thread of its own

Cause: a gateway that started wrote its record and mostly listed those of others at once, also if its seeds answered, and had a thread for that.

Change: the thread that appends crash reports keeps the record as well. A gateway that hears of others within its first second writes later, spread over half a second for each gateway, and lists later still; one that hears of none writes and lists then. No call is tried while the log is known to be away, so that crash reports do not wait for it.

--- a/crates/process/fescuetide_gateway/src/crash_reports.rs
+++ b/crates/process/fescuetide_gateway/src/crash_reports.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
-use crossbeam::channel;
+use crossbeam::channel::Receiver;
 use crossbeam::channel::Sender;
 use fescuetide_base::ClockMillis;
 use fescuetide_base::SpanMillis;
@@ -19,7 +19,6 @@
 use crate::codec::RecordCodec;
 use crate::follower::FleetPublisher;
 use crate::messages::LoopMessage;
-use crate::peers::PeerCommand;
 use crate::report_appender::ReportAppender;
 use crate::stream_follower::FollowStep;
 use crate::stream_follower::StreamFollower;
@@ -45,30 +44,29 @@
     },
     /// Remove the records with these keys, which have expired.
     Remove(Vec<String>),
+    /// The log may have come back from an older copy, and so have lost the record of this gateway.
+    NoteRestored,
 }
 
-/// Starts the threads. `peers` takes what cannot be appended. The returned sender takes what is to be appended.
+/// Starts the threads. The appender carries out the commands, of which `expired` sends those that follow from what is read.
 pub(crate) fn start<C: RecordCodec>(
     address: SocketAddr,
-    gateway: &str,
-    codec: &C,
     publisher: &FleetPublisher,
-    peers: Option<Sender<PeerCommand>>,
-) -> std::io::Result<Sender<ReportCommand>> {
-    let (sender, commands) = channel::unbounded();
-    let mut follower =
-        StreamFollower::new(FleetStream::CrashReports, address, codec.clone(), publisher);
+    appender: ReportAppender<C>,
+    commands: Receiver<ReportCommand>,
+    expired: Sender<ReportCommand>,
+) -> std::io::Result<()> {
+    let codec = appender.codec.clone();
+    let mut follower = StreamFollower::new(FleetStream::CrashReports, address, codec, publisher);
     follower.retry_delay = RETRY_DELAY.into();
     follower.client.outages = Some(publisher.outages.clone());
-    let expired = sender.clone();
     thread::Builder::new()
         .name("crash-follow".to_owned())
         .spawn(move || follow_reports(follower, &expired))?;
-    let appender = ReportAppender::new(address, gateway, codec, publisher, peers);
     thread::Builder::new()
-        .name("crash-append".to_owned())
+        .name("log-append".to_owned())
         .spawn(move || appender.run(&commands))?;
-    Ok(sender)
+    Ok(())
 }
 
 /// Publishes the reports of all gateways to the event loop. Requests the removal of those that had expired when this
--- a/crates/process/fescuetide_gateway/src/follower.rs
+++ b/crates/process/fescuetide_gateway/src/follower.rs
@@ -20,6 +20,7 @@
 use crate::codec::FleetStream;
 use crate::codec::LogRecord;
 use crate::codec::RecordCodec;
+use crate::crash_reports::ReportCommand;
 use crate::load_exchange::SharedConfigView;
 use crate::load_exchange::SharedListing;
 use crate::log_client::OutageCounter;
@@ -63,8 +64,8 @@
     pub(crate) config_view: SharedConfigView,
     /// The outages of the log that the followers of the fleet have noticed.
     pub(crate) outages: OutageCounter,
-    /// Tells the thread that keeps the record of this gateway of restores of the log, `None` if there is no such thread.
-    pub(crate) restores: Option<Sender<()>>,
+    /// Takes commands for the thread that appends to the log.
+    pub(crate) report_sender: Sender<ReportCommand>,
 }
 
 impl FleetPublisher {
@@ -76,8 +77,11 @@
 
     /// Records that the log may have come back from an older copy, and so have lost the record of this gateway.
     pub(crate) fn note_restore(&self) {
-        let restores = self.restores.as_ref();
-        if restores.is_some_and(|restores| restores.send(()).is_err()) {
+        if self
+            .report_sender
+            .send(ReportCommand::NoteRestored)
+            .is_err()
+        {
             tracing::error!("cannot write the record of this gateway again: the thread has ended");
         }
     }
--- a/crates/process/fescuetide_gateway/src/peer_state.rs
+++ b/crates/process/fescuetide_gateway/src/peer_state.rs
@@ -21,6 +21,7 @@
     fleet: FleetSnapshot,
     has_log_config: bool,
     has_log_upstreams: bool,
+    is_log_unavailable: bool,
     evidence: Vec<CrashEvidence>,
     evidence_at: ClockMillis,
     peers: PeerTable,
@@ -64,7 +65,9 @@
                     state.store_upstreams(&snapshot.upstreams, snapshot.read_at);
                 }
             }
-            FleetUpdate::LogUnavailable(_) => {}
+            FleetUpdate::LogUnavailable(is_unavailable) => {
+                state.is_log_unavailable = *is_unavailable;
+            }
         }
     }
 
@@ -75,6 +78,11 @@
         !(state.has_log_config && state.has_log_upstreams)
     }
 
+    /// Whether the last calls to the log failed.
+    pub(crate) fn is_log_unavailable(&self) -> bool {
+        self.lock().is_log_unavailable
+    }
+
     /// Whether a configuration is known, from the log or from a peer.
     pub(crate) fn has_config(&self) -> bool {
         self.lock().fleet.config.is_some()
--- a/crates/process/fescuetide_gateway/src/peers.rs
+++ b/crates/process/fescuetide_gateway/src/peers.rs
@@ -33,7 +33,7 @@
 use crate::messages::LoopMessage;
 
 /// Time after the start in which the log may tell which gateways there are, if no seed answers.
-const LISTING_TIME: SpanMillis = SpanMillis::new(1_000);
+const LISTING_TIME: SpanMillis = SpanMillis::new(1_500);
 
 /// Maximum number of gateways that are asked at a time of those that were found in the log. Some of them may be gone.
 const FOUND_QUERY_LIMIT: usize = 8;
--- a/crates/process/fescuetide_gateway/src/process.rs
+++ b/crates/process/fescuetide_gateway/src/process.rs
@@ -31,6 +31,7 @@
 use crate::peer_state::PeerState;
 use crate::peers;
 use crate::registry::GatewayRegistry;
+use crate::report_appender::ReportAppender;
 use crate::sockets;
 use crate::traffic::DATAGRAMS_TOKEN;
 use crate::traffic::LoopListeners;
@@ -66,6 +67,8 @@
             .context("cannot register the listeners")?;
         traffic.counters = Arc::clone(&counters);
         traffic.signals = watch_signals().context("cannot install the signal handlers")?;
+        let (report_sender, report_commands) = channel::unbounded();
+        let mut registry = None;
         let mut publisher = FleetPublisher {
             sender,
             waker: Arc::new(waker),
@@ -74,7 +77,7 @@
             outages: OutageCounter::default(),
             listing: SharedListing::default(),
             config_view: SharedConfigView::default(),
-            restores: None,
+            report_sender,
         };
         let log_service = parse_address("log_service", &settings.log_service)?;
         if let Some(listener) = open_peer_listener(settings)? {
@@ -82,31 +85,31 @@
             let table = PeerTable::new(own, &settings.seed_addresses(), ClockMillis::now());
             publisher.peer_state = Arc::new(PeerState::new(table));
             let common_port = (settings.load_port != 0).then_some(settings.load_port);
-            let registry = traffic.poll.registry();
-            let exchange =
-                DatagramExchange::open(registry, DATAGRAMS_TOKEN, own, common_port, &publisher)
-                    .with_context(|| format!("cannot open the socket for datagrams at {own}"))?;
+            let poll_registry = traffic.poll.registry();
+            let exchange = DatagramExchange::open(
+                poll_registry,
+                DATAGRAMS_TOKEN,
+                own,
+                common_port,
+                &publisher,
+            )
+            .with_context(|| format!("cannot open the socket for datagrams at {own}"))?;
             let gateways = GatewayList::new(exchange.own(), exchange.peers());
             traffic.origin_exchange.set_gateways(gateways);
             traffic.datagrams = Some(exchange);
-            let (restore_sender, restores) = channel::unbounded();
-            let is_reachable = !own.ip().is_unspecified();
-            publisher.restores = is_reachable.then_some(restore_sender);
             let peer_sender =
                 peers::start(listener, &publisher).context("cannot start a peer thread")?;
             traffic.peer_sender = Some(peer_sender.clone());
-            if is_reachable {
-                GatewayRegistry::start(
+            if own.ip().is_unspecified() {
+                tracing::warn!(%own, "other gateways cannot find this one, since it listens at no particular address");
+            } else {
+                registry = Some(GatewayRegistry::new(
                     log_service,
                     own,
                     records,
                     &publisher,
                     peer_sender,
-                    restores,
-                )
-                .context("cannot start a control thread")?;
-            } else {
-                tracing::warn!(%own, "other gateways cannot find this one, since it listens at no particular address");
+                ));
             }
         }
         let intervals = FollowIntervals {
@@ -127,12 +130,21 @@
             RefreshRequests { configs, upstreams },
         )
         .context("cannot start a control thread")?;
-        let report_sender = crash_reports::start(
+        let appender = ReportAppender::new(
             log_service,
             &settings.vm,
             records,
             &publisher,
             traffic.peer_sender.clone(),
+            registry,
+        );
+        let report_sender = publisher.report_sender.clone();
+        crash_reports::start(
+            log_service,
+            &publisher,
+            appender,
+            report_commands,
+            report_sender.clone(),
         )
         .context("cannot start a control thread")?;
         traffic.report_sender = Some(report_sender);
--- a/crates/process/fescuetide_gateway/src/registry.rs
+++ b/crates/process/fescuetide_gateway/src/registry.rs
@@ -1,13 +1,11 @@
 //! The records of gateways in the platform's log, by which they find each other.
 //!
-//! One control thread keeps the record of this gateway and lists those of others, which the thread that queries peers asks.
+//! The thread that appends to the log keeps the record of this gateway and lists those of others, which the thread that queries
+//! peers asks.
 
 use std::net::SocketAddr;
-use std::thread;
 use std::time::Duration;
 
-use crossbeam::channel::Receiver;
-use crossbeam::channel::RecvTimeoutError;
 use crossbeam::channel::Sender;
 use fescuetide_base::ClockMillis;
 use fescuetide_base::LogOffset;
@@ -39,18 +37,16 @@
 }
 
 impl<C: RecordCodec> GatewayRegistry<C> {
-    /// Starts the thread of the gateway that answers peers at `own`. `restores` tells that the log may have lost records, and `peers`
-    /// takes the gateways that are found.
-    pub(crate) fn start(
+    /// Creates the registry of the gateway that answers peers at `own`. `peers` takes the gateways that are found.
+    pub(crate) fn new(
         log: SocketAddr,
         own: SocketAddr,
         codec: &C,
         publisher: &FleetPublisher,
         peers: Sender<PeerCommand>,
-        restores: Receiver<()>,
-    ) -> std::io::Result<()> {
+    ) -> Self {
         let seed = StableHash::hash_bytes(own.to_string().as_bytes());
-        let registry = Self {
+        Self {
             log,
             own,
             seed,
@@ -58,32 +54,38 @@
             publisher: publisher.clone(),
             peers,
             schedule: RegistrySchedule::new(seed, ClockMillis::now()),
-        };
-        thread::Builder::new()
-            .name("registry".to_owned())
-            .spawn(move || registry.run(&restores))
-            .map(drop)
+        }
     }
 
-    fn run(mut self, restores: &Receiver<()>) {
-        loop {
-            let wait = self.schedule.next_at().since(ClockMillis::now());
-            match restores.recv_timeout(wait.into()) {
-                Ok(()) => self.schedule.note_restored(ClockMillis::now()),
-                Err(RecvTimeoutError::Timeout) => {}
-                // The traffic thread has ended, so the process is exiting.
-                Err(RecvTimeoutError::Disconnected) => return,
-            }
-            let result = match self.schedule.due_step(ClockMillis::now()) {
-                Some(RegistryStep::Write) => self.write(),
-                Some(RegistryStep::List) => self.list(),
-                None => continue,
-            };
-            if let Err(error) = result {
-                count(&self.publisher.counters.log_failures);
-                tracing::debug!(%error, "cannot read or write the records of gateways");
-                self.schedule.note_failed(ClockMillis::now());
-            }
+    /// When [`step`](Self::step) has something to do.
+    pub(crate) fn next_at(&self) -> ClockMillis {
+        self.schedule.next_at()
+    }
+
+    /// Records that the log may have lost the record of this gateway.
+    pub(crate) fn note_restored(&mut self) {
+        self.schedule.note_restored(ClockMillis::now());
+    }
+
+    /// Makes the call to the log that is due, if any. While the log is away, none is tried, since reports about crashes would wait
+    /// for it.
+    pub(crate) fn step(&mut self) {
+        let now = ClockMillis::now();
+        let Some(step) = self.schedule.take_step(self.peer_count(), now) else {
+            return;
+        };
+        if self.publisher.peer_state.is_log_unavailable() {
+            self.schedule.note_failed(now);
+            return;
+        }
+        let result = match step {
+            RegistryStep::Write => self.write(),
+            RegistryStep::List => self.list(),
+        };
+        if let Err(error) = result {
+            count(&self.publisher.counters.log_failures);
+            tracing::debug!(%error, "cannot read or write the records of gateways");
+            self.schedule.note_failed(ClockMillis::now());
         }
     }
 
@@ -94,8 +96,7 @@
             value: Some(value.map_err(CallError::Unencodable)?),
         };
         self.append(&[record], None)?;
-        self.schedule
-            .note_written(self.peer_count(), ClockMillis::now());
+        self.schedule.note_written(ClockMillis::now());
         Ok(())
     }
 
--- a/crates/process/fescuetide_gateway/src/report_appender.rs
+++ b/crates/process/fescuetide_gateway/src/report_appender.rs
@@ -1,4 +1,4 @@
-//! Appends of crash reports to the platform's log.
+//! Appends to the platform's log: crash reports, and the record of this gateway.
 
 use std::net::SocketAddr;
 
@@ -23,6 +23,7 @@
 use crate::log_client::PlatformLogClient;
 use crate::log_era::EraWatch;
 use crate::peers::PeerCommand;
+use crate::registry::GatewayRegistry;
 
 /// Minimum interval between appends.
 const APPEND_INTERVAL: SpanMillis = SpanMillis::new(250);
@@ -41,7 +42,7 @@
     gateway: String,
     client: PlatformLogClient,
     era: EraWatch,
-    codec: C,
+    pub(crate) codec: C,
     publisher: FleetPublisher,
     peers: Option<Sender<PeerCommand>>,
     /// Records that have not been appended yet, by key.
@@ -53,6 +54,8 @@
     /// The earliest time of the next append.
     next_append_at: ClockMillis,
     is_failing: bool,
+    /// Keeps the record of this gateway, `None` if others cannot find it.
+    registry: Option<GatewayRegistry<C>>,
 }
 
 impl<C: RecordCodec> ReportAppender<C> {
@@ -63,6 +66,7 @@
         codec: &C,
         publisher: &FleetPublisher,
         peers: Option<Sender<PeerCommand>>,
+        registry: Option<GatewayRegistry<C>>,
     ) -> Self {
         Self {
             gateway: gateway.to_owned(),
@@ -76,6 +80,7 @@
             append_at: None,
             next_append_at: ClockMillis::default(),
             is_failing: false,
+            registry,
         }
     }
 
@@ -83,8 +88,11 @@
     pub(crate) fn run(mut self, commands: &Receiver<ReportCommand>) {
         let mut next_expiry_at = ClockMillis::now() + EXPIRY_INTERVAL;
         loop {
-            let due = self.append_at.unwrap_or(next_expiry_at);
-            let wait = due.min(next_expiry_at).since(ClockMillis::now());
+            let mut due = self.append_at.unwrap_or(next_expiry_at).min(next_expiry_at);
+            if let Some(registry) = &self.registry {
+                due = due.min(registry.next_at());
+            }
+            let wait = due.since(ClockMillis::now());
             match commands.recv_timeout(wait.into()) {
                 Ok(ReportCommand::Append {
                     evidence,
@@ -95,6 +103,11 @@
                         self.add_removal(key);
                     }
                 }
+                Ok(ReportCommand::NoteRestored) => {
+                    if let Some(registry) = &mut self.registry {
+                        registry.note_restored();
+                    }
+                }
                 Err(RecvTimeoutError::Timeout) => {}
                 // The traffic thread has ended, so the process is exiting.
                 Err(RecvTimeoutError::Disconnected) => return,
@@ -107,6 +120,9 @@
             if self.append_at.is_some_and(|at| now >= at) {
                 self.append_pending(now);
             }
+            if let Some(registry) = &mut self.registry {
+                registry.step();
+            }
         }
     }
 
--- a/crates/state/fescuetide_fleet/src/registry.rs
+++ b/crates/state/fescuetide_fleet/src/registry.rs
@@ -1,8 +1,9 @@
 //! How gateways find each other through the log.
 //!
 //! Each gateway keeps a record with its address in the log and lists the records of others. A record only says whom to ask: a gateway
-//! counts as live after a sign of life (see [`PeerTable`](crate::PeerTable)). Since each gateway writes its record before it lists
-//! those of others, one of any two gateways finds the other.
+//! counts as live after a sign of life (see [`PeerTable`](crate::PeerTable)). A gateway that starts and hears from no other writes its
+//! record and then lists those of others, so one of any two such gateways finds the other. Those that know others do so later, spread
+//! over time, since a few records suffice to be found.
 
 use std::net::SocketAddr;
 
@@ -30,8 +31,14 @@
 /// Time between two listings of a gateway that knows no other.
 const LONELY_LISTING_INTERVAL: SpanMillis = SpanMillis::new(10_000);
 
+/// Time in which a gateway that starts may hear from its seeds before it uses the log.
+const SEED_TIME: SpanMillis = SpanMillis::new(1_000);
+
+/// Time between the first writes of any gateways that start at once and know each other.
+const WRITE_STAGGER_MS: u64 = 500;
+
 /// Shortest time between two writes. Several readers of the log notice that it has come back from an older copy.
-const WRITE_SPACING: SpanMillis = SpanMillis::new(2_000);
+const WRITE_SPACING: SpanMillis = SpanMillis::new(500);
 
 /// Delay after the first failed call. It doubles with each further one.
 const FIRST_RETRY_DELAY: SpanMillis = SpanMillis::new(1_000);
@@ -71,10 +78,11 @@
 /// When a gateway writes its record and lists those of others.
 #[derive(Clone, Debug)]
 pub struct RegistrySchedule {
+    /// When it is decided how urgent the first steps are, `None` once that is done.
+    starts_at: Option<ClockMillis>,
     write_at: ClockMillis,
     written_at: Option<ClockMillis>,
-    /// When the records are listed, `None` before the own one was written.
-    list_at: Option<ClockMillis>,
+    list_at: ClockMillis,
     /// No call is made before this time, since the last one failed.
     blocked_until: ClockMillis,
     retry_delay: SpanMillis,
@@ -84,10 +92,12 @@
 impl RegistrySchedule {
     /// Creates the schedule of a gateway that starts. `seed` makes gateways act at different times.
     pub fn new(seed: u64, now: ClockMillis) -> Self {
+        let starts_at = now + SEED_TIME;
         Self {
-            write_at: now,
+            starts_at: Some(starts_at),
+            write_at: starts_at,
             written_at: None,
-            list_at: None,
+            list_at: starts_at,
             blocked_until: now,
             retry_delay: FIRST_RETRY_DELAY,
             draws: DrawSequence::new(seed),
@@ -96,43 +106,44 @@
 
     /// When the next step is due.
     pub fn next_at(&self) -> ClockMillis {
-        let list_at = self.list_at.unwrap_or(self.write_at);
-        self.write_at.min(list_at).max(self.blocked_until)
+        self.write_at.min(self.list_at).max(self.blocked_until)
     }
 
-    /// The step that is due, if any.
-    pub fn due_step(&self, now: ClockMillis) -> Option<RegistryStep> {
+    /// The step that is due, if any. `peer_count` is the number of other gateways that are known to live.
+    pub fn take_step(&mut self, peer_count: usize, now: ClockMillis) -> Option<RegistryStep> {
+        if let Some(starts_at) = self.starts_at {
+            if now < starts_at {
+                return None;
+            }
+            self.starts_at = None;
+            if peer_count > 0 {
+                let stagger_ms = (peer_count as u64 + 1) * WRITE_STAGGER_MS;
+                let wait = self.draws.next_number() % stagger_ms;
+                self.write_at = now + SpanMillis::new(wait);
+                self.list_at = now + self.spread(listing_interval(peer_count));
+            }
+        }
         if now < self.blocked_until {
             return None;
         }
         if now >= self.write_at {
             return Some(RegistryStep::Write);
         }
-        self.list_at
-            .is_some_and(|at| now >= at)
-            .then_some(RegistryStep::List)
+        (now >= self.list_at).then_some(RegistryStep::List)
     }
 
-    /// Records that the own record was written. `peer_count` is the number of other gateways that are known to live. One that knows
-    /// others lists the records later, since those find it as well.
-    pub fn note_written(&mut self, peer_count: usize, now: ClockMillis) {
+    /// Records that the own record was written.
+    pub fn note_written(&mut self, now: ClockMillis) {
         self.note_success(now);
         self.written_at = Some(now);
         self.write_at = now + self.spread(RENEWAL_INTERVAL);
-        if self.list_at.is_none() {
-            let wait = match peer_count {
-                0 => SpanMillis::default(),
-                _ => self.spread(listing_interval(peer_count)),
-            };
-            self.list_at = Some(now + wait);
-        }
     }
 
     /// Records that the records were listed, and whether they include that of this gateway.
     pub fn note_listed(&mut self, has_own: bool, peer_count: usize, now: ClockMillis) {
         self.note_success(now);
-        self.list_at = Some(now + self.spread(listing_interval(peer_count)));
-        if !has_own {
+        self.list_at = now + self.spread(listing_interval(peer_count));
+        if !has_own && self.written_at.is_some() {
             self.write_again(now);
         }
     }
@@ -146,9 +157,12 @@
     /// Records that the log may have lost the record of this gateway, and those of others. Their gateways write them again at the
     /// same time.
     pub fn note_restored(&mut self, now: ClockMillis) {
+        if self.starts_at.is_some() {
+            return;
+        }
         self.write_again(now);
         let wait = self.spread(MIN_LISTING_INTERVAL);
-        self.list_at = self.list_at.map(|at| at.min(now + wait));
+        self.list_at = self.list_at.min(now + wait);
     }
 
     fn write_again(&mut self, now: ClockMillis) {
