Ask the gateways found in the log before a gateway is ready

Cause: the gateway waited 1 s for its seeds before it listed the records of others, which is as long as the traffic thread waits for peers. The log of the gateway shows the request 1.000 s after the start, and the newer configuration 35 ms later. Besides, a query from another gateway ended the wait, although this gateway had not asked for a configuration yet.

Change: the records are listed after 0.5 s, and the wait ends with an answer to a query of its own.

--- a/crates/process/fescuetide_gateway/src/peers.rs
+++ b/crates/process/fescuetide_gateway/src/peers.rs
@@ -32,8 +32,9 @@
 use crate::follower::FleetPublisher;
 use crate::messages::LoopMessage;
 
-/// Time after the start in which the log may tell which gateways there are, if no seed answers.
-const LISTING_TIME: SpanMillis = SpanMillis::new(1_500);
+/// Time after the start in which the log may tell which gateways there are, if no seed answers. The traffic thread does not wait for
+/// longer either.
+const LISTING_TIME: SpanMillis = SpanMillis::new(1_000);
 
 /// Maximum number of gateways that are asked at a time of those that were found in the log. Some of them may be gone.
 const FOUND_QUERY_LIMIT: usize = 8;
@@ -151,6 +152,8 @@
 struct StartPhase {
     /// When it ends at the latest, `None` once it has ended.
     ends_at: Option<ClockMillis>,
+    /// Whether another gateway has answered, and so told its configuration.
+    has_answer: bool,
     /// Whether the gateways were asked that have records in the log.
     has_listing: bool,
 }
@@ -159,6 +162,7 @@
     fn until(ends_at: ClockMillis) -> Self {
         Self {
             ends_at: Some(ends_at),
+            has_answer: false,
             has_listing: false,
         }
     }
@@ -172,9 +176,10 @@
 
 impl PeerClient {
     fn run(self, commands: &Receiver<PeerCommand>) {
-        self.query_all(&self.publisher.peer_state.all_peers(), usize::MAX);
-        self.publisher.publish_peers();
         let mut start = StartPhase::until(self.started + LISTING_TIME);
+        let seeds = self.publisher.peer_state.all_peers();
+        start.has_answer = self.query_all(&seeds, usize::MAX) > 0;
+        self.publisher.publish_peers();
         let mut next_query_at = self.started + PEER_QUERY_DELAY;
         let mut interval = INITIAL_INTERVAL;
         loop {
@@ -206,13 +211,19 @@
         }
     }
 
-    /// Tells the event loop once the gateways have been asked that can be found. The log is waited for if no seed has answered.
+    /// Tells the event loop once the gateways have been asked that can be found. The log is waited for if no seed has answered, unless
+    /// another gateway has asked this one.
     fn advance_start(&self, start: &mut StartPhase) {
         let now = ClockMillis::now();
         let Some(ends_at) = start.ends_at else {
             return;
         };
-        if start.has_listing || now >= ends_at || self.publisher.peer_state.has_contact(now) {
+        if !start.has_answer {
+            let news = self.publisher.peer_state.peer_news(now);
+            let live: Vec<SocketAddr> = news.iter().map(|news| news.address).collect();
+            start.has_answer = self.query_all(&live, 1) > 0;
+        }
+        if start.has_answer || start.has_listing || now >= ends_at {
             start.ends_at = None;
             self.publisher.send(LoopMessage::PeersAsked);
         }
@@ -247,19 +258,20 @@
     }
 
     /// Asks peers what they know about requests that crash upstreams, and one of them for its configuration, until so many have
-    /// answered. The log may lack both, if it has come back from an older copy.
-    fn query_all(&self, peers: &[SocketAddr], answers: usize) {
+    /// answered. The log may lack both, if it has come back from an older copy. Returns the number of answers.
+    fn query_all(&self, peers: &[SocketAddr], answers: usize) -> usize {
         let mut has_fleet = false;
         let mut answered = 0;
         for peer in peers {
             if answered == answers {
-                return;
+                break;
             }
             if let QueryOutcome::Answered { has_fleet: has } = self.query(*peer, !has_fleet) {
                 answered += 1;
                 has_fleet |= has;
             }
         }
+        answered
     }
 
     /// Asks some of the gateways that were found in the log and are not known to live.
--- a/crates/state/fescuetide_fleet/src/registry.rs
+++ b/crates/state/fescuetide_fleet/src/registry.rs
@@ -32,7 +32,7 @@
 const LONELY_LISTING_INTERVAL: SpanMillis = SpanMillis::new(10_000);
 
 /// Time in which a gateway that starts may hear from its seeds before it uses the log.
-const SEED_TIME: SpanMillis = SpanMillis::new(1_000);
+const SEED_TIME: SpanMillis = SpanMillis::new(500);
 
 /// Time between the first writes of any gateways that start at once and know each other.
 const WRITE_STAGGER_MS: u64 = 500;
