--- a/review/tools-3/cases.rs
+++ b/review/tools-3/cases.rs
@@ -11,6 +11,7 @@
 use rig::BROKEN;
 use rig::Engine;
 use rig::Gateway;
+use rig::HEARTBEAT;
 use rig::HELD;
 use rig::Log;
 use rig::Machines;
@@ -36,6 +37,13 @@
     has_trouble() && std::env::var("ONLY").map_or(true, |only| only == part)
 }
 
+/// Time from the start of an engine until it writes its entry: half of its check-in interval, or `CHECK_IN_MS`.
+fn first_check_in() -> Duration {
+    let millis = std::env::var("CHECK_IN_MS").ok();
+    let millis = millis.and_then(|text| text.parse().ok());
+    millis.map_or(HEARTBEAT / 2, Duration::from_millis)
+}
+
 /// A small deployment.
 struct Site {
     log: Log,
@@ -126,6 +134,8 @@
         "doubt" => doubt(&record),
         "foreign" => foreign(&record),
         "evidence" => evidence(&record),
+        "pause" => pause(&record),
+        "inplace" => inplace(&record),
         _ => exit(NOT_RUN),
     }
 }
@@ -316,7 +326,7 @@
 /// A request that crashes engines. The store comes back from a copy of before its crashes, and all gateways are killed some
 /// seconds later.
 fn evidence(record: &Record) {
-    let mut site = Site::start("evidence", record, 4, 3);
+    let mut site = Site::start("evidence", record, 6, 5);
     for engine in &site.engines {
         engine.state.lock().unwrap().poison = Some("poison");
     }
@@ -396,3 +406,157 @@
     );
     site.end(record, if late > 3 { BROKEN } else { HELD }, &text);
 }
+
+/// `Retry-After` of the engine, in seconds.
+const RETRY_AFTER: &str = "4";
+
+/// The same as a time.
+const PAUSE: Duration = Duration::from_secs(4);
+
+/// How long the engine is down.
+const DOWN: Duration = Duration::from_millis(1_450);
+
+/// How long it turns requests away after its start. What comes later it serves.
+const BUSY: Duration = Duration::from_millis(300);
+
+/// Time after which a machine must keep to the pause.
+const REACTION: Duration = Duration::from_millis(500);
+
+/// An engine that starts again under the id that it had, and turns requests away for a moment.
+fn pause(record: &Record) {
+    let mut site = Site::start("pause", record, 3, 4);
+    thread::sleep(millis(3_500));
+    let stop = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let mut clients = Vec::new();
+    for client in 0..4 * site.gateways.len() {
+        let machine = client % site.gateways.len();
+        let (address, record, stop) = (site.gateways[machine].callers, record.clone(), stop.clone());
+        clients.push(thread::spawn(move || {
+            let mut count = 0;
+            while !stop.load(std::sync::atomic::Ordering::Acquire) {
+                count += 1;
+                let request = safe_request(format!("g{machine}-{client}-{count}"), "{}");
+                let answer = call(address, &request, None);
+                record.line(&format!("client {}: {}", request.id, answer.status));
+                thread::sleep(millis(100));
+            }
+        }));
+    }
+    thread::sleep(millis(1_500));
+    let engine = site.engines[0].clone();
+    if has_trouble() {
+        let mut state = engine.state.lock().unwrap();
+        state.down = DOWN;
+        state.first_check_in = first_check_in();
+        state.turns_away_at_start = Some((BUSY, RETRY_AFTER));
+        drop(state);
+        engine.crash("a fault of its own");
+    } else {
+        thread::sleep(DOWN);
+        let until = Instant::now() + BUSY;
+        engine.state.lock().unwrap().turns_away = Some((until, RETRY_AFTER));
+    }
+    thread::sleep(DOWN + PAUSE + PAUSE);
+    stop.store(true, std::sync::atomic::Ordering::Release);
+    for client in clients {
+        let _ = client.join();
+    }
+    let arrivals = engine.arrivals();
+    let mut worst = 0;
+    let mut told = 0;
+    for machine in 0..site.gateways.len() {
+        let prefix = format!("g{machine}-");
+        let own: Vec<_> = arrivals
+            .iter()
+            .filter(|arrival| arrival.id.starts_with(&prefix))
+            .collect();
+        let Some(first) = own.iter().find(|arrival| arrival.is_turned_away) else {
+            continue;
+        };
+        told += 1;
+        let (from, until) = (first.at + REACTION, first.at + PAUSE);
+        let unwanted = own
+            .iter()
+            .filter(|arrival| arrival.at > from && arrival.at < until);
+        let unwanted = unwanted.count();
+        record.line(&format!("front-{machine}: {unwanted} requests in the pause"));
+        worst = worst.max(unwanted);
+    }
+    if told == 0 {
+        site.end(record, NOT_RUN, "the engine turned no request away");
+    }
+    let text = format!(
+        "{told} machines were asked for a pause of {RETRY_AFTER} s; up to {worst} requests of one came in it, 2 allowed"
+    );
+    site.end(record, if worst > 2 { BROKEN } else { HELD }, &text);
+}
+
+/// Number of streams that clients read while engines start again with another version.
+const RELEASE_STREAMS: usize = 150;
+
+/// How long an engine is down while it starts with another version, and time between the starts of two engines.
+const RESTART: Duration = Duration::from_millis(400);
+const GAP: Duration = Duration::from_millis(1_000);
+
+/// Engines that start again, one after the other, with another version of their software, under the ids that they had.
+fn inplace(record: &Record) {
+    let mut site = Site::start("inplace", record, 4, 2);
+    for engine in &site.engines {
+        let mut state = engine.state.lock().unwrap();
+        state.events = 80;
+        state.event_gap = millis(50);
+    }
+    thread::sleep(millis(4_000));
+    let mut clients = Vec::new();
+    for index in 0..RELEASE_STREAMS {
+        let machine = index % site.gateways.len();
+        let (address, record) = (site.gateways[machine].callers, record.clone());
+        clients.push(thread::spawn(move || {
+            thread::sleep(millis(40) * index as u32);
+            let request = stream_request(format!("stream-{index}"));
+            let answer = call(address, &request, None);
+            let versions = versions_of(&answer.body);
+            record.line(&format!(
+                "client {}: {}, {} events by {versions:?}, whole: {}",
+                request.id,
+                answer.status,
+                answer.events.len(),
+                answer.is_whole
+            ));
+            (!answer.events.is_empty(), versions.len() > 1)
+        }));
+    }
+    thread::sleep(millis(2_000));
+    for (index, engine) in site.engines.clone().iter().enumerate() {
+        let mut state = engine.state.lock().unwrap();
+        state.down = RESTART;
+        state.first_check_in = first_check_in();
+        state.next_version = Some("v2");
+        if !has_trouble() {
+            state.next_id = Some(format!("i-{index}-new"));
+        }
+        drop(state);
+        engine.crash("the release");
+        thread::sleep(GAP);
+    }
+    let results = clients.into_iter().map(|client| client.join().unwrap_or_default());
+    let results: Vec<(bool, bool)> = results.collect();
+    let begun = results.iter().filter(|(has_events, _)| *has_events).count();
+    let mixed = results.iter().filter(|(_, is_mixed)| *is_mixed).count();
+    if begun * 2 < RELEASE_STREAMS {
+        site.end(record, NOT_RUN, "too few streams began");
+    }
+    let text = format!("{mixed} of {begun} streams hold events of two software versions, 2 allowed");
+    site.end(record, if mixed > 2 { BROKEN } else { HELD }, &text);
+}
+
+/// The versions whose events are in a stream, one after the other.
+fn versions_of(body: &str) -> Vec<String> {
+    let data = body.lines().filter(|line| line.starts_with("data: "));
+    let mut versions: Vec<String> = data
+        .filter_map(|line| line.rsplit(' ').next())
+        .map(str::to_owned)
+        .collect();
+    versions.dedup();
+    versions
+}
--- a/review/tools-3/rig.rs
+++ b/review/tools-3/rig.rs
@@ -449,6 +449,8 @@
     pub id: String,
     pub at: Instant,
     pub has_run: bool,
+    /// Whether it was turned away with 503 and `Retry-After`.
+    pub is_turned_away: bool,
 }
 
 /// What an engine does. Fields may be changed while it runs.
@@ -465,6 +467,17 @@
     /// Requests whose body begins so crash it. It is back after `down`.
     pub poison: Option<&'static str>,
     pub down: Duration,
+    /// Time from its next start until it writes its entry, less than the check-in interval.
+    pub first_check_in: Duration,
+    /// The version of its software from its next start on.
+    pub next_version: Option<&'static str>,
+    /// Its id from its next start on, if it is another one.
+    pub next_id: Option<String>,
+    /// Until when it turns requests away with 503, and the `Retry-After` that it names.
+    pub turns_away: Option<(Instant, &'static str)>,
+    /// The same for the time after its next start.
+    pub turns_away_at_start: Option<(Duration, &'static str)>,
+    is_starting: bool,
     born: u64,
     seq: u64,
     crashes: Vec<Instant>,
@@ -502,6 +515,12 @@
                 first_pause: millis(20),
                 poison: None,
                 down: millis(1_500),
+                first_check_in: Duration::ZERO,
+                next_version: None,
+                next_id: None,
+                turns_away: None,
+                turns_away_at_start: None,
+                is_starting: false,
                 born: unix_millis(),
                 seq: 0,
                 crashes: Vec::new(),
@@ -517,7 +536,11 @@
         thread::spawn(move || {
             loop {
                 thread::sleep(HEARTBEAT);
-                if other.is_up.load(Ordering::Acquire) && other.state.lock().unwrap().checks_in {
+                let (is_up, checks_in) = {
+                    let state = other.state.lock().unwrap();
+                    (other.is_up.load(Ordering::Acquire), state.checks_in && !state.is_starting)
+                };
+                if is_up && checks_in {
                     other.check_in();
                 }
             }
@@ -566,16 +589,39 @@
                 for stream in self.open.lock().unwrap().drain(..) {
                     let _ = stream.shutdown(std::net::Shutdown::Both);
                 }
-                thread::sleep(self.state.lock().unwrap().down);
+                let down = self.state.lock().unwrap().down;
+                thread::sleep(down);
                 listener = TcpListener::bind(self.address).ok();
                 if listener.is_none() {
                     continue;
                 }
                 // It starts again under the id that it had.
-                self.state.lock().unwrap().born = unix_millis();
+                let mut state = self.state.lock().unwrap();
+                state.born = unix_millis();
+                state.is_starting = true;
+                if let Some(version) = state.next_version.take() {
+                    state.version = version.to_owned();
+                }
+                if let Some(id) = state.next_id.take() {
+                    state.id = id;
+                }
+                let turns_away = state.turns_away_at_start.take();
+                state.turns_away = turns_away.map(|(time, text)| (Instant::now() + time, text));
+                drop(state);
+                let (id, version) = {
+                    let state = self.state.lock().unwrap();
+                    (state.id.clone(), state.version.clone())
+                };
+                self.record.line(&format!("engine {id} has started, version {version}"));
                 self.life.fetch_add(1, Ordering::AcqRel);
                 self.is_up.store(true, Ordering::Release);
-                self.check_in();
+                let engine = self.clone();
+                thread::spawn(move || {
+                    let delay = engine.state.lock().unwrap().first_check_in;
+                    thread::sleep(delay);
+                    engine.state.lock().unwrap().is_starting = false;
+                    engine.check_in();
+                });
             }
             let Some(open) = &listener else {
                 continue;
@@ -594,7 +640,8 @@
         }
     }
 
-    fn crash(&self, id: &str) {
+    /// Ends the process of the engine. It is back after `down`.
+    pub fn crash(&self, id: &str) {
         self.state.lock().unwrap().crashes.push(Instant::now());
         let engine = self.state.lock().unwrap().id.clone();
         self.record.line(&format!("engine {engine} crashes under {id}"));
@@ -623,17 +670,32 @@
             (state.id.clone(), state.is_leaving, state.poison)
         };
         let id = head.field("X-Request-Id").unwrap_or("").to_owned();
-        let has_run = head.field("X-Expect-Instance").is_none_or(|expected| expected == own);
+        let is_meant = head.field("X-Expect-Instance").is_none_or(|expected| expected == own);
+        let turns_away = self.state.lock().unwrap().turns_away;
+        let turns_away = turns_away.filter(|(until, _)| is_meant && Instant::now() < *until);
+        let has_run = is_meant && turns_away.is_none();
         let last_event = head.field("Last-Event-Id").and_then(|text| text.parse().ok());
         self.arrivals.lock().unwrap().push(Arrival {
             id: id.clone(),
             at: Instant::now(),
             has_run,
+            is_turned_away: turns_away.is_some(),
         });
-        let verb = if has_run { "runs" } else { "rejects (421)" };
+        let verb = match (has_run, is_meant) {
+            (true, _) => "runs",
+            (false, true) => "turns away (503, Retry-After)",
+            (false, false) => "rejects (421)",
+        };
         self.record
             .line(&format!("engine {own} {verb} {id} last event {last_event:?}"));
         let leaving = if is_leaving { "Server-Leaving: 1\r\n" } else { "" };
+        if let Some((_, retry_after)) = turns_away {
+            let text = format!(
+                "HTTP/1.1 503 Full\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\nRetry-After: {retry_after}\r\n\
+                 Content-Length: 0\r\n\r\n"
+            );
+            return wire.write(text.as_bytes());
+        }
         if !has_run {
             let text = format!(
                 "HTTP/1.1 421 Misdirected\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
