--- a/review/tools-3/cases.rs
+++ b/review/tools-3/cases.rs
@@ -207,10 +207,10 @@
 
 fn stream_request(id: String) -> Request {
     Request {
-        id,
         method: "POST",
         target: "/stream/a".to_owned(),
-        body: "{}".to_owned(),
+        body: format!("{{\"of\":\"{id}\"}}"),
+        id,
         time_ms: 15_000,
         fields: vec![
             ("X-Model".to_owned(), "m".to_owned()),
@@ -245,6 +245,7 @@
     };
     for attempt in 1..=3 {
         let mut request = stream_request(format!("again-{index}-{attempt}"));
+        request.body.clone_from(&first.body);
         request.time_ms = 12_000;
         let fields = [("Resumes", first.id.clone()), ("Last-Event-Id", last.to_string())];
         for (name, value) in fields {
@@ -492,7 +493,7 @@
 }
 
 /// Number of streams that clients read while engines start again with another version.
-const RELEASE_STREAMS: usize = 150;
+const RELEASE_STREAMS: usize = 190;
 
 /// How long an engine is down while it starts with another version, and time between the starts of two engines.
 const RESTART: Duration = Duration::from_millis(400);
@@ -500,19 +501,20 @@
 
 /// Engines that start again, one after the other, with another version of their software, under the ids that they had.
 fn inplace(record: &Record) {
-    let mut site = Site::start("inplace", record, 4, 2);
+    let mut site = Site::start("inplace", record, 8, 4);
     for engine in &site.engines {
         let mut state = engine.state.lock().unwrap();
         state.events = 80;
         state.event_gap = millis(50);
     }
-    thread::sleep(millis(4_000));
+    // The machines have their part of the retry budget 10 s after their start.
+    thread::sleep(millis(11_000));
     let mut clients = Vec::new();
     for index in 0..RELEASE_STREAMS {
         let machine = index % site.gateways.len();
         let (address, record) = (site.gateways[machine].callers, record.clone());
         clients.push(thread::spawn(move || {
-            thread::sleep(millis(40) * index as u32);
+            thread::sleep(millis(60) * index as u32);
             let request = stream_request(format!("stream-{index}"));
             let answer = call(address, &request, None);
             let versions = versions_of(&answer.body);
