--- a/review/tools-3/cases.rs
+++ b/review/tools-3/cases.rs
@@ -60,7 +60,13 @@
         let mut engines = Vec::new();
         for index in 0..engine_count {
             let ip = machines.add();
-            engines.push(Engine::start(&ip, &format!("i-{index}"), "engines", &log, record));
+            engines.push(Engine::start(
+                &ip,
+                &format!("i-{index}"),
+                "engines",
+                &log,
+                record,
+            ));
         }
         let folder = temp_folder(name);
         let ips: Vec<String> = (0..gateway_count).map(|_| machines.add()).collect();
@@ -151,7 +157,10 @@
 fn doubt(record: &Record) {
     let mut site = Site::start("doubt", record, 3, GATEWAYS);
     thread::sleep(millis(4_000));
-    record.line(&format!("keys of keyed.origins: {:?}", site.log.keys("keyed.origins")));
+    record.line(&format!(
+        "keys of keyed.origins: {:?}",
+        site.log.keys("keyed.origins")
+    ));
     let copy = site.log.copy();
     thread::sleep(millis(3_000));
     if plays("kill") {
@@ -176,7 +185,11 @@
     let calls: Vec<_> = (0..2 * STREAMS)
         .map(|index| {
             let record = record.clone();
-            let ports: Vec<_> = site.gateways.iter().map(|gateway| gateway.callers).collect();
+            let ports: Vec<_> = site
+                .gateways
+                .iter()
+                .map(|gateway| gateway.callers)
+                .collect();
             thread::spawn(move || {
                 thread::sleep(millis(40) * index as u32);
                 match index % 2 {
@@ -192,7 +205,8 @@
         .collect();
     let count = |rest| {
         let all = results.iter().enumerate();
-        all.filter(|(index, is_good)| index % 2 == rest && **is_good).count()
+        all.filter(|(index, is_good)| index % 2 == rest && **is_good)
+            .count()
     };
     let (begun, taken_up) = (count(0), count(1));
     let text = format!(
@@ -240,20 +254,30 @@
     let home = index / 2 % gateways.len();
     let answer = call(gateways[home], &first, Some(6));
     let Some(last) = answer.events.last().copied() else {
-        record.line(&format!("client {}: {} and no events", first.id, answer.status));
+        record.line(&format!(
+            "client {}: {} and no events",
+            first.id, answer.status
+        ));
         return false;
     };
     for attempt in 1..=3 {
         let mut request = stream_request(format!("again-{index}-{attempt}"));
         request.body.clone_from(&first.body);
         request.time_ms = 12_000;
-        let fields = [("Resumes", first.id.clone()), ("Last-Event-Id", last.to_string())];
+        let fields = [
+            ("Resumes", first.id.clone()),
+            ("Last-Event-Id", last.to_string()),
+        ];
         for (name, value) in fields {
             request.fields.push((name.to_owned(), value));
         }
         let machine = (home + attempt) % gateways.len();
         // It does not come to the machine where it began.
-        let machine = if machine == home { (home + 1) % gateways.len() } else { machine };
+        let machine = if machine == home {
+            (home + 1) % gateways.len()
+        } else {
+            machine
+        };
         let answer = call(gateways[machine], &request, None);
         record.line(&format!(
             "client {} resumes {} after event {last}: {}, Retry-After {:?}, {} events, whole: {}",
@@ -267,7 +291,9 @@
         if answer.status == 200 {
             return answer.is_whole && answer.events.first() == Some(&(last + 1));
         }
-        thread::sleep(Duration::from_secs_f64(answer.retry_after.unwrap_or(0.5).min(4.0)));
+        thread::sleep(Duration::from_secs_f64(
+            answer.retry_after.unwrap_or(0.5).min(4.0),
+        ));
     }
     false
 }
@@ -289,7 +315,11 @@
         }
     }
     if !told.iter().all(|told| *told) {
-        site.end(record, NOT_RUN, "not every machine has passed on an answer with Server-Leaving");
+        site.end(
+            record,
+            NOT_RUN,
+            "not every machine has passed on an answer with Server-Leaving",
+        );
     }
     engine.state.lock().unwrap().state = "draining";
     engine.check_in();
@@ -338,7 +368,10 @@
         let machine = *sent % site.gateways.len();
         let request = safe_request(format!("poison-{sent}"), "poison pill");
         let answer = call(site.gateways[machine].callers, &request, None);
-        record.line(&format!("client {} at front-{machine}: {}", request.id, answer.status));
+        record.line(&format!(
+            "client {} at front-{machine}: {}",
+            request.id, answer.status
+        ));
         *sent += 1;
         answer.status
     };
@@ -431,7 +464,8 @@
     let mut clients = Vec::new();
     for client in 0..4 * site.gateways.len() {
         let machine = client % site.gateways.len();
-        let (address, record, stop) = (site.gateways[machine].callers, record.clone(), stop.clone());
+        let (address, record, stop) =
+            (site.gateways[machine].callers, record.clone(), stop.clone());
         clients.push(thread::spawn(move || {
             let mut count = 0;
             while !stop.load(std::sync::atomic::Ordering::Acquire) {
@@ -480,7 +514,9 @@
             .iter()
             .filter(|arrival| arrival.at > from && arrival.at < until);
         let unwanted = unwanted.count();
-        record.line(&format!("front-{machine}: {unwanted} requests in the pause"));
+        record.line(&format!(
+            "front-{machine}: {unwanted} requests in the pause"
+        ));
         worst = worst.max(unwanted);
     }
     if told == 0 {
@@ -541,14 +577,17 @@
         engine.crash("the release");
         thread::sleep(GAP);
     }
-    let results = clients.into_iter().map(|client| client.join().unwrap_or_default());
+    let results = clients
+        .into_iter()
+        .map(|client| client.join().unwrap_or_default());
     let results: Vec<(bool, bool)> = results.collect();
     let begun = results.iter().filter(|(has_events, _)| *has_events).count();
     let mixed = results.iter().filter(|(_, is_mixed)| *is_mixed).count();
     if begun * 2 < RELEASE_STREAMS {
         site.end(record, NOT_RUN, "too few streams began");
     }
-    let text = format!("{mixed} of {begun} streams hold events of two software versions, 2 allowed");
+    let text =
+        format!("{mixed} of {begun} streams hold events of two software versions, 2 allowed");
     site.end(record, if mixed > 2 { BROKEN } else { HELD }, &text);
 }
 
--- a/review/tools-3/rig.rs
+++ b/review/tools-3/rig.rs
@@ -59,7 +59,9 @@
         let path = PathBuf::from(folder).join("record.txt");
         Self {
             start: Instant::now(),
-            file: Arc::new(Mutex::new(File::create(path).expect("record.txt can be written"))),
+            file: Arc::new(Mutex::new(
+                File::create(path).expect("record.txt can be written"),
+            )),
         }
     }
 
@@ -182,16 +184,20 @@
 
 /// Reads the body of a request.
 fn read_request_body(wire: &mut Wire, head: &Head) -> Option<Vec<u8>> {
-    let length = head.field("Content-Length").and_then(|text| text.parse().ok());
+    let length = head
+        .field("Content-Length")
+        .and_then(|text| text.parse().ok());
     wire.read_exact(length.unwrap_or(0))
 }
 
 fn query_of<'a>(target: &'a str, name: &str) -> Option<&'a str> {
     let (_, query) = target.split_once('?')?;
-    query.split('&').find_map(|pair| match pair.split_once('=') {
-        Some((key, value)) if key == name => Some(value),
-        _ => None,
-    })
+    query
+        .split('&')
+        .find_map(|pair| match pair.split_once('=') {
+            Some((key, value)) if key == name => Some(value),
+            _ => None,
+        })
 }
 
 fn percent_decode(text: &str) -> String {
@@ -392,7 +398,10 @@
             if state.is_away {
                 return (503, b"{}".to_vec());
             }
-            let end = state.topics.get(topic).map_or(0, |topic| topic.records.len());
+            let end = state
+                .topics
+                .get(topic)
+                .map_or(0, |topic| topic.records.len());
             if from > end {
                 return (410, b"{\"first_offset\":0}".to_vec());
             }
@@ -538,7 +547,10 @@
                 thread::sleep(HEARTBEAT);
                 let (is_up, checks_in) = {
                     let state = other.state.lock().unwrap();
-                    (other.is_up.load(Ordering::Acquire), state.checks_in && !state.is_starting)
+                    (
+                        other.is_up.load(Ordering::Acquire),
+                        state.checks_in && !state.is_starting,
+                    )
                 };
                 if is_up && checks_in {
                     other.check_in();
@@ -612,7 +624,8 @@
                     let state = self.state.lock().unwrap();
                     (state.id.clone(), state.version.clone())
                 };
-                self.record.line(&format!("engine {id} has started, version {version}"));
+                self.record
+                    .line(&format!("engine {id} has started, version {version}"));
                 self.life.fetch_add(1, Ordering::AcqRel);
                 self.is_up.store(true, Ordering::Release);
                 let engine = self.clone();
@@ -644,7 +657,8 @@
     pub fn crash(&self, id: &str) {
         self.state.lock().unwrap().crashes.push(Instant::now());
         let engine = self.state.lock().unwrap().id.clone();
-        self.record.line(&format!("engine {engine} crashes under {id}"));
+        self.record
+            .line(&format!("engine {engine} crashes under {id}"));
         self.is_up.store(false, Ordering::Release);
     }
 
@@ -670,11 +684,15 @@
             (state.id.clone(), state.is_leaving, state.poison)
         };
         let id = head.field("X-Request-Id").unwrap_or("").to_owned();
-        let is_meant = head.field("X-Expect-Instance").is_none_or(|expected| expected == own);
+        let is_meant = head
+            .field("X-Expect-Instance")
+            .is_none_or(|expected| expected == own);
         let turns_away = self.state.lock().unwrap().turns_away;
         let turns_away = turns_away.filter(|(until, _)| is_meant && Instant::now() < *until);
         let has_run = is_meant && turns_away.is_none();
-        let last_event = head.field("Last-Event-Id").and_then(|text| text.parse().ok());
+        let last_event = head
+            .field("Last-Event-Id")
+            .and_then(|text| text.parse().ok());
         self.arrivals.lock().unwrap().push(Arrival {
             id: id.clone(),
             at: Instant::now(),
@@ -686,9 +704,14 @@
             (false, true) => "turns away (503, Retry-After)",
             (false, false) => "rejects (421)",
         };
-        self.record
-            .line(&format!("engine {own} {verb} {id} last event {last_event:?}"));
-        let leaving = if is_leaving { "Server-Leaving: 1\r\n" } else { "" };
+        self.record.line(&format!(
+            "engine {own} {verb} {id} last event {last_event:?}"
+        ));
+        let leaving = if is_leaving {
+            "Server-Leaving: 1\r\n"
+        } else {
+            ""
+        };
         if let Some((_, retry_after)) = turns_away {
             let text = format!(
                 "HTTP/1.1 503 Full\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\nRetry-After: {retry_after}\r\n\
@@ -801,7 +824,9 @@
     answer.retry_after = head.field("Retry-After").and_then(|text| text.parse().ok());
     answer.is_leaving = head.field("Server-Leaving") == Some("1");
     if head.field("Transfer-Encoding").is_none() {
-        let length = head.field("Content-Length").and_then(|text| text.parse().ok());
+        let length = head
+            .field("Content-Length")
+            .and_then(|text| text.parse().ok());
         let body = wire.read_exact(length.unwrap_or(0));
         answer.is_whole = body.is_some();
         answer.body = String::from_utf8_lossy(&body.unwrap_or_default()).into_owned();
@@ -867,7 +892,10 @@
     thread::spawn(move || {
         thread::sleep(limit);
         for id in PROCESSES.lock().unwrap().drain(..) {
-            let _ = Command::new("kill").arg("-KILL").arg(id.to_string()).status();
+            let _ = Command::new("kill")
+                .arg("-KILL")
+                .arg(id.to_string())
+                .status();
         }
         println!("the script took too long");
         std::process::exit(NOT_RUN);
@@ -885,7 +913,13 @@
 
 impl Gateway {
     /// Writes the settings, as the template of the deploy file has them, and starts the process.
-    pub fn start(folder: &PathBuf, name: &str, ip: &str, seeds: &[String], log: SocketAddr) -> Self {
+    pub fn start(
+        folder: &PathBuf,
+        name: &str,
+        ip: &str,
+        seeds: &[String],
+        log: SocketAddr,
+    ) -> Self {
         let folder = folder.join(name);
         std::fs::create_dir_all(&folder).expect("a temporary folder can be made");
         let seeds: Vec<String> = seeds
