--- a/review/tools-3/cases.rs
+++ b/review/tools-3/cases.rs
@@ -3,6 +3,9 @@
 mod rig;
 
 use std::process::exit;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -303,6 +306,9 @@
     let mut site = Site::start("foreign", record, 3, 2);
     thread::sleep(millis(3_500));
     let engine = site.engines[0].clone();
+    for engine in &site.engines {
+        engine.state.lock().unwrap().work = millis(60);
+    }
     engine.state.lock().unwrap().is_leaving = true;
     let mut told = vec![false; site.gateways.len()];
     for index in 0..200 {
@@ -326,30 +332,61 @@
     let left_at = Instant::now();
     record.line("each machine has passed on Server-Leaving of i-0, and the store has accepted that it is draining");
     thread::sleep(DRAIN + millis(1_500));
-    let mut sent = 0;
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut clients = Vec::new();
+    for client in 0..6 {
+        let machine = client % site.gateways.len();
+        let address = site.gateways[machine].callers;
+        let (record, stop) = (record.clone(), stop.clone());
+        clients.push(thread::spawn(move || {
+            let (mut sent, mut lost) = (0, 0);
+            while !stop.load(Ordering::Acquire) {
+                sent += 1;
+                let request = Request {
+                    target: "/once/a".to_owned(),
+                    ..safe_request(format!("after-{client}-{sent}"), "{}")
+                };
+                let answer = call(address, &request, None);
+                record.line(&format!("client {}: {}", request.id, answer.status));
+                lost += usize::from(answer.status != 200 && answer.status != 503);
+                thread::sleep(millis(20));
+            }
+            (sent, lost)
+        }));
+    }
     for round in 0..4 {
         if has_trouble() {
             let entry = engine.entry("ready", false);
             site.log.append("keyed.servers", "i-0", &entry);
             record.line(&format!("another writer: servers/i-0 = {entry}"));
         }
+        let known = engine.arrivals().len();
         let start = Instant::now();
-        while start.elapsed() < millis(1_700) {
-            let machine = sent % site.gateways.len();
-            let request = safe_request(format!("after-{round}-{sent}"), "{}");
-            let answer = call(site.gateways[machine].callers, &request, None);
-            record.line(&format!("client {}: {}", request.id, answer.status));
-            sent += 1;
+        let is_last = round == 3;
+        while start.elapsed() < millis(1_700) && !(is_last && engine.arrivals().len() > known) {
             thread::sleep(millis(10));
         }
     }
+    thread::sleep(millis(20));
+    // It has drained for 9 s.
+    engine.state.lock().unwrap().down = Duration::from_secs(1_000);
+    engine.exit();
+    record.line("engine i-0 exits");
+    thread::sleep(millis(500));
+    stop.store(true, Ordering::Release);
+    let (mut sent, mut lost) = (0, 0);
+    for client in clients {
+        let counts = client.join().unwrap_or_default();
+        sent += counts.0;
+        lost += counts.1;
+    }
     let arrivals = engine.arrivals();
     let is_late = |arrival: &&rig::Arrival| {
         arrival.has_run && arrival.id.starts_with("after-") && arrival.at > left_at + DRAIN
     };
     let late = arrivals.iter().filter(is_late).count();
     let text = format!(
-        "{late} of {sent} requests that were sent later than drain_ms after i-0 was draining reached it"
+        "{late} of {sent} unsafe requests sent later than drain_ms after i-0 was draining reached it; {lost} got no answer of an engine"
     );
     site.end(record, if late > 0 { BROKEN } else { HELD }, &text);
 }
@@ -460,7 +497,7 @@
 fn pause(record: &Record) {
     let mut site = Site::start("pause", record, 3, 4);
     thread::sleep(millis(3_500));
-    let stop = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let stop = Arc::new(AtomicBool::new(false));
     let mut clients = Vec::new();
     for client in 0..4 * site.gateways.len() {
         let machine = client % site.gateways.len();
@@ -468,7 +505,7 @@
             (site.gateways[machine].callers, record.clone(), stop.clone());
         clients.push(thread::spawn(move || {
             let mut count = 0;
-            while !stop.load(std::sync::atomic::Ordering::Acquire) {
+            while !stop.load(Ordering::Acquire) {
                 count += 1;
                 let request = safe_request(format!("g{machine}-{client}-{count}"), "{}");
                 let answer = call(address, &request, None);
@@ -492,7 +529,7 @@
         engine.state.lock().unwrap().turns_away = Some((until, RETRY_AFTER));
     }
     thread::sleep(DOWN + PAUSE + PAUSE);
-    stop.store(true, std::sync::atomic::Ordering::Release);
+    stop.store(true, Ordering::Release);
     for client in clients {
         let _ = client.join();
     }
--- a/review/tools-3/rig.rs
+++ b/review/tools-3/rig.rs
@@ -470,6 +470,8 @@
     pub is_leaving: bool,
     /// Whether it writes its entry to the log.
     pub checks_in: bool,
+    /// Time that a request takes that is no stream.
+    pub work: Duration,
     pub events: u64,
     pub event_gap: Duration,
     pub first_pause: Duration,
@@ -519,6 +521,7 @@
                 state: "ready",
                 is_leaving: false,
                 checks_in: true,
+                work: millis(5),
                 events: 20,
                 event_gap: millis(50),
                 first_pause: millis(20),
@@ -653,6 +656,14 @@
         }
     }
 
+    /// Ends the process of the engine, as planned. Its entry is removed.
+    pub fn exit(&self) {
+        self.state.lock().unwrap().checks_in = false;
+        let id = self.state.lock().unwrap().id.clone();
+        self.log.append("keyed.servers", &id, "");
+        self.is_up.store(false, Ordering::Release);
+    }
+
     /// Ends the process of the engine. It is back after `down`.
     pub fn crash(&self, id: &str) {
         self.state.lock().unwrap().crashes.push(Instant::now());
@@ -733,7 +744,8 @@
             "X-Request-Id: {id}\r\nX-Response-Signature: {own}.{id}\r\nX-Server-Load: 1,0,64\r\n{leaving}"
         );
         if !head.word(1).starts_with("/stream/") {
-            thread::sleep(millis(5));
+            let work = self.state.lock().unwrap().work;
+            thread::sleep(work);
             let text = format!("answer of {own} to {id}");
             let message = format!(
                 "HTTP/1.1 200 OK\r\n{fields}Content-Length: {}\r\n\r\n{text}",
